--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/BenchReport.java
@@ -0,0 +1,26 @@
+package org.cowslipbank.bench;
+
+import java.util.List;
+
+/**
+ * Result of an experiment.
+ *
+ * @param bench the experiment's name
+ * @param seed the seed
+ * @param figures the figures in order
+ */
+public record BenchReport(String bench, long seed, List<Figure> figures) {
+    /** Copies the list. */
+    public BenchReport {
+        figures = List.copyOf(figures);
+    }
+
+    /**
+     * Tells whether every bound held.
+     *
+     * @return true if no figure misses its bound
+     */
+    public boolean held() {
+        return figures.stream().allMatch(Figure::held);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -0,0 +1,32 @@
+package org.cowslipbank.bench;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Dispatcher over the experiments. */
+public final class Benches {
+    private static final List<Bench> ALL = List.of(
+            // One experiment a line, in alphabetical order.
+            );
+
+    private Benches() {}
+
+    /**
+     * Returns all experiments.
+     *
+     * @return the experiments in alphabetical order
+     */
+    public static List<Bench> all() {
+        return ALL;
+    }
+
+    /**
+     * Finds an experiment.
+     *
+     * @param name the name used on the command line
+     * @return the experiment, or empty if there is none of that name
+     */
+    public static Optional<Bench> find(String name) {
+        return ALL.stream().filter(bench -> bench.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments with bounds, and the load tool. */
+package org.cowslipbank.bench;
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line and the daemons. */
+package org.cowslipbank.cli;
--- /dev/null
+++ b/config/src/main/java/org/cowslipbank/config/Configuration.java
@@ -0,0 +1,32 @@
+package org.cowslipbank.config;
+
+import java.util.List;
+
+/**
+ * The operators' configuration at one revision. Immutable; a node swaps the whole value.
+ *
+ * @param revision the revision, from one; zero before the first change
+ * @param teams the teams
+ * @param models the models with their versions
+ * @param services the plain services
+ * @param upstreams the engines and plain-service instances
+ * @param stores the store VMs
+ * @param weights what the deployment weighs
+ */
+public record Configuration(
+        long revision,
+        List<Team> teams,
+        List<Model> models,
+        List<Service> services,
+        List<Upstream> upstreams,
+        List<StoreVm> stores,
+        DecisionWeights weights) {
+    /** Copies the lists. */
+    public Configuration {
+        teams = List.copyOf(teams);
+        models = List.copyOf(models);
+        services = List.copyOf(services);
+        upstreams = List.copyOf(upstreams);
+        stores = List.copyOf(stores);
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/cowslipbank/config/Model.java
@@ -0,0 +1,17 @@
+package org.cowslipbank.config;
+
+import java.util.List;
+
+/**
+ * A model with its versions.
+ *
+ * @param name the name that callers use
+ * @param activeVersion weight version on which new requests run
+ * @param versions all versions
+ */
+public record Model(String name, String activeVersion, List<ModelVersion> versions) {
+    /** Copies the list. */
+    public Model {
+        versions = List.copyOf(versions);
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/cowslipbank/config/ModelVersion.java
@@ -0,0 +1,20 @@
+package org.cowslipbank.config;
+
+import java.util.List;
+
+import org.cowslipbank.model.UpstreamId;
+
+/**
+ * One version of a model's weights.
+ *
+ * @param weightVersion the version
+ * @param adapters adapters available on it
+ * @param upstreams upstreams allowed to serve it
+ */
+public record ModelVersion(String weightVersion, List<String> adapters, List<UpstreamId> upstreams) {
+    /** Copies the lists. */
+    public ModelVersion {
+        adapters = List.copyOf(adapters);
+        upstreams = List.copyOf(upstreams);
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/cowslipbank/config/Service.java
@@ -0,0 +1,20 @@
+package org.cowslipbank.config;
+
+import java.util.List;
+
+import org.cowslipbank.model.UpstreamId;
+
+/**
+ * A plain service.
+ *
+ * @param name the name in the path {@code /v1/services/{name}/}
+ * @param upstreams its instances
+ * @param repeatableMethods HTTP methods whose calls may be repeated; all others need an idempotency key
+ */
+public record Service(String name, List<UpstreamId> upstreams, List<String> repeatableMethods) {
+    /** Copies the lists. */
+    public Service {
+        upstreams = List.copyOf(upstreams);
+        repeatableMethods = List.copyOf(repeatableMethods);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry node: HTTP listeners, adapters, the control loop and traffic handling. */
+package org.cowslipbank.entry;
--- /dev/null
+++ b/model/src/main/java/org/cowslipbank/model/AttemptId.java
@@ -0,0 +1,28 @@
+package org.cowslipbank.model;
+
+/**
+ * Identifies one attempt to run a request at one upstream; late answers are matched by it.
+ *
+ * @param value the identifier's text, not blank
+ */
+public record AttemptId(String value) implements Comparable<AttemptId> {
+    /**
+     * Creates an identifier.
+     *
+     * @param value the identifier's text
+     * @throws IllegalArgumentException if the text is null or blank
+     */
+    public AttemptId {
+        Identifiers.requireText("AttemptId", value);
+    }
+
+    @Override
+    public int compareTo(AttemptId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/cowslipbank/model/ConfigurationException.java
@@ -0,0 +1,18 @@
+package org.cowslipbank.model;
+
+/** Settings or configuration are wrong. The message names file, line, path and what would be right. */
+public final class ConfigurationException extends CowslipbankException {
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates an error.
+     *
+     * @param file the file or source
+     * @param line the line, from one; zero if unknown
+     * @param path the JSON path of the wrong value, such as {@code $.teams[2].name}
+     * @param expected what is wrong and what would be right
+     */
+    public ConfigurationException(String file, int line, String path, String expected) {
+        super(Step.CONFIGURE, "", RunState.NOT_RUN, file + ":" + line + ": " + path + ": " + expected, null);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/cowslipbank/model/PeerException.java
@@ -0,0 +1,31 @@
+package org.cowslipbank.model;
+
+/** A peer, upstream, store or platform service could not be reached, fell silent or answered with an error. */
+public final class PeerException extends CowslipbankException {
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates an error.
+     *
+     * @param step the step at which the error arose
+     * @param peer the peer's address or name
+     * @param runState what is known about the run
+     * @param message what went wrong
+     * @param cause the cause, or null
+     */
+    public PeerException(Step step, String peer, RunState runState, String message, Throwable cause) {
+        super(step, peer, runState, message, cause);
+    }
+
+    /**
+     * Creates an error without a cause.
+     *
+     * @param step the step at which the error arose
+     * @param peer the peer's address or name
+     * @param runState what is known about the run
+     * @param message what went wrong
+     */
+    public PeerException(Step step, String peer, RunState runState, String message) {
+        this(step, peer, runState, message, null);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/cowslipbank/model/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Records, identifiers and checked errors that every module shares.
+ *
+ * <p>The module depends on the JDK alone, so that decisions and adapters agree on the same types.
+ */
+package org.cowslipbank.model;
--- /dev/null
+++ b/peer/src/main/java/org/cowslipbank/peer/package-info.java
@@ -0,0 +1,2 @@
+/** TCP framing with MessagePack between nodes. */
+package org.cowslipbank.peer;
--- /dev/null
+++ b/ports/src/main/java/org/cowslipbank/ports/FinishReason.java
@@ -0,0 +1,9 @@
+package org.cowslipbank.ports;
+
+/** Why a run ended. */
+public enum FinishReason {
+    /** The model ended its answer. */
+    STOP,
+    /** The answer reached its token limit. */
+    LENGTH
+}
--- /dev/null
+++ b/ports/src/main/java/org/cowslipbank/ports/VmEntry.java
@@ -0,0 +1,15 @@
+package org.cowslipbank.ports;
+
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.VmId;
+
+/**
+ * One VM in the platform's list.
+ *
+ * @param vm the VM
+ * @param kind what runs on it
+ * @param dataCentre its data centre
+ * @param address its address as {@code IP:port}
+ * @param leaving true once the platform has announced that the VM goes away
+ */
+public record VmEntry(VmId vm, VmKind kind, DataCentreId dataCentre, String address, boolean leaving) {}
