Add HTTP adapters, stand-ins and the callers' request and answer formats

Cause: the whole path needs upstreams, stores and platform to run against. Change: JSON-over-HTTP adapters behind the ports, stand-ins with fault switches, parser and writer of the completions interface.

--- /dev/null
+++ b/adapters/src/main/java/org/cowslipbank/adapters/HttpKeyValueStore.java
@@ -0,0 +1,83 @@
+package org.cowslipbank.adapters;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.cowslipbank.ports.CasResult;
+import org.cowslipbank.ports.KeyValueStore;
+import org.cowslipbank.ports.Lease;
+import org.cowslipbank.ports.VersionedValue;
+import reactor.core.publisher.Mono;
+
+/** Key-value service over JSON and HTTP. */
+final class HttpKeyValueStore implements KeyValueStore {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+    private final JsonHttpClient http;
+
+    HttpKeyValueStore(JsonHttpClient http) {
+        this.http = http;
+    }
+
+    @Override
+    public Mono<Optional<VersionedValue>> get(String key) {
+        return http.post("/kv/get", new KeyValueWire.Read(key, 0, 0), KeyValueWire.Value.class, CALL_TIMEOUT)
+                .map(HttpKeyValueStore::toValue);
+    }
+
+    @Override
+    public Mono<CasResult> compareAndSwap(String key, long expectedVersion, byte[] value) {
+        return http.post("/kv/cas", new KeyValueWire.Write(key, expectedVersion, value), CasResult.class, CALL_TIMEOUT);
+    }
+
+    @Override
+    public Mono<Boolean> delete(String key, long expectedVersion) {
+        return http.post(
+                        "/kv/delete",
+                        new KeyValueWire.Write(key, expectedVersion, null),
+                        KeyValueWire.Done.class,
+                        CALL_TIMEOUT)
+                .map(KeyValueWire.Done::done);
+    }
+
+    @Override
+    public Mono<List<String>> list(String prefix, String afterKey, int limit) {
+        return http.post(
+                        "/kv/list",
+                        new KeyValueWire.ListKeys(prefix, afterKey, limit),
+                        KeyValueWire.Keys.class,
+                        CALL_TIMEOUT)
+                .map(KeyValueWire.Keys::keys);
+    }
+
+    @Override
+    public Mono<Optional<VersionedValue>> watch(String key, long knownVersion, long waitMillis) {
+        return http.post(
+                        "/kv/watch",
+                        new KeyValueWire.Read(key, knownVersion, waitMillis),
+                        KeyValueWire.Value.class,
+                        CALL_TIMEOUT.plusMillis(waitMillis))
+                .map(HttpKeyValueStore::toValue);
+    }
+
+    @Override
+    public Mono<Lease> acquireLease(String name, String holder, long ttlMillis) {
+        return http.post(
+                "/kv/lease/acquire", new KeyValueWire.LeaseCall(name, holder, ttlMillis, 0), Lease.class, CALL_TIMEOUT);
+    }
+
+    @Override
+    public Mono<Void> releaseLease(String name, long fencingToken) {
+        return http.post(
+                        "/kv/lease/release",
+                        new KeyValueWire.LeaseCall(name, "", 0, fencingToken),
+                        KeyValueWire.Done.class,
+                        CALL_TIMEOUT)
+                .then();
+    }
+
+    private static Optional<VersionedValue> toValue(KeyValueWire.Value value) {
+        return value.found() ? Optional.of(new VersionedValue(value.version(), value.value())) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/cowslipbank/adapters/HttpOutsideSystems.java
@@ -0,0 +1,86 @@
+package org.cowslipbank.adapters;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Function;
+
+import org.cowslipbank.model.Step;
+import org.cowslipbank.model.StoreId;
+import org.cowslipbank.ports.Engine;
+import org.cowslipbank.ports.KeyValueStore;
+import org.cowslipbank.ports.OutsideSystems;
+import org.cowslipbank.ports.PlainService;
+import org.cowslipbank.ports.Store;
+import org.cowslipbank.ports.VmEntry;
+import org.cowslipbank.ports.VmList;
+import reactor.netty.resources.ConnectionProvider;
+
+/** All outside systems over JSON and HTTP. */
+public final class HttpOutsideSystems implements OutsideSystems, AutoCloseable {
+    private static final int MAX_CONNECTIONS_PER_PEER = 4_000;
+    // Connections are replaced regularly, so that one that a middlebox has forgotten is not kept for good.
+    private static final Duration MAX_CONNECTION_AGE = Duration.ofMinutes(5);
+    private static final Duration MAX_IDLE = Duration.ofSeconds(30);
+    private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration VM_LIST_TIMEOUT = Duration.ofSeconds(2);
+
+    private final ConnectionProvider connections;
+    private final String keyValueAddress;
+    private final String vmListAddress;
+    private final Function<StoreId, String> storeAddresses;
+
+    /**
+     * Creates the adapters; nothing is connected yet.
+     *
+     * @param keyValueAddress address of the key-value service as {@code IP:port}
+     * @param vmListAddress address of the VM list as {@code IP:port}
+     * @param storeAddresses gives the address of a store as {@code IP:port}
+     */
+    public HttpOutsideSystems(String keyValueAddress, String vmListAddress, Function<StoreId, String> storeAddresses) {
+        this.keyValueAddress = keyValueAddress;
+        this.vmListAddress = vmListAddress;
+        this.storeAddresses = storeAddresses;
+        this.connections = ConnectionProvider.builder("outside")
+                .maxConnections(MAX_CONNECTIONS_PER_PEER)
+                .pendingAcquireMaxCount(-1)
+                .maxLifeTime(MAX_CONNECTION_AGE)
+                .maxIdleTime(MAX_IDLE)
+                .build();
+    }
+
+    @Override
+    public KeyValueStore keyValueStore() {
+        return new HttpKeyValueStore(client(keyValueAddress, Step.KEY_VALUE));
+    }
+
+    @Override
+    public VmList vmList() {
+        JsonHttpClient http = client(vmListAddress, Step.VM_LIST);
+        return () -> http.get("/vms", VmEntry[].class, VM_LIST_TIMEOUT).map(List::of);
+    }
+
+    @Override
+    public Engine engine(String address) {
+        return new HttpEngine(client(address, Step.GENERATE), storeAddresses);
+    }
+
+    @Override
+    public Store store(String address) {
+        return new HttpStore(client(address, Step.FETCH));
+    }
+
+    @Override
+    public PlainService service(String address) {
+        JsonHttpClient http = client(address, Step.SERVICE_CALL);
+        return call -> http.exchange(call.method(), call.path(), call.contentType(), call.body(), SERVICE_TIMEOUT);
+    }
+
+    @Override
+    public void close() {
+        connections.dispose();
+    }
+
+    private JsonHttpClient client(String address, Step step) {
+        return new JsonHttpClient(connections, address, step);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/http/Bodies.java
@@ -0,0 +1,58 @@
+package org.cowslipbank.entry.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.cowslipbank.model.Refusal;
+import org.cowslipbank.model.RefusedException;
+import org.cowslipbank.model.Step;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Reads request bodies with a limit and writes JSON answers. */
+final class Bodies {
+    static final int MAX_BODY_BYTES = 4_000_000;
+
+    private Bodies() {}
+
+    static Mono<byte[]> read(HttpServerRequest request) {
+        return request.receive()
+                .asByteArray()
+                .reduceWith(ByteArrayOutputStream::new, Bodies::append)
+                .flatMap(Bodies::withinLimit);
+    }
+
+    // Bytes beyond the limit are read but not kept, so that the refusal reaches a client that is still sending.
+    private static ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] chunk) {
+        if (body.size() <= MAX_BODY_BYTES) {
+            body.writeBytes(chunk);
+        }
+        return body;
+    }
+
+    private static Mono<byte[]> withinLimit(ByteArrayOutputStream body) {
+        if (body.size() <= MAX_BODY_BYTES) {
+            return Mono.just(body.toByteArray());
+        }
+        Refusal refusal =
+                Refusal.invalid(413, "body_too_large", "the body must not exceed " + MAX_BODY_BYTES + " bytes");
+        return Mono.error(new RefusedException(Step.PARSE, refusal));
+    }
+
+    static Mono<Void> send(HttpServerResponse response, JsonNode body) {
+        return response.header("content-type", "application/json")
+                .sendByteArray(Mono.just(body.toString().getBytes(StandardCharsets.UTF_8)))
+                .then();
+    }
+
+    static Mono<Void> sendFailure(HttpServerResponse response, Throwable error) {
+        Refusal refusal = ErrorBody.refusalOf(error);
+        response.status(refusal.httpStatus());
+        if (refusal.retryAfterMillis() > 0) {
+            long seconds = (refusal.retryAfterMillis() + 999) / 1_000;
+            response.header("retry-after", Long.toString(seconds));
+        }
+        return send(response, ErrorBody.toJson(refusal));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Traffic handling: how one request of a caller is run, relayed and its cache kept. */
+package org.cowslipbank.entry.traffic;
--- a/ports/src/main/java/org/cowslipbank/ports/Engine.java
+++ b/ports/src/main/java/org/cowslipbank/ports/Engine.java
@@ -47,14 +47,15 @@
     Flux<BlockReceipt> importBlocks(List<BlockRef> blocks);
 
     /**
-     * Exports blocks that the engine holds to a store, in two steps: data, then commit.
+     * Exports pieces of a run's prompt that the engine still holds to a store, in two steps: data, then commit.
      *
+     * @param attempt the run
      * @param blocks the blocks to export
      * @param store the store's identifier
      * @param storeAddress the store's address as {@code IP:port}
      * @return a reference for each committed block
      */
-    Flux<BlockRef> exportBlocks(List<BlockIdentity> blocks, StoreId store, String storeAddress);
+    Flux<BlockRef> exportBlocks(AttemptId attempt, List<BlockIdentity> blocks, StoreId store, String storeAddress);
 
     /**
      * Reads the engine's load report, which lags.
--- a/ports/src/main/java/org/cowslipbank/ports/GenerateCall.java
+++ b/ports/src/main/java/org/cowslipbank/ports/GenerateCall.java
@@ -15,6 +15,7 @@
  * @param model the model, weight version and adapter expected; the engine names the version it ran
  * @param prompt the prompt's text
  * @param continuation tokens already emitted by an earlier attempt, empty for a new run
+ * @param pieceBytes length in bytes of the pieces into which the node cuts the prompt; block indices count them
  * @param stagedBlocks blocks imported for this run, in prompt order
  * @param cacheSalt the team's salt for the engine's own prefix cache
  * @param maxTokens the most tokens to generate, the continuation not counted
@@ -26,6 +27,7 @@
         ModelRef model,
         String prompt,
         List<String> continuation,
+        int pieceBytes,
         List<BlockKey> stagedBlocks,
         String cacheSalt,
         int maxTokens,
--- /dev/null
+++ b/standins/src/main/java/org/cowslipbank/standins/EngineCache.java
@@ -0,0 +1,45 @@
+package org.cowslipbank.standins;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cowslipbank.model.BlockKey;
+
+/** The engine's own prefix cache: least recently used pieces are evicted. */
+final class EngineCache {
+    private final int capacityTokens;
+    private final Map<BlockKey, Integer> tokensByKey = new LinkedHashMap<>(16, 0.75f, true);
+    private int usedTokens;
+
+    EngineCache(int capacityTokens) {
+        this.capacityTokens = capacityTokens;
+    }
+
+    boolean contains(BlockKey key) {
+        return tokensByKey.get(key) != null;
+    }
+
+    /** Adds a piece and returns the pieces evicted for it. */
+    List<BlockKey> add(BlockKey key, int tokens) {
+        if (tokensByKey.get(key) == null) {
+            tokensByKey.put(key, tokens);
+            usedTokens += tokens;
+        }
+        List<BlockKey> evicted = new ArrayList<>();
+        while (usedTokens > capacityTokens && tokensByKey.size() > 1) {
+            Map.Entry<BlockKey, Integer> eldest =
+                    tokensByKey.entrySet().iterator().next();
+            usedTokens -= eldest.getValue();
+            evicted.add(eldest.getKey());
+            tokensByKey.remove(eldest.getKey());
+        }
+        return evicted;
+    }
+
+    void clear() {
+        tokensByKey.clear();
+        usedTokens = 0;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/cowslipbank/standins/JsonHttpServer.java
@@ -0,0 +1,91 @@
+package org.cowslipbank.standins;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+import org.cowslipbank.adapters.WireJson;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** HTTP server with JSON routes, which can be stopped as abruptly as a crash. */
+final class JsonHttpServer {
+    private static final byte[] NEWLINE = {'\n'};
+
+    private final DisposableServer server;
+    private final ChannelGroup channels = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+
+    JsonHttpServer(String host, int port, Consumer<HttpServerRoutes> routes) {
+        server = HttpServer.create()
+                .host(host)
+                .port(port)
+                .doOnConnection(connection -> channels.add(connection.channel()))
+                .route(routes)
+                .bindNow();
+    }
+
+    String address() {
+        return server.host() + ":" + server.port();
+    }
+
+    void close() {
+        server.disposeNow(Duration.ofMillis(1));
+        channels.close().awaitUninterruptibly(1_000);
+    }
+
+    /** Closes all open connections without an answer; new ones are accepted. */
+    void cutConnections() {
+        channels.close();
+    }
+
+    static <I> void post(
+            HttpServerRoutes routes, String path, Class<I> type, Function<I, ? extends Publisher<?>> handler) {
+        routes.post(path, (request, response) -> readBody(request, type)
+                .flatMap(input -> Mono.from(handler.apply(input)))
+                .flatMap(output -> response.header("content-type", "application/json")
+                        .sendByteArray(Mono.just(WireJson.write(output)))
+                        .then())
+                .onErrorResume(StatusException.class, error -> response.status(error.status())
+                        .send()));
+    }
+
+    static <I> void postForLines(HttpServerRoutes routes, String path, Class<I> type, Function<I, Flux<?>> handler) {
+        routes.post(path, (request, response) -> readBody(request, type)
+                .flatMap(input -> sendLines(response, handler.apply(input)))
+                .onErrorResume(StatusException.class, error -> response.status(error.status())
+                        .send()));
+    }
+
+    static Mono<Void> sendLines(HttpServerResponse response, Flux<?> lines) {
+        Flux<ByteBuf> buffers = lines.map(line -> Unpooled.wrappedBuffer(WireJson.write(line), NEWLINE));
+        return response.header("content-type", "application/x-ndjson")
+                .send(buffers, buffer -> true)
+                .then();
+    }
+
+    static <I> Mono<I> readBody(HttpServerRequest request, Class<I> type) {
+        return request.receive()
+                .aggregate()
+                .asByteArray()
+                .defaultIfEmpty(new byte[0])
+                .flatMap(bytes -> {
+                    try {
+                        return Mono.just(WireJson.read(bytes, type));
+                    } catch (IOException e) {
+                        return Mono.error(new StatusException(400));
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/cowslipbank/standins/KeyValueStandIn.java
@@ -0,0 +1,243 @@
+package org.cowslipbank.standins;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import org.cowslipbank.adapters.KeyValueWire;
+import org.cowslipbank.ports.CasResult;
+import org.cowslipbank.ports.Lease;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Stand-in for the platform's key-value service. */
+public final class KeyValueStandIn implements StandIn {
+    private final KeyValueFaults faults = new KeyValueFaults();
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final Map<String, List<MonoSink<Boolean>>> watchers = new HashMap<>();
+    private final Map<String, HeldLease> leases = new HashMap<>();
+    private final AtomicLong reads = new AtomicLong();
+    private final AtomicLong writes = new AtomicLong();
+    private final JsonHttpServer server;
+    private long nextFencingToken = 1;
+
+    /**
+     * Starts the stand-in.
+     *
+     * @param host the IP address to listen on
+     * @param port the port, zero for any
+     */
+    public KeyValueStandIn(String host, int port) {
+        server = new JsonHttpServer(host, port, this::addRoutes);
+    }
+
+    /**
+     * Returns the fault switches.
+     *
+     * @return the switches
+     */
+    public KeyValueFaults faults() {
+        return faults;
+    }
+
+    /**
+     * Returns the number of reads and watches so far.
+     *
+     * @return the count
+     */
+    public long reads() {
+        return reads.get();
+    }
+
+    /**
+     * Returns the number of writes and lease calls so far.
+     *
+     * @return the count
+     */
+    public long writes() {
+        return writes.get();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private void addRoutes(HttpServerRoutes routes) {
+        JsonHttpServer.post(routes, "/kv/get", KeyValueWire.Read.class, call -> read(() -> get(call.key())));
+        JsonHttpServer.post(routes, "/kv/watch", KeyValueWire.Read.class, this::watch);
+        JsonHttpServer.post(routes, "/kv/list", KeyValueWire.ListKeys.class, call -> read(() -> list(call)));
+        JsonHttpServer.post(routes, "/kv/cas", KeyValueWire.Write.class, call -> write(() -> compareAndSwap(call)));
+        JsonHttpServer.post(routes, "/kv/delete", KeyValueWire.Write.class, call -> write(() -> delete(call)));
+        JsonHttpServer.post(
+                routes, "/kv/lease/acquire", KeyValueWire.LeaseCall.class, call -> write(() -> acquire(call)));
+        JsonHttpServer.post(
+                routes, "/kv/lease/release", KeyValueWire.LeaseCall.class, call -> write(() -> release(call)));
+        JsonHttpServer.post(routes, "/faults", FaultCall.class, this::setFaults);
+    }
+
+    private Mono<KeyValueWire.Done> setFaults(FaultCall call) {
+        faults.setDown(call.down());
+        faults.setDelayMillis(call.delayMillis());
+        faults.setLosingAnswers(call.losingAnswers());
+        return Mono.just(new KeyValueWire.Done(true));
+    }
+
+    private <T> Mono<T> read(Supplier<T> action) {
+        reads.incrementAndGet();
+        return admitted(Mono.fromSupplier(action));
+    }
+
+    private <T> Mono<T> write(Supplier<T> action) {
+        writes.incrementAndGet();
+        return admitted(Mono.fromSupplier(action)).flatMap(this::loseAnswer);
+    }
+
+    private <T> Mono<T> admitted(Mono<T> action) {
+        if (faults.isDown()) {
+            return Mono.error(new StatusException(503));
+        }
+        long delayMillis = faults.delayMillis();
+        if (delayMillis == 0) {
+            return action;
+        }
+        return Mono.delay(Duration.ofMillis(delayMillis), Schedulers.parallel()).then(action);
+    }
+
+    private <T> Mono<T> loseAnswer(T answer) {
+        if (!faults.isLosingAnswers()) {
+            return Mono.just(answer);
+        }
+        server.cutConnections();
+        return Mono.never();
+    }
+
+    private Mono<KeyValueWire.Value> watch(KeyValueWire.Read call) {
+        reads.incrementAndGet();
+        return admitted(Mono.defer(() -> waitForChange(call)));
+    }
+
+    private Mono<KeyValueWire.Value> waitForChange(KeyValueWire.Read call) {
+        Mono<Boolean> changed = Mono.create(sink -> register(call, sink));
+        return changed.timeout(Duration.ofMillis(Math.max(1, call.waitMillis())), Mono.just(false))
+                .map(ignored -> get(call.key()));
+    }
+
+    private synchronized void register(KeyValueWire.Read call, MonoSink<Boolean> sink) {
+        if (versionOf(call.key()) != call.knownVersion()) {
+            sink.success(true);
+            return;
+        }
+        watchers.computeIfAbsent(call.key(), key -> new ArrayList<>()).add(sink);
+        sink.onDispose(() -> unregister(call.key(), sink));
+    }
+
+    private synchronized void unregister(String key, MonoSink<Boolean> sink) {
+        List<MonoSink<Boolean>> waiting = watchers.get(key);
+        if (waiting != null) {
+            waiting.remove(sink);
+        }
+    }
+
+    private synchronized KeyValueWire.Value get(String key) {
+        Entry entry = entries.get(key);
+        return entry == null
+                ? new KeyValueWire.Value(false, 0, new byte[0])
+                : new KeyValueWire.Value(true, entry.version(), entry.value());
+    }
+
+    private synchronized KeyValueWire.Keys list(KeyValueWire.ListKeys call) {
+        String from = call.afterKey().compareTo(call.prefix()) > 0 ? call.afterKey() : call.prefix();
+        List<String> keys = entries.tailMap(from, true).keySet().stream()
+                .takeWhile(key -> key.startsWith(call.prefix()))
+                .filter(key -> !key.equals(call.afterKey()))
+                .limit(call.limit())
+                .toList();
+        return new KeyValueWire.Keys(keys);
+    }
+
+    private CasResult compareAndSwap(KeyValueWire.Write call) {
+        List<MonoSink<Boolean>> waiting;
+        CasResult result;
+        synchronized (this) {
+            long version = versionOf(call.key());
+            if (version != call.expectedVersion()) {
+                return new CasResult(false, version);
+            }
+            entries.put(call.key(), new Entry(version + 1, call.value()));
+            result = new CasResult(true, version + 1);
+            waiting = takeWatchers(call.key());
+        }
+        waiting.forEach(sink -> sink.success(true));
+        return result;
+    }
+
+    private KeyValueWire.Done delete(KeyValueWire.Write call) {
+        List<MonoSink<Boolean>> waiting;
+        synchronized (this) {
+            if (versionOf(call.key()) != call.expectedVersion()) {
+                return new KeyValueWire.Done(false);
+            }
+            entries.remove(call.key());
+            waiting = takeWatchers(call.key());
+        }
+        waiting.forEach(sink -> sink.success(true));
+        return new KeyValueWire.Done(true);
+    }
+
+    private List<MonoSink<Boolean>> takeWatchers(String key) {
+        List<MonoSink<Boolean>> waiting = watchers.remove(key);
+        return waiting == null ? List.of() : List.copyOf(waiting);
+    }
+
+    private long versionOf(String key) {
+        Entry entry = entries.get(key);
+        return entry == null ? 0 : entry.version();
+    }
+
+    private synchronized Lease acquire(KeyValueWire.LeaseCall call) {
+        long nowMillis = System.nanoTime() / 1_000_000;
+        HeldLease held = leases.get(call.name());
+        boolean free = held == null || held.endsAtMillis() <= nowMillis;
+        if (!free && !held.holder().equals(call.holder())) {
+            return new Lease(call.name(), held.holder(), held.fencingToken(), held.endsAtMillis() - nowMillis);
+        }
+        long token = free ? nextFencingToken++ : held.fencingToken();
+        leases.put(call.name(), new HeldLease(call.holder(), token, nowMillis + call.ttlMillis()));
+        return new Lease(call.name(), call.holder(), token, call.ttlMillis());
+    }
+
+    private synchronized KeyValueWire.Done release(KeyValueWire.LeaseCall call) {
+        HeldLease held = leases.get(call.name());
+        boolean current = held != null && held.fencingToken() == call.fencingToken();
+        if (current) {
+            leases.remove(call.name());
+        }
+        return new KeyValueWire.Done(current);
+    }
+
+    private record Entry(long version, byte[] value) {}
+
+    private record HeldLease(String holder, long fencingToken, long endsAtMillis) {}
+
+    /**
+     * Sets all switches at once.
+     *
+     * @param down true for an outage
+     * @param delayMillis delay of every answer in milliseconds
+     * @param losingAnswers true to lose the answers of writes
+     */
+    public record FaultCall(boolean down, long delayMillis, boolean losingAnswers) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/cowslipbank/standins/StoreStandIn.java
@@ -0,0 +1,274 @@
+package org.cowslipbank.standins;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.cowslipbank.adapters.KeyValueWire;
+import org.cowslipbank.adapters.StoreWire;
+import org.cowslipbank.adapters.WireJson;
+import org.cowslipbank.model.BlockIdentity;
+import org.cowslipbank.model.BlockKey;
+import org.cowslipbank.model.BlockRef;
+import org.cowslipbank.model.StoreId;
+import org.cowslipbank.model.StoreTier;
+import org.cowslipbank.ports.StoreStatus;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Stand-in for a store VM: two-step writes, generations, two tiers and a limited link. */
+public final class StoreStandIn implements StandIn {
+    private static final double DISK_SLOWDOWN = 4;
+
+    private final StoreId id;
+    private final StoreSize size;
+    private final StoreFaults faults = new StoreFaults();
+    private final Map<BlockKey, Block> blocks = new HashMap<>();
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private final AtomicLong linkBytes = new AtomicLong();
+    private final JsonHttpServer server;
+    private long nextNumber = 1;
+    private long linkFreeAtNanos = System.nanoTime();
+
+    /**
+     * Starts the stand-in.
+     *
+     * @param id the store's identifier
+     * @param host the IP address to listen on
+     * @param port the port, zero for any
+     * @param size capacities and link rate
+     */
+    public StoreStandIn(StoreId id, String host, int port, StoreSize size) {
+        this.id = id;
+        this.size = size;
+        this.server = new JsonHttpServer(host, port, this::addRoutes);
+    }
+
+    /**
+     * Returns the fault switches.
+     *
+     * @return the switches
+     */
+    public StoreFaults faults() {
+        return faults;
+    }
+
+    /**
+     * Returns the bytes that have crossed the link so far, both ways.
+     *
+     * @return the bytes
+     */
+    public long linkBytes() {
+        return linkBytes.get();
+    }
+
+    /**
+     * Returns the number of committed blocks.
+     *
+     * @return the count
+     */
+    public synchronized int blockCount() {
+        return blocks.size();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private void addRoutes(HttpServerRoutes routes) {
+        JsonHttpServer.post(routes, "/store/find", StoreWire.Find.class, call -> Mono.fromSupplier(() -> find(call)));
+        JsonHttpServer.post(
+                routes, "/store/free", StoreWire.BlockCall.class, call -> Mono.fromSupplier(() -> free(call)));
+        JsonHttpServer.post(
+                routes, "/store/move", StoreWire.BlockCall.class, call -> Mono.fromSupplier(() -> move(call)));
+        JsonHttpServer.post(routes, "/store/commit", StoreWire.Commit.class, this::commit);
+        routes.get("/store/status", (request, response) -> response.header("content-type", "application/json")
+                .sendByteArray(Mono.fromSupplier(() -> WireJson.write(status()))));
+        routes.post("/store/blocks", this::write);
+        routes.get("/store/blocks/{key}/{generation}", this::read);
+    }
+
+    private synchronized StoreWire.Found find(StoreWire.Find call) {
+        List<BlockRef> found = call.keys().stream()
+                .map(blocks::get)
+                .filter(Objects::nonNull)
+                .map(Block::ref)
+                .toList();
+        return new StoreWire.Found(found);
+    }
+
+    private synchronized KeyValueWire.Done free(StoreWire.BlockCall call) {
+        Block block = blocks.get(call.key());
+        boolean current = block != null && block.ref().generation() == call.generation();
+        if (current) {
+            blocks.remove(call.key());
+        }
+        return new KeyValueWire.Done(current);
+    }
+
+    private synchronized KeyValueWire.Done move(StoreWire.BlockCall call) {
+        Block block = blocks.get(call.key());
+        if (block == null || block.ref().generation() != call.generation()) {
+            return new KeyValueWire.Done(false);
+        }
+        if (call.tier() != block.ref().tier() && used(call.tier()) + block.data().length > capacity(call.tier())) {
+            return new KeyValueWire.Done(false);
+        }
+        blocks.put(call.key(), block.inTier(call.tier()));
+        return new KeyValueWire.Done(true);
+    }
+
+    private synchronized StoreStatus status() {
+        return new StoreStatus(
+                used(StoreTier.MEMORY),
+                size.memoryBytes(),
+                used(StoreTier.DISK),
+                size.diskBytes(),
+                size.linkBytesPerSecond());
+    }
+
+    private long used(StoreTier tier) {
+        return blocks.values().stream()
+                .filter(block -> block.ref().tier() == tier)
+                .mapToLong(block -> block.data().length)
+                .sum();
+    }
+
+    private long capacity(StoreTier tier) {
+        return tier == StoreTier.MEMORY ? size.memoryBytes() : size.diskBytes();
+    }
+
+    private Mono<Void> write(HttpServerRequest request, HttpServerResponse response) {
+        BlockIdentity identity = readIdentity(request.requestHeaders().get(StoreWire.IDENTITY_HEADER));
+        if (identity == null) {
+            return response.status(400).send();
+        }
+        return request.receive()
+                .aggregate()
+                .asByteArray()
+                .flatMap(data -> transfer(data.length, 1).thenReturn(data))
+                .flatMap(data -> response.sendByteArray(Mono.just(WireJson.write(begin(identity, data))))
+                        .then());
+    }
+
+    private static BlockIdentity readIdentity(String header) {
+        if (header == null) {
+            return null;
+        }
+        try {
+            return WireJson.read(Base64.getDecoder().decode(header), BlockIdentity.class);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private synchronized StoreWire.Begun begin(BlockIdentity identity, byte[] data) {
+        long writeId = nextNumber++;
+        pending.put(writeId, new Pending(identity, data));
+        return new StoreWire.Begun(writeId);
+    }
+
+    private Mono<BlockRef> commit(StoreWire.Commit call) {
+        return Mono.defer(() -> {
+            BlockRef ref = tryCommit(call);
+            return ref == null ? Mono.error(new StatusException(409)) : Mono.just(ref);
+        });
+    }
+
+    private synchronized BlockRef tryCommit(StoreWire.Commit call) {
+        Pending write = pending.remove(call.writeId());
+        if (write == null || write.data().length != call.lengthBytes()) {
+            return null;
+        }
+        if (Checksums.crc32c(write.data()) != call.checksum()) {
+            return null;
+        }
+        StoreTier tier =
+                used(StoreTier.MEMORY) + write.data().length <= size.memoryBytes() ? StoreTier.MEMORY : StoreTier.DISK;
+        if (used(tier) + write.data().length > capacity(tier)) {
+            return null;
+        }
+        BlockRef ref = new BlockRef(id, write.identity(), nextNumber++, write.data().length, call.checksum(), tier);
+        blocks.put(write.identity().key(), new Block(ref, write.data()));
+        return ref;
+    }
+
+    private Mono<Void> read(HttpServerRequest request, HttpServerResponse response) {
+        BlockKey key = new BlockKey(request.param("key"));
+        long generation = Long.parseLong(request.param("generation"));
+        Block block = readable(key, generation);
+        if (block == null) {
+            return response.status(404).send();
+        }
+        double tierSlowdown = block.ref().tier() == StoreTier.DISK ? DISK_SLOWDOWN : 1;
+        return transfer(block.data().length, tierSlowdown).then(Mono.defer(() -> send(response, block)));
+    }
+
+    private synchronized Block readable(BlockKey key, long generation) {
+        Block block = blocks.get(key);
+        return block != null && block.ref().generation() == generation ? block : null;
+    }
+
+    private Mono<Void> send(HttpServerResponse response, Block block) {
+        Block sent = faults.isFreeingUnderReaders() ? rewrite(block) : block;
+        byte[] data = faults.isTruncatingReads() ? Arrays.copyOf(sent.data(), sent.data().length / 2) : sent.data();
+        String identity = new String(
+                Base64.getEncoder().encode(WireJson.write(sent.ref().identity())), StandardCharsets.US_ASCII);
+        return response.header(StoreWire.IDENTITY_HEADER, identity)
+                .header(StoreWire.GENERATION_HEADER, Long.toString(sent.ref().generation()))
+                .sendByteArray(Mono.just(data))
+                .then();
+    }
+
+    // The space of a freed block is taken by other data under a new generation.
+    private synchronized Block rewrite(Block block) {
+        byte[] other = block.data().clone();
+        other[0] ^= 1;
+        BlockRef ref = block.ref();
+        BlockRef rewritten =
+                new BlockRef(id, ref.identity(), nextNumber++, other.length, Checksums.crc32c(other), ref.tier());
+        blocks.remove(ref.identity().key());
+        return new Block(rewritten, other);
+    }
+
+    private Mono<Void> transfer(int lengthBytes, double tierSlowdown) {
+        return Mono.defer(() -> {
+            linkBytes.addAndGet(lengthBytes);
+            return Mono.delay(Duration.ofNanos(reserveLink(lengthBytes, tierSlowdown)), Schedulers.parallel())
+                    .then();
+        });
+    }
+
+    private synchronized long reserveLink(int lengthBytes, double tierSlowdown) {
+        double seconds = lengthBytes / (double) size.linkBytesPerSecond() * faults.linkSlowdown() * tierSlowdown;
+        long nowNanos = System.nanoTime();
+        linkFreeAtNanos = Math.max(nowNanos, linkFreeAtNanos) + (long) (seconds * 1e9);
+        return linkFreeAtNanos - nowNanos;
+    }
+
+    private record Pending(BlockIdentity identity, byte[] data) {}
+
+    private record Block(BlockRef ref, byte[] data) {
+        Block inTier(StoreTier tier) {
+            BlockRef moved = new BlockRef(
+                    ref.store(), ref.identity(), ref.generation(), ref.lengthBytes(), ref.checksum(), tier);
+            return new Block(moved, data);
+        }
+    }
+}
