--- /dev/null
+++ b/config/src/main/java/org/cowslipbank/config/ConfigurationSchema.java
@@ -0,0 +1,15 @@
+package org.cowslipbank.config;
+
+/** The published JSON Schema of the configuration. */
+public final class ConfigurationSchema {
+    private ConfigurationSchema() {}
+
+    /**
+     * Returns the schema.
+     *
+     * @return the text of the JSON Schema, draft 2020-12
+     */
+    public static String text() {
+        return SchemaCheck.schemaText();
+    }
+}
--- /dev/null
+++ b/config/src/test/java/org/cowslipbank/config/Expect.java
@@ -0,0 +1,20 @@
+package org.cowslipbank.config;
+
+import java.util.Objects;
+
+/** Assertions of the tests. */
+final class Expect {
+    private Expect() {}
+
+    static void equal(Object expected, Object actual) {
+        if (!Objects.equals(expected, actual)) {
+            throw new AssertionError("expected <" + expected + "> but was <" + actual + ">");
+        }
+    }
+
+    static void holds(boolean condition, String message) {
+        if (!condition) {
+            throw new AssertionError(message);
+        }
+    }
+}
