--- a/config/src/main/java/org/cowslipbank/config/Configuration.java
+++ b/config/src/main/java/org/cowslipbank/config/Configuration.java
@@ -1,6 +1,10 @@
 package org.cowslipbank.config;
 
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cowslipbank.model.DataCentreId;
 
 /**
  * The operators' configuration at one revision. Immutable; a node swaps the whole value.
@@ -29,4 +33,16 @@
         upstreams = List.copyOf(upstreams);
         stores = List.copyOf(stores);
     }
+
+    /**
+     * Returns the data centres that the configuration names. A change is accepted only while all of them are heard.
+     *
+     * @return the data centres of all upstreams and stores, in order
+     */
+    public Set<DataCentreId> dataCentres() {
+        Set<DataCentreId> dataCentres = new TreeSet<>();
+        upstreams.forEach(upstream -> dataCentres.add(upstream.dataCentre()));
+        stores.forEach(store -> dataCentres.add(store.dataCentre()));
+        return dataCentres;
+    }
 }
