Add the routing decision over lagging load and retained blocks

Leaving upstreams, other weight versions and foreign blocks are excluded before any cost is computed.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/RoutingDecision.java
@@ -0,0 +1,106 @@
+package org.cowslipbank.decision.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.cowslipbank.config.UpstreamState;
+import org.cowslipbank.decision.trace.Decision;
+import org.cowslipbank.model.UpstreamId;
+
+/** Chooses the upstream of a prompt and how many retained blocks it fetches. */
+public final class RoutingDecision {
+    /** The decision in a form that can be recorded and replayed. */
+    public static final Decision<RoutingInput, RoutingOutcome> ROUTE =
+            new Decision<>("route", RoutingInput.class, RoutingOutcome.class, RoutingDecision::choose);
+
+    /** Candidates per request; the number for which the cost of a decision is bounded. */
+    public static final int SUBSET_SIZE = 20;
+
+    private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+    private RoutingDecision() {}
+
+    /**
+     * Returns the upstreams that a key's requests choose from: the highest rendezvous weights, so that all nodes agree
+     * and an upstream that comes or goes changes few subsets.
+     *
+     * @param key team and session key, or the request's identifier where it has no session
+     * @param upstreams the upstreams that may serve the model and are not leaving
+     * @param size the most upstreams returned
+     * @return the subset, highest weight first
+     */
+    public static List<UpstreamId> subset(String key, List<UpstreamId> upstreams, int size) {
+        long keyHash = HASHER.hashCharsToLong(key);
+        UpstreamId[] chosen = new UpstreamId[size];
+        long[] weights = new long[size];
+        int count = 0;
+        for (UpstreamId upstream : upstreams) {
+            long weight = HASHER.hashLongLongToLong(keyHash, HASHER.hashCharsToLong(upstream.value()));
+            count = insert(chosen, weights, count, upstream, weight);
+        }
+        return List.copyOf(Arrays.asList(chosen).subList(0, count));
+    }
+
+    private static int insert(UpstreamId[] chosen, long[] weights, int count, UpstreamId upstream, long weight) {
+        int at = count;
+        while (at > 0 && weights[at - 1] < weight) {
+            at--;
+        }
+        if (at >= chosen.length) {
+            return count;
+        }
+        int newCount = Math.min(count + 1, chosen.length);
+        System.arraycopy(chosen, at, chosen, at + 1, newCount - at - 1);
+        System.arraycopy(weights, at, weights, at + 1, newCount - at - 1);
+        chosen[at] = upstream;
+        weights[at] = weight;
+        return newCount;
+    }
+
+    /**
+     * Chooses the candidate and split point of least weighted cost. A leaving candidate, one that loads other weights
+     * or has another weight version loaded is never chosen; a block whose identity differs from the request's is never
+     * fetched.
+     *
+     * @param input the snapshot
+     * @return the choice
+     */
+    public static RoutingOutcome choose(RoutingInput input) {
+        List<Candidate> eligible = new ArrayList<>(input.candidates().size());
+        boolean anyActive = false;
+        for (Candidate candidate : input.candidates()) {
+            if (candidate.state() != UpstreamState.ACTIVE) {
+                continue;
+            }
+            anyActive = true;
+            if (!candidate.loading() && input.model().equals(candidate.loaded())) {
+                eligible.add(candidate);
+            }
+        }
+        if (eligible.isEmpty()) {
+            return RoutingOutcome.none(
+                    anyActive ? RoutingOutcome.Result.NO_MATCHING_VERSION : RoutingOutcome.Result.NO_ACTIVE_UPSTREAM);
+        }
+        CandidateCost cost = new CandidateCost(input);
+        if (input.mode() == SelectionMode.TWO_CHOICES) {
+            offerTwo(input.seed(), eligible, cost);
+        } else {
+            eligible.forEach(cost::offer);
+        }
+        return cost.outcome();
+    }
+
+    private static void offerTwo(long seed, List<Candidate> eligible, CandidateCost cost) {
+        int size = eligible.size();
+        int first = (int) Long.remainderUnsigned(HASHER.hashLongLongToLong(seed, 1), size);
+        cost.offer(eligible.get(first));
+        if (size == 1) {
+            return;
+        }
+        int step = 1 + (int) Long.remainderUnsigned(HASHER.hashLongLongToLong(seed, 2), size - 1);
+        cost.offer(eligible.get((first + step) % size));
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/RoutingInput.java
@@ -0,0 +1,45 @@
+package org.cowslipbank.decision.routing;
+
+import java.util.List;
+
+import org.cowslipbank.config.DecisionWeights;
+import org.cowslipbank.model.BlockIdentity;
+import org.cowslipbank.model.BlockRef;
+import org.cowslipbank.model.ModelRef;
+import org.cowslipbank.model.TeamId;
+
+/**
+ * Snapshot on which an upstream is chosen.
+ *
+ * @param team the team of the request
+ * @param model the model, weight version and adapter of the request
+ * @param chain identities of the prompt's full pieces, first piece first
+ * @param promptTokens estimated tokens of the whole prompt
+ * @param pieceTokens estimated tokens of one piece
+ * @param retained committed blocks that stores or hints name, in prompt order; a block may occur once per store
+ * @param candidates upstreams to choose from, see {@link RoutingDecision#subset}
+ * @param links the links of the stores
+ * @param mode how many candidates are compared
+ * @param seed draws the candidates of {@link SelectionMode#TWO_CHOICES}
+ * @param weights what the deployment weighs
+ */
+public record RoutingInput(
+        TeamId team,
+        ModelRef model,
+        List<BlockIdentity> chain,
+        int promptTokens,
+        int pieceTokens,
+        List<BlockRef> retained,
+        List<Candidate> candidates,
+        List<StoreLink> links,
+        SelectionMode mode,
+        long seed,
+        DecisionWeights weights) {
+    /** Copies the lists. */
+    public RoutingInput {
+        chain = List.copyOf(chain);
+        retained = List.copyOf(retained);
+        candidates = List.copyOf(candidates);
+        links = List.copyOf(links);
+    }
+}
