--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
@@ -0,0 +1,166 @@
+package org.cowslipbank.entry.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.cowslipbank.config.DecisionWeights;
+import org.cowslipbank.config.StoreVm;
+import org.cowslipbank.decision.routing.FetchDecision;
+import org.cowslipbank.decision.routing.FetchProgress;
+import org.cowslipbank.decision.routing.FetchVerdict;
+import org.cowslipbank.model.BlockIdentity;
+import org.cowslipbank.model.BlockRef;
+import org.cowslipbank.ports.BlockReceipt;
+import org.cowslipbank.ports.Engine;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * Fetches retained blocks into an engine. A block counts only if its receipt equals its reference; the fetch ends at
+ * the first block that differs, or when recomputing the rest is expected to be faster.
+ */
+final class BlockFetcher {
+    private final StoreTable stores;
+    private final MonotonicClock clock;
+
+    BlockFetcher(StoreTable stores, MonotonicClock clock) {
+        this.stores = stores;
+        this.clock = clock;
+    }
+
+    /**
+     * Fetches blocks.
+     *
+     * @param engine the engine
+     * @param plan what to fetch
+     * @return the blocks that may be used, a prefix of the plan
+     */
+    Mono<List<BlockIdentity>> fetch(Engine engine, Plan plan) {
+        if (plan.blocks().isEmpty()) {
+            return Mono.just(List.of());
+        }
+        return Mono.create(sink -> new Fetch(plan, sink).start(engine));
+    }
+
+    /**
+     * What to fetch.
+     *
+     * @param blocks the blocks in prompt order
+     * @param store the store that holds them
+     * @param queueMillis time the prompt would wait at the engine in any case
+     * @param recomputeBlockMillis time to recompute one block
+     * @param weights what the deployment weighs
+     */
+    record Plan(
+            List<BlockRef> blocks,
+            StoreVm store,
+            double queueMillis,
+            double recomputeBlockMillis,
+            DecisionWeights weights) {}
+
+    private final class Fetch {
+        private final Plan plan;
+        private final MonoSink<List<BlockIdentity>> sink;
+        private final List<BlockIdentity> verified = new ArrayList<>();
+        private Disposable transfer;
+        private Disposable timer;
+        private long lastBlockNanos = System.nanoTime();
+        private boolean ended;
+
+        Fetch(Plan plan, MonoSink<List<BlockIdentity>> sink) {
+            this.plan = plan;
+            this.sink = sink;
+        }
+
+        synchronized void start(Engine engine) {
+            stores.addQueued(plan.store(), bytesLeft());
+            sink.onDispose(this::cancel);
+            transfer = engine.importBlocks(plan.blocks())
+                    .subscribe(this::onReceipt, error -> onTransferEnd(true), () -> onTransferEnd(false));
+            check();
+        }
+
+        private synchronized void onReceipt(BlockReceipt receipt) {
+            if (ended) {
+                return;
+            }
+            BlockRef expected = plan.blocks().get(verified.size());
+            if (!receipt.matches(expected)) {
+                end();
+                return;
+            }
+            long nowNanos = System.nanoTime();
+            double elapsedMillis = Math.max(0.01, (nowNanos - lastBlockNanos) / 1e6);
+            stores.received(plan.store(), expected.lengthBytes(), elapsedMillis);
+            stores.addQueued(plan.store(), -expected.lengthBytes());
+            lastBlockNanos = nowNanos;
+            verified.add(expected.identity());
+            if (verified.size() == plan.blocks().size()) {
+                end();
+            }
+        }
+
+        private synchronized void onTransferEnd(boolean failed) {
+            if (failed && !ended) {
+                stores.timedOut(plan.store(), clock.nowMillis());
+            }
+            end();
+        }
+
+        private synchronized void check() {
+            if (ended) {
+                return;
+            }
+            int left = plan.blocks().size() - verified.size();
+            BlockRef next = plan.blocks().get(verified.size());
+            double expectedMillis = next.lengthBytes() * 1_000.0 / stores.bytesPerSecond(plan.store());
+            double sinceMillis = (System.nanoTime() - lastBlockNanos) / 1e6;
+            FetchVerdict verdict = FetchDecision.check(new FetchProgress(
+                    left,
+                    expectedMillis,
+                    sinceMillis,
+                    plan.queueMillis(),
+                    plan.recomputeBlockMillis(),
+                    plan.weights()));
+            if (verdict.linkSilent()) {
+                stores.timedOut(plan.store(), clock.nowMillis());
+            }
+            if (verdict.recomputeRest()) {
+                end();
+                return;
+            }
+            long delayMicros = Math.max(1_000, (long) (verdict.checkAfterMillis() * 1_000));
+            timer = Schedulers.parallel().schedule(this::check, delayMicros, TimeUnit.MICROSECONDS);
+        }
+
+        private synchronized void cancel() {
+            if (!ended) {
+                end();
+            }
+        }
+
+        private void end() {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            stores.addQueued(plan.store(), -bytesLeft());
+            if (timer != null) {
+                timer.dispose();
+            }
+            if (transfer != null) {
+                transfer.dispose();
+            }
+            sink.success(List.copyOf(verified));
+        }
+
+        private long bytesLeft() {
+            return plan.blocks().stream()
+                    .skip(verified.size())
+                    .mapToLong(BlockRef::lengthBytes)
+                    .sum();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockLocator.java
@@ -0,0 +1,70 @@
+package org.cowslipbank.entry.traffic;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cowslipbank.config.StoreVm;
+import org.cowslipbank.decision.directory.Placement;
+import org.cowslipbank.decision.routing.LinkState;
+import org.cowslipbank.model.BlockIdentity;
+import org.cowslipbank.model.BlockKey;
+import org.cowslipbank.model.BlockRef;
+import org.cowslipbank.model.StoreId;
+import org.cowslipbank.ports.OutsideSystems;
+import reactor.core.publisher.Mono;
+
+/** Asks the store on which a prompt's blocks are placed what it holds. */
+final class BlockLocator {
+    // A store that answers answers in a few milliseconds; waiting longer would delay the first token for nothing.
+    private static final Duration FIND_TIMEOUT = Duration.ofMillis(150);
+
+    private final OutsideSystems systems;
+    private final StoreTable stores;
+    private final Supplier<ConfigurationIndex> configuration;
+    private final MonotonicClock clock;
+
+    BlockLocator(
+            OutsideSystems systems,
+            StoreTable stores,
+            Supplier<ConfigurationIndex> configuration,
+            MonotonicClock clock) {
+        this.systems = systems;
+        this.stores = stores;
+        this.configuration = configuration;
+        this.clock = clock;
+    }
+
+    /** Returns the committed blocks of a prompt; empty if the store does not answer in time. */
+    Mono<List<BlockRef>> find(List<BlockIdentity> chain) {
+        Optional<StoreVm> placed = storeFor(chain);
+        if (placed.isEmpty()) {
+            return Mono.just(List.of());
+        }
+        StoreVm store = placed.get();
+        List<BlockKey> keys = chain.stream().map(BlockIdentity::key).toList();
+        return systems.store(store.address())
+                .find(keys)
+                .timeout(FIND_TIMEOUT)
+                .onErrorResume(error -> {
+                    stores.timedOut(store, clock.nowMillis());
+                    return Mono.just(List.of());
+                });
+    }
+
+    /** Returns the first store in the chain's order that answers. */
+    Optional<StoreVm> storeFor(List<BlockIdentity> chain) {
+        if (chain.isEmpty()) {
+            return Optional.empty();
+        }
+        ConfigurationIndex index = configuration.get();
+        List<StoreId> ids = index.configuration().stores().stream()
+                .map(StoreVm::id)
+                .toList();
+        long nowMillis = clock.nowMillis();
+        return Placement.rank(chain.get(0).key(), ids).stream()
+                .flatMap(id -> index.store(id).stream())
+                .filter(store -> stores.state(store, nowMillis) == LinkState.UP)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
@@ -0,0 +1,27 @@
+package org.cowslipbank.entry.traffic;
+
+import org.cowslipbank.decision.retry.RetryOutcome;
+import org.cowslipbank.decision.retry.RetryPolicy;
+import org.cowslipbank.decision.retry.RetryQuestion;
+import org.cowslipbank.decision.retry.RetryState;
+
+/** The node's retry budget, shared by its traffic threads. */
+final class RetryGate {
+    private final MonotonicClock clock;
+    private RetryState state;
+
+    RetryGate(MonotonicClock clock) {
+        this.clock = clock;
+        this.state = RetryPolicy.start(clock.nowMillis());
+    }
+
+    synchronized void onRequest() {
+        state = RetryPolicy.onRequest(state, clock.nowMillis());
+    }
+
+    synchronized RetryOutcome ask(RetryQuestion question) {
+        RetryOutcome outcome = RetryPolicy.decide(state, question, clock.nowMillis());
+        state = outcome.state();
+        return outcome;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
@@ -0,0 +1,74 @@
+package org.cowslipbank.entry.traffic;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cowslipbank.config.StoreVm;
+import org.cowslipbank.decision.routing.LinkEstimate;
+import org.cowslipbank.decision.routing.LinkState;
+import org.cowslipbank.decision.routing.StoreLink;
+import org.cowslipbank.model.StoreId;
+
+/** What this node knows about each store's link: the measured rate, the bytes it waits for, and whether it answers. */
+public final class StoreTable {
+    private static final double DISK_SHARE_OF_LINK = 0.25;
+    private static final double LATENCY_MILLIS = 2;
+
+    private final Map<StoreId, View> views = new ConcurrentHashMap<>();
+
+    LinkState state(StoreVm store, long nowMillis) {
+        return view(store).estimate.state(nowMillis);
+    }
+
+    List<StoreLink> links(List<StoreVm> stores, long nowMillis) {
+        return stores.stream().map(store -> link(store, nowMillis)).toList();
+    }
+
+    double bytesPerSecond(StoreVm store) {
+        return view(store).estimate.bytesPerSecond();
+    }
+
+    void received(StoreVm store, long bytes, double elapsedMillis) {
+        View view = view(store);
+        synchronized (view) {
+            view.estimate = view.estimate.received(bytes, elapsedMillis);
+        }
+    }
+
+    void timedOut(StoreVm store, long nowMillis) {
+        View view = view(store);
+        synchronized (view) {
+            view.estimate = view.estimate.timedOut(nowMillis);
+        }
+    }
+
+    void addQueued(StoreVm store, long bytes) {
+        view(store).queuedBytes.addAndGet(bytes);
+    }
+
+    private StoreLink link(StoreVm store, long nowMillis) {
+        View view = view(store);
+        LinkEstimate estimate = view.estimate;
+        return new StoreLink(
+                store.id(),
+                estimate.state(nowMillis),
+                estimate.bytesPerSecond(),
+                estimate.bytesPerSecond() * DISK_SHARE_OF_LINK,
+                Math.max(0, view.queuedBytes.get()),
+                LATENCY_MILLIS);
+    }
+
+    private View view(StoreVm store) {
+        return views.computeIfAbsent(store.id(), id -> new View(LinkEstimate.configured(store.linkBytesPerSecond())));
+    }
+
+    private static final class View {
+        private final AtomicLong queuedBytes = new AtomicLong();
+        private volatile LinkEstimate estimate;
+
+        View(LinkEstimate estimate) {
+            this.estimate = estimate;
+        }
+    }
+}
--- a/ports/src/main/java/org/cowslipbank/ports/GenerateCall.java
+++ b/ports/src/main/java/org/cowslipbank/ports/GenerateCall.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 import org.cowslipbank.model.AttemptId;
-import org.cowslipbank.model.BlockKey;
+import org.cowslipbank.model.BlockIdentity;
 import org.cowslipbank.model.ModelRef;
 import org.cowslipbank.model.TeamId;
 
@@ -16,7 +16,7 @@
  * @param prompt the prompt's text
  * @param continuation tokens already emitted by an earlier attempt, empty for a new run
  * @param pieceBytes length in bytes of the pieces into which the node cuts the prompt; block indices count them
- * @param stagedBlocks blocks imported for this run, in prompt order
+ * @param stagedBlocks blocks imported for this run whose receipts were compared, in prompt order
  * @param cacheSalt the team's salt for the engine's own prefix cache
  * @param maxTokens the most tokens to generate, the continuation not counted
  * @param priority larger runs first
@@ -28,7 +28,7 @@
         String prompt,
         List<String> continuation,
         int pieceBytes,
-        List<BlockKey> stagedBlocks,
+        List<BlockIdentity> stagedBlocks,
         String cacheSalt,
         int maxTokens,
         int priority) {
--- a/standins/src/main/java/org/cowslipbank/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/cowslipbank/standins/EngineStandIn.java
@@ -200,18 +200,18 @@
     }
 
     private boolean isStaged(GenerateCall call, int piece, BlockIdentity own) {
-        if (piece >= call.stagedBlocks().size()) {
-            return false;
-        }
-        byte[] data = staged.get(call.stagedBlocks().get(piece));
-        if (data == null) {
-            return false;
-        }
-        // The data names what it was computed from, which shows a block that must not have been used here.
-        if (!BlockData.isOf(data, own)) {
-            counters.addForeignBlock();
+        for (BlockIdentity block : call.stagedBlocks()) {
+            byte[] data = block.pieceIndex() == piece ? staged.get(block.key()) : null;
+            if (data == null) {
+                continue;
+            }
+            // The data names what it was computed from, which shows a block that must not have been used here.
+            if (!BlockData.isOf(data, own)) {
+                counters.addForeignBlock();
+            }
+            return true;
         }
-        return true;
+        return false;
     }
 
     // The engine's own keys are salted per team; they also identify the true content of a block.
