Add first versions of streams, retry and admission

The node's shell needs the interfaces of these decisions. streams is the state machine of one answer, retry holds the policy and the sliding budget, admission holds fair queueing, team shares and capacity.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/Admission.java
@@ -0,0 +1,250 @@
+package org.cowslipbank.decision.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cowslipbank.model.Refusal;
+import org.cowslipbank.model.TeamId;
+
+/**
+ * Admission at one node for one model group. It has no clock; every call names the time. It is not thread-safe: one
+ * thread calls it.
+ */
+public final class Admission {
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int UNAVAILABLE = 503;
+
+    /** Shortest time to retry that a caller is told, in milliseconds; clients round a smaller one to zero. */
+    private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
+
+    private final Map<TeamId, TeamQueue> teams = new HashMap<>();
+    private final List<TeamQueue> backlogged = new ArrayList<>();
+    private ServiceRate rate;
+    private double virtualTime;
+    private int inFlight;
+    private int inFlightLimit;
+
+    /**
+     * Creates an empty admission.
+     *
+     * @param inFlightLimit the most requests in flight, from {@link Capacity}
+     * @param expectedRunMillis first estimate of the time that a usual request is in flight
+     */
+    public Admission(int inFlightLimit, long expectedRunMillis) {
+        this.inFlightLimit = inFlightLimit;
+        this.rate = new ServiceRate(expectedRunMillis);
+    }
+
+    /**
+     * Asks for admission.
+     *
+     * @param request the request
+     * @param share the team's share at this node
+     * @param nowMillis the time in milliseconds
+     * @return the answer
+     */
+    public AdmissionAnswer offer(AdmissionRequest request, TeamShare share, long nowMillis) {
+        TeamQueue team = teams.computeIfAbsent(request.team(), id -> new TeamQueue(share, nowMillis));
+        team.share = share;
+        team.bucket = team.bucket.refilled(share.requestsPerSecond(), share.burstRequests(), nowMillis);
+        if (team.bucket.tokens() < 1) {
+            long waitMillis = team.bucket.millisUntil(1, share.requestsPerSecond());
+            return refused("team_rate_exceeded", "the team's request rate is used up", waitMillis, TOO_MANY_REQUESTS);
+        }
+        if (team.inFlight + team.waiting.size() >= share.concurrentRequests()) {
+            long waitMillis = (long) rate.waitMillis(1, share.concurrentRequests());
+            return refused(
+                    "team_concurrency_exceeded",
+                    "the team has its limit of requests in flight",
+                    waitMillis,
+                    TOO_MANY_REQUESTS);
+        }
+        if (inFlight < inFlightLimit && backlogged.isEmpty()) {
+            team.bucket = team.bucket.less(1);
+            virtualTime = Math.max(virtualTime, tag(team, request));
+            enter(team);
+            return new AdmissionAnswer(AdmissionAnswer.Verdict.ADMITTED, null, 0);
+        }
+        long waitMillis = (long) Math.min(Long.MAX_VALUE, rate.waitMillis(costAhead(team, request), inFlightLimit));
+        if (nowMillis + waitMillis > request.sendByMillis() || inFlightLimit <= 0) {
+            long excessMillis = nowMillis + waitMillis - request.sendByMillis();
+            return refused("overloaded", "the expected wait exceeds the deadline", excessMillis, UNAVAILABLE);
+        }
+        team.bucket = team.bucket.less(1);
+        enqueue(team, request);
+        return new AdmissionAnswer(AdmissionAnswer.Verdict.QUEUED, null, waitMillis);
+    }
+
+    /**
+     * Notes that an admitted request has ended and frees its place.
+     *
+     * @param request the request
+     * @param inFlightMillis how long it was in flight
+     * @param completed true if it ran to its end, so that its time counts in the estimate
+     * @param nowMillis the time in milliseconds
+     * @return queued requests whose wait has ended
+     */
+    public AdmissionRelease ended(AdmissionRequest request, long inFlightMillis, boolean completed, long nowMillis) {
+        TeamQueue team = teams.get(request.team());
+        if (team != null && team.inFlight > 0) {
+            team.inFlight--;
+            inFlight--;
+        }
+        if (completed) {
+            rate = rate.observed(request.cost(), inFlightMillis);
+        }
+        return release(nowMillis);
+    }
+
+    /**
+     * Removes a queued request whose caller has gone.
+     *
+     * @param request the request
+     * @return true if it was queued
+     */
+    public boolean withdraw(AdmissionRequest request) {
+        TeamQueue team = teams.get(request.team());
+        if (team == null || !team.waiting.removeIf(waiting -> waiting.request().equals(request))) {
+            return false;
+        }
+        team.queuedCost -= request.cost();
+        dropIfEmpty(team);
+        return true;
+    }
+
+    /**
+     * Sets the capacity.
+     *
+     * @param limit the most requests in flight, from {@link Capacity}
+     * @param nowMillis the time in milliseconds
+     * @return queued requests whose wait has ended
+     */
+    public AdmissionRelease capacity(int limit, long nowMillis) {
+        inFlightLimit = limit;
+        return release(nowMillis);
+    }
+
+    /**
+     * Releases what can be sent and refuses what has waited too long. The shell calls it a few times a second.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return queued requests whose wait has ended
+     */
+    public AdmissionRelease tick(long nowMillis) {
+        teams.values()
+                .removeIf(team -> team.idle()
+                        && team.bucket
+                                        .refilled(team.share.requestsPerSecond(), team.share.burstRequests(), nowMillis)
+                                        .tokens()
+                                >= team.share.burstRequests());
+        return release(nowMillis);
+    }
+
+    /**
+     * Returns the number of requests in flight.
+     *
+     * @return the number
+     */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Returns the number of queued requests.
+     *
+     * @return the number
+     */
+    public int queued() {
+        int total = 0;
+        for (TeamQueue team : backlogged) {
+            total += team.waiting.size();
+        }
+        return total;
+    }
+
+    private AdmissionRelease release(long nowMillis) {
+        List<AdmissionRequest> admitted = new ArrayList<>();
+        List<AdmissionRelease.Refused> refused = new ArrayList<>();
+        expire(nowMillis, refused);
+        while (inFlight < inFlightLimit && !backlogged.isEmpty()) {
+            TeamQueue team = earliest();
+            TeamQueue.Waiting next = team.waiting.removeFirst();
+            team.queuedCost -= next.request().cost();
+            virtualTime = Math.max(virtualTime, next.startTag());
+            dropIfEmpty(team);
+            enter(team);
+            admitted.add(next.request());
+        }
+        return new AdmissionRelease(admitted, refused);
+    }
+
+    private void expire(long nowMillis, List<AdmissionRelease.Refused> refused) {
+        for (TeamQueue team : List.copyOf(backlogged)) {
+            team.waiting.removeIf(waiting -> {
+                boolean late = waiting.request().sendByMillis() < nowMillis;
+                if (late) {
+                    team.queuedCost -= waiting.request().cost();
+                    Refusal refusal = refused("overloaded", "the wait exceeded the deadline", 0, UNAVAILABLE)
+                            .refusal();
+                    refused.add(new AdmissionRelease.Refused(waiting.request(), refusal));
+                }
+                return late;
+            });
+            dropIfEmpty(team);
+        }
+    }
+
+    private TeamQueue earliest() {
+        TeamQueue best = backlogged.get(0);
+        for (TeamQueue team : backlogged) {
+            if (team.waiting.getFirst().startTag() < best.waiting.getFirst().startTag()) {
+                best = team;
+            }
+        }
+        return best;
+    }
+
+    private void enqueue(TeamQueue team, AdmissionRequest request) {
+        if (team.waiting.isEmpty()) {
+            backlogged.add(team);
+        }
+        team.waiting.addLast(new TeamQueue.Waiting(request, tag(team, request)));
+        team.queuedCost += request.cost();
+    }
+
+    private double tag(TeamQueue team, AdmissionRequest request) {
+        double start = Math.max(virtualTime, team.lastFinishTag);
+        team.lastFinishTag = start + request.cost() / team.share.weight();
+        return start;
+    }
+
+    /** Returns the cost that fair queueing serves before a new request of the team, its own included. */
+    private double costAhead(TeamQueue team, AdmissionRequest request) {
+        double start = Math.max(virtualTime, team.lastFinishTag);
+        double ahead = request.cost();
+        for (TeamQueue other : backlogged) {
+            double span = Math.max(0, start - other.waiting.getFirst().startTag()) * other.share.weight();
+            ahead += other == team ? other.queuedCost : Math.min(other.queuedCost, span + 1);
+        }
+        return ahead;
+    }
+
+    private void enter(TeamQueue team) {
+        team.inFlight++;
+        inFlight++;
+    }
+
+    private void dropIfEmpty(TeamQueue team) {
+        if (team.waiting.isEmpty()) {
+            backlogged.remove(team);
+        }
+    }
+
+    private static AdmissionAnswer refused(String code, String message, long waitMillis, int httpStatus) {
+        long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis);
+        Refusal refusal = Refusal.later(httpStatus, code, message, retryAfterMillis);
+        return new AdmissionAnswer(AdmissionAnswer.Verdict.REFUSED, refusal, waitMillis);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/Capacity.java
@@ -0,0 +1,68 @@
+package org.cowslipbank.decision.admission;
+
+import java.util.List;
+
+import org.cowslipbank.decision.trace.Decision;
+
+/** Derives how many requests a node may have in flight at a group of upstreams. */
+public final class Capacity {
+    /** The decision, to be recorded and replayed. */
+    public static final Decision<Input, Outcome> DECISION =
+            new Decision<>("capacity", Input.class, Outcome.class, Capacity::derive);
+
+    private Capacity() {}
+
+    /**
+     * What a node knows of one upstream that takes new work.
+     *
+     * @param slots the most runs in its batch
+     * @param running runs in the batch, as reported
+     * @param waiting runs that wait there, as reported
+     * @param sentSinceReport runs that this node sent since the report, less those that ended
+     */
+    public record UpstreamLoad(int slots, int running, int waiting, int sentSinceReport) {}
+
+    /**
+     * Input of the decision.
+     *
+     * @param upstreams the upstreams that take new work
+     * @param nodes live nodes that send to them, this one included
+     * @param ownInFlight requests that this node has in flight at them
+     */
+    public record Input(List<UpstreamLoad> upstreams, int nodes, int ownInFlight) {
+        /** Copies the list. */
+        public Input {
+            upstreams = List.copyOf(upstreams);
+        }
+    }
+
+    /**
+     * Outcome of the decision.
+     *
+     * @param slots slots of all upstreams
+     * @param inFlightLimit the most requests this node may have in flight
+     */
+    public record Outcome(int slots, int inFlightLimit) {}
+
+    /**
+     * Derives the limit. The even share is always granted; without it a node whose reports lag behind other nodes' work
+     * could starve. Beyond it, the node takes its part of the free slots, so all nodes together do not take a free
+     * slot many times in one report interval. Work that waits at the engines counts as negative free slots, so nodes
+     * beyond their even share give slots back while others claim theirs.
+     *
+     * @param input the input
+     * @return the limit
+     */
+    public static Outcome derive(Input input) {
+        int slots = 0;
+        int free = 0;
+        for (UpstreamLoad load : input.upstreams()) {
+            slots += load.slots();
+            free += load.slots() - load.running() - load.waiting() - load.sentSinceReport();
+        }
+        int nodes = Math.max(1, input.nodes());
+        int even = (slots + nodes - 1) / nodes;
+        int borrowed = input.ownInFlight() + Math.floorDiv(free + nodes - 1, nodes);
+        return new Outcome(slots, Math.max(even, Math.min(slots, borrowed)));
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/streams/StreamInput.java
@@ -0,0 +1,10 @@
+package org.cowslipbank.decision.streams;
+
+/**
+ * Input of a recorded transition.
+ *
+ * @param state the state before the event
+ * @param event the event
+ * @param nowMillis the time in milliseconds
+ */
+public record StreamInput(StreamState state, StreamEvent event, long nowMillis) {}
