--- a/entry/src/main/java/org/cowslipbank/entry/http/Authenticator.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/Authenticator.java
@@ -5,6 +5,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.function.Supplier;
+
 import org.cowslipbank.config.Team;
 import org.cowslipbank.entry.traffic.ConfigurationIndex;
 import org.cowslipbank.model.Refusal;
--- a/entry/src/main/java/org/cowslipbank/entry/http/Bodies.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/Bodies.java
@@ -1,8 +1,9 @@
 package org.cowslipbank.entry.http;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.databind.JsonNode;
 import org.cowslipbank.model.Refusal;
 import org.cowslipbank.model.RefusedException;
 import org.cowslipbank.model.Step;
--- a/entry/src/main/java/org/cowslipbank/entry/http/CompletionParser.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/CompletionParser.java
@@ -1,9 +1,10 @@
 package org.cowslipbank.entry.http;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.cowslipbank.model.Refusal;
 import org.cowslipbank.model.RefusedException;
 import org.cowslipbank.model.Step;
--- a/entry/src/main/java/org/cowslipbank/entry/http/CompletionWriter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/CompletionWriter.java
@@ -1,15 +1,15 @@
 package org.cowslipbank.entry.http;
 
+import java.nio.charset.StandardCharsets;
+
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
+import org.cowslipbank.decision.streams.FinishedRun;
 import org.cowslipbank.entry.traffic.AnswerEvent;
 import org.cowslipbank.model.Refusal;
-import org.cowslipbank.ports.Usage;
 
 /** Writes answers in the format of the callers' interface, as one body or as server-sent events. */
 final class CompletionWriter {
@@ -47,7 +47,7 @@
         if (call.includeUsage()) {
             ObjectNode usage = chunk();
             usage.putArray("choices");
-            usage.set("usage", usage(done.usage()));
+            usage.set("usage", usage(done.run()));
             events.append("data: ").append(usage).append("\n\n");
         }
         return Unpooled.wrappedBuffer(events.toString().getBytes(StandardCharsets.UTF_8), DONE);
@@ -69,7 +69,7 @@
             choice.put("text", text);
         }
         body.withArray("choices").add(choice);
-        body.set("usage", usage(done.usage()));
+        body.set("usage", usage(done.run()));
         return body;
     }
 
@@ -81,7 +81,7 @@
         } else {
             choice.put("text", "");
         }
-        choice.put("finish_reason", done.reason().name().toLowerCase(Locale.ROOT));
+        choice.put("finish_reason", done.run().reason());
         return choice;
     }
 
@@ -102,7 +102,7 @@
         return call.chat() ? "chat.completion.chunk" : "text_completion";
     }
 
-    private static ObjectNode usage(Usage usage) {
+    private static ObjectNode usage(FinishedRun usage) {
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put("prompt_tokens", usage.promptTokens());
         node.put("completion_tokens", usage.completionTokens());
--- a/entry/src/main/java/org/cowslipbank/entry/http/ErrorBody.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/ErrorBody.java
@@ -1,8 +1,9 @@
 package org.cowslipbank.entry.http;
 
+import java.util.Locale;
+
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.Locale;
 import org.cowslipbank.model.CowslipbankException;
 import org.cowslipbank.model.Refusal;
 import org.cowslipbank.model.RefusedException;
@@ -20,7 +21,8 @@
             String message = "failed at step " + known.step().name().toLowerCase(Locale.ROOT);
             int status = known.runState() == RunState.NOT_RUN ? 503 : 502;
             long retryAfterMillis = known.runState() == RunState.NOT_RUN ? 1_000 : 0;
-            return new Refusal(status, "upstream_error", "upstream_failed", message, known.runState(), retryAfterMillis);
+            return new Refusal(
+                    status, "upstream_error", "upstream_failed", message, known.runState(), retryAfterMillis);
         }
         return new Refusal(500, "server_error", "internal_error", "internal error", RunState.UNKNOWN, 0);
     }
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/settings/NodeSettings.java
@@ -0,0 +1,53 @@
+package org.cowslipbank.entry.settings;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Settings of a node.
+ *
+ * @param vm name of the VM, unique in the fleet
+ * @param dataCentre its data centre
+ * @param region its region
+ * @param callers listener for callers
+ * @param admin listener for operators, health checks and metrics
+ * @param peers listener for other nodes
+ * @param platform addresses of the platform's services
+ * @param seeds other nodes known at the start
+ * @param fleetSecretFile file with the fleet's secret; all nodes have the same
+ * @param adminKeysFile file with the operators' keys, one {@code name:key} a line
+ * @param pieceBytes length in bytes of the pieces into which prompts are cut, zero for the default
+ * @param engineCacheMillis time for which an engine is expected to hold the blocks of a finished prompt in its own
+ *     cache, in milliseconds; null for the default
+ * @param distancesMillis one-way distance to other data centres in milliseconds
+ * @param configurationFile configuration to start with where the platform holds none, or null
+ * @param traceFile file to which decisions are recorded, or null
+ * @param tls TLS of the listeners, or null for none
+ */
+public record NodeSettings(
+        String vm,
+        String dataCentre,
+        String region,
+        ListenSettings callers,
+        ListenSettings admin,
+        ListenSettings peers,
+        PlatformSettings platform,
+        List<SeedSettings> seeds,
+        String fleetSecretFile,
+        String adminKeysFile,
+        int pieceBytes,
+        Long engineCacheMillis,
+        Map<String, Double> distancesMillis,
+        String configurationFile,
+        String traceFile,
+        TlsSettings tls) {
+    // Engines evict blocks of sessions that pause for longer, so an older hint is more often wrong than right.
+    private static final long DEFAULT_ENGINE_CACHE_MILLIS = 10_000;
+
+    /** Copies the collections; absent ones become empty. */
+    public NodeSettings {
+        seeds = seeds == null ? List.of() : List.copyOf(seeds);
+        engineCacheMillis = engineCacheMillis == null ? DEFAULT_ENGINE_CACHE_MILLIS : engineCacheMillis;
+        distancesMillis = distancesMillis == null ? Map.of() : Map.copyOf(distancesMillis);
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+
 import org.cowslipbank.config.Team;
 import org.cowslipbank.decision.admission.Admission;
 import org.cowslipbank.decision.admission.AdmissionAnswer;
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/AnswerEvent.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/AnswerEvent.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.entry.traffic;
 
-import org.cowslipbank.ports.FinishReason;
-import org.cowslipbank.ports.Usage;
+import org.cowslipbank.decision.streams.FinishedRun;
 
 /** An event of the answer that a caller receives. */
 public sealed interface AnswerEvent {
@@ -12,11 +11,13 @@
      */
     record Token(String text) implements AnswerEvent {}
 
+    /** The tokens so far are void and the answer begins again; only for answers that are not streamed. */
+    record Restarted() implements AnswerEvent {}
+
     /**
      * The whole answer has been sent.
      *
-     * @param reason why it ended
-     * @param usage token counts
+     * @param run why it ended, and token counts
      */
-    record Done(FinishReason reason, Usage usage) implements AnswerEvent {}
+    record Done(FinishedRun run) implements AnswerEvent {}
 }
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
@@ -0,0 +1,136 @@
+package org.cowslipbank.entry.traffic;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipbank.config.StoreVm;
+import org.cowslipbank.decision.retention.ExportInput;
+import org.cowslipbank.decision.retention.ExportOutcome;
+import org.cowslipbank.decision.retention.GapHistogram;
+import org.cowslipbank.decision.retention.RetentionDecision;
+import org.cowslipbank.decision.retention.RetentionPolicy;
+import org.cowslipbank.decision.retention.TierSpace;
+import org.cowslipbank.model.AttemptId;
+import org.cowslipbank.model.BlockIdentity;
+import org.cowslipbank.model.BlockRef;
+import org.cowslipbank.model.StoreId;
+import org.cowslipbank.model.TeamId;
+import org.cowslipbank.ports.StoreStatus;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Exports the blocks of finished runs that are worth keeping. */
+final class BlockExporter {
+    private static final Logger LOG = LogManager.getLogger(BlockExporter.class);
+    private static final long HORIZON_MILLIS = 24L * 60 * 60 * 1_000;
+    private static final long MEMORY_HORIZON_MILLIS = 60L * 60 * 1_000;
+    private static final double EXPORT_LIMIT_SHARE = 0.95;
+    private static final double EVICT_TARGET_SHARE = 0.9;
+    private static final double MAX_EXPORT_DELAY_MILLIS = 30_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long FIRST_BLOCK_BYTES_ESTIMATE = 64_000;
+
+    private final TrafficContext context;
+    private final BlockLocator locator;
+    private final Map<TeamId, GapHistogram> histories = new ConcurrentHashMap<>();
+    private final Map<StoreId, StoreStatus> statuses = new ConcurrentHashMap<>();
+    private volatile long blockBytes = FIRST_BLOCK_BYTES_ESTIMATE;
+
+    BlockExporter(TrafficContext context, BlockLocator locator) {
+        this.context = context;
+        this.locator = locator;
+    }
+
+    /**
+     * Exports the blocks of a finished run that the store does not hold.
+     *
+     * @param request the request
+     * @param attempt the attempt that finished
+     * @param placed where it ran
+     */
+    void export(PromptRequest request, AttemptId attempt, Placed placed) {
+        histories.merge(request.team().id(), GapHistogram.empty().withRun(), (old, first) -> old.withRun());
+        List<BlockIdentity> missing = missing(placed);
+        Optional<StoreVm> store = missing.isEmpty() ? Optional.empty() : locator.storeFor(placed.chain());
+        if (store.isEmpty()) {
+            return;
+        }
+        status(store.get())
+                .flatMapMany(status -> exportTo(request, attempt, placed, missing, store.get(), status))
+                .doOnNext(this::exported)
+                .subscribe(
+                        ref -> {},
+                        error -> LOG.info("step=EXPORT peer={} {}", store.get().address(), error.toString()));
+    }
+
+    private Flux<BlockRef> exportTo(
+            PromptRequest request,
+            AttemptId attempt,
+            Placed placed,
+            List<BlockIdentity> missing,
+            StoreVm store,
+            StoreStatus status) {
+        ExportInput input = input(request, placed, missing.size(), store, status);
+        ExportOutcome outcome = context.recorder().decide(RetentionDecision.EXPORT, input);
+        if (outcome.blocks() == 0) {
+            return Flux.empty();
+        }
+        return context.systems()
+                .engine(placed.upstream().address())
+                .exportBlocks(attempt, missing.subList(0, outcome.blocks()), store.id(), store.address());
+    }
+
+    private ExportInput input(PromptRequest request, Placed placed, int blocks, StoreVm store, StoreStatus status) {
+        double recomputeMillis = context.upstreams()
+                .load(placed.upstream().id(), context.clock().nowMillis())
+                .map(load -> tokensPerBlock() * MILLIS_PER_SECOND / load.prefillTokensPerSecond())
+                .orElse(0.0);
+        double transferMillis =
+                blockBytes * MILLIS_PER_SECOND / context.stores().bytesPerSecond(store);
+        RetentionPolicy policy = new RetentionPolicy(
+                HORIZON_MILLIS,
+                MEMORY_HORIZON_MILLIS,
+                EXPORT_LIMIT_SHARE,
+                EVICT_TARGET_SHARE,
+                context.configuration().get().configuration().weights());
+        return new ExportInput(
+                histories.get(request.team().id()),
+                request.hasSession(),
+                blocks,
+                blockBytes,
+                recomputeMillis,
+                transferMillis,
+                0,
+                MAX_EXPORT_DELAY_MILLIS,
+                new TierSpace(status.memoryUsedBytes(), status.memoryCapacityBytes()),
+                new TierSpace(status.diskUsedBytes(), status.diskCapacityBytes()),
+                policy);
+    }
+
+    private int tokensPerBlock() {
+        return context.settings().pieceBytes() / 4;
+    }
+
+    private Mono<StoreStatus> status(StoreVm store) {
+        return context.systems().store(store.address()).status().doOnNext(status -> statuses.put(store.id(), status));
+    }
+
+    private void exported(BlockRef ref) {
+        blockBytes = ref.lengthBytes();
+        context.metrics().exportedBytes().inc(ref.lengthBytes());
+    }
+
+    private static List<BlockIdentity> missing(Placed placed) {
+        Set<BlockIdentity> held = new HashSet<>();
+        placed.retained().forEach(ref -> held.add(ref.identity()));
+        return placed.chain().stream()
+                .filter(identity -> !held.contains(identity))
+                .toList();
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+
 import org.cowslipbank.config.DecisionWeights;
 import org.cowslipbank.config.StoreVm;
 import org.cowslipbank.decision.routing.FetchDecision;
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockLocator.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockLocator.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+
 import org.cowslipbank.config.StoreVm;
 import org.cowslipbank.decision.directory.Placement;
 import org.cowslipbank.decision.routing.LinkState;
@@ -43,13 +44,10 @@
         }
         StoreVm store = placed.get();
         List<BlockKey> keys = chain.stream().map(BlockIdentity::key).toList();
-        return systems.store(store.address())
-                .find(keys)
-                .timeout(FIND_TIMEOUT)
-                .onErrorResume(error -> {
-                    stores.timedOut(store, clock.nowMillis());
-                    return Mono.just(List.of());
-                });
+        return systems.store(store.address()).find(keys).timeout(FIND_TIMEOUT).onErrorResume(error -> {
+            stores.timedOut(store, clock.nowMillis());
+            return Mono.just(List.of());
+        });
     }
 
     /** Returns the first store in the chain's order that answers. */
@@ -58,9 +56,8 @@
             return Optional.empty();
         }
         ConfigurationIndex index = configuration.get();
-        List<StoreId> ids = index.configuration().stores().stream()
-                .map(StoreVm::id)
-                .toList();
+        List<StoreId> ids =
+                index.configuration().stores().stream().map(StoreVm::id).toList();
         long nowMillis = clock.nowMillis();
         return Placement.rank(chain.get(0).key(), ids).stream()
                 .flatMap(id -> index.store(id).stream())
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/ConfigurationIndex.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/ConfigurationIndex.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
+
 import org.cowslipbank.config.Configuration;
 import org.cowslipbank.config.Model;
 import org.cowslipbank.config.ModelVersion;
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/FleetView.java
@@ -0,0 +1,37 @@
+package org.cowslipbank.entry.traffic;
+
+import java.util.Set;
+
+import org.cowslipbank.model.UpstreamId;
+
+/** What traffic needs to know about the fleet. Implementations return immutable snapshots. */
+public interface FleetView {
+    /**
+     * Returns the upstreams that are known to be leaving, beyond what the configuration says.
+     *
+     * @return the upstreams
+     */
+    Set<UpstreamId> leavingUpstreams();
+
+    /**
+     * Returns the distance to an upstream.
+     *
+     * @param upstream the upstream
+     * @return the one-way distance in milliseconds
+     */
+    double distanceMillis(UpstreamId upstream);
+
+    /**
+     * Returns the number of live nodes, this one included.
+     *
+     * @return the number
+     */
+    int liveNodes();
+
+    /**
+     * Returns the number of nodes that share one team's limits.
+     *
+     * @return the number, at least one
+     */
+    int teamSubsetSize();
+}
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRequest.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRequest.java
@@ -1,6 +1,5 @@
 package org.cowslipbank.entry.traffic;
 
-import org.cowslipbank.config.ModelVersion;
 import org.cowslipbank.config.Team;
 import org.cowslipbank.model.ModelRef;
 import org.cowslipbank.model.RequestId;
@@ -12,18 +11,20 @@
  * @param id the request
  * @param team the team
  * @param model model, weight version and adapter on which it must run
- * @param version the version's configuration, with the upstreams allowed
- * @param session the session key; equal to the request where the caller gave none
+ * @param session the session key; equal to the request's identifier where the caller gave none
+ * @param hasSession true if the caller gave a session key
  * @param prompt the prompt's text
  * @param maxTokens the most tokens to generate
- * @param deadlineMillis when the first token is no longer wanted, in milliseconds since the epoch
+ * @param streaming true if tokens are relayed as they arrive
+ * @param firstTokenByMillis monotonic time by which the first token must have arrived, in milliseconds
  */
 public record PromptRequest(
         RequestId id,
         Team team,
         ModelRef model,
-        ModelVersion version,
         SessionKey session,
+        boolean hasSession,
         String prompt,
         int maxTokens,
-        long deadlineMillis) {}
+        boolean streaming,
+        long firstTokenByMillis) {}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
@@ -0,0 +1,115 @@
+package org.cowslipbank.entry.traffic;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.cowslipbank.config.Model;
+import org.cowslipbank.config.ModelVersion;
+import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.model.UpstreamId;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.scheduler.Schedulers;
+
+/** Runs prompts: admission, placement, the stream of each answer, and the export of its blocks. */
+public final class PromptRunner {
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final int TICKS_PER_CAPACITY_UPDATE = 4;
+
+    private final TrafficContext context;
+    private final AdmissionGate admission;
+    private final RetryGate retries;
+    private final PromptRouter router;
+    private final BlockExporter exporter;
+    private final SessionHints hints;
+    private final Set<PromptSession> sessions = ConcurrentHashMap.newKeySet();
+    private Disposable ticking;
+    private long ticks;
+
+    /**
+     * Creates a runner.
+     *
+     * @param context what it works with
+     */
+    public PromptRunner(TrafficContext context) {
+        this.context = context;
+        this.hints = new SessionHints(context.settings().engineCacheMillis());
+        this.admission = new AdmissionGate(context.clock());
+        this.retries = new RetryGate(context.clock());
+        BlockLocator locator =
+                new BlockLocator(context.systems(), context.stores(), context.configuration(), context.clock());
+        this.router = new PromptRouter(context, locator, hints);
+        this.exporter = new BlockExporter(context, locator);
+    }
+
+    /** Starts the periodic checks. */
+    public void start() {
+        tick();
+        ticking =
+                Flux.interval(TICK, Schedulers.newSingle("traffic-tick", true)).subscribe(tick -> tick());
+    }
+
+    /** Stops the periodic checks. */
+    public void stop() {
+        ticking.dispose();
+    }
+
+    /**
+     * Returns the number of requests in progress.
+     *
+     * @return the number, queued requests not counted
+     */
+    public int inProgress() {
+        return sessions.size();
+    }
+
+    /**
+     * Runs a prompt. Cancelling the subscription cancels the run.
+     *
+     * @param request the request
+     * @return the answer; an error of type {@link org.cowslipbank.model.RefusedException} where there is none
+     */
+    public Flux<AnswerEvent> run(PromptRequest request) {
+        context.metrics().requests().inc();
+        retries.onRequest();
+        return admission
+                .acquire(request.id(), request.team(), request.model().model(), request.firstTokenByMillis())
+                .publishOn(Schedulers.parallel())
+                .doOnError(error -> context.metrics().refused().inc())
+                .flatMapMany(permit -> runAdmitted(request, permit));
+    }
+
+    private Flux<AnswerEvent> runAdmitted(PromptRequest request, AdmissionGate.Permit permit) {
+        return Flux.defer(() -> {
+            PromptSession session = new PromptSession(context, router, retries, exporter, hints, request);
+            sessions.add(session);
+            return session.answer().doFinally(signal -> {
+                sessions.remove(session);
+                permit.release(session.completed());
+            });
+        });
+    }
+
+    private void tick() {
+        long nowMillis = context.clock().nowMillis();
+        sessions.forEach(session -> session.tick(nowMillis));
+        if (ticks++ % TICKS_PER_CAPACITY_UPDATE == 0) {
+            context.configuration().get().configuration().models().forEach(model -> updateCapacity(model, nowMillis));
+            admission.setTeamSubsetSize(context.fleet().teamSubsetSize());
+        }
+        admission.tick();
+    }
+
+    private void updateCapacity(Model model, long nowMillis) {
+        List<UpstreamId> upstreams = ConfigurationIndex.activeVersion(model)
+                .map(ModelVersion::upstreams)
+                .orElse(List.of());
+        List<Capacity.UpstreamLoad> loads = upstreams.stream()
+                .filter(id -> !context.fleet().leavingUpstreams().contains(id))
+                .flatMap(id -> context.upstreams().capacityOf(id, nowMillis).stream())
+                .toList();
+        admission.setCapacity(model.name(), loads, context.fleet().liveNodes());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -0,0 +1,396 @@
+package org.cowslipbank.entry.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipbank.decision.hashing.Rendezvous;
+import org.cowslipbank.decision.retry.RetryOutcome;
+import org.cowslipbank.decision.retry.RetryQuestion;
+import org.cowslipbank.decision.retry.RetryVerdict;
+import org.cowslipbank.decision.streams.FailureKind;
+import org.cowslipbank.decision.streams.FinishedRun;
+import org.cowslipbank.decision.streams.NotSentReason;
+import org.cowslipbank.decision.streams.StreamEffect;
+import org.cowslipbank.decision.streams.StreamEvent;
+import org.cowslipbank.decision.streams.StreamLimits;
+import org.cowslipbank.decision.streams.StreamMachine;
+import org.cowslipbank.decision.streams.StreamSpec;
+import org.cowslipbank.decision.streams.StreamState;
+import org.cowslipbank.decision.streams.StreamTransition;
+import org.cowslipbank.model.AttemptId;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.RefusedException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.Step;
+import org.cowslipbank.ports.Engine;
+import org.cowslipbank.ports.EngineEvent;
+import org.cowslipbank.ports.GenerateCall;
+import org.cowslipbank.ports.Usage;
+import org.reactivestreams.Subscription;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.BaseSubscriber;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.FluxSink;
+
+/**
+ * Drives the stream machine of one answer: feeds it events one at a time and carries out its effects. Events may come
+ * from any thread; a queue puts them in order.
+ */
+final class PromptSession {
+    private static final Logger LOG = LogManager.getLogger(PromptSession.class);
+    private static final int TOKENS_PER_CALLER_NOTICE = 16;
+    private static final int READ_AHEAD_EVENTS = 64;
+    private static final long NO_UPSTREAM_WAIT_MILLIS = 200;
+
+    private final TrafficContext context;
+    private final PromptRouter router;
+    private final RetryGate retries;
+    private final BlockExporter exporter;
+    private final SessionHints hints;
+    private final PromptRequest request;
+    private final Queue<StreamEvent> events = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger pending = new AtomicInteger();
+    private final List<String> emitted = new ArrayList<>();
+    private final Disposable.Swap placing = Disposables.swap();
+    private final long startedNanos = System.nanoTime();
+    private StreamState state;
+    private FluxSink<AnswerEvent> sink;
+    private EngineReader reader;
+    private Placed placed;
+    private int untoldTokens;
+    private volatile long nextCheckMillis = Long.MAX_VALUE;
+    private volatile boolean completed;
+
+    PromptSession(
+            TrafficContext context,
+            PromptRouter router,
+            RetryGate retries,
+            BlockExporter exporter,
+            SessionHints hints,
+            PromptRequest request) {
+        this.context = context;
+        this.router = router;
+        this.retries = retries;
+        this.exporter = exporter;
+        this.hints = hints;
+        this.request = request;
+    }
+
+    Flux<AnswerEvent> answer() {
+        return Flux.create(this::open).doOnNext(this::taken);
+    }
+
+    boolean completed() {
+        return completed;
+    }
+
+    void tick(long nowMillis) {
+        if (nowMillis >= nextCheckMillis) {
+            offer(new StreamEvent.Tick());
+        }
+    }
+
+    private void open(FluxSink<AnswerEvent> answerSink) {
+        sink = answerSink;
+        sink.onCancel(() -> offer(new StreamEvent.CallerGone()));
+        StreamSpec spec = new StreamSpec(
+                request.id(),
+                request.model(),
+                request.streaming(),
+                request.maxTokens(),
+                request.firstTokenByMillis(),
+                StreamLimits.DEFAULTS);
+        pending.incrementAndGet();
+        apply(StreamMachine.open(spec, context.clock().nowMillis()));
+        drain(1);
+    }
+
+    // Called by the thread that writes to the caller, when it takes an event from the buffer.
+    private void taken(AnswerEvent event) {
+        if (event instanceof AnswerEvent.Token && ++untoldTokens == TOKENS_PER_CALLER_NOTICE) {
+            untoldTokens = 0;
+            offer(new StreamEvent.CallerTook(TOKENS_PER_CALLER_NOTICE));
+        }
+    }
+
+    private void offer(StreamEvent event) {
+        events.add(event);
+        if (pending.getAndIncrement() == 0) {
+            drain(1);
+        }
+    }
+
+    private void drain(int first) {
+        int missed = first;
+        while (missed != 0) {
+            for (StreamEvent event = events.poll(); event != null; event = events.poll()) {
+                apply(StreamMachine.on(state, event, context.clock().nowMillis()));
+            }
+            missed = pending.addAndGet(-missed);
+        }
+    }
+
+    private void apply(StreamTransition transition) {
+        state = transition.state();
+        for (StreamEffect effect : transition.effects()) {
+            carryOut(effect);
+        }
+        nextCheckMillis = state.nextCheckMillis();
+        if (state.phase().ended()) {
+            release();
+        }
+    }
+
+    private void carryOut(StreamEffect effect) {
+        if (effect instanceof StreamEffect.Emit emit) {
+            emit(emit);
+        } else if (effect instanceof StreamEffect.Start start) {
+            start(start);
+        } else if (effect instanceof StreamEffect.Resume resume) {
+            resume(resume);
+        } else if (effect instanceof StreamEffect.Cancel cancel) {
+            cancel(cancel);
+        } else if (effect instanceof StreamEffect.Discard) {
+            emitted.clear();
+            sink.next(new AnswerEvent.Restarted());
+        } else if (effect instanceof StreamEffect.Complete complete) {
+            complete(complete.run());
+        } else if (effect instanceof StreamEffect.Fail fail) {
+            context.metrics().failed().inc();
+            sink.error(new RefusedException(Step.GENERATE, fail.refusal()));
+        } else if (effect instanceof StreamEffect.PauseReading) {
+            reader.pause();
+        } else if (effect instanceof StreamEffect.ContinueReading) {
+            reader.proceed();
+        } else if (effect instanceof StreamEffect.UpstreamGivenUp givenUp) {
+            LOG.info(
+                    "request={} step=GENERATE peer={} given up, silent={}",
+                    request.id(),
+                    givenUp.upstream(),
+                    givenUp.silent());
+            context.upstreams().markDown(givenUp.upstream(), context.clock().nowMillis());
+        } else if (effect instanceof StreamEffect.Dropped) {
+            context.metrics().droppedEvents().inc();
+        }
+    }
+
+    private void emit(StreamEffect.Emit emit) {
+        if (emitted.isEmpty()) {
+            context.metrics().timeToFirstToken().update(System.nanoTime() - startedNanos, TimeUnit.NANOSECONDS);
+        }
+        emitted.add(emit.text());
+        context.metrics().tokens().mark();
+        sink.next(new AnswerEvent.Token(emit.text()));
+    }
+
+    private void complete(FinishedRun run) {
+        completed = true;
+        context.metrics().answered().inc();
+        context.metrics().promptTokens().inc(run.promptTokens());
+        context.metrics().computedPromptTokens().inc(run.promptTokens() - run.cachedTokens());
+        context.metrics().importedPromptTokens().inc(run.importedTokens());
+        sink.next(new AnswerEvent.Done(run));
+        sink.complete();
+        String session =
+                Rendezvous.key(request.team().id().value(), request.session().value());
+        hints.ran(session, placed.upstream().id(), placed.chain());
+        exporter.export(request, state.attempt().id(), placed);
+    }
+
+    private void start(StreamEffect.Start start) {
+        if (start.number() > 1 && !mayRetry(start)) {
+            return;
+        }
+        placing.update(router.place(request, start.requiredModel(), start.avoid())
+                .subscribe(result -> send(start, result), error -> notPlaced(start, error)));
+    }
+
+    private boolean mayRetry(StreamEffect.Start start) {
+        RetryQuestion question = new RetryQuestion(start.number(), state.run(), true, start.fromToken() > 0, false);
+        RetryOutcome outcome = retries.ask(question);
+        if (outcome.verdict() == RetryVerdict.ALLOWED) {
+            context.metrics().furtherAttempts().inc();
+            return true;
+        }
+        NotSentReason reason =
+                outcome.verdict() == RetryVerdict.WAIT ? NotSentReason.BUDGET_EMPTY : NotSentReason.NOT_REPEATABLE;
+        offer(new StreamEvent.NotSent(start.attempt(), reason, outcome.waitMillis()));
+        return false;
+    }
+
+    private void notPlaced(StreamEffect.Start start, Throwable error) {
+        NotSentReason reason =
+                error instanceof NotPlacedException notPlaced ? notPlaced.reason() : NotSentReason.NO_UPSTREAM;
+        if (!(error instanceof NotPlacedException)) {
+            LOG.warn("request={} step=ROUTE {}", request.id(), error.toString());
+        }
+        offer(new StreamEvent.NotSent(start.attempt(), reason, NO_UPSTREAM_WAIT_MILLIS));
+    }
+
+    private void send(StreamEffect.Start start, Placed result) {
+        offer(new StreamEvent.Sent(start.attempt(), result.upstream().id(), result.model()));
+        leaveUpstream();
+        placed = result;
+        context.upstreams().sent(result.upstream().id(), result.computeTokens());
+        GenerateCall call = new GenerateCall(
+                start.attempt(),
+                request.team().id(),
+                result.model(),
+                request.prompt(),
+                emitted.subList(0, start.fromToken()),
+                context.settings().pieceBytes(),
+                result.staged(),
+                context.secrets().cacheSalt(request.team().id()),
+                request.maxTokens() - start.fromToken(),
+                0);
+        read(start.attempt(), 0, engine().generate(call));
+    }
+
+    private void resume(StreamEffect.Resume resume) {
+        context.metrics().resumes().inc();
+        read(resume.attempt(), resume.connection(), engine().resume(resume.attempt(), resume.fromToken()));
+    }
+
+    private void cancel(StreamEffect.Cancel cancel) {
+        context.metrics().cancelled().inc();
+        context.configuration().get().upstream(cancel.upstream()).ifPresent(upstream -> context.systems()
+                .engine(upstream.address())
+                .cancel(cancel.attempt())
+                .subscribe(done -> {}, error -> LOG.debug("cancel failed: {}", error.toString())));
+    }
+
+    private Engine engine() {
+        return context.systems().engine(placed.upstream().address());
+    }
+
+    private void read(AttemptId attempt, int connection, Flux<EngineEvent> stream) {
+        closeReader();
+        reader = new EngineReader(attempt, connection);
+        stream.subscribe(reader);
+    }
+
+    private void closeReader() {
+        if (reader != null) {
+            reader.cancel();
+        }
+    }
+
+    private void release() {
+        placing.dispose();
+        closeReader();
+        leaveUpstream();
+    }
+
+    private void leaveUpstream() {
+        if (placed != null) {
+            context.upstreams().ended(placed.upstream().id());
+            placed = null;
+        }
+    }
+
+    /** Reads one connection to an engine with bounded demand. */
+    private final class EngineReader extends BaseSubscriber<EngineEvent> {
+        private final AttemptId attempt;
+        private final int connection;
+        private boolean paused;
+        private int owedEvents;
+        private boolean finished;
+
+        EngineReader(AttemptId attempt, int connection) {
+            this.attempt = attempt;
+            this.connection = connection;
+        }
+
+        void pause() {
+            synchronized (this) {
+                paused = true;
+            }
+        }
+
+        void proceed() {
+            int owed;
+            synchronized (this) {
+                paused = false;
+                owed = owedEvents;
+                owedEvents = 0;
+            }
+            if (owed > 0) {
+                request(owed);
+            }
+        }
+
+        @Override
+        protected void hookOnSubscribe(Subscription subscription) {
+            request(READ_AHEAD_EVENTS);
+        }
+
+        @Override
+        protected void hookOnNext(EngineEvent event) {
+            offer(toStreamEvent(event));
+            boolean more;
+            synchronized (this) {
+                more = !paused;
+                owedEvents += paused ? 1 : 0;
+            }
+            if (more) {
+                request(1);
+            }
+        }
+
+        @Override
+        protected void hookOnComplete() {
+            if (!finished) {
+                offer(new StreamEvent.Failed(attempt, connection, FailureKind.BROKEN));
+            }
+        }
+
+        @Override
+        protected void hookOnError(Throwable error) {
+            offer(new StreamEvent.Failed(attempt, connection, failureKind(error)));
+        }
+
+        private FailureKind failureKind(Throwable error) {
+            boolean notRun = error instanceof PeerException peer && peer.runState() == RunState.NOT_RUN;
+            if (!notRun) {
+                return FailureKind.BROKEN;
+            }
+            if (error.getCause() != null) {
+                return FailureKind.NOT_REACHED;
+            }
+            return connection > 0 ? FailureKind.UNKNOWN_ATTEMPT : FailureKind.REFUSED;
+        }
+
+        private StreamEvent toStreamEvent(EngineEvent event) {
+            if (event instanceof EngineEvent.Token token) {
+                return new StreamEvent.Token(token.attempt(), connection, token.index(), token.text());
+            }
+            if (event instanceof EngineEvent.Started started) {
+                return new StreamEvent.Started(started.attempt(), connection, started.ran());
+            }
+            if (event instanceof EngineEvent.Finished end) {
+                finished = true;
+                return new StreamEvent.Finished(end.attempt(), connection, run(end));
+            }
+            return new StreamEvent.Heartbeat(event.attempt(), connection);
+        }
+
+        private FinishedRun run(EngineEvent.Finished end) {
+            Usage usage = end.usage();
+            return new FinishedRun(
+                    end.reason().name().toLowerCase(Locale.ROOT),
+                    usage.promptTokens(),
+                    usage.cachedTokens(),
+                    usage.importedTokens(),
+                    usage.completionTokens(),
+                    true);
+        }
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+
 import org.cowslipbank.config.StoreVm;
 import org.cowslipbank.decision.routing.LinkEstimate;
 import org.cowslipbank.decision.routing.LinkState;
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/UpstreamTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/UpstreamTable.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+
 import org.cowslipbank.decision.admission.Capacity;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.ports.EngineLoad;
@@ -87,7 +88,10 @@
     Optional<Capacity.UpstreamLoad> capacityOf(UpstreamId upstream, long nowMillis) {
         return load(upstream, nowMillis)
                 .map(load -> new Capacity.UpstreamLoad(
-                        load.slots(), load.running(), load.waiting(), view(upstream).sentRuns.get()));
+                        load.slots(),
+                        load.running(),
+                        load.waiting(),
+                        view(upstream).sentRuns.get()));
     }
 
     private View view(UpstreamId upstream) {
--- a/standins/src/main/java/org/cowslipbank/standins/EngineRun.java
+++ b/standins/src/main/java/org/cowslipbank/standins/EngineRun.java
@@ -87,8 +87,7 @@
         if (emittedTokens >= call.maxTokens()) {
             ended = true;
             emit(finished(), nowMillis);
-            listeners.forEach(FluxSink::complete);
-            listeners.clear();
+            completeListeners();
         }
     }
 
@@ -126,8 +125,14 @@
 
     void cancel() {
         ended = true;
-        listeners.forEach(FluxSink::complete);
+        completeListeners();
+    }
+
+    // Completing a listener detaches it, so the list is emptied first.
+    private void completeListeners() {
+        List<FluxSink<EngineEvent>> completed = List.copyOf(listeners);
         listeners.clear();
+        completed.forEach(FluxSink::complete);
     }
 
     private AttemptId attempt() {
@@ -143,12 +148,12 @@
     }
 
     private EngineEvent finished() {
-        Usage usage = new Usage(promptTokens, cachedTokens, importedTokens, firstIndex() + emittedTokens);
+        Usage usage = new Usage(promptTokens, cachedTokens, importedTokens, emittedTokens);
         return new EngineEvent.Finished(attempt(), FinishReason.LENGTH, usage);
     }
 
     private void emit(EngineEvent event, long nowMillis) {
         lastEventMillis = nowMillis;
-        listeners.forEach(listener -> listener.next(event));
+        List.copyOf(listeners).forEach(listener -> listener.next(event));
     }
 }
--- a/standins/src/main/java/org/cowslipbank/standins/JsonHttpServer.java
+++ b/standins/src/main/java/org/cowslipbank/standins/JsonHttpServer.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.standins;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -23,6 +22,7 @@
 /** HTTP server with JSON routes, which can be stopped as abruptly as a crash. */
 final class JsonHttpServer {
     private static final byte[] NEWLINE = {'\n'};
+    private static final long CLOSE_WAIT_MILLIS = 1_000;
 
     private final DisposableServer server;
     private final ChannelGroup channels = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
@@ -41,8 +41,8 @@
     }
 
     void close() {
-        server.disposeNow(Duration.ofMillis(1));
-        channels.close().awaitUninterruptibly(1_000);
+        server.channel().close().awaitUninterruptibly(CLOSE_WAIT_MILLIS);
+        channels.close().awaitUninterruptibly(CLOSE_WAIT_MILLIS);
     }
 
     /** Closes all open connections without an answer; new ones are accepted. */
