Add suspects: crash facts, copy guard and arbiter

A request that crashes its upstream may be resent to other nodes before the probes carry any fact. The guard keeps unproven copies at one upstream and the arbiter grants suspects one upstream at a time, so that at most two upstreams are lost and the second crash names one request.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/SuspectFacts.java
@@ -0,0 +1,154 @@
+package org.cowslipbank.decision.suspects;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.cowslipbank.decision.trace.Decision;
+import org.cowslipbank.model.UpstreamId;
+
+/**
+ * What is known of crashes. Immutable. Times are wall-clock times, because facts travel between nodes; a skew of a few
+ * hundred milliseconds does no harm.
+ */
+public final class SuspectFacts {
+    /** How long a fact is kept, in milliseconds: longer than callers usually send a failed request again. */
+    public static final long TTL_MILLIS = 600_000;
+
+    /** No facts. */
+    public static final SuspectFacts NONE = new SuspectFacts(Set.of(), Set.of());
+
+    /** The verdict on a fingerprint, to be recorded and replayed. */
+    public static final Decision<Input, SuspectVerdict> DECISION =
+            new Decision<>("suspect", Input.class, SuspectVerdict.class, input -> NONE.merge(
+                            input.crashes(), input.clears(), input.nowMillis())
+                    .verdict(input.fingerprint()));
+
+    private final Set<CrashFact> crashes;
+    private final Set<ClearFact> clears;
+    private final Map<Long, SuspectVerdict> verdicts;
+
+    private SuspectFacts(Set<CrashFact> crashes, Set<ClearFact> clears) {
+        this.crashes = Set.copyOf(crashes);
+        this.clears = Set.copyOf(clears);
+        this.verdicts = Verdicts.of(this.crashes, this.clears);
+    }
+
+    /**
+     * Input of the decision.
+     *
+     * @param crashes crash facts
+     * @param clears clear facts
+     * @param fingerprint the fingerprint in question
+     * @param nowMillis the wall-clock time in milliseconds
+     */
+    public record Input(List<CrashFact> crashes, List<ClearFact> clears, long fingerprint, long nowMillis) {
+        /** Copies the lists. */
+        public Input {
+            crashes = List.copyOf(crashes);
+            clears = List.copyOf(clears);
+        }
+    }
+
+    /**
+     * Adds facts and forgets those that have expired. Merging is commutative and idempotent.
+     *
+     * @param moreCrashes crash facts
+     * @param moreClears clear facts
+     * @param nowMillis the wall-clock time in milliseconds
+     * @return the merged facts
+     */
+    public SuspectFacts merge(Collection<CrashFact> moreCrashes, Collection<ClearFact> moreClears, long nowMillis) {
+        Set<CrashFact> allCrashes = new HashSet<>(crashes);
+        Set<ClearFact> allClears = new HashSet<>(clears);
+        allCrashes.addAll(moreCrashes);
+        allClears.addAll(moreClears);
+        allCrashes.removeIf(fact -> fact.expiresAtMillis() <= nowMillis);
+        allClears.removeIf(fact -> fact.expiresAtMillis() <= nowMillis);
+        boolean same = allCrashes.equals(crashes) && allClears.equals(clears);
+        return same ? this : new SuspectFacts(allCrashes, allClears);
+    }
+
+    /**
+     * Records a crash.
+     *
+     * @param upstream the upstream
+     * @param inFlight fingerprints of this node's requests in flight there
+     * @param nowMillis the wall-clock time in milliseconds
+     * @return the facts with the new ones
+     */
+    public SuspectFacts crashed(UpstreamId upstream, Collection<Long> inFlight, long nowMillis) {
+        List<CrashFact> facts = new ArrayList<>();
+        inFlight.forEach(print -> facts.add(new CrashFact(print, upstream, nowMillis, nowMillis + TTL_MILLIS)));
+        return merge(facts, List.of(), nowMillis);
+    }
+
+    /**
+     * Records that a request ran to its end. Without a crash on record nothing is kept.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param nowMillis the wall-clock time in milliseconds
+     * @return the facts
+     */
+    public SuspectFacts finished(long fingerprint, long nowMillis) {
+        if (crashes.stream().noneMatch(fact -> fact.fingerprint() == fingerprint)) {
+            return this;
+        }
+        ClearFact fact = new ClearFact(fingerprint, nowMillis, nowMillis + TTL_MILLIS);
+        return merge(List.of(), List.of(fact), nowMillis);
+    }
+
+    /**
+     * Returns the verdict on a fingerprint.
+     *
+     * @param fingerprint the fingerprint
+     * @return the verdict
+     */
+    public SuspectVerdict verdict(long fingerprint) {
+        return verdicts.getOrDefault(fingerprint, SuspectVerdict.CLEAR);
+    }
+
+    /**
+     * Tells whether a fingerprint was in flight at a crash of an upstream.
+     *
+     * @param fingerprint the fingerprint
+     * @param upstream the upstream
+     * @return true if it was
+     */
+    public boolean sawCrash(long fingerprint, UpstreamId upstream) {
+        return crashes.stream()
+                .anyMatch(fact ->
+                        fact.fingerprint() == fingerprint && fact.upstream().equals(upstream));
+    }
+
+    /**
+     * Returns the crash facts, to be sent to other nodes.
+     *
+     * @return the facts
+     */
+    public Set<CrashFact> crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns the clear facts, to be sent to other nodes.
+     *
+     * @return the facts
+     */
+    public Set<ClearFact> clears() {
+        return clears;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SuspectFacts facts && crashes.equals(facts.crashes) && clears.equals(facts.clears);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * crashes.hashCode() + clears.hashCode();
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/SuspectsTest.java
@@ -0,0 +1,111 @@
+package org.cowslipbank.decision.suspects;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+
+final class SuspectsTest {
+    private static final UpstreamId A = new UpstreamId("a");
+    private static final UpstreamId B = new UpstreamId("b");
+    private static final UpstreamId C = new UpstreamId("c");
+    private static final VmId NODE = new VmId("n1");
+    private static final VmId OTHER = new VmId("n2");
+    private static final long KILLER = 1;
+    private static final long HARMLESS = 2;
+
+    /** Failure guarded against: nodes that hear facts in different orders disagree on who is refused. */
+    @Property(seed = "7", tries = 200)
+    void mergeIsCommutativeAndIdempotent(@ForAll Random random) {
+        List<CrashFact> crashes = new ArrayList<>();
+        List<ClearFact> clears = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            UpstreamId upstream = List.of(A, B, C).get(random.nextInt(3));
+            long atMillis = random.nextInt(30_000);
+            crashes.add(new CrashFact(random.nextInt(4), upstream, atMillis, atMillis + 25_000));
+            clears.add(new ClearFact(random.nextInt(4), atMillis, atMillis + 25_000));
+        }
+        SuspectFacts whole = SuspectFacts.NONE.merge(crashes, clears, 26_000);
+        Collections.shuffle(crashes, random);
+        SuspectFacts parts = SuspectFacts.NONE.merge(List.of(), clears, 1_000).merge(crashes.subList(5, 12), clears, 2);
+        SuspectFacts shuffled = parts.merge(crashes, List.of(), 26_000).merge(crashes, clears, 26_000);
+        assert shuffled.equals(whole);
+        LongStream.range(0, 4).forEach(print -> {
+            assert shuffled.verdict(print) == whole.verdict(print);
+        });
+    }
+
+    /** Failure guarded against: a harmless request is refused because it ran beside a crashing one. */
+    @Example
+    void convictionClearsTheNeighbours() {
+        SuspectFacts facts = SuspectFacts.NONE.crashed(A, List.of(KILLER, HARMLESS, 3L), 0);
+        assert facts.verdict(HARMLESS) == SuspectVerdict.SUSPECT;
+        assert facts.finished(HARMLESS, 10).verdict(HARMLESS) == SuspectVerdict.CLEAR;
+        SuspectFacts second = facts.crashed(B, List.of(KILLER, 4L), 10_000);
+        assert second.verdict(KILLER) == SuspectVerdict.REFUSED;
+        assert second.verdict(HARMLESS) == SuspectVerdict.CLEAR;
+        assert second.verdict(4) == SuspectVerdict.CLEAR;
+    }
+
+    /** Failure guarded against: the loss of a data centre makes all its requests wait as suspects. */
+    @Example
+    void widespreadCrashesMakeNobodyASuspect() {
+        SuspectFacts facts = SuspectFacts.NONE
+                .crashed(A, List.of(1L, 5L), 0)
+                .crashed(B, List.of(2L), 500)
+                .crashed(C, List.of(3L), 900);
+        assert facts.verdict(1) == SuspectVerdict.CLEAR;
+        assert facts.crashed(new UpstreamId("d"), List.of(1L), 1_500).verdict(1) == SuspectVerdict.REFUSED;
+    }
+
+    /** Failure guarded against: two nodes that see one crash at different times count it twice. */
+    @Example
+    void oneCrashSeenTwiceCountsOnce() {
+        SuspectFacts facts = SuspectFacts.NONE.crashed(A, List.of(HARMLESS), 0).crashed(A, List.of(HARMLESS), 3_000);
+        assert facts.verdict(HARMLESS) == SuspectVerdict.SUSPECT;
+    }
+
+    /** Failure guarded against: copies sent to several nodes at once crash an upstream each. */
+    @Example
+    void copiesMeetAtOneUpstreamUntilProven() {
+        CopyGuard guard = new CopyGuard(60_000);
+        assert guard.ask(KILLER, NODE, A, SuspectFacts.NONE, 0).upstream().equals(A);
+        assert guard.ask(KILLER, OTHER, B, SuspectFacts.NONE, 0).upstream().equals(A);
+        guard.ended(KILLER, NODE, false);
+        assert guard.ask(KILLER, NODE, B, SuspectFacts.NONE, 0).upstream().equals(A);
+        guard.ended(KILLER, OTHER, true);
+        assert guard.ask(KILLER, OTHER, B, SuspectFacts.NONE, 0).upstream().equals(B);
+    }
+
+    /** Failure guarded against: two suspects share an upstream, so that its crash blames both. */
+    @Example
+    void anUpstreamRunsOneSuspectAtATime() {
+        SuspectFacts facts = SuspectFacts.NONE.crashed(A, List.of(KILLER, HARMLESS), 0);
+        SuspectArbiter arbiter = new SuspectArbiter(0);
+        assert ask(arbiter, KILLER, NODE, facts, 4_000).verdict() == SuspectArbiter.Verdict.WAIT;
+        SuspectArbiter.Answer run = ask(arbiter, KILLER, NODE, facts, 5_000);
+        assert run.verdict() == SuspectArbiter.Verdict.RUN && run.upstream().equals(B) && run.alone() : run;
+        assert ask(arbiter, KILLER, OTHER, facts, 5_001).verdict() == SuspectArbiter.Verdict.WAIT;
+        SuspectArbiter.Answer second = ask(arbiter, HARMLESS, NODE, facts, 6_000);
+        assert !second.upstream().equals(B) : second;
+        SuspectFacts after = arbiter.upstreamCrashed(B, facts, 6_000);
+        assert ask(arbiter, KILLER, OTHER, after, 6_001).verdict() == SuspectArbiter.Verdict.REFUSE;
+        assert ask(arbiter, HARMLESS, OTHER, after, 6_001).verdict() == SuspectArbiter.Verdict.FREE;
+    }
+
+    private static SuspectArbiter.Answer ask(
+            SuspectArbiter arbiter, long print, VmId node, SuspectFacts facts, long nowMillis) {
+        List<SuspectArbiter.Candidate> candidates = List.of(
+                new SuspectArbiter.Candidate(A, 0),
+                new SuspectArbiter.Candidate(B, 0),
+                new SuspectArbiter.Candidate(C, 5));
+        return arbiter.ask(new SuspectArbiter.Question(print, node, candidates, 0, true), facts, nowMillis);
+    }
+}
