--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/OrdersEvent.java
@@ -0,0 +1,77 @@
+package org.cowslipbank.decision.orders;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.cowslipbank.model.UpstreamId;
+
+/** What a controller learns. Times are of the node's monotonic clock. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "event")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = OrdersEvent.Tick.class, name = "tick"),
+    @JsonSubTypes.Type(value = OrdersEvent.LeaseAnswer.class, name = "lease_answer"),
+    @JsonSubTypes.Type(value = OrdersEvent.Targets.class, name = "targets"),
+    @JsonSubTypes.Type(value = OrdersEvent.Observed.class, name = "observed"),
+    @JsonSubTypes.Type(value = OrdersEvent.Rejected.class, name = "rejected"),
+    @JsonSubTypes.Type(value = OrdersEvent.SlotAnswer.class, name = "slot_answer"),
+    @JsonSubTypes.Type(value = OrdersEvent.Exported.class, name = "exported")
+})
+public sealed interface OrdersEvent {
+    /** Time has passed; sent every few hundred milliseconds. */
+    record Tick() implements OrdersEvent {}
+
+    /**
+     * The platform answered for the lease.
+     *
+     * @param held true if this node holds it
+     * @param token its fencing token
+     * @param askedAtMillis when the question was sent; the lifetime is counted from here
+     * @param ttlMillis remaining lifetime in the answer
+     */
+    record LeaseAnswer(boolean held, long token, long askedAtMillis, long ttlMillis) implements OrdersEvent {}
+
+    /**
+     * The targets changed with the configuration.
+     *
+     * @param targets the targets of all engines of the group
+     */
+    record Targets(List<OrderTarget> targets) implements OrdersEvent {
+        /** Copies the list. */
+        public Targets {
+            targets = List.copyOf(targets);
+        }
+    }
+
+    /**
+     * An engine reported its state.
+     *
+     * @param view the report
+     */
+    record Observed(EngineView view) implements OrdersEvent {}
+
+    /**
+     * An engine rejected a command because of its token.
+     *
+     * @param upstream the engine
+     * @param token the token that it rejected
+     */
+    record Rejected(UpstreamId upstream, long token) implements OrdersEvent {}
+
+    /**
+     * The platform answered for a load slot.
+     *
+     * @param upstream the engine for which it was asked
+     * @param slot the slot
+     * @param held true if this node now holds it for that engine
+     * @param askedAtMillis when the question was sent
+     */
+    record SlotAnswer(UpstreamId upstream, int slot, boolean held, long askedAtMillis) implements OrdersEvent {}
+
+    /**
+     * The export of a retiring engine has finished or was given up.
+     *
+     * @param upstream the engine
+     */
+    record Exported(UpstreamId upstream) implements OrdersEvent {}
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/OrdersInput.java
@@ -0,0 +1,10 @@
+package org.cowslipbank.decision.orders;
+
+/**
+ * Input of a recorded transition.
+ *
+ * @param state the state before the event
+ * @param event the event
+ * @param nowMillis the time in milliseconds
+ */
+public record OrdersInput(OrdersState state, OrdersEvent event, long nowMillis) {}
--- a/decision/src/main/java/org/cowslipbank/decision/streams/StreamMachine.java
+++ b/decision/src/main/java/org/cowslipbank/decision/streams/StreamMachine.java
@@ -117,8 +117,10 @@
         long sinceMillis = state.waitSinceMillis() == StreamState.NEVER ? nowMillis : state.waitSinceMillis();
         long untilMillis = nowMillis + Math.max(1, notSent.retryAfterMillis());
         boolean first = state.attempt().number() == 1;
-        boolean inTime = untilMillis - sinceMillis <= state.spec().limits().retryWaitMillis()
-                && untilMillis < state.firstTokenDeadlineMillis();
+        StreamLimits limits = state.spec().limits();
+        long longestMillis =
+                notSent.reason() == NotSentReason.SUSPECT_WAITS ? limits.suspectWaitMillis() : limits.retryWaitMillis();
+        boolean inTime = untilMillis - sinceMillis <= longestMillis && untilMillis < state.firstTokenDeadlineMillis();
         if (notSent.reason().temporary() && inTime && !first) {
             return result(state.waiting(untilMillis, sinceMillis));
         }
