Add the streams bench on a virtual clock

A model of callers, nodes and engines drives streams, retry, suspects and orders with seeded faults and counts lost, doubled, misdelivered and falsely reported answers.

--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -7,7 +7,7 @@
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            );
+            new org.cowslipbank.bench.streams.StreamsBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/bench/src/test/java/org/cowslipbank/bench/RunBench.java
@@ -0,0 +1,23 @@
+package org.cowslipbank.bench;
+
+/** Runs one experiment until the command line does: arguments are name and seed. */
+final class RunBench {
+    private RunBench() {}
+
+    public static void main(String[] args) throws Exception {
+        Bench bench = Benches.find(args[0]).orElseThrow();
+        long startNanos = System.nanoTime();
+        BenchReport report = bench.run(new BenchOptions(Long.parseLong(args[1]), line -> {}));
+        for (Figure figure : report.figures()) {
+            String relation =
+                    switch (figure.relation()) {
+                        case AT_MOST -> "<= " + figure.bound();
+                        case AT_LEAST -> ">= " + figure.bound();
+                        case NONE -> "";
+                    };
+            System.out.printf(
+                    "%-50s %10.4f %-10s %s%n", figure.name(), figure.value(), relation, figure.held() ? "" : "MISSED");
+        }
+        System.out.printf("held %s, %d ms%n", report.held(), (System.nanoTime() - startNanos) / 1_000_000);
+    }
+}
