Let new runs take the old version while the active one loads

During a version change no engine, or only the first few, has the active version.

The bench's routing puts a new run on the active version where an engine of it has a free slot, and otherwise on the version that the other engines have.

The node's shell needs the same rule.

--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
@@ -31,6 +31,7 @@
 import org.cowslipbank.decision.suspects.SuspectArbiter;
 import org.cowslipbank.decision.suspects.SuspectFacts;
 import org.cowslipbank.model.AttemptId;
+import org.cowslipbank.model.ModelRef;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 
@@ -279,11 +280,32 @@
         release.admitted().forEach(request -> openAdmitted(queued.remove(request)));
     }
 
-    /** A new run takes the version that is active now; a continuation needs the version of its tokens. */
+    /**
+     * Chooses the version of a new run; a continuation needs the version of its tokens. During a version change the
+     * engines of the old version take what those of the active one have no free slot for.
+     */
     private StreamEffect.Start onActiveVersion(StreamEffect.Start start) {
-        return start.fromToken() > 0
-                ? start
-                : new StreamEffect.Start(start.attempt(), start.number(), 0, world.activeModel, start.avoid());
+        if (start.fromToken() > 0) {
+            return start;
+        }
+        StreamEffect.Start active = withModel(start, world.activeModel);
+        boolean roomOnActive = reports.values().stream().anyMatch(report -> mayRun(report, active) && hasRoom(report));
+        if (roomOnActive) {
+            return active;
+        }
+        return reports.values().stream()
+                .filter(report -> report.usable && hasRoom(report))
+                .min(Comparator.comparingInt(EngineReport::load))
+                .map(report -> withModel(start, report.engine.loaded))
+                .orElse(active);
+    }
+
+    private static StreamEffect.Start withModel(StreamEffect.Start start, ModelRef model) {
+        return new StreamEffect.Start(start.attempt(), start.number(), 0, model, start.avoid());
+    }
+
+    private boolean hasRoom(EngineReport report) {
+        return report.load() < world.options.slots();
     }
 
     private void route(SimStream stream, StreamEffect.Start asked) {
