--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/membership/LoadTraffic.java
@@ -0,0 +1,95 @@
+package org.cowslipbank.bench.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cowslipbank.decision.entries.Duties;
+import org.cowslipbank.decision.entries.Duty;
+import org.cowslipbank.decision.entries.DutyQuery;
+import org.cowslipbank.decision.membership.FleetEvent;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.LoadFact;
+
+/** Watchers that publish a load digest of each upstream at a fixed period. */
+final class LoadTraffic {
+    private final FleetSimulation fleet;
+    private final long periodMillis;
+    private final List<Watched> upstreams = new ArrayList<>();
+    private boolean stopped;
+
+    /**
+     * Starts the watchers.
+     *
+     * @param fleet the fleet
+     * @param count number of upstreams, spread over the data centres
+     * @param periodMillis time between two digests of one upstream
+     */
+    LoadTraffic(FleetSimulation fleet, int count, long periodMillis) {
+        this.fleet = fleet;
+        this.periodMillis = periodMillis;
+        List<DataCentreId> dataCentres = fleet.nodes().stream()
+                .map(node -> node.address().dataCentre())
+                .distinct()
+                .toList();
+        for (int i = 0; i < count; i++) {
+            DataCentreId dataCentre = dataCentres.get(i % dataCentres.size());
+            Watched watched = new Watched(new UpstreamId(dataCentre + "-engine-" + i), dataCentre);
+            upstreams.add(watched);
+            fleet.at(fleet.nowMillis() + fleet.random((int) periodMillis), () -> publish(watched));
+        }
+    }
+
+    List<Watched> upstreams() {
+        return upstreams;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void publish(Watched watched) {
+        if (stopped) {
+            return;
+        }
+        fleet.running().stream()
+                .filter(node -> node.address().dataCentre().equals(watched.dataCentre()))
+                .filter(node -> watches(node, watched))
+                .forEach(node -> node.step(new FleetEvent.Published(digest(watched))));
+        fleet.at(fleet.nowMillis() + periodMillis, () -> publish(watched));
+    }
+
+    private static boolean watches(FleetSimulation.Node node, Watched watched) {
+        return Duties.assign(new DutyQuery(
+                        Duty.WATCH_UPSTREAM,
+                        watched.upstream().value(),
+                        List.of(watched.dataCentre()),
+                        node.view().nodes(),
+                        node.address().vm(),
+                        node.isConfirmed()))
+                .mine();
+    }
+
+    private Facts digest(Watched watched) {
+        LoadFact fact = new LoadFact(
+                watched.upstream(),
+                fleet.nowMillis(),
+                fleet.random(64),
+                fleet.random(64),
+                fleet.random(200_000),
+                12_000,
+                64,
+                false,
+                0);
+        return new Facts(List.of(), List.of(), List.of(), List.of(), List.of(fact));
+    }
+
+    /**
+     * An upstream with a watcher.
+     *
+     * @param upstream the upstream
+     * @param dataCentre its data centre
+     */
+    record Watched(UpstreamId upstream, DataCentreId dataCentre) {}
+}
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/membership/MembershipBench.java
@@ -0,0 +1,414 @@
+package org.cowslipbank.bench.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Predicate;
+
+import org.cowslipbank.bench.Bench;
+import org.cowslipbank.bench.BenchOptions;
+import org.cowslipbank.bench.BenchReport;
+import org.cowslipbank.bench.Figure;
+import org.cowslipbank.decision.membership.FleetEvent;
+import org.cowslipbank.decision.membership.FleetNode;
+import org.cowslipbank.decision.membership.MembershipSettings;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.UpstreamFact;
+
+/** Measures the membership protocol at several fleet sizes. */
+public final class MembershipBench implements Bench {
+    private static final double MAX_BYTES_PER_SECOND = 2_048;
+    private static final double MAX_CPU_SHARE = 0.012;
+    private static final double MAX_STATE_BYTES = 32.0 * 1024 * 1024;
+    private static final double MAX_LEAVING_MILLIS = 3_000;
+    private static final long MINUTE_MILLIS = 60_000;
+    private static final long WARM_UP_MILLIS = 30_000;
+    private static final long LIMIT_MILLIS = 120_000;
+    private static final double UPSTREAMS_PER_NODE = 600.0 / 340;
+    private static final long LOAD_PERIOD_MILLIS = 5_000;
+    private static final int TARGET_NODES = 340;
+
+    private static final List<Size> SIZES = List.of(
+            new Size("9x3", 9, 3, MembershipSettings.SMALL_FLEET),
+            new Size("9x7", 9, 7, MembershipSettings.SMALL_FLEET),
+            new Size("50x7", 50, 7, MembershipSettings.LARGE_FLEET),
+            new Size("100x7", 100, 7, MembershipSettings.LARGE_FLEET),
+            new Size("340x7", TARGET_NODES, 7, MembershipSettings.LARGE_FLEET));
+
+    private final int maxNodes;
+
+    /** Creates the experiment. */
+    public MembershipBench() {
+        this(TARGET_NODES);
+    }
+
+    /** Creates the experiment without the fleets of more nodes than given. */
+    MembershipBench(int maxNodes) {
+        this.maxNodes = maxNodes;
+    }
+
+    @Override
+    public String name() {
+        return "membership";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) {
+        List<Figure> figures = new ArrayList<>();
+        for (Size size : SIZES) {
+            if (size.nodes() > maxNodes) {
+                continue;
+            }
+            options.progress().accept("fleet of " + size.nodes() + " nodes in " + size.dataCentres() + " data centres");
+            cost(size, options.seed(), figures);
+            detection(size, options.seed(), figures);
+            leaving(size, options.seed(), figures);
+            falsePositives(size, options.seed(), figures);
+            oneWayLoss(size, options.seed(), figures);
+            partition(size, options.seed(), figures);
+            lostDataCentre(size, options.seed(), figures);
+            if (size.nodes() / size.dataCentres() > 2) {
+                halfDataCentre(size, options.seed(), figures);
+            }
+            pause(size, options.seed(), figures);
+        }
+        return new BenchReport(name(), options.seed(), figures);
+    }
+
+    private static FleetSimulation fleet(Size size, long seed) {
+        FleetSimulation fleet = new FleetSimulation(size.nodes(), size.dataCentres(), size.settings(), seed);
+        fleet.runFor(WARM_UP_MILLIS);
+        return fleet;
+    }
+
+    /** Bytes, processor time and memory of a quiet fleet whose watchers publish load digests. */
+    private static void cost(Size size, long seed, List<Figure> figures) {
+        long usedBefore = usedBytes();
+        FleetSimulation fleet = new FleetSimulation(size.nodes(), size.dataCentres(), size.settings(), seed);
+        LoadTraffic traffic =
+                new LoadTraffic(fleet, (int) Math.ceil(size.nodes() * UPSTREAMS_PER_NODE), LOAD_PERIOD_MILLIS);
+        fleet.runFor(WARM_UP_MILLIS);
+        fleet.nodes().forEach(FleetSimulation.Node::resetCounters);
+        fleet.runFor(MINUTE_MILLIS);
+        double seconds = MINUTE_MILLIS / 1_000.0;
+        Samples bytes = new Samples();
+        Samples sent = new Samples();
+        Samples received = new Samples();
+        Samples messages = new Samples();
+        Samples cpu = new Samples();
+        for (FleetSimulation.Node node : fleet.nodes()) {
+            bytes.add((node.sentBytes() + node.receivedBytes()) / seconds);
+            sent.add(node.sentBytes() / seconds);
+            received.add(node.receivedBytes() / seconds);
+            messages.add(node.messages() / seconds);
+            cpu.add(node.cpuNanos() / (seconds * 1e9));
+        }
+        Samples age = new Samples();
+        int missing = 0;
+        for (LoadTraffic.Watched watched : traffic.upstreams()) {
+            for (FleetSimulation.Node node : inDataCentre(fleet, watched.dataCentre())) {
+                if (node.view().loads().containsKey(watched.upstream())) {
+                    age.add(fleet.nowMillis()
+                            - node.view().loads().get(watched.upstream()).takenMillis());
+                } else {
+                    missing++;
+                }
+            }
+        }
+        traffic.stop();
+        figures.add(Figure.info(size.figure("bytes_sent_mean_per_second"), sent.mean()));
+        figures.add(Figure.info(size.figure("bytes_received_mean_per_second"), received.mean()));
+        figures.add(Figure.atMost(size.figure("bytes_mean_per_second"), bytes.mean(), MAX_BYTES_PER_SECOND));
+        figures.add(Figure.atMost(size.figure("bytes_worst_node_per_second"), bytes.max(), MAX_BYTES_PER_SECOND));
+        figures.add(Figure.info(size.figure("messages_mean_per_second"), messages.mean()));
+        figures.add(Figure.atMost(size.figure("cpu_share_mean"), cpu.mean(), MAX_CPU_SHARE));
+        figures.add(Figure.atMost(size.figure("cpu_share_worst_node"), cpu.max(), MAX_CPU_SHARE));
+        figures.add(Figure.info(size.figure("load_age_median_millis"), age.quantile(0.5)));
+        figures.add(Figure.info(size.figure("load_age_p99_millis"), age.quantile(0.99)));
+        figures.add(Figure.info(size.figure("load_missing"), missing));
+        fleet.clear();
+        double retained =
+                (double) Math.max(0, usedBytes() - usedBefore) / fleet.nodes().size();
+        figures.add(Figure.atMost(size.figure("state_bytes"), retained, MAX_STATE_BYTES));
+    }
+
+    /** Time until each node of a killed node's data centre holds it for dead. */
+    private static void detection(Size size, long seed, List<Figure> figures) {
+        Samples local = new Samples();
+        Samples everywhere = new Samples();
+        for (int round = 0; round < size.rounds(); round++) {
+            FleetSimulation fleet = fleet(size, seed + round);
+            FleetSimulation.Node victim =
+                    fleet.nodes().get(fleet.random(fleet.nodes().size()));
+            if (inDataCentre(fleet, victim.address().dataCentre()).size() < 2) {
+                continue;
+            }
+            fleet.runFor(fleet.random(1_000));
+            victim.kill();
+            long started = fleet.nowMillis();
+            List<FleetSimulation.Node> near =
+                    new ArrayList<>(inDataCentre(fleet, victim.address().dataCentre()));
+            fleet.runUntil(
+                    () -> {
+                        near.removeIf(node -> {
+                            boolean knows = holdsForDead(node, victim);
+                            if (knows) {
+                                local.add(fleet.nowMillis() - started);
+                            }
+                            return knows;
+                        });
+                        return near.isEmpty();
+                    },
+                    LIMIT_MILLIS);
+            near.forEach(node -> local.add(LIMIT_MILLIS));
+            fleet.runUntil(() -> fleet.running().stream().allMatch(node -> holdsForDead(node, victim)), LIMIT_MILLIS);
+            everywhere.add(fleet.nowMillis() - started);
+        }
+        if (local.isEmpty()) {
+            return;
+        }
+        figures.add(Figure.info(size.figure("detection_median_millis"), local.quantile(0.5)));
+        figures.add(Figure.info(size.figure("detection_p99_millis"), local.quantile(0.99)));
+        figures.add(Figure.info(size.figure("detection_worst_millis"), local.max()));
+        figures.add(Figure.info(size.figure("detection_everywhere_worst_millis"), everywhere.max()));
+    }
+
+    /** Time until every node knows that an upstream or a node leaves. */
+    private static void leaving(Size size, long seed, List<Figure> figures) {
+        Samples upstream = new Samples();
+        Samples node = new Samples();
+        FleetSimulation fleet = fleet(size, seed);
+        new LoadTraffic(fleet, (int) Math.ceil(size.nodes() * UPSTREAMS_PER_NODE), LOAD_PERIOD_MILLIS);
+        fleet.runFor(10_000);
+        for (int round = 0; round < size.rounds(); round++) {
+            UpstreamId leaving = new UpstreamId("engine-" + round);
+            Facts facts = new Facts(
+                    List.of(),
+                    List.of(new UpstreamFact(leaving, true, fleet.nowMillis(), 600)),
+                    List.of(),
+                    List.of(),
+                    List.of());
+            fleet.nodes().get(fleet.random(size.nodes())).step(new FleetEvent.Published(facts));
+            upstream.add(fleet.runUntil(
+                    () -> fleet.running().stream()
+                            .allMatch(each -> each.view().leavingUpstreams().contains(leaving)),
+                    LIMIT_MILLIS));
+            fleet.runFor(1_000);
+            FleetSimulation.Node draining = fleet.nodes().get(fleet.random(size.nodes()));
+            draining.step(new FleetEvent.Drain());
+            node.add(fleet.runUntil(
+                    () -> fleet.running().stream().noneMatch(each -> givesWork(each, draining)), LIMIT_MILLIS));
+            fleet.runFor(1_000);
+        }
+        figures.add(Figure.info(size.figure("leaving_upstream_median_millis"), upstream.quantile(0.5)));
+        figures.add(Figure.atMost(size.figure("leaving_upstream_worst_millis"), upstream.max(), MAX_LEAVING_MILLIS));
+        figures.add(Figure.atMost(size.figure("leaving_node_worst_millis"), node.max(), MAX_LEAVING_MILLIS));
+    }
+
+    /** Live nodes held for dead while a share of all messages is lost. */
+    private static void falsePositives(Size size, long seed, List<Figure> figures) {
+        for (int percent : new int[] {1, 5}) {
+            FleetSimulation fleet = fleet(size, seed);
+            fleet.lose(LossRule.share(percent / 100.0));
+            FlapCounter flaps = new FlapCounter(fleet);
+            flaps.runFor(2 * MINUTE_MILLIS);
+            figures.add(Figure.atMost(size.figure("false_dead_at_" + percent + "_percent_loss"), flaps.deaths(), 0));
+            figures.add(Figure.info(size.figure("unreachable_at_" + percent + "_percent_loss"), flaps.unreachable()));
+        }
+    }
+
+    /** One node receives nothing, then one node sends nothing: it may die once, and nothing else may happen. */
+    private static void oneWayLoss(Size size, long seed, List<Figure> figures) {
+        for (boolean inbound : new boolean[] {true, false}) {
+            FleetSimulation fleet = fleet(size, seed);
+            FleetSimulation.Node victim = fleet.nodes().get(0);
+            fleet.lose((from, to, random) ->
+                    (inbound ? to : from).vm().equals(victim.address().vm()));
+            FlapCounter flaps = new FlapCounter(fleet);
+            flaps.runFor(2 * MINUTE_MILLIS);
+            String name = inbound ? "deaf_node" : "mute_node";
+            figures.add(Figure.atMost(size.figure(name + "_revived"), flaps.revivals(), 0));
+            figures.add(Figure.atMost(
+                    size.figure(name + "_others_false_dead"),
+                    flaps.deathsSeenBy(observer -> observer != victim, subject -> subject != victim),
+                    0));
+            fleet.lose(LossRule.NONE);
+            long healed = fleet.runUntil(() -> isConverged(fleet), LIMIT_MILLIS);
+            figures.add(Figure.atMost(size.figure(name + "_healed_millis"), healed, LIMIT_MILLIS));
+        }
+        FleetSimulation fleet = fleet(size, seed);
+        fleet.lose((from, to, random) -> Math.floorMod(from.hashCode() * 31 + to.hashCode(), 20) == 0);
+        FlapCounter flaps = new FlapCounter(fleet);
+        flaps.runFor(2 * MINUTE_MILLIS);
+        figures.add(Figure.atMost(size.figure("one_way_pairs_revived"), flaps.revivals(), 0));
+        if (size.nodes() / size.dataCentres() > 2) {
+            figures.add(Figure.atMost(size.figure("one_way_pairs_false_dead"), flaps.deaths(), 0));
+        }
+    }
+
+    /** Two regions apart for two minutes with changes on both sides, then healed. */
+    private static void partition(Size size, long seed, List<Figure> figures) {
+        FleetSimulation fleet = fleet(size, seed);
+        fleet.lose((from, to, random) -> !region(from.dataCentre()).equals(region(to.dataCentre())));
+        FlapCounter flaps = new FlapCounter(fleet);
+        flaps.runFor(MINUTE_MILLIS);
+        List<FleetSimulation.Node> nodes = fleet.nodes();
+        nodes.get(0).step(new FleetEvent.Drain());
+        nodes.get(size.nodes() - 1).step(new FleetEvent.Drain());
+        nodes.get(1)
+                .step(new FleetEvent.Published(new Facts(
+                        List.of(),
+                        List.of(new UpstreamFact(new UpstreamId("engine-0"), true, fleet.nowMillis(), 600)),
+                        List.of(),
+                        List.of(),
+                        List.of())));
+        nodes.get(2).kill();
+        flaps.runFor(MINUTE_MILLIS);
+        figures.add(Figure.atMost(
+                size.figure("partition_false_dead"),
+                flaps.deathsSeenBy(observer -> true, FleetSimulation.Node::isRunning),
+                0));
+        fleet.lose(LossRule.NONE);
+        figures.add(Figure.atMost(
+                size.figure("partition_healed_millis"),
+                fleet.runUntil(() -> isConverged(fleet), LIMIT_MILLIS),
+                LIMIT_MILLIS));
+        figures.add(Figure.info(
+                size.figure("partition_upstream_known_millis"),
+                fleet.runUntil(
+                        () -> fleet.running().stream()
+                                .allMatch(node -> node.view().leavingUpstreams().size() == 1),
+                        LIMIT_MILLIS)));
+    }
+
+    /** Time until no node gives work to a data centre whose nodes have all died. */
+    private static void lostDataCentre(Size size, long seed, List<Figure> figures) {
+        FleetSimulation fleet = fleet(size, seed);
+        DataCentreId lost = fleet.nodes().get(0).address().dataCentre();
+        List<FleetSimulation.Node> victims = inDataCentre(fleet, lost);
+        victims.forEach(FleetSimulation.Node::kill);
+        figures.add(
+                Figure.atMost(size.figure("data_centre_lost_known_millis"), untilNoWork(fleet, victims), LIMIT_MILLIS));
+    }
+
+    /** Time until no node gives work to the dead half of a data centre, and its live half is still used. */
+    private static void halfDataCentre(Size size, long seed, List<Figure> figures) {
+        FleetSimulation fleet = fleet(size, seed);
+        List<FleetSimulation.Node> all =
+                inDataCentre(fleet, fleet.nodes().get(0).address().dataCentre());
+        List<FleetSimulation.Node> victims = all.subList(0, all.size() / 2);
+        victims.forEach(FleetSimulation.Node::kill);
+        FlapCounter flaps = new FlapCounter(fleet);
+        figures.add(
+                Figure.atMost(size.figure("half_data_centre_known_millis"), untilNoWork(fleet, victims), LIMIT_MILLIS));
+        flaps.runFor(MINUTE_MILLIS);
+        figures.add(Figure.atMost(
+                size.figure("half_data_centre_false_dead"),
+                flaps.deathsSeenBy(observer -> true, FleetSimulation.Node::isRunning),
+                0));
+    }
+
+    private static long untilNoWork(FleetSimulation fleet, List<FleetSimulation.Node> victims) {
+        return fleet.runUntil(
+                () -> fleet.running().stream()
+                        .allMatch(node -> victims.stream().noneMatch(victim -> givesWork(node, victim))),
+                LIMIT_MILLIS);
+    }
+
+    /** A node that was paused for a minute: it must hold no authority until it is answered, and accuse nobody. */
+    private static void pause(Size size, long seed, List<Figure> figures) {
+        FleetSimulation fleet = fleet(size, seed);
+        FleetSimulation.Node paused = fleet.nodes().get(0);
+        paused.pause(MINUTE_MILLIS);
+        FlapCounter flaps = new FlapCounter(fleet);
+        flaps.runFor(MINUTE_MILLIS - 1);
+        figures.add(Figure.atMost(size.figure("paused_node_authority"), paused.isConfirmed() ? 1 : 0, 0));
+        long confirmed = fleet.runUntil(() -> paused.isConfirmed() && isConverged(fleet), LIMIT_MILLIS);
+        figures.add(Figure.atMost(size.figure("paused_node_losses_missed"), 1 - paused.authorityLosses(), 0));
+        figures.add(Figure.atMost(size.figure("paused_node_converged_millis"), confirmed, LIMIT_MILLIS));
+        flaps.runFor(1);
+        figures.add(Figure.atMost(
+                size.figure("paused_node_false_dead"),
+                flaps.deathsSeenBy(observer -> true, subject -> subject != paused),
+                0));
+    }
+
+    private static boolean isConverged(FleetSimulation fleet) {
+        List<FleetNode> expected = fleet.running().get(0).view().nodes();
+        int live = fleet.running().size();
+        return expected.size() == live
+                && fleet.running().stream().allMatch(node -> node.view().nodes().equals(expected));
+    }
+
+    private static boolean holdsForDead(FleetSimulation.Node observer, FleetSimulation.Node subject) {
+        return observer.view().deadNodes().contains(subject.address().vm());
+    }
+
+    private static boolean givesWork(FleetSimulation.Node observer, FleetSimulation.Node subject) {
+        Predicate<FleetNode> isSubject =
+                node -> node.node().vm().equals(subject.address().vm());
+        return observer.view().nodes().stream().anyMatch(node -> isSubject.test(node) && node.takesWork());
+    }
+
+    private static List<FleetSimulation.Node> inDataCentre(FleetSimulation fleet, DataCentreId dataCentre) {
+        return fleet.running().stream()
+                .filter(node -> node.address().dataCentre().equals(dataCentre))
+                .toList();
+    }
+
+    private static String region(DataCentreId dataCentre) {
+        return dataCentre.value().substring(0, 2);
+    }
+
+    private static long usedBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        for (int i = 0; i < 2; i++) {
+            System.gc();
+        }
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /** A fleet's size. */
+    private record Size(String label, int nodes, int dataCentres, MembershipSettings settings) {
+        String figure(String name) {
+            return "membership_" + label + "_" + name;
+        }
+
+        /** Smaller fleets take more rounds in the same time. */
+        int rounds() {
+            return nodes >= TARGET_NODES ? 5 : 15;
+        }
+    }
+
+    /** Collects samples of one figure. */
+    private static final class Samples {
+        private final List<Double> values = new ArrayList<>();
+
+        void add(double value) {
+            values.add(value);
+        }
+
+        boolean isEmpty() {
+            return values.isEmpty();
+        }
+
+        double mean() {
+            return values.stream().mapToDouble(Double::doubleValue).average().orElse(Double.NaN);
+        }
+
+        double max() {
+            return quantile(1);
+        }
+
+        double quantile(double share) {
+            if (values.isEmpty()) {
+                return Double.NaN;
+            }
+            List<Double> sorted = new ArrayList<>(values);
+            Collections.sort(sorted);
+            return sorted.get((int) Math.min(sorted.size() - 1, Math.ceil(share * sorted.size()) - 1));
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactsBuilder.java
@@ -0,0 +1,56 @@
+package org.cowslipbank.decision.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.LoadFact;
+import org.cowslipbank.model.fleet.MemberFact;
+import org.cowslipbank.model.fleet.ReachFact;
+import org.cowslipbank.model.fleet.SuspectFact;
+import org.cowslipbank.model.fleet.UpstreamFact;
+
+/** Collects facts and their size in bytes. */
+final class FactsBuilder {
+    private final List<MemberFact> members = new ArrayList<>();
+    private final List<UpstreamFact> upstreams = new ArrayList<>();
+    private final List<ReachFact> reach = new ArrayList<>();
+    private final List<SuspectFact> suspects = new ArrayList<>();
+    private final List<LoadFact> loads = new ArrayList<>();
+    private int bytes;
+
+    void add(MemberFact fact) {
+        if (!members.contains(fact)) {
+            members.add(fact);
+            bytes += FactSizes.of(fact);
+        }
+    }
+
+    void add(UpstreamFact fact) {
+        upstreams.add(fact);
+        bytes += FactSizes.of(fact);
+    }
+
+    void add(ReachFact fact) {
+        reach.add(fact);
+        bytes += FactSizes.of(fact);
+    }
+
+    void add(SuspectFact fact) {
+        suspects.add(fact);
+        bytes += FactSizes.of(fact);
+    }
+
+    void add(LoadFact fact) {
+        loads.add(fact);
+        bytes += FactSizes.of(fact);
+    }
+
+    int bytes() {
+        return bytes;
+    }
+
+    Facts build() {
+        return bytes == 0 ? Facts.NONE : new Facts(members, upstreams, reach, suspects, loads);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FleetView.java
@@ -0,0 +1,130 @@
+package org.cowslipbank.decision.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.MemberStatus;
+import org.cowslipbank.model.fleet.ReachFact;
+
+/**
+ * What a node knows about the fleet at one moment. Immutable.
+ *
+ * @param self this node
+ * @param draining true once this node drains
+ * @param nodes all nodes that are not dead, this one included, in ascending order
+ * @param deadNodes nodes held for dead
+ * @param unreachable data centres that no gateway of the own data centre hears from
+ * @param leavingUpstreams upstreams that take no new work
+ * @param loads load digests by upstream
+ * @param crashes by request fingerprint, the crashes at which the request was in flight and not cleared
+ * @param version version of the state from which the view was made
+ */
+public record FleetView(
+        NodeAddress self,
+        boolean draining,
+        List<FleetNode> nodes,
+        Set<VmId> deadNodes,
+        Set<DataCentreId> unreachable,
+        Set<UpstreamId> leavingUpstreams,
+        Map<UpstreamId, ObservedLoad> loads,
+        Map<Long, Integer> crashes,
+        long version) {
+    /** Copies the collections. */
+    public FleetView {
+        nodes = List.copyOf(nodes);
+        deadNodes = Set.copyOf(deadNodes);
+        unreachable = Set.copyOf(unreachable);
+        leavingUpstreams = Set.copyOf(leavingUpstreams);
+        loads = Map.copyOf(loads);
+        crashes = Map.copyOf(crashes);
+    }
+
+    /**
+     * Makes the view of a state.
+     *
+     * @param state the state
+     * @return the view
+     */
+    public static FleetView of(MembershipState state) {
+        Step step = new Step(state, state.lastTickMillis, 0);
+        Set<DataCentreId> unreachable = unreachable(step);
+        List<FleetNode> nodes = new ArrayList<>();
+        Set<VmId> dead = new HashSet<>();
+        NodeAddress self = new NodeAddress(
+                state.self.vm(), state.self.dataCentre(), state.self.address(), state.self.callerPort());
+        nodes.add(new FleetNode(self, MemberStatus.ALIVE, state.self.leaving(), true));
+        for (Member member : state.members.view().values()) {
+            if (member.isDead()) {
+                dead.add(member.fact().vm());
+                continue;
+            }
+            boolean leaving = member.fact().leaving() || member.listedLeaving();
+            boolean reachable = !unreachable.contains(member.fact().dataCentre());
+            nodes.add(new FleetNode(member.node(), member.fact().status(), leaving, reachable));
+        }
+        nodes.sort((left, right) -> left.node().vm().compareTo(right.node().vm()));
+        return new FleetView(
+                self,
+                state.self.leaving(),
+                nodes,
+                dead,
+                unreachable,
+                leavingUpstreams(state),
+                loads(state),
+                crashes(state),
+                state.version);
+    }
+
+    /** A data centre is out of reach if every gateway to it that has judged says so, and at least one has. */
+    private static Set<DataCentreId> unreachable(Step step) {
+        if (step.state.reach.view().values().stream().allMatch(ReachFact::reachable)) {
+            return Collections.emptySet();
+        }
+        Set<DataCentreId> unreachable = new TreeSet<>();
+        for (DataCentreId dataCentre : step.otherDataCentres()) {
+            List<ReachFact> facts = step.gateways(dataCentre).stream()
+                    .map(gateway ->
+                            step.state.reach.get(FactStore.reachId(new ReachFact(gateway, dataCentre, true, 0))))
+                    .toList();
+            if (facts.stream().allMatch(fact -> fact != null && !fact.reachable())) {
+                unreachable.add(dataCentre);
+            }
+        }
+        return unreachable;
+    }
+
+    private static Set<UpstreamId> leavingUpstreams(MembershipState state) {
+        Set<UpstreamId> leaving = new HashSet<>();
+        state.upstreams.view().forEach((upstream, held) -> {
+            if (held.fact().leaving()) {
+                leaving.add(upstream);
+            }
+        });
+        return leaving;
+    }
+
+    private static Map<UpstreamId, ObservedLoad> loads(MembershipState state) {
+        Map<UpstreamId, ObservedLoad> loads = new HashMap<>();
+        state.loads
+                .view()
+                .forEach((upstream, held) -> loads.put(upstream, new ObservedLoad(held.fact(), held.atMillis())));
+        return loads;
+    }
+
+    private static Map<Long, Integer> crashes(MembershipState state) {
+        Map<Long, Integer> crashes = new HashMap<>();
+        state.suspects.view().values().stream()
+                .filter(held -> !held.fact().cleared())
+                .forEach(held -> crashes.merge(held.fact().fingerprint(), 1, Integer::sum));
+        return crashes;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
@@ -0,0 +1,202 @@
+package org.cowslipbank.decision.membership;
+
+import java.util.List;
+
+import org.cowslipbank.decision.hashing.Rendezvous;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.LoadFact;
+import org.cowslipbank.model.fleet.MemberFact;
+import org.cowslipbank.model.fleet.MemberStatus;
+import org.cowslipbank.model.fleet.ReachFact;
+import org.cowslipbank.model.fleet.SuspectFact;
+import org.cowslipbank.model.fleet.UpstreamFact;
+
+/**
+ * State of the protocol at one node. A state that was handed out never changes: a step works on a fork, which shares
+ * the maps until it writes to them.
+ */
+public final class MembershipState {
+    final MembershipSettings settings;
+    final CowMap<VmId, Member> members;
+    final CowMap<UpstreamId, Held<UpstreamFact>> upstreams;
+    final CowMap<UpstreamId, Held<LoadFact>> loads;
+    final CowMap<String, Held<SuspectFact>> suspects;
+    final CowMap<String, ReachFact> reach;
+    final CowMap<FactKey, Integer> outbox;
+    final CowMap<Long, Pending> pending;
+    final CowMap<DataCentreId, SyncState> syncs;
+    final CowMap<DataCentreId, Integer> crossFailures;
+
+    MemberFact self;
+    int tableHash;
+    List<VmId> probeOrder = List.of();
+    long nextSequence = 1;
+    long lastTickMillis;
+    long nextProbeMillis;
+    long nextDeadProbeMillis;
+    long nextCrossMillis;
+    long nextSweepMillis;
+    double budgetBytes;
+    long revision;
+    long confirmedAtMillis = -1;
+    long lastAckMillis = -1;
+    boolean confirmed;
+    long unconfirmedSinceMillis;
+    boolean ackedSincePause;
+    long version;
+
+    MembershipState(MembershipSettings settings, MemberFact self, long nowMillis) {
+        this.settings = settings;
+        this.self = self;
+        this.members = new CowMap<>();
+        this.upstreams = new CowMap<>();
+        this.loads = new CowMap<>();
+        this.suspects = new CowMap<>();
+        this.reach = new CowMap<>();
+        this.outbox = new CowMap<>();
+        this.pending = new CowMap<>();
+        this.syncs = new CowMap<>();
+        this.crossFailures = new CowMap<>();
+        this.lastTickMillis = nowMillis;
+        this.unconfirmedSinceMillis = nowMillis;
+        this.tableHash = hash(self);
+    }
+
+    private MembershipState(MembershipState other) {
+        settings = other.settings;
+        members = other.members.fork();
+        upstreams = other.upstreams.fork();
+        loads = other.loads.fork();
+        suspects = other.suspects.fork();
+        reach = other.reach.fork();
+        outbox = other.outbox.fork();
+        pending = other.pending.fork();
+        syncs = other.syncs.fork();
+        crossFailures = other.crossFailures.fork();
+        self = other.self;
+        tableHash = other.tableHash;
+        probeOrder = other.probeOrder;
+        nextSequence = other.nextSequence;
+        lastTickMillis = other.lastTickMillis;
+        nextProbeMillis = other.nextProbeMillis;
+        nextDeadProbeMillis = other.nextDeadProbeMillis;
+        nextCrossMillis = other.nextCrossMillis;
+        nextSweepMillis = other.nextSweepMillis;
+        budgetBytes = other.budgetBytes;
+        revision = other.revision;
+        confirmedAtMillis = other.confirmedAtMillis;
+        lastAckMillis = other.lastAckMillis;
+        confirmed = other.confirmed;
+        unconfirmedSinceMillis = other.unconfirmedSinceMillis;
+        ackedSincePause = other.ackedSincePause;
+        version = other.version;
+    }
+
+    MembershipState fork() {
+        return new MembershipState(this);
+    }
+
+    DataCentreId dataCentre() {
+        return self.dataCentre();
+    }
+
+    boolean isOwnDataCentre(NodeAddress node) {
+        return node.dataCentre().equals(self.dataCentre());
+    }
+
+    /** Replaces a member and keeps the table hash. */
+    void putMember(Member member) {
+        Member known = members.get(member.fact().vm());
+        if (known != null) {
+            tableHash ^= hash(known.fact());
+        }
+        tableHash ^= hash(member.fact());
+        members.put(member.fact().vm(), member);
+        version++;
+    }
+
+    void removeMember(VmId vm) {
+        Member known = members.remove(vm);
+        if (known != null) {
+            tableHash ^= hash(known.fact());
+            version++;
+        }
+    }
+
+    void replaceSelf(MemberFact next) {
+        tableHash ^= hash(self) ^ hash(next);
+        self = next;
+        version++;
+    }
+
+    /**
+     * Returns the number of times the view has changed. Two states of one node with the same version have the same
+     * nodes and facts.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Tells whether probes have been answered since the node started or was last paused.
+     *
+     * @return true if the view is confirmed
+     */
+    public boolean isConfirmed() {
+        return confirmed;
+    }
+
+    /**
+     * Returns the time up to which the state may be relied upon. A reader that finds this time passed must assume that
+     * the node was paused, even if the control loop has not noticed it yet.
+     *
+     * @return the time in milliseconds
+     */
+    public long validUntilMillis() {
+        return lastTickMillis + settings.pauseMillis();
+    }
+
+    /**
+     * Returns when a probe was last answered since the last pause.
+     *
+     * @return the time in milliseconds, negative if none was answered
+     */
+    public long lastAckMillis() {
+        return lastAckMillis;
+    }
+
+    /**
+     * Returns the configuration revision in force at this node.
+     *
+     * @return the revision, zero if there is none
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns when the platform last confirmed that revision, as far as this node or a peer knows.
+     *
+     * @return the time in milliseconds, negative if never
+     */
+    public long confirmedAtMillis() {
+        return confirmedAtMillis;
+    }
+
+    /**
+     * Hash of one member, combined by exclusive or. Dead members count for nothing, because nodes forget them at
+     * different times; a suspicion counts as alive, because it stays within its data centre; members known only from a
+     * list have incarnation zero and count for nothing, because lists lag differently.
+     */
+    private static int hash(MemberFact fact) {
+        if (fact.status() == MemberStatus.DEAD || fact.incarnation() == 0) {
+            return 0;
+        }
+        long state = fact.incarnation() * 2 + (fact.leaving() ? 1 : 0);
+        return (int) Rendezvous.weight(Rendezvous.hash(fact.vm().value()), state);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -0,0 +1,181 @@
+package org.cowslipbank.decision.membership;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.LoadFact;
+import org.cowslipbank.model.fleet.MemberFact;
+import org.cowslipbank.model.fleet.MemberStatus;
+import org.cowslipbank.model.fleet.ReachFact;
+import org.cowslipbank.model.fleet.SuspectFact;
+import org.cowslipbank.model.fleet.UpstreamFact;
+
+/** Chooses which facts go into a message: urgent kinds first, among them those sent least often. */
+final class Outbox {
+    /** Bytes that urgent facts may use beyond the budget, so that a burst of deaths still spreads at once. */
+    private static final double OVERDRAFT_BYTES = 2_000;
+
+    private static final double BURST_SECONDS = 3;
+
+    private static final int URGENT_ROUNDS = 2;
+
+    private static final Comparator<Map.Entry<FactKey, Integer>> ORDER =
+            Comparator.<Map.Entry<FactKey, Integer>>comparingInt(
+                            entry -> entry.getKey().kind() == FactKey.Kind.LOAD ? 1 : 0)
+                    .thenComparing(Map.Entry::getValue);
+
+    private Outbox() {}
+
+    static void add(Step step, FactKey key) {
+        step.state.outbox.put(key, 0);
+    }
+
+    static void addIfAbsent(Step step, FactKey key) {
+        if (step.state.outbox.get(key) == null) {
+            step.state.outbox.put(key, 0);
+        }
+    }
+
+    static void refill(Step step, long elapsedMillis) {
+        int rate = step.state.settings.factBytesPerSecond();
+        double filled = step.state.budgetBytes + elapsedMillis * rate / 1_000.0;
+        step.state.budgetBytes = Math.min(filled, rate * BURST_SECONDS);
+    }
+
+    /** Adds queued facts for a receiver up to the limit of a message and of the budget. */
+    static void fill(Step step, FactsBuilder builder, DataCentreId receiver) {
+        boolean own = receiver.equals(step.state.dataCentre());
+        List<Map.Entry<FactKey, Integer>> queued =
+                step.state.outbox.view().entrySet().stream().sorted(ORDER).toList();
+        for (Map.Entry<FactKey, Integer> entry : queued) {
+            if (builder.bytes() >= step.state.settings.factBytesPerMessage()) {
+                return;
+            }
+            FactKey key = entry.getKey();
+            if (hasBudget(step, key, builder.bytes()) && append(step, builder, key, own) && own) {
+                count(step, key, entry.getValue() + 1);
+            }
+        }
+    }
+
+    /** Adds the named facts only, for an immediate message. */
+    static void fill(Step step, FactsBuilder builder, Collection<FactKey> keys, DataCentreId receiver) {
+        boolean own = receiver.equals(step.state.dataCentre());
+        for (FactKey key : keys) {
+            if (builder.bytes() < step.state.settings.factBytesPerMessage() && hasBudget(step, key, builder.bytes())) {
+                append(step, builder, key, own);
+            }
+        }
+    }
+
+    static void charge(Step step, FactsBuilder builder) {
+        step.state.budgetBytes -= builder.bytes();
+    }
+
+    private static boolean hasBudget(Step step, FactKey key, int usedBytes) {
+        double left = step.state.budgetBytes - usedBytes;
+        return key.kind() == FactKey.Kind.LOAD ? left > 0 : left > -OVERDRAFT_BYTES;
+    }
+
+    private static void count(Step step, FactKey key, int transmissions) {
+        if (transmissions >= limit(step, key)) {
+            step.state.outbox.remove(key);
+        } else {
+            step.state.outbox.put(key, transmissions);
+        }
+    }
+
+    /** Grows with the logarithm of the data centre's size, which is the number of rounds that a fact needs. */
+    private static int limit(Step step, FactKey key) {
+        int rounds = 33 - Integer.numberOfLeadingZeros(step.ownLive().size() + 1);
+        return key.kind() == FactKey.Kind.LOAD ? rounds / 2 + 1 : URGENT_ROUNDS * rounds;
+    }
+
+    /** Appends a fact in its current state. Returns false if it has gone or does not concern the receiver. */
+    private static boolean append(Step step, FactsBuilder builder, FactKey key, boolean own) {
+        return switch (key.kind()) {
+            case MEMBER -> appendMember(step, builder, key, own);
+            case UPSTREAM -> appendUpstream(step, builder, key);
+            case REACH -> own && appendReach(step, builder, key);
+            case SUSPECT -> appendSuspect(step, builder, key);
+            case LOAD -> (own || step.state.settings.loadsCrossDataCentres()) && appendLoad(step, builder, key);
+        };
+    }
+
+    private static boolean appendMember(Step step, FactsBuilder builder, FactKey key, boolean own) {
+        VmId vm = new VmId(key.id());
+        Member member = step.state.members.get(vm);
+        if (member == null && !vm.equals(step.state.self.vm())) {
+            step.state.outbox.remove(key);
+            return false;
+        }
+        MemberFact fact = member == null ? step.state.self : member.fact();
+        if (!own && fact.status() == MemberStatus.SUSPECT) {
+            return false;
+        }
+        builder.add(fact);
+        return true;
+    }
+
+    private static boolean appendUpstream(Step step, FactsBuilder builder, FactKey key) {
+        Held<UpstreamFact> held = step.state.upstreams.get(new UpstreamId(key.id()));
+        if (held == null) {
+            step.state.outbox.remove(key);
+            return false;
+        }
+        UpstreamFact fact = held.fact();
+        int remaining = remainingSeconds(step, held);
+        builder.add(new UpstreamFact(fact.upstream(), fact.leaving(), fact.version(), remaining));
+        return true;
+    }
+
+    private static boolean appendSuspect(Step step, FactsBuilder builder, FactKey key) {
+        Held<SuspectFact> held = step.state.suspects.get(key.id());
+        if (held == null) {
+            step.state.outbox.remove(key);
+            return false;
+        }
+        SuspectFact fact = held.fact();
+        builder.add(new SuspectFact(fact.fingerprint(), fact.crash(), fact.cleared(), remainingSeconds(step, held)));
+        return true;
+    }
+
+    private static boolean appendReach(Step step, FactsBuilder builder, FactKey key) {
+        ReachFact fact = step.state.reach.get(key.id());
+        if (fact == null) {
+            step.state.outbox.remove(key);
+            return false;
+        }
+        builder.add(fact);
+        return true;
+    }
+
+    private static boolean appendLoad(Step step, FactsBuilder builder, FactKey key) {
+        Held<LoadFact> held = step.state.loads.get(new UpstreamId(key.id()));
+        if (held == null) {
+            step.state.outbox.remove(key);
+            return false;
+        }
+        LoadFact fact = held.fact();
+        builder.add(new LoadFact(
+                fact.upstream(),
+                fact.version(),
+                fact.running(),
+                fact.waiting(),
+                fact.waitingPromptTokens(),
+                fact.prefillTokensPerSecond(),
+                fact.slots(),
+                fact.loading(),
+                (int) Math.min(FactStore.LOAD_EXPIRY_MILLIS, step.nowMillis - held.atMillis())));
+        return true;
+    }
+
+    private static int remainingSeconds(Step step, Held<?> held) {
+        return (int) Math.max(0, (held.atMillis() - step.nowMillis) / 1_000);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Packet.java
@@ -0,0 +1,55 @@
+package org.cowslipbank.decision.membership;
+
+import java.util.Optional;
+
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.FleetDigest;
+
+/**
+ * A message of the protocol.
+ *
+ * @param kind what the message is
+ * @param sequence number that matches an answer to its question; zero for {@link Kind#PUSH}
+ * @param subject the node that an indirect probe is about
+ * @param reachable result of an indirect probe
+ * @param digest what the sender knows
+ * @param facts piggybacked facts
+ */
+public record Packet(
+        Kind kind, long sequence, Optional<VmId> subject, boolean reachable, FleetDigest digest, Facts facts) {
+    /** Kinds of message. */
+    public enum Kind {
+        /** Asks whether the receiver is alive. */
+        PROBE,
+        /** Answers a probe. */
+        ACK,
+        /** Asks the receiver to probe the subject. */
+        INDIRECT_PROBE,
+        /** Result of an indirect probe. */
+        INDIRECT_RESULT,
+        /** Carries facts that must not wait for a probe. */
+        PUSH
+    }
+
+    static Packet probe(long sequence, FleetDigest digest, Facts facts) {
+        return new Packet(Kind.PROBE, sequence, Optional.empty(), false, digest, facts);
+    }
+
+    static Packet ack(long sequence, FleetDigest digest, Facts facts) {
+        return new Packet(Kind.ACK, sequence, Optional.empty(), false, digest, facts);
+    }
+
+    static Packet push(FleetDigest digest, Facts facts) {
+        return new Packet(Kind.PUSH, 0, Optional.empty(), false, digest, facts);
+    }
+
+    static Packet indirectProbe(long sequence, VmId subject) {
+        return new Packet(Kind.INDIRECT_PROBE, sequence, Optional.of(subject), false, FleetDigest.NONE, Facts.NONE);
+    }
+
+    static Packet indirectResult(long sequence, VmId subject, boolean reachable) {
+        return new Packet(
+                Kind.INDIRECT_RESULT, sequence, Optional.of(subject), reachable, FleetDigest.NONE, Facts.NONE);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Step.java
@@ -0,0 +1,99 @@
+package org.cowslipbank.decision.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+
+import org.cowslipbank.decision.hashing.Rendezvous;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.FleetDigest;
+
+/** Working copy of the state during one step, with the time, a seeded random source and the effects so far. */
+final class Step {
+    final MembershipState state;
+    final long nowMillis;
+    final List<FleetEffect> effects = new ArrayList<>();
+    final FactsBuilder learned = new FactsBuilder();
+    final Set<FactKey> urgent = new LinkedHashSet<>();
+    private final SplittableRandom random;
+
+    Step(MembershipState state, long nowMillis, long seed) {
+        this.state = state;
+        this.nowMillis = nowMillis;
+        this.random = new SplittableRandom(seed);
+    }
+
+    void send(NodeAddress to, Packet packet) {
+        effects.add(new FleetEffect.Send(to, packet));
+    }
+
+    int random(int bound) {
+        return random.nextInt(bound);
+    }
+
+    FleetDigest digest(Optional<String> syncCursor) {
+        long age = state.confirmedAtMillis < 0 ? -1 : Math.max(0, nowMillis - state.confirmedAtMillis);
+        return new FleetDigest(state.tableHash, state.revision, age, syncCursor);
+    }
+
+    List<Member> members(Predicate<Member> condition) {
+        return state.members.view().values().stream().filter(condition).toList();
+    }
+
+    boolean isOwn(Member member) {
+        return member.fact().dataCentre().equals(state.dataCentre());
+    }
+
+    /** Nodes of the own data centre that are not dead, without this one. */
+    List<Member> ownLive() {
+        return members(member -> isOwn(member) && !member.isDead());
+    }
+
+    List<Member> live(DataCentreId dataCentre) {
+        return members(member -> !member.isDead() && member.fact().dataCentre().equals(dataCentre));
+    }
+
+    /** Picks at most {@code count} members at random. */
+    List<Member> pick(List<Member> from, int count) {
+        List<Member> shuffled = shuffled(from);
+        return shuffled.subList(0, Math.min(count, shuffled.size()));
+    }
+
+    <T> List<T> shuffled(List<T> items) {
+        List<T> copy = new ArrayList<>(items);
+        for (int i = copy.size() - 1; i > 0; i--) {
+            Collections.swap(copy, i, random.nextInt(i + 1));
+        }
+        return copy;
+    }
+
+    /** The other data centres for which this node is a gateway. */
+    List<DataCentreId> gatewayTo() {
+        return otherDataCentres().stream()
+                .filter(dataCentre -> gateways(dataCentre).contains(state.self.vm()))
+                .toList();
+    }
+
+    List<DataCentreId> otherDataCentres() {
+        return state.members.view().values().stream()
+                .filter(member -> !isOwn(member))
+                .map(member -> member.fact().dataCentre())
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    List<VmId> gateways(DataCentreId dataCentre) {
+        List<VmId> candidates = new ArrayList<>();
+        ownLive().forEach(member -> candidates.add(member.fact().vm()));
+        candidates.add(state.self.vm());
+        String key = Rendezvous.key("gateway", state.dataCentre().value(), dataCentre.value());
+        return Rendezvous.top(key, candidates, VmId::value, state.settings.gateways());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetMessages.java
@@ -0,0 +1,76 @@
+package org.cowslipbank.entry.fleet;
+
+import java.util.Optional;
+
+import org.cowslipbank.decision.membership.NodeAddress;
+import org.cowslipbank.decision.membership.Packet;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.FleetDigest;
+import org.cowslipbank.peer.PeerAddress;
+import org.cowslipbank.peer.PeerIdentity;
+import org.cowslipbank.peer.PeerMessage;
+
+/** Translates between the packets of the state machine and the messages of the transport. */
+public final class FleetMessages {
+    private FleetMessages() {}
+
+    /**
+     * Translates a packet.
+     *
+     * @param packet the packet
+     * @return the message
+     */
+    public static PeerMessage toMessage(Packet packet) {
+        return switch (packet.kind()) {
+            case PROBE -> new PeerMessage.Probe(packet.sequence(), packet.digest(), packet.facts());
+            case ACK -> new PeerMessage.ProbeAck(packet.sequence(), packet.digest(), packet.facts());
+            case INDIRECT_PROBE -> new PeerMessage.IndirectProbe(
+                    packet.sequence(), packet.subject().orElseThrow());
+            case INDIRECT_RESULT -> new PeerMessage.IndirectResult(
+                    packet.sequence(), packet.subject().orElseThrow(), packet.reachable());
+            case PUSH -> new PeerMessage.FactsPush(packet.digest(), packet.facts());
+        };
+    }
+
+    /**
+     * Translates a message.
+     *
+     * @param message the message
+     * @return the packet, empty if the message is not one of the membership protocol
+     */
+    public static Optional<Packet> toPacket(PeerMessage message) {
+        if (message instanceof PeerMessage.Probe probe) {
+            return packet(Packet.Kind.PROBE, probe.sequence(), probe.digest(), probe.facts());
+        }
+        if (message instanceof PeerMessage.ProbeAck ack) {
+            return packet(Packet.Kind.ACK, ack.sequence(), ack.digest(), ack.facts());
+        }
+        if (message instanceof PeerMessage.FactsPush push) {
+            return packet(Packet.Kind.PUSH, 0, push.digest(), push.facts());
+        }
+        if (message instanceof PeerMessage.IndirectProbe probe) {
+            return indirect(Packet.Kind.INDIRECT_PROBE, probe.sequence(), probe.subject(), false);
+        }
+        if (message instanceof PeerMessage.IndirectResult result) {
+            return indirect(Packet.Kind.INDIRECT_RESULT, result.sequence(), result.subject(), result.reachable());
+        }
+        return Optional.empty();
+    }
+
+    static PeerAddress peerAddress(NodeAddress node) {
+        return new PeerAddress(node.vm(), node.address());
+    }
+
+    static NodeAddress nodeAddress(PeerIdentity identity) {
+        return new NodeAddress(identity.vm(), identity.dataCentre(), identity.address(), identity.callerPort());
+    }
+
+    private static Optional<Packet> packet(Packet.Kind kind, long sequence, FleetDigest digest, Facts facts) {
+        return Optional.of(new Packet(kind, sequence, Optional.empty(), false, digest, facts));
+    }
+
+    private static Optional<Packet> indirect(Packet.Kind kind, long sequence, VmId subject, boolean reachable) {
+        return Optional.of(new Packet(kind, sequence, Optional.of(subject), reachable, FleetDigest.NONE, Facts.NONE));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetSnapshot.java
@@ -0,0 +1,75 @@
+package org.cowslipbank.entry.fleet;
+
+import java.util.List;
+
+import org.cowslipbank.decision.entries.Duties;
+import org.cowslipbank.decision.entries.Duty;
+import org.cowslipbank.decision.entries.DutyAnswer;
+import org.cowslipbank.decision.entries.DutyQuery;
+import org.cowslipbank.decision.entries.Entries;
+import org.cowslipbank.decision.entries.EntryAnswer;
+import org.cowslipbank.decision.entries.EntryQuery;
+import org.cowslipbank.decision.membership.FleetView;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.TeamId;
+
+/**
+ * What this node knows about the fleet, published by the control thread. Immutable. Times are milliseconds on the fleet
+ * service's clock.
+ *
+ * @param view the nodes and facts
+ * @param answered whether probes have been answered since the start or the last pause
+ * @param validUntilMillis time after which the snapshot is unconfirmed because the control thread has stood still
+ * @param lastAckMillis when a peer last answered, negative if none has since the last pause
+ * @param revision configuration revision in force at this node, as reported to the fleet service
+ * @param confirmedAtMillis when the platform last confirmed that revision, to this node or to a peer; negative if never
+ */
+public record FleetSnapshot(
+        FleetView view,
+        boolean answered,
+        long validUntilMillis,
+        long lastAckMillis,
+        long revision,
+        long confirmedAtMillis) {
+    /**
+     * Tells whether the snapshot may be acted upon. A thread that was paused between reading the snapshot and acting
+     * finds the time passed.
+     *
+     * @param nowMillis the time
+     * @return true if the view is confirmed
+     */
+    public boolean isConfirmed(long nowMillis) {
+        return answered && nowMillis <= validUntilMillis;
+    }
+
+    /**
+     * Answers an address lookup.
+     *
+     * @param team the team
+     * @param session the session key, empty if the caller names none
+     * @param dataCentre the caller's data centre
+     * @param limit the most nodes in the answer
+     * @param validMillis how long the caller may keep the answer, in milliseconds
+     * @param nowMillis the time
+     * @return the answer
+     */
+    public EntryAnswer entries(
+            TeamId team, String session, DataCentreId dataCentre, int limit, long validMillis, long nowMillis) {
+        return Entries.answer(new EntryQuery(
+                team, session, dataCentre, view.nodes(), isConfirmed(nowMillis), limit, validMillis, nowMillis));
+    }
+
+    /**
+     * Says which node holds a duty.
+     *
+     * @param duty kind of duty
+     * @param name the partition, upstream or model group
+     * @param preferred data centres whose nodes are preferred, empty for all
+     * @param nowMillis the time
+     * @return the answer
+     */
+    public DutyAnswer duty(Duty duty, String name, List<DataCentreId> preferred, long nowMillis) {
+        return Duties.assign(
+                new DutyQuery(duty, name, preferred, view.nodes(), view.self().vm(), isConfirmed(nowMillis)));
+    }
+}
--- a/model/src/main/java/org/cowslipbank/model/fleet/MemberFact.java
+++ b/model/src/main/java/org/cowslipbank/model/fleet/MemberFact.java
@@ -12,16 +12,24 @@
  * @param vm the node
  * @param dataCentre its data centre
  * @param address its peer address as {@code IP:port}
+ * @param callerPort port at which it listens for callers, on the same IP address
  * @param incarnation the node's incarnation; starts at the wall-clock milliseconds of its start
  * @param status the status
  * @param leaving true once the node drains
  */
 public record MemberFact(
-        VmId vm, DataCentreId dataCentre, String address, long incarnation, MemberStatus status, boolean leaving) {
+        VmId vm,
+        DataCentreId dataCentre,
+        String address,
+        int callerPort,
+        long incarnation,
+        MemberStatus status,
+        boolean leaving) {
     private static final Comparator<MemberFact> PRECEDENCE = Comparator.comparingLong(MemberFact::incarnation)
             .thenComparing(MemberFact::status)
             .thenComparing(MemberFact::leaving)
             .thenComparing(MemberFact::address)
+            .thenComparingInt(MemberFact::callerPort)
             .thenComparing(MemberFact::dataCentre);
 
     /**
@@ -41,6 +49,6 @@
      * @return the copy
      */
     public MemberFact withStatus(MemberStatus next) {
-        return new MemberFact(vm, dataCentre, address, incarnation, next, leaving);
+        return new MemberFact(vm, dataCentre, address, callerPort, incarnation, next, leaving);
     }
 }
--- a/peer/src/main/java/org/cowslipbank/peer/Handshake.java
+++ b/peer/src/main/java/org/cowslipbank/peer/Handshake.java
@@ -115,13 +115,16 @@
     private static void writeIdentity(MessagePacker packer, PeerIdentity identity) throws IOException {
         packer.packString(identity.vm().value());
         packer.packString(identity.dataCentre().value());
-        packer.packString(identity.address());
+        packer.packString(identity.address()).packInt(identity.callerPort());
     }
 
     private static PeerIdentity readIdentity(MessageUnpacker in) throws IOException {
         try {
             return new PeerIdentity(
-                    new VmId(in.unpackString()), new DataCentreId(in.unpackString()), in.unpackString());
+                    new VmId(in.unpackString()),
+                    new DataCentreId(in.unpackString()),
+                    in.unpackString(),
+                    in.unpackInt());
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed identity", e);
         }
--- a/peer/src/main/java/org/cowslipbank/peer/MessageCodec.java
+++ b/peer/src/main/java/org/cowslipbank/peer/MessageCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.cowslipbank.model.DataCentreId;
 import org.cowslipbank.model.RunState;
@@ -140,10 +141,19 @@
     private static void writeDigest(MessagePacker packer, FleetDigest digest) throws IOException {
         packer.packInt(digest.tableHash()).packLong(digest.revision());
         packer.packLong(digest.confirmedAgeMillis());
+        if (digest.syncCursor().isEmpty()) {
+            packer.packNil();
+        } else {
+            packer.packString(digest.syncCursor().get());
+        }
     }
 
     private static FleetDigest readDigest(MessageUnpacker in) throws IOException {
-        return new FleetDigest(in.unpackInt(), in.unpackLong(), in.unpackLong());
+        return new FleetDigest(in.unpackInt(), in.unpackLong(), in.unpackLong(), readCursor(in));
+    }
+
+    private static Optional<String> readCursor(MessageUnpacker in) throws IOException {
+        return in.tryUnpackNil() ? Optional.empty() : Optional.of(in.unpackString());
     }
 
     private static void writeFacts(MessagePacker packer, Facts facts) throws IOException {
@@ -165,7 +175,7 @@
 
     private static void writeMember(MessagePacker packer, MemberFact fact) throws IOException {
         packer.packString(fact.vm().value()).packString(fact.dataCentre().value());
-        packer.packString(fact.address()).packLong(fact.incarnation());
+        packer.packString(fact.address()).packInt(fact.callerPort()).packLong(fact.incarnation());
         packer.packInt(fact.status().ordinal() * 2 + (fact.leaving() ? 1 : 0));
     }
 
@@ -173,9 +183,10 @@
         VmId vm = readVm(in);
         DataCentreId dataCentre = readDataCentre(in);
         String address = in.unpackString();
+        int callerPort = in.unpackInt();
         long incarnation = in.unpackLong();
         int flags = in.unpackInt();
-        return new MemberFact(vm, dataCentre, address, incarnation, STATUSES[flags / 2], flags % 2 != 0);
+        return new MemberFact(vm, dataCentre, address, callerPort, incarnation, STATUSES[flags / 2], flags % 2 != 0);
     }
 
     private static void writeUpstream(MessagePacker packer, UpstreamFact fact) throws IOException {
@@ -188,12 +199,12 @@
     }
 
     private static void writeReach(MessagePacker packer, ReachFact fact) throws IOException {
-        packer.packString(fact.from().value()).packString(fact.to().value());
+        packer.packString(fact.gateway().value()).packString(fact.dataCentre().value());
         packer.packBoolean(fact.reachable()).packLong(fact.version());
     }
 
     private static ReachFact readReach(MessageUnpacker in) throws IOException {
-        return new ReachFact(readDataCentre(in), readDataCentre(in), in.unpackBoolean(), in.unpackLong());
+        return new ReachFact(readVm(in), readDataCentre(in), in.unpackBoolean(), in.unpackLong());
     }
 
     private static void writeSuspect(MessagePacker packer, SuspectFact fact) throws IOException {
--- a/peer/src/main/java/org/cowslipbank/peer/PeerChannel.java
+++ b/peer/src/main/java/org/cowslipbank/peer/PeerChannel.java
@@ -41,6 +41,7 @@
     private ChannelHandlerContext context;
     private volatile boolean open;
     private boolean failed;
+    private boolean retired;
     private String remote = "";
     private boolean challengeSent;
     private long openedNanos;
@@ -122,6 +123,20 @@
         return true;
     }
 
+    /** Closes the connection as soon as no request waits for its answer. */
+    void retire() {
+        context.executor().execute(() -> {
+            retired = true;
+            closeIfUnused();
+        });
+    }
+
+    private void closeIfUnused() {
+        if ((retired || isOld()) && pending.isEmpty()) {
+            close();
+        }
+    }
+
     void close() {
         ChannelHandlerContext current = context;
         if (current != null) {
@@ -230,9 +245,7 @@
         if (idleNanos > TimeUnit.MILLISECONDS.toNanos(settings.limits().heartbeatMillis() / 2)) {
             write(MessageCodec.encode(new PeerMessage.Heartbeat()));
         }
-        if (isOld() && pending.isEmpty()) {
-            close();
-        }
+        closeIfUnused();
     }
 
     private void write(byte[] payload) {
--- a/peer/src/main/java/org/cowslipbank/peer/PeerIdentity.java
+++ b/peer/src/main/java/org/cowslipbank/peer/PeerIdentity.java
@@ -11,8 +11,9 @@
  * @param vm the node
  * @param dataCentre its data centre
  * @param address the address at which it listens for peers, as {@code IP:port}
+ * @param callerPort port at which it listens for callers, on the same IP address
  */
-public record PeerIdentity(VmId vm, DataCentreId dataCentre, String address) {
+public record PeerIdentity(VmId vm, DataCentreId dataCentre, String address, int callerPort) {
     /** Checks that nothing is null. */
     public PeerIdentity {
         Objects.requireNonNull(vm, "vm");
--- a/peer/src/main/java/org/cowslipbank/peer/PeerTransport.java
+++ b/peer/src/main/java/org/cowslipbank/peer/PeerTransport.java
@@ -55,8 +55,8 @@
     void onRequest(RequestKind kind, RequestHandler handler);
 
     /**
-     * Closes the connections to a peer, so that the next message goes over a new one. Used when a peer does not answer
-     * on an open connection.
+     * Retires the connections to a peer, so that the next message goes over a new one. Requests in flight may still be
+     * answered on the old one. Used when a peer does not answer on an open connection.
      *
      * @param to the peer
      */
--- a/peer/src/main/java/org/cowslipbank/peer/TcpPeerTransport.java
+++ b/peer/src/main/java/org/cowslipbank/peer/TcpPeerTransport.java
@@ -131,7 +131,7 @@
         authenticated.remove(to.vm());
         channels.stream()
                 .filter(channel -> channel.isOpen() && channel.peer().vm().equals(to.vm()))
-                .forEach(PeerChannel::close);
+                .forEach(PeerChannel::retire);
     }
 
     private Mono<PeerChannel> channel(PeerAddress to) {
--- a/peer/src/test/java/org/cowslipbank/peer/MessageCodecTest.java
+++ b/peer/src/test/java/org/cowslipbank/peer/MessageCodecTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -23,16 +24,17 @@
     private static final VmId VM = new VmId("a-entry-1");
     private static final DataCentreId DATA_CENTRE = new DataCentreId("mu-west-a");
     private static final Facts FACTS = new Facts(
-            List.of(new MemberFact(VM, DATA_CENTRE, "127.0.0.1:7000", 1_790_000_000_123L, MemberStatus.DEAD, true)),
+            List.of(new MemberFact(
+                    VM, DATA_CENTRE, "127.0.0.1:7000", 8080, 1_790_000_000_123L, MemberStatus.DEAD, true)),
             List.of(new UpstreamFact(new UpstreamId("engine-1"), true, 7, 60)),
-            List.of(new ReachFact(DATA_CENTRE, new DataCentreId("mu-west-b"), false, 9)),
+            List.of(new ReachFact(VM, new DataCentreId("mu-west-b"), false, 9)),
             List.of(new SuspectFact(-1, Long.MIN_VALUE, true, 30)),
             List.of(new LoadFact(new UpstreamId("engine-2"), 8, 3, 4, 90_000, 12_000, 32, true, 250)));
 
     /** Guards against a fact that changes on its way, such as a leaving upstream that arrives as active (P7). */
     @Example
     void everyFactSurvivesTheWire() throws IOException {
-        PeerMessage.Probe probe = new PeerMessage.Probe(5, new FleetDigest(-3, 12, 900), FACTS);
+        PeerMessage.Probe probe = new PeerMessage.Probe(5, new FleetDigest(-3, 12, 900, Optional.of("a")), FACTS);
         if (!probe.equals(MessageCodec.decode(MessageCodec.encode(probe)))) {
             throw new AssertionError("probe changed on the wire");
         }
--- a/peer/src/test/java/org/cowslipbank/peer/TcpPeerTransportTest.java
+++ b/peer/src/test/java/org/cowslipbank/peer/TcpPeerTransportTest.java
@@ -135,7 +135,7 @@
     }
 
     private TcpPeerTransport create(String vm, byte[] secret) throws Exception {
-        PeerIdentity self = new PeerIdentity(new VmId(vm), new DataCentreId("dc"), "127.0.0.1:1");
+        PeerIdentity self = new PeerIdentity(new VmId(vm), new DataCentreId("dc"), "127.0.0.1:1", 8080);
         TcpPeerTransport transport = new TcpPeerTransport(
                 new PeerSettings(self, "127.0.0.1", 0, PeerSecret.of(secret), Optional.empty(), QUICK));
         started.add(transport);
