--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,11 +3,15 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.membership.MembershipBench;
+import org.cowslipbank.bench.streams.StreamsBench;
+
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new org.cowslipbank.bench.streams.StreamsBench());
+            new MembershipBench(),
+            new StreamsBench());
 
     private Benches() {}
 
