--- a/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
@@ -9,50 +9,63 @@
     public static final Decision<FetchProgress, FetchVerdict> OVERTAKE =
             new Decision<>("overtake", FetchProgress.class, FetchVerdict.class, FetchDecision::check);
 
-    // Blocks arrive irregularly on a shared link; a gap below this factor of the expected time says nothing.
+    // Nodes share a link without coordination, so blocks arrive irregularly; a shorter silence says nothing.
     private static final double LATE_FACTOR = 3;
-    // A store that is silent for this factor of the expected time and at least the floor is treated as dead.
-    private static final double SILENT_FACTOR = 8;
-    private static final double SILENT_FLOOR_MILLIS = 250;
+    // Hysteresis: without it a fetch whose cost equals that of recompute would be cancelled at the first slow block.
+    private static final double OVERTAKE_MARGIN = 1.25;
+    // A link that is silent for this factor of the expected time, and at least the floor, is treated as dead.
+    private static final double SILENT_FACTOR = 16;
+    private static final double SILENT_FLOOR_MILLIS = 500;
     private static final double MIN_CHECK_MILLIS = 5;
 
     private FetchDecision() {}
 
     /**
-     * Compares the pessimistic rest of the fetch with recomputing it. Once the time since the last block reaches the
-     * time that recomputing everything left would take, the fetch always ends, whatever the weights: a prompt never
-     * waits longer for a dead store than recompute takes.
+     * Compares the rest of the fetch at the link's present rate with recomputing it. Once the link has been silent for
+     * the time that recomputing everything left would take, the fetch ends whatever the weights: a prompt never waits
+     * longer for a dead store than recompute takes.
      *
      * @param progress the progress
      * @return the verdict
      */
     public static FetchVerdict check(FetchProgress progress) {
-        double waited = progress.sinceLastBlockMillis();
-        double expected = progress.expectedBlockMillis();
-        double recompute = progress.blocksLeft() * progress.recomputeBlockMillis();
-        boolean silent = waited >= Math.max(SILENT_FACTOR * expected, SILENT_FLOOR_MILLIS);
-        boolean outOfTime = waited >= recompute;
-        boolean late = waited >= LATE_FACTOR * expected;
-        boolean cheaper = late && costsMoreThanRecompute(progress, recompute);
-        return new FetchVerdict(outOfTime || cheaper, silent, checkAfterMillis(progress, recompute));
+        double recomputeMillis = progress.blocksLeft() * progress.recomputeBlockMillis();
+        boolean late = progress.linkSilentMillis() >= LATE_FACTOR * progress.expectedBlockMillis();
+        boolean outOfTime = late && progress.linkSilentMillis() >= recomputeMillis;
+        boolean dearer = fetchCost(progress, late) > OVERTAKE_MARGIN * recomputeCost(progress, recomputeMillis);
+        boolean silent = progress.linkSilentMillis() >= silentAfterMillis(progress.expectedBlockMillis());
+        return new FetchVerdict(outOfTime || dearer || silent, silent, checkAfterMillis(progress, recomputeMillis));
     }
 
-    private static boolean costsMoreThanRecompute(FetchProgress progress, double recomputeMillis) {
-        double linkMillis =
-                progress.blocksLeft() * Math.max(progress.expectedBlockMillis(), progress.sinceLastBlockMillis());
+    /**
+     * Returns how long a link may deliver nothing before its store is treated as dead.
+     *
+     * @param expectedBlockMillis time for one block at the link's measured rate
+     * @return the time in milliseconds
+     */
+    public static double silentAfterMillis(double expectedBlockMillis) {
+        return Math.max(SILENT_FACTOR * expectedBlockMillis, SILENT_FLOOR_MILLIS);
+    }
+
+    private static double fetchCost(FetchProgress progress, boolean late) {
+        double blockMillis = late ? progress.linkSilentMillis() : progress.expectedBlockMillis();
+        double arrivalMillis = (progress.blocksAhead() + progress.blocksLeft()) * blockMillis;
+        double waitMillis = Math.max(0, arrivalMillis - progress.queueMillis());
         DecisionWeights weights = progress.weights();
-        double waitMillis = Math.max(0, linkMillis - progress.queueMillis());
-        double fetchCost = weights.timeToFirstToken() * waitMillis
-                + weights.link() * progress.blocksLeft() * progress.expectedBlockMillis();
-        double recomputeCost = (weights.timeToFirstToken() + weights.recompute()) * recomputeMillis;
-        return fetchCost > recomputeCost;
+        return weights.timeToFirstToken() * waitMillis + weights.link() * progress.blocksLeft() * blockMillis;
+    }
+
+    private static double recomputeCost(FetchProgress progress, double recomputeMillis) {
+        return (progress.weights().timeToFirstToken() + progress.weights().recompute()) * recomputeMillis;
     }
 
     private static double checkAfterMillis(FetchProgress progress, double recomputeMillis) {
-        double untilLate = LATE_FACTOR * progress.expectedBlockMillis() - progress.sinceLastBlockMillis();
-        double untilOut = recomputeMillis - progress.sinceLastBlockMillis();
-        double next =
-                untilLate > 0 ? Math.min(untilLate, untilOut) : Math.min(progress.expectedBlockMillis(), untilOut);
-        return Math.max(MIN_CHECK_MILLIS, next);
+        double lateMillis = LATE_FACTOR * progress.expectedBlockMillis();
+        double untilLate = lateMillis - progress.linkSilentMillis();
+        if (untilLate > 0) {
+            return Math.max(MIN_CHECK_MILLIS, untilLate);
+        }
+        double untilOutOfTime = recomputeMillis - progress.linkSilentMillis();
+        return Math.max(MIN_CHECK_MILLIS, Math.min(progress.expectedBlockMillis(), untilOutOfTime));
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/routing/LinkEstimate.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/LinkEstimate.java
@@ -3,17 +3,26 @@
 /**
  * Measured rate of a store's link.
  *
+ * @param configuredBytesPerSecond rate of the link by configuration
  * @param bytesPerSecond moving average of the measured rate
  * @param timeouts transfers in sequence that timed out
  * @param closedUntilMillis no transfer starts before this time, in milliseconds
+ * @param lastSampleMillis time of the last measurement, in milliseconds
  */
-public record LinkEstimate(double bytesPerSecond, int timeouts, long closedUntilMillis) {
+public record LinkEstimate(
+        double configuredBytesPerSecond,
+        double bytesPerSecond,
+        int timeouts,
+        long closedUntilMillis,
+        long lastSampleMillis) {
     // A slow sample counts more than a fast one, because a prompt that waits for a slow link costs more than one that
     // recomputes although the link has recovered.
     private static final double SLOW_SAMPLE_SHARE = 0.4;
     private static final double FAST_SAMPLE_SHARE = 0.2;
     private static final long FIRST_CLOSE_MILLIS = 1_000;
     private static final int MAX_CLOSE_DOUBLINGS = 5;
+    private static final double PROBE_RATE_SHARE = 0.5;
+    private static final long PROBE_AFTER_MILLIS = 5_000;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /**
@@ -23,7 +32,7 @@
      * @return the estimate
      */
     public static LinkEstimate configured(double configuredBytesPerSecond) {
-        return new LinkEstimate(configuredBytesPerSecond, 0, 0);
+        return new LinkEstimate(configuredBytesPerSecond, configuredBytesPerSecond, 0, 0, 0);
     }
 
     /**
@@ -31,24 +40,33 @@
      *
      * @param bytes length of the block
      * @param elapsedMillis time it occupied the link, above zero
+     * @param nowMillis the time in milliseconds
      * @return the new estimate
      */
-    public LinkEstimate received(long bytes, double elapsedMillis) {
-        double sample = bytes * MILLIS_PER_SECOND / elapsedMillis;
-        double share = sample < bytesPerSecond ? SLOW_SAMPLE_SHARE : FAST_SAMPLE_SHARE;
-        return new LinkEstimate(bytesPerSecond + share * (sample - bytesPerSecond), 0, 0);
+    public LinkEstimate received(long bytes, double elapsedMillis, long nowMillis) {
+        return new LinkEstimate(configuredBytesPerSecond, averaged(bytes, elapsedMillis), 0, 0, nowMillis);
     }
 
     /**
      * Takes in a transfer that timed out. The link closes for a time that doubles with each timeout in sequence, up to
-     * 32 s; then one transfer may try it again.
+     * 32 s; then a transfer may try it again. The rate falls as well, because the time until the timeout bounds it: a
+     * slow link is thereby told from a dead one.
      *
+     * @param bytes length of the block that did not arrive
+     * @param elapsedMillis time waited for it, above zero
      * @param nowMillis the time in milliseconds
      * @return the new estimate
      */
-    public LinkEstimate timedOut(long nowMillis) {
+    public LinkEstimate timedOut(long bytes, double elapsedMillis, long nowMillis) {
         long closeMillis = FIRST_CLOSE_MILLIS << Math.min(timeouts, MAX_CLOSE_DOUBLINGS);
-        return new LinkEstimate(bytesPerSecond, timeouts + 1, nowMillis + closeMillis);
+        double rate = Math.min(bytesPerSecond, averaged(bytes, elapsedMillis));
+        return new LinkEstimate(configuredBytesPerSecond, rate, timeouts + 1, nowMillis + closeMillis, nowMillis);
+    }
+
+    private double averaged(long bytes, double elapsedMillis) {
+        double sample = bytes * MILLIS_PER_SECOND / elapsedMillis;
+        double share = sample < bytesPerSecond ? SLOW_SAMPLE_SHARE : FAST_SAMPLE_SHARE;
+        return bytesPerSecond + share * (sample - bytesPerSecond);
     }
 
     /**
@@ -60,4 +78,17 @@
     public LinkState state(long nowMillis) {
         return nowMillis < closedUntilMillis ? LinkState.DOWN : LinkState.UP;
     }
+
+    /**
+     * Tells whether one block should be fetched only to measure the link. A link that is estimated to be slow is avoided
+     * and would otherwise never be seen to recover.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return true if the link is open, estimated slow and has not been measured for 5 s
+     */
+    public boolean needsProbe(long nowMillis) {
+        return state(nowMillis) == LinkState.UP
+                && bytesPerSecond < PROBE_RATE_SHARE * configuredBytesPerSecond
+                && nowMillis - lastSampleMillis >= PROBE_AFTER_MILLIS;
+    }
 }
