Estimate returns without counting absent sessions as lost

Sessions still away counted as lost, so a team with ten-minute gaps looked as if it never returned and its blocks were not exported. Buckets now count a session once it has left them.

--- a/bench/src/main/java/org/cowslipbank/bench/routing/Session.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Session.java
@@ -27,6 +27,9 @@
     StoreTier tier = StoreTier.MEMORY;
     boolean exporting;
     double lastRunEndMillis = -1;
+    /** Time away that the node has counted, negative while a run is in progress. */
+    long awayCountedMillis = -1;
+
     long nextReturnMillis = Long.MAX_VALUE;
     private List<BlockRef> refs = List.of();
     private int refsStore = -1;
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -23,6 +23,7 @@
 import org.cowslipbank.decision.routing.LinkState;
 import org.cowslipbank.decision.routing.PrefetchDecision;
 import org.cowslipbank.decision.routing.PrefetchInput;
+import org.cowslipbank.decision.routing.RoutingDecision;
 import org.cowslipbank.decision.routing.RoutingInput;
 import org.cowslipbank.decision.routing.RoutingOutcome;
 import org.cowslipbank.decision.routing.StoreLink;
@@ -40,6 +41,9 @@
     private static final double MAX_EXPORT_DELAY_MILLIS = 20_000;
     private static final double MAX_PREFETCH_MILLIS = 5_000;
     private static final int ENGINE_SLOTS = 64;
+    private static final double CERTAIN = 1e9;
+    private static final double NEVER_SECONDS = 1e9;
+    private static final long SWEEP_INTERVAL_MILLIS = 10_000;
 
     private final VirtualClock clock = new VirtualClock();
     private final Workload workload;
@@ -98,6 +102,7 @@
         clock.at(measureFromMillis, () -> bytesBefore[0] = network.bytesMoved());
         clock.after(0, this::report);
         clock.after(0, this::makeRoom);
+        clock.after(SWEEP_INTERVAL_MILLIS, this::countAway);
         scheduleNext(0);
         clock.runUntil(durationMillis);
         outcome.setLinkBytes(network.bytesMoved() - bytesBefore[0]);
@@ -141,6 +146,20 @@
         clock.after(MAKE_ROOM_INTERVAL_MILLIS, this::makeRoom);
     }
 
+    // The nodes' sweep over their hints that counts sessions which stay away.
+    private void countAway() {
+        for (Session session : sessions.values()) {
+            if (session.awayCountedMillis < 0) {
+                continue;
+            }
+            long away = (long) (clock.nowMillis() - session.lastRunEndMillis);
+            GapHistogram[] history = nodes[session.node].history;
+            history[session.team] = history[session.team].withAway(session.awayCountedMillis, away);
+            session.awayCountedMillis = away;
+        }
+        clock.after(SWEEP_INTERVAL_MILLIS, this::countAway);
+    }
+
     private RetainedSession describe(Session session) {
         double now = clock.nowMillis();
         GapHistogram history = nodes[session.node].history[session.team];
@@ -160,12 +179,14 @@
                 workload.blockPrefillMillis());
     }
 
-    // With many runs of which a part returned at once, the probability is that part.
+    // A history in which the part of sessions that returned within the first bucket grows with the nearness.
     private static GapHistogram nearness(double millis) {
-        double value = millis > 1e12 ? 0 : 1_000_000 / (1 + Math.max(0, millis) / 1_000);
-        List<Double> returns = new ArrayList<>(GapHistogram.empty().returns());
-        returns.set(0, value);
-        return new GapHistogram(1_000_000, returns);
+        double seconds = Math.max(0, millis) / 1_000;
+        List<Double> exposures = new ArrayList<>(GapHistogram.empty().exposures());
+        List<Double> returns = new ArrayList<>(exposures);
+        exposures.set(0, CERTAIN);
+        returns.set(0, seconds > NEVER_SECONDS ? 0 : CERTAIN / (1 + seconds));
+        return new GapHistogram(exposures, returns);
     }
 
     private void lookup(Arrival arrival) {
@@ -202,6 +223,7 @@
         if (session.lastRunEndMillis >= 0) {
             long gap = (long) (clock.nowMillis() - session.lastRunEndMillis);
             node.history[session.team] = node.history[session.team].withReturn(Math.max(0, gap));
+            session.awayCountedMillis = -1;
         }
         RoutingInput input = input(run);
         RoutingOutcome choice = policy.rule().route(input, session.key);
@@ -335,7 +357,7 @@
     private void finish(Run run) {
         Session session = run.session;
         session.lastRunEndMillis = clock.nowMillis();
-        nodes[run.node].history[session.team] = nodes[run.node].history[session.team].withRun();
+        session.awayCountedMillis = 0;
         engines[run.engine].keep(session.id, run.arrival.blocksAfterRun());
         if (policy.stores()) {
             export(run);
@@ -431,8 +453,8 @@
         boolean fetches = policy.stores() && session.storedBlocks > 0;
         List<BlockRef> retained = fetches ? session.refs(storeIds, workload.blockBytes(), known) : List.of();
         List<Candidate> candidates = new ArrayList<>(engines.length);
-        for (int engine = 0; engine < engines.length; engine++) {
-            candidates.add(candidate(run, engine, known));
+        for (UpstreamId id : RoutingDecision.subset(session.key, engineIds, RoutingDecision.SUBSET_SIZE)) {
+            candidates.add(candidate(run, engineIndexes.get(id), known));
         }
         return new RoutingInput(
                 session.teamId,
--- a/decision/src/main/java/org/cowslipbank/decision/retention/GapHistogram.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retention/GapHistogram.java
@@ -5,26 +5,30 @@
 import java.util.List;
 
 /**
- * How long a team's sessions stay away. Bucket {@code i} counts gaps from {@code 2^i} to {@code 2^(i+1)} seconds; the
- * first also counts shorter ones and the last longer ones (about 12 days).
+ * How long a team's sessions stay away. Bucket {@code i} covers gaps from {@code 2^i} to {@code 2^(i+1)} seconds; the
+ * first also covers shorter ones and the last longer ones (about 12 days).
  *
- * @param runs finished runs, including those that have not been followed by a return
- * @param returns returns by length of the gap
+ * <p>A session counts in a bucket once it has left it, by returning or by staying away longer. Sessions that are still
+ * away therefore do not count as lost, which would understate the returns of teams with long gaps (the actuarial
+ * estimator of survival analysis).
+ *
+ * @param exposures sessions that left each bucket
+ * @param returns sessions that left each bucket by returning
  */
-public record GapHistogram(double runs, List<Double> returns) {
+public record GapHistogram(List<Double> exposures, List<Double> returns) {
     /** Number of buckets. */
     public static final int BUCKETS = 21;
 
-    // With no runs seen yet, half of all sessions are expected back, evenly over the buckets. A prior of four runs is
-    // overruled by a team's first dozen runs.
-    private static final double PRIOR_RUNS = 4;
-    private static final double PRIOR_RETURNS = 2;
-    // Older observations fade once a team has this many runs, so that a change of habit shows.
-    private static final double MAX_RUNS = 4_096;
+    // Before observations half of all sessions are expected back within an hour, which is twelve buckets.
+    private static final double PRIOR_EXPOSURE = 2;
+    private static final double PRIOR_HAZARD = 1 - Math.pow(0.5, 1.0 / 12);
+    // Older observations fade once a bucket has this many, so that a change of habit shows.
+    private static final double MAX_EXPOSURE = 4_096;
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** Copies the list. */
+    /** Copies the lists. */
     public GapHistogram {
+        exposures = List.copyOf(exposures);
         returns = List.copyOf(returns);
     }
 
@@ -34,35 +38,42 @@
      * @return the histogram
      */
     public static GapHistogram empty() {
-        return new GapHistogram(0, Collections.nCopies(BUCKETS, 0.0));
+        List<Double> zeros = Collections.nCopies(BUCKETS, 0.0);
+        return new GapHistogram(zeros, zeros);
     }
 
     /**
-     * Counts a finished run.
+     * Counts a return.
      *
+     * @param gapMillis time since the session's last run ended, in milliseconds
      * @return the new histogram
      */
-    public GapHistogram withRun() {
-        GapHistogram base = runs < MAX_RUNS ? this : halved();
-        return new GapHistogram(base.runs + 1, base.returns);
+    public GapHistogram withReturn(long gapMillis) {
+        return withOne(bucket(gapMillis), 1);
     }
 
     /**
-     * Counts a return.
+     * Counts a session that is still away.
      *
-     * @param gapMillis time since the session's last run ended, in milliseconds
+     * @param countedMillis time away up to which it has been counted, in milliseconds
+     * @param awayMillis time since its last run ended, in milliseconds
      * @return the new histogram
      */
-    public GapHistogram withReturn(long gapMillis) {
-        List<Double> counts = new ArrayList<>(returns);
-        int bucket = bucket(gapMillis);
-        counts.set(bucket, counts.get(bucket) + 1);
-        return new GapHistogram(runs, counts);
+    public GapHistogram withAway(long countedMillis, long awayMillis) {
+        GapHistogram histogram = this;
+        for (int bucket = bucket(countedMillis); bucket < bucket(awayMillis); bucket++) {
+            histogram = histogram.withOne(bucket, 0);
+        }
+        return histogram;
     }
 
-    private GapHistogram halved() {
-        return new GapHistogram(
-                runs / 2, returns.stream().map(count -> count / 2).toList());
+    private GapHistogram withOne(int bucket, int returned) {
+        List<Double> newExposures = new ArrayList<>(exposures);
+        List<Double> newReturns = new ArrayList<>(returns);
+        double keep = exposures.get(bucket) < MAX_EXPOSURE ? 1 : 0.5;
+        newExposures.set(bucket, keep * exposures.get(bucket) + 1);
+        newReturns.set(bucket, keep * returns.get(bucket) + returned);
+        return new GapHistogram(newExposures, newReturns);
     }
 
     private static int bucket(long gapMillis) {
@@ -78,22 +89,21 @@
      * @return the probability from 0 to 1
      */
     public double returnProbability(long awayMillis, long horizonMillis) {
-        double returnedBefore = returnsUpTo(awayMillis);
-        double returnedWithin = returnsUpTo(awayMillis + horizonMillis) - returnedBefore;
-        double stillAway = runs + PRIOR_RUNS - returnedBefore;
-        return stillAway <= 0 ? 0 : Math.max(0, Math.min(1, returnedWithin / stillAway));
+        double fromSeconds = awayMillis / MILLIS_PER_SECOND;
+        double toSeconds = (awayMillis + horizonMillis) / MILLIS_PER_SECOND;
+        double logAway = 0;
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            double from = bucket == 0 ? 0 : 1L << bucket;
+            double to = 1L << (bucket + 1);
+            double overlap = Math.min(toSeconds, to) - Math.max(fromSeconds, from);
+            if (overlap > 0) {
+                logAway += overlap / (to - from) * Math.log(1 - hazard(bucket));
+            }
+        }
+        return 1 - Math.exp(logAway);
     }
 
-    // Gaps are taken as evenly spread within a bucket.
-    private double returnsUpTo(long millis) {
-        double seconds = millis / MILLIS_PER_SECOND;
-        double sum = 0;
-        for (int i = 0; i < BUCKETS; i++) {
-            double from = i == 0 ? 0 : 1L << i;
-            double to = 1L << (i + 1);
-            double share = Math.max(0, Math.min(1, (seconds - from) / (to - from)));
-            sum += share * (returns.get(i) + PRIOR_RETURNS / BUCKETS);
-        }
-        return sum;
+    private double hazard(int bucket) {
+        return (returns.get(bucket) + PRIOR_EXPOSURE * PRIOR_HAZARD) / (exposures.get(bucket) + PRIOR_EXPOSURE);
     }
 }
