--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.cowslipbank.bench.membership.MembershipBench;
+import org.cowslipbank.bench.routing.RoutingBench;
 import org.cowslipbank.bench.streams.StreamsBench;
 
 /** Dispatcher over the experiments. */
@@ -11,6 +12,7 @@
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
             new MembershipBench(),
+            new RoutingBench(),
             new StreamsBench());
 
     private Benches() {}
