Add the claim log of a partition as a state machine

Cause: a non-repeatable request must run at most once although two nodes may believe to own its partition, and calls of the key-value service may be lost.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/claims/ClaimOutcome.java
@@ -0,0 +1,66 @@
+package org.cowslipbank.decision.claims;
+
+import org.cowslipbank.model.RunState;
+
+/**
+ * What a call of a non-repeatable request is told.
+ *
+ * @param kind the outcome
+ * @param answer the stored answer for {@link Kind#FINISHED}, else null
+ */
+public record ClaimOutcome(Kind kind, StoredAnswer answer) {
+    /** Kinds of outcome. */
+    public enum Kind {
+        /** The call may be sent, once, by the node that asked. */
+        GRANTED(RunState.UNKNOWN),
+        /** The request has run; its answer is given again. */
+        FINISHED(RunState.RAN),
+        /** Another call of the request was granted a short time ago. */
+        IN_PROGRESS(RunState.UNKNOWN),
+        /** The request may have run; nothing more is known. */
+        OUTCOME_UNKNOWN(RunState.UNKNOWN),
+        /** The key's window is outside the retention; nothing is known about the request. */
+        EXPIRED(RunState.UNKNOWN),
+        /** The key was used before with another request; this one was not run. */
+        MISMATCH(RunState.NOT_RUN),
+        /** No call of the request was granted, and this one was not recorded. */
+        REFUSED(RunState.NOT_RUN),
+        /** A finish or a release has been recorded, or had nothing to change. */
+        RECORDED(RunState.RAN);
+
+        private final RunState runState;
+
+        Kind(RunState runState) {
+            this.runState = runState;
+        }
+
+        /**
+         * Returns what a caller is told about the run.
+         *
+         * @return the run state
+         */
+        public RunState runState() {
+            return runState;
+        }
+    }
+
+    /**
+     * Returns an outcome without an answer.
+     *
+     * @param kind the kind
+     * @return the outcome
+     */
+    public static ClaimOutcome of(Kind kind) {
+        return new ClaimOutcome(kind, null);
+    }
+
+    /**
+     * Returns the outcome of a repeated call of a finished request.
+     *
+     * @param answer the stored answer
+     * @return the outcome
+     */
+    public static ClaimOutcome finished(StoredAnswer answer) {
+        return new ClaimOutcome(Kind.FINISHED, answer);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/claims/PartitionOwnerTest.java
@@ -0,0 +1,41 @@
+package org.cowslipbank.decision.claims;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.cowslipbank.model.TeamId;
+
+final class PartitionOwnerTest {
+    /**
+     * Guards against two runs, a false "not run" and a second answer, over two owners, pauses beyond the deletion of log
+     * values, lost and delayed calls, outages, restarts and repeated calls to both nodes.
+     */
+    @Property(seed = "42", tries = 1_000, shrinking = ShrinkingMode.OFF)
+    void neverTwoRunsNorFalseNotRunNorSecondAnswer(@ForAll long seed, @ForAll boolean evictOldKeys) {
+        ClaimWorld world = new ClaimWorld(seed, evictOldKeys);
+        for (int i = 0; i < 600; i++) {
+            world.step();
+        }
+        int answers = world.settle();
+        if (answers != 4) {
+            throw new AssertionError("after recovery " + answers + " of 4 calls were answered");
+        }
+    }
+
+    /** Guards against the keys of two teams meeting, and against keys without a window. */
+    @Example
+    void keysAreParsedPerTeam() {
+        ClaimKey key = ClaimKey.parse(new TeamId("a"), "29.order.7").orElseThrow();
+        check(key.equals(new ClaimKey(new TeamId("a"), 29, "order.7")));
+        check(!key.equals(ClaimKey.parse(new TeamId("b"), "29.order.7").orElseThrow()));
+        check(ClaimKey.parse(new TeamId("a"), "order-7").isEmpty());
+        check(ClaimKey.parse(new TeamId("a"), "29.").isEmpty());
+    }
+
+    private static void check(boolean condition) {
+        if (!condition) {
+            throw new AssertionError();
+        }
+    }
+}
