Add the claim service, the platform budget and bench claims

Cause: the claim log needs a shell that calls the key-value service, forwards to the partition's owner and keeps the callers' contract; its cost and its guarantee had to be measured. Change: entry.claims with ClaimService, PartitionOwners, ClaimForwarder, ClaimWitness and BudgetedKeyValueStore; PlatformBudget; bench claims on a virtual clock with a fake key-value service that answers in 5 ms.

--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.claims.ClaimsBench;
+
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            );
+            new ClaimsBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/claims/ClaimFleet.java
@@ -0,0 +1,128 @@
+package org.cowslipbank.bench.claims;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.cowslipbank.bench.platform.FakeKeyValueStore;
+import org.cowslipbank.bench.platform.VirtualScheduler;
+import org.cowslipbank.decision.claims.ClaimOutcome;
+import org.cowslipbank.decision.claims.ClaimSettings;
+import org.cowslipbank.decision.claims.ClaimTime;
+import org.cowslipbank.decision.claims.PartitionRequest;
+import org.cowslipbank.entry.claims.ClaimNode;
+import org.cowslipbank.entry.claims.ClaimPeers;
+import org.cowslipbank.entry.claims.ClaimService;
+import org.cowslipbank.model.VmId;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Nodes with claim services on one virtual clock, with links of 1.5 ms one way that can be cut. */
+final class ClaimFleet {
+    private static final Duration ONE_WAY = Duration.ofNanos(1_500_000);
+    // Lies far enough after the epoch for every retained window to have a positive number.
+    private static final long START_WALL_MILLIS = 1_000_000_000_000L;
+
+    private final VirtualScheduler scheduler;
+    private final FakeKeyValueStore platform;
+    private final ClaimSettings settings;
+    private final List<ClaimService> services = new ArrayList<>();
+    private final int[][] owners;
+    private final boolean[] connected;
+    private final boolean[] platformReachable;
+    private int incarnations;
+
+    ClaimFleet(VirtualScheduler scheduler, FakeKeyValueStore platform, ClaimSettings settings, int nodes) {
+        this.scheduler = scheduler;
+        this.platform = platform;
+        this.settings = settings;
+        this.owners = new int[nodes][settings.partitions()];
+        this.connected = new boolean[nodes];
+        this.platformReachable = new boolean[nodes];
+        for (int node = 0; node < nodes; node++) {
+            connected[node] = true;
+            platformReachable[node] = true;
+            for (int partition = 0; partition < settings.partitions(); partition++) {
+                owners[node][partition] = partition;
+            }
+            services.add(start(node));
+        }
+    }
+
+    ClaimService service(int node) {
+        return services.get(node);
+    }
+
+    int size() {
+        return services.size();
+    }
+
+    ClaimTime now() {
+        return new ClaimTime(scheduler.nowMillis(), START_WALL_MILLIS + scheduler.nowMillis());
+    }
+
+    void believe(int node, int partition, int owner) {
+        owners[node][partition] = owner;
+    }
+
+    void setConnected(int node, boolean isConnected) {
+        connected[node] = isConnected;
+    }
+
+    void setPlatformReachable(int node, boolean isReachable) {
+        platformReachable[node] = isReachable;
+    }
+
+    void restart(int node) {
+        services.get(node).close();
+        services.set(node, start(node));
+    }
+
+    private ClaimService start(int node) {
+        incarnations++;
+        ClaimService service = new ClaimService(
+                new ClaimNode(vm(node), "run" + incarnations, settings),
+                platform.client(() -> platformReachable[node]),
+                new ClaimPeers(
+                        partition -> ownersOf(node, partition),
+                        (target, request) -> forward(node, target, request),
+                        partition -> highest(node, partition)),
+                scheduler,
+                this::now);
+        service.start();
+        return service;
+    }
+
+    private List<VmId> ownersOf(int node, int partition) {
+        int owner = owners[node][partition];
+        return List.of(vm(owner), vm((owner + 1) % owners.length));
+    }
+
+    private Mono<ClaimOutcome> forward(int from, VmId target, PartitionRequest request) {
+        int to = Integer.parseInt(target.value().substring(1));
+        return link(from, to)
+                .then(Mono.defer(() -> services.get(to).serve(request)))
+                .delayElement(ONE_WAY, scheduler);
+    }
+
+    private Mono<OptionalLong> highest(int from, int partition) {
+        return Flux.range(0, owners.length)
+                .filter(node -> node != from)
+                .flatMap(node -> link(from, node)
+                        .then(Mono.defer(() -> services.get(node).highestSequence(partition)))
+                        .delayElement(ONE_WAY, scheduler))
+                .reduce(0L, Math::max)
+                .map(OptionalLong::of);
+    }
+
+    private Mono<Long> link(int from, int to) {
+        return Mono.delay(ONE_WAY, scheduler)
+                .filter(zero -> connected[from] && connected[to])
+                .switchIfEmpty(Mono.never());
+    }
+
+    private static VmId vm(int node) {
+        return new VmId("n" + node);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/claims/ClaimsBench.java
@@ -0,0 +1,27 @@
+package org.cowslipbank.bench.claims;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cowslipbank.bench.Bench;
+import org.cowslipbank.bench.BenchOptions;
+import org.cowslipbank.bench.BenchReport;
+import org.cowslipbank.bench.Figure;
+
+/** Claims under load, under faults and past their retention, on a virtual clock with a platform that answers in 5 ms. */
+public final class ClaimsBench implements Bench {
+    @Override
+    public String name() {
+        return "claims";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) {
+        List<Figure> figures = new ArrayList<>();
+        options.progress().accept("claims: 500 orders a second for two minutes on 9 nodes");
+        figures.addAll(new LoadScenario(options.seed()).run());
+        options.progress().accept("claims: outages, lost responses, mistaken owners, cut links and restarts");
+        figures.addAll(new FaultScenario(options.seed()).run());
+        return new BenchReport(name(), options.seed(), figures);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/claims/FaultScenario.java
@@ -0,0 +1,206 @@
+package org.cowslipbank.bench.claims;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import org.cowslipbank.bench.Figure;
+import org.cowslipbank.bench.platform.FakeKeyValueStore;
+import org.cowslipbank.bench.platform.VirtualScheduler;
+import org.cowslipbank.decision.claims.ClaimKey;
+import org.cowslipbank.decision.claims.ClaimOutcome;
+import org.cowslipbank.decision.claims.ClaimOutcome.Kind;
+import org.cowslipbank.decision.claims.ClaimSettings;
+import org.cowslipbank.decision.claims.ClaimWindows;
+import org.cowslipbank.decision.claims.StoredAnswer;
+import org.cowslipbank.model.TeamId;
+
+/** Faults of section 4 of the design page in random combination, with callers that repeat their calls anywhere. */
+final class FaultScenario {
+    private static final int NODES = 5;
+    private static final long FAULTS_END_MILLIS = 600_000;
+    private static final long OUTAGE_END_MILLIS = FAULTS_END_MILLIS + 60_000;
+    private static final long RETENTION_END_MILLIS = OUTAGE_END_MILLIS + 1_200_000;
+    private static final long FAULT_MILLIS = 2_000;
+    private static final long ORDER_MILLIS = 40;
+    private static final long REPEAT_SPREAD_MILLIS = 90_000;
+    private static final ClaimSettings SETTINGS =
+            new ClaimSettings(new ClaimWindows(60_000, 5), 2, 30, 2_000, 30_000, 1_000);
+
+    private static final class Order {
+        private final ClaimKey key;
+        private int runs;
+        private int released;
+        private String firstAnswer;
+
+        private Order(ClaimKey key) {
+            this.key = key;
+        }
+    }
+
+    private final VirtualScheduler scheduler = new VirtualScheduler();
+    private final FakeKeyValueStore platform;
+    private final ClaimFleet fleet;
+    private final Random random;
+    private final Map<Kind, Long> outcomes = new EnumMap<>(Kind.class);
+    private final Map<Integer, Order> orders = new HashMap<>();
+    private final int[] incarnation = new int[NODES];
+    private long doubleRuns;
+    private long falseNotRun;
+    private long otherAnswers;
+    private long calls;
+    private long answers;
+    private boolean faults = true;
+
+    FaultScenario(long seed) {
+        random = new Random(seed);
+        platform = new FakeKeyValueStore(scheduler, 5, seed);
+        fleet = new ClaimFleet(scheduler, platform, SETTINGS, NODES);
+    }
+
+    List<Figure> run() {
+        scheduler.schedule(this::arrive, 1_000, TimeUnit.MILLISECONDS);
+        scheduler.schedule(this::fault, FAULT_MILLIS, TimeUnit.MILLISECONDS);
+        scheduler.advanceTo(FAULTS_END_MILLIS);
+        recover();
+        scheduler.advanceTo(FAULTS_END_MILLIS + 20_000);
+        Map<Kind, Long> underFaults = new EnumMap<>(outcomes);
+        outcomes.clear();
+        platform.setDown(true);
+        scheduler.advanceTo(FAULTS_END_MILLIS + 25_000);
+        outcomes.clear();
+        scheduler.advanceTo(FAULTS_END_MILLIS + 55_000);
+        Map<Kind, Long> underOutage = new EnumMap<>(outcomes);
+        platform.setDown(false);
+        scheduler.advanceTo(RETENTION_END_MILLIS);
+        long oldGranted = repeatOldKeys();
+        return List.of(
+                Figure.info("fault_calls", calls),
+                Figure.atMost("fault_double_runs", doubleRuns, 0),
+                Figure.atMost("fault_false_not_run", falseNotRun, 0),
+                Figure.atMost("fault_other_answer_than_first", otherAnswers, 0),
+                Figure.atMost("fault_calls_unanswered", calls - answers, 0),
+                Figure.info("fault_granted", underFaults.getOrDefault(Kind.GRANTED, 0L)),
+                Figure.info("fault_finished", underFaults.getOrDefault(Kind.FINISHED, 0L)),
+                Figure.info("fault_in_progress", underFaults.getOrDefault(Kind.IN_PROGRESS, 0L)),
+                Figure.info("fault_outcome_unknown", underFaults.getOrDefault(Kind.OUTCOME_UNKNOWN, 0L)),
+                Figure.info("fault_refused_not_run", underFaults.getOrDefault(Kind.REFUSED, 0L)),
+                Figure.info("outage_refused_not_run", underOutage.getOrDefault(Kind.REFUSED, 0L)),
+                Figure.info("outage_outcome_unknown", underOutage.getOrDefault(Kind.OUTCOME_UNKNOWN, 0L)),
+                Figure.info("outage_granted", underOutage.getOrDefault(Kind.GRANTED, 0L)),
+                Figure.atMost("retention_old_keys_granted", oldGranted, 0),
+                Figure.info("retention_values_at_end", platform.valueCount("claims/")));
+    }
+
+    private void arrive() {
+        if (scheduler.nowMillis() > OUTAGE_END_MILLIS) {
+            return;
+        }
+        scheduler.schedule(this::arrive, 1 + random.nextInt((int) (2 * ORDER_MILLIS)), TimeUnit.MILLISECONDS);
+        long window = fleet.service(0).currentWindow();
+        Order order = new Order(new ClaimKey(new TeamId("team"), window, "order-" + orders.size()));
+        orders.put(orders.size(), order);
+        int repeats = random.nextInt(4);
+        call(order);
+        for (int i = 0; i < repeats; i++) {
+            long delayMillis = random.nextBoolean() ? random.nextInt(50) : random.nextInt((int) REPEAT_SPREAD_MILLIS);
+            scheduler.schedule(() -> call(order), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void call(Order order) {
+        int node = random.nextInt(NODES);
+        boolean ranBefore = order.runs > order.released;
+        int run = incarnation[node];
+        calls++;
+        fleet.service(node).claim(order.key, "fingerprint").subscribe(outcome -> {
+            answers++;
+            if (run == incarnation[node]) {
+                answered(node, order, ranBefore, outcome);
+            }
+        });
+    }
+
+    private void answered(int node, Order order, boolean ranBefore, ClaimOutcome outcome) {
+        outcomes.merge(outcome.kind(), 1L, Long::sum);
+        if (outcome.kind() == Kind.REFUSED && ranBefore) {
+            falseNotRun++;
+        }
+        if (outcome.kind() == Kind.FINISHED) {
+            String text = new String(outcome.answer().body());
+            order.firstAnswer = order.firstAnswer == null ? text : order.firstAnswer;
+            otherAnswers += order.firstAnswer.equals(text) && order.runs > 0 ? 0 : 1;
+        }
+        if (outcome.kind() == Kind.GRANTED) {
+            granted(node, order);
+        }
+    }
+
+    private void granted(int node, Order order) {
+        if (random.nextInt(20) == 0) {
+            // The plain service could not be reached, so the request certainly did not run.
+            fleet.service(node).release(order.key).subscribe(done -> {}, error -> {});
+            return;
+        }
+        order.runs++;
+        if (order.runs - order.released > 1) {
+            doubleRuns++;
+        }
+        int run = incarnation[node];
+        StoredAnswer answer = StoredAnswer.of(200, "text/plain", ("answer of run " + order.runs).getBytes());
+        scheduler.schedule(
+                () -> {
+                    if (run == incarnation[node]) {
+                        fleet.service(node).finish(order.key, answer).subscribe(done -> {}, error -> {});
+                    }
+                },
+                random.nextInt(200),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void fault() {
+        if (!faults) {
+            return;
+        }
+        scheduler.schedule(this::fault, FAULT_MILLIS, TimeUnit.MILLISECONDS);
+        int node = random.nextInt(NODES);
+        switch (random.nextInt(8)) {
+            case 0 -> platform.setDown(true);
+            case 1, 2 -> platform.setDown(false);
+            case 3 -> platform.setLostShare(random.nextInt(3) * 0.05);
+            case 4 -> fleet.believe(node, random.nextInt(SETTINGS.partitions()), random.nextInt(NODES));
+            case 5 -> fleet.setConnected(node, random.nextInt(3) > 0);
+            case 6 -> fleet.setPlatformReachable(node, random.nextInt(3) > 0);
+            default -> {
+                incarnation[node]++;
+                fleet.restart(node);
+            }
+        }
+    }
+
+    private void recover() {
+        faults = false;
+        platform.setDown(false);
+        platform.setLostShare(0);
+        for (int node = 0; node < NODES; node++) {
+            fleet.setConnected(node, true);
+            fleet.setPlatformReachable(node, true);
+            for (int partition = 0; partition < SETTINGS.partitions(); partition++) {
+                fleet.believe(node, partition, partition);
+            }
+        }
+    }
+
+    private long repeatOldKeys() {
+        outcomes.clear();
+        List<Order> old = List.copyOf(orders.values());
+        for (int i = 0; i < old.size(); i += 10) {
+            call(old.get(i));
+        }
+        scheduler.advanceTo(RETENTION_END_MILLIS + 20_000);
+        return outcomes.getOrDefault(Kind.GRANTED, 0L);
+    }
+}
