--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.claims.ClaimsBench;
 import org.cowslipbank.bench.membership.MembershipBench;
 import org.cowslipbank.bench.routing.RoutingBench;
 import org.cowslipbank.bench.streams.StreamsBench;
@@ -11,7 +12,10 @@
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new MembershipBench(), new RoutingBench(), new StreamsBench());
+            new ClaimsBench(),
+            new MembershipBench(),
+            new RoutingBench(),
+            new StreamsBench());
 
     private Benches() {}
 
