--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,11 +3,14 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.limits.LimitsBench;
+import org.cowslipbank.bench.streams.StreamsBench;
+
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new org.cowslipbank.bench.streams.StreamsBench());
+            new LimitsBench(), new StreamsBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/limits/LimitsBench.java
@@ -0,0 +1,205 @@
+package org.cowslipbank.bench.limits;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+import org.cowslipbank.bench.Bench;
+import org.cowslipbank.bench.BenchOptions;
+import org.cowslipbank.bench.BenchReport;
+import org.cowslipbank.bench.Figure;
+import org.cowslipbank.bench.virtual.Audit;
+import org.cowslipbank.bench.virtual.LinkFaults;
+import org.cowslipbank.bench.virtual.SimCaller;
+import org.cowslipbank.bench.virtual.World;
+import org.cowslipbank.bench.virtual.WorldOptions;
+import org.cowslipbank.config.TeamLimits;
+import org.cowslipbank.decision.admission.TeamShare;
+import org.cowslipbank.decision.admission.TeamShares;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.TeamId;
+
+/** Overload, isolation of teams, refusals and attempts (section 11 item 2 of the design page). */
+public final class LimitsBench implements Bench {
+    private static final int NODES = 3;
+    private static final int ENGINES = 6;
+    private static final int SLOTS = 16;
+    private static final long PREFILL_MILLIS = 150;
+    private static final long TOKEN_MILLIS = 33;
+    private static final int TEAMS = 10;
+
+    /** Measuring begins after the queues have filled. */
+    private static final long WARM_MILLIS = 20_000;
+
+    private static final long ARRIVALS_MILLIS = 120_000;
+    private static final long END_MILLIS = 200_000;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double UNLIMITED = 1e6;
+
+    @Override
+    public String name() {
+        return "limits";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) {
+        List<Figure> figures = new ArrayList<>();
+        overload("overload", options.seed(), false, figures);
+        overload("overload_resending", options.seed(), true, figures);
+        isolation("isolation", options.seed(), 0.4, figures);
+        isolation("isolation_overcommitted", options.seed(), 1.2, figures);
+        attempts("third_aborting", options.seed(), figures, false);
+        attempts("third_dead", options.seed(), figures, true);
+        lending(options.seed(), figures);
+        figures.forEach(figure -> options.progress().accept(figure.toString()));
+        return new BenchReport(name(), options.seed(), figures);
+    }
+
+    /** Requests a second that the slots of all engines can complete. */
+    private static double capacityPerSecond() {
+        double meanTokens = (TeamLoad.MIN_TOKENS + TeamLoad.MAX_TOKENS) / 2.0;
+        double meanRunMillis = PREFILL_MILLIS + (meanTokens - 1) * TOKEN_MILLIS;
+        return ENGINES * SLOTS * MILLIS_PER_SECOND / meanRunMillis;
+    }
+
+    private static World world(long seed) {
+        return new World(new WorldOptions(
+                seed,
+                NODES,
+                ENGINES,
+                3,
+                SLOTS,
+                PREFILL_MILLIS,
+                false,
+                TOKEN_MILLIS,
+                4_000,
+                true,
+                LinkFaults.NONE,
+                true));
+    }
+
+    private static void overload(String name, long seed, boolean resend, List<Figure> figures) {
+        World world = world(seed);
+        for (int team = 0; team < TEAMS; team++) {
+            new TeamLoad(world, "t" + team, NODES, 1.5 * capacityPerSecond() / TEAMS, resend).until(ARRIVALS_MILLIS);
+        }
+        world.clock().runUntil(END_MILLIS);
+        long inTime = world.callers().stream()
+                .filter(caller -> caller.whole() && caller.timeToFirstTokenMillis() <= TeamLoad.PATIENCE_MILLIS)
+                .filter(caller -> caller.endedMillis() >= WARM_MILLIS && caller.endedMillis() < ARRIVALS_MILLIS)
+                .count();
+        double perSecond = inTime * MILLIS_PER_SECOND / (ARRIVALS_MILLIS - WARM_MILLIS);
+        figures.add(Figure.atLeast(name + "_goodput_share", perSecond / capacityPerSecond(), 0.95));
+        refusals(name, world, figures);
+    }
+
+    private static void refusals(String name, World world, List<Figure> figures) {
+        Audit audit = Audit.of(world.callers());
+        List<SimCaller> refused = world.callers().stream()
+                .filter(caller -> caller.refusal() != null)
+                .toList();
+        long late = refused.stream()
+                .filter(caller -> caller.endedMillis() - caller.sentMillis() > TeamLoad.PATIENCE_MILLIS)
+                .count();
+        long atArrival = refused.stream()
+                .filter(caller -> caller.endedMillis() == caller.sentMillis())
+                .count();
+        long unhelpful = refused.stream()
+                .filter(caller -> caller.refusal().runState() == RunState.NOT_RUN
+                        && caller.refusal().retryAfterMillis() <= 0)
+                .count();
+        figures.add(Figure.atMost(name + "_late_refusals", late, 0));
+        figures.add(Figure.atMost(name + "_refusals_without_retry_time", unhelpful, 0));
+        figures.add(Figure.atMost(name + "_falsely_reported", audit.falselyReported(), 0));
+        figures.add(Figure.atMost(name + "_lost", audit.lost(), 0));
+        figures.add(Figure.atMost(name + "_doubled", audit.doubled(), 0));
+        figures.add(Figure.info(
+                name + "_refused_at_arrival_share", refused.isEmpty() ? 1 : (double) atArrival / refused.size()));
+        figures.add(Figure.info(name + "_refused_share", (double) refused.size() / audit.requests()));
+    }
+
+    private static void isolation(String name, long seed, double greedyShare, List<Figure> figures) {
+        double modestPerSecond = 0.1 * capacityPerSecond();
+        double greedyLimit = greedyShare * capacityPerSecond();
+        List<SimCaller> alone = modest(world(seed), modestPerSecond, 0, greedyLimit);
+        List<SimCaller> beside = modest(world(seed), modestPerSecond, 10 * greedyLimit, greedyLimit);
+        double aloneMillis = percentile(alone);
+        double besideMillis = percentile(beside);
+        long refused =
+                beside.stream().filter(caller -> caller.refusal() != null).count();
+        figures.add(Figure.atMost(name + "_first_token_p95_ratio", besideMillis / aloneMillis, 1.2));
+        figures.add(Figure.atMost(name + "_modest_refused", refused, 0));
+        figures.add(Figure.info(name + "_first_token_p95_ms", besideMillis));
+    }
+
+    private static List<SimCaller> modest(World world, double perSecond, double greedyPerSecond, double greedyLimit) {
+        TeamId greedyTeam = new TeamId("greedy");
+        world.shares(team -> team.equals(greedyTeam) ? share(team, greedyLimit / NODES) : share(team, UNLIMITED));
+        TeamLoad modest = new TeamLoad(world, "modest", NODES, perSecond, false).until(ARRIVALS_MILLIS);
+        if (greedyPerSecond > 0) {
+            new TeamLoad(world, greedyTeam.value(), NODES, greedyPerSecond, false).until(ARRIVALS_MILLIS);
+        }
+        world.clock().runUntil(END_MILLIS);
+        return modest.callers();
+    }
+
+    private static TeamShare share(TeamId team, double perSecond) {
+        return new TeamShare(team, perSecond, Math.max(1, perSecond), (int) UNLIMITED, 1);
+    }
+
+    private static double percentile(List<SimCaller> callers) {
+        long[] sorted = callers.stream()
+                .filter(caller -> caller.sentMillis() >= WARM_MILLIS && caller.timeToFirstTokenMillis() >= 0)
+                .mapToLong(SimCaller::timeToFirstTokenMillis)
+                .sorted()
+                .toArray();
+        return sorted[(int) (sorted.length * 0.95)];
+    }
+
+    private static void attempts(String name, long seed, List<Figure> figures, boolean dead) {
+        World world = world(seed);
+        new TeamLoad(world, "t", NODES, 0.5 * capacityPerSecond(), false).until(ARRIVALS_MILLIS);
+        for (int engine = 0; engine < ENGINES / 3; engine++) {
+            int victim = engine;
+            world.clock().after(WARM_MILLIS, () -> {
+                if (dead) {
+                    world.engines().get(victim).retire();
+                } else {
+                    world.engines().get(victim).failEveryRun();
+                }
+            });
+        }
+        world.clock().runUntil(END_MILLIS);
+        List<SimCaller> during = world.callers().stream()
+                .filter(caller -> caller.sentMillis() >= WARM_MILLIS)
+                .toList();
+        Audit audit = Audit.of(during);
+        figures.add(Figure.atMost(name + "_attempts_per_request", mean(during, SimCaller::attempts), 1.1));
+        figures.add(Figure.info(name + "_whole_share", (double) audit.whole() / audit.requests()));
+        figures.add(Figure.atMost(name + "_falsely_reported", audit.falselyReported(), 0));
+        figures.add(Figure.atMost(name + "_lost", audit.lost(), 0));
+    }
+
+    private static double mean(List<SimCaller> callers, ToDoubleFunction<SimCaller> value) {
+        return callers.stream().mapToDouble(value).average().orElse(0);
+    }
+
+    /** A team within its limit whose sessions meet on one of three nodes, without and with lending. */
+    private static void lending(long seed, List<Figure> figures) {
+        double limit = 0.3 * capacityPerSecond();
+        TeamLimits limits = new TeamLimits(limit, (int) limit, (int) UNLIMITED, 1);
+        TeamShares.Demand idle = new TeamShares.Demand(0, 1_000);
+        for (boolean lend : new boolean[] {false, true}) {
+            World world = world(seed);
+            List<TeamShares.Demand> others = lend ? List.of(idle, idle) : List.of();
+            world.shares(team -> TeamShares.share(new TeamShares.Input(team, limits, NODES, 0.8 * limit, others)));
+            TeamLoad load = new TeamLoad(world, "t", 1, 0.8 * limit, false).until(ARRIVALS_MILLIS);
+            world.clock().runUntil(END_MILLIS);
+            long refused = load.callers().stream()
+                    .filter(caller -> caller.refusal() != null)
+                    .count();
+            String name = lend ? "skewed_team_refused_share_lending" : "skewed_team_refused_share_even";
+            figures.add(Figure.info(name, (double) refused / load.callers().size()));
+        }
+    }
+}
