Divide slots between nodes and leave out failing upstreams

SlotShares gives each node its own slots at each upstream, and Capacity takes them as the floor of a node's limit.

--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
@@ -13,11 +13,13 @@
 import org.cowslipbank.decision.admission.AdmissionRelease;
 import org.cowslipbank.decision.admission.AdmissionRequest;
 import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.decision.admission.SlotShares;
 import org.cowslipbank.decision.retry.RetryOutcome;
 import org.cowslipbank.decision.retry.RetryPolicy;
 import org.cowslipbank.decision.retry.RetryQuestion;
 import org.cowslipbank.decision.retry.RetryState;
 import org.cowslipbank.decision.retry.RetryVerdict;
+import org.cowslipbank.decision.retry.UpstreamHealth;
 import org.cowslipbank.decision.streams.FailureKind;
 import org.cowslipbank.decision.streams.NotSentReason;
 import org.cowslipbank.decision.streams.StreamEffect;
@@ -61,11 +63,19 @@
         SimEngine engine;
         int running;
         int waiting;
-        int sentSince;
+        int ownAtReport;
+        int ownSlots;
+        int own;
         boolean usable;
+        UpstreamHealth health = UpstreamHealth.GOOD;
 
+        /** Work of this node is known exactly, that of others as reported. */
         int load() {
-            return running + waiting + sentSince;
+            return Math.max(0, running + waiting - ownAtReport) + own;
+        }
+
+        boolean hasOwnSlot() {
+            return own < ownSlots;
         }
     }
 
@@ -113,7 +123,8 @@
             report.engine = engine;
             report.running = engine.running;
             report.waiting = engine.waiting();
-            report.sentSince = 0;
+            report.ownAtReport = report.own;
+            report.ownSlots = SlotShares.own(engine.id, world.options.slots(), id, world.nodeIds());
             report.usable = engine.alive && !engine.draining && !engine.loading && !world.avoided(engine.id);
         }
         if (world.options.admission()) {
@@ -125,9 +136,13 @@
         List<Capacity.UpstreamLoad> loads = reports.values().stream()
                 .filter(report -> report.usable)
                 .map(report -> new Capacity.UpstreamLoad(
-                        world.options.slots(), report.running, report.waiting, report.sentSince))
+                        world.options.slots(), report.running, report.waiting, report.own - report.ownAtReport))
                 .toList();
-        Capacity.Input input = new Capacity.Input(loads, world.options.nodes(), admission.inFlight());
+        int ownSlots = reports.values().stream()
+                .filter(report -> report.usable)
+                .mapToInt(report -> report.ownSlots)
+                .sum();
+        Capacity.Input input = new Capacity.Input(loads, world.options.nodes(), ownSlots, admission.inFlight());
         return Capacity.derive(input).inFlightLimit();
     }
 
@@ -261,6 +276,12 @@
 
     private void leaveUpstream(SimStream stream, boolean finished) {
         long print = stream.caller.request.fingerprint();
+        if (stream.sentTo != null) {
+            EngineReport report = reports.get(stream.sentTo);
+            report.own--;
+            report.health = finished ? report.health.succeeded() : report.health;
+            stream.sentTo = null;
+        }
         if (stream.guarded) {
             world.guardOf(print).guard.ended(print, id, finished);
             stream.guarded = false;
@@ -386,7 +407,9 @@
 
     private void send(SimStream stream, StreamEffect.Start start, EngineReport report) {
         SimEngine engine = report.engine;
-        report.sentSince++;
+        report.own++;
+        stream.sentTo = engine.id;
+        report.health = report.health.sent(now());
         stream.caller.attempts++;
         onEvent(stream, new StreamEvent.Sent(start.attempt(), engine.id, start.requiredModel()));
         SimLink link = new SimLink(world, stream, start.attempt(), 0);
@@ -404,7 +427,11 @@
                 Comparator.comparing(report -> start.avoid().contains(report.engine.id));
         return reports.values().stream()
                 .filter(report -> mayRun(report, start) && !world.exclusive.contains(report.engine.id))
-                .min(byFailure.thenComparingInt(EngineReport::load).thenComparing(report -> report.engine.id));
+                .filter(report -> report.health.mayTry(now()))
+                .min(byFailure
+                        .thenComparing(report -> !report.hasOwnSlot())
+                        .thenComparingInt(EngineReport::load)
+                        .thenComparing(report -> report.engine.id));
     }
 
     private static boolean mayRun(EngineReport report, StreamEffect.Start start) {
@@ -420,6 +447,9 @@
             return;
         }
         UpstreamId upstream = stream.state.attempt().upstream();
+        if (failed.kind() != FailureKind.BROKEN) {
+            reports.get(upstream).health = reports.get(upstream).health.failed(now());
+        }
         boolean unreached = failed.kind() == FailureKind.NOT_REACHED;
         boolean crashed = unreached && failed.connection() > 0 || failed.kind() == FailureKind.UNKNOWN_ATTEMPT;
         if (unreached || crashed) {
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimStream.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimStream.java
@@ -16,11 +16,11 @@
     SimLink link;
     AdmissionRequest admitted;
     long admittedMillis;
+    UpstreamId sentTo;
     UpstreamId granted;
     boolean guarded;
     boolean reading;
     int unread;
-    long nextCheckMillis = Long.MAX_VALUE;
 
     SimStream(SimNode node, SimCaller caller) {
         this.node = node;
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/World.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/World.java
@@ -209,6 +209,10 @@
                 .orElseThrow();
     }
 
+    List<VmId> nodeIds() {
+        return nodeIds;
+    }
+
     SimNode guardOf(long fingerprint) {
         return nodes.get(nodeIds.indexOf(CopyGuard.guardOf(fingerprint, nodeIds)));
     }
--- a/decision/src/main/java/org/cowslipbank/decision/admission/Capacity.java
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/Capacity.java
@@ -27,9 +27,10 @@
      *
      * @param upstreams the upstreams that take new work
      * @param nodes live nodes that send to them, this one included
+     * @param ownSlots this node's slots at them, by {@link SlotShares}
      * @param ownInFlight requests that this node has in flight at them
      */
-    public record Input(List<UpstreamLoad> upstreams, int nodes, int ownInFlight) {
+    public record Input(List<UpstreamLoad> upstreams, int nodes, int ownSlots, int ownInFlight) {
         /** Copies the list. */
         public Input {
             upstreams = List.copyOf(upstreams);
@@ -45,10 +46,10 @@
     public record Outcome(int slots, int inFlightLimit) {}
 
     /**
-     * Derives the limit. The even share is always granted; without it a node whose reports lag behind other nodes' work
+     * Derives the limit. The node's own slots are always granted; without it a node whose reports lag behind other nodes' work
      * could starve. Beyond it, the node takes its part of the free slots, so all nodes together do not take a free
      * slot many times in one report interval. Work that waits at the engines counts as negative free slots, so nodes
-     * beyond their even share give slots back while others claim theirs.
+     * beyond their own slots give slots back while others claim theirs.
      *
      * @param input the input
      * @return the limit
@@ -61,8 +62,7 @@
             free += load.slots() - load.running() - load.waiting() - load.sentSinceReport();
         }
         int nodes = Math.max(1, input.nodes());
-        int even = (slots + nodes - 1) / nodes;
         int borrowed = input.ownInFlight() + Math.floorDiv(free + nodes - 1, nodes);
-        return new Outcome(slots, Math.max(even, Math.min(slots, borrowed)));
+        return new Outcome(slots, Math.max(input.ownSlots(), Math.min(slots, borrowed)));
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/admission/AdmissionTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/admission/AdmissionTest.java
@@ -8,6 +8,8 @@
 import org.cowslipbank.model.RequestId;
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
 
 final class AdmissionTest {
     private static final TeamShare GREEDY = new TeamShare(new TeamId("greedy"), 1_000, 1_000, 1_000, 1);
@@ -81,8 +83,23 @@
         assert limit(List.of(), 4, 10) == 0;
     }
 
+    /** Failure guarded against: nodes together use more slots than an upstream has, or leave some unused. */
+    @Example
+    void sharesOfSlotsAddUp() {
+        List<VmId> nodes = List.of(new VmId("n1"), new VmId("n2"), new VmId("n3"));
+        UpstreamId upstream = new UpstreamId("e1");
+        int total = 0;
+        for (VmId node : nodes) {
+            int own = SlotShares.own(upstream, 16, node, nodes);
+            assert own == 5 || own == 6 : own;
+            total += own;
+        }
+        assert total == 16 : total;
+    }
+
     private static int limit(List<Capacity.UpstreamLoad> loads, int nodes, int ownInFlight) {
-        return Capacity.derive(new Capacity.Input(loads, nodes, ownInFlight)).inFlightLimit();
+        return Capacity.derive(new Capacity.Input(loads, nodes, loads.size() * 16 / nodes, ownInFlight))
+                .inFlightLimit();
     }
 
     private static double share(TeamShares.Input input) {
--- a/decision/src/test/java/org/cowslipbank/decision/retry/RetryPolicyTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/retry/RetryPolicyTest.java
@@ -51,4 +51,20 @@
         assert RetryPolicy.decide(state, fourth, 1).verdict() == RetryVerdict.TOO_MANY_ATTEMPTS;
         assert RetryPolicy.decide(state, elsewhere, 1).verdict() == RetryVerdict.RETRIED_ELSEWHERE;
     }
+
+    /** Failure guarded against: an upstream that fails every run at once attracts the traffic by its low load. */
+    @Example
+    void aFailingUpstreamIsLeftOutAndTriedAgain() {
+        UpstreamHealth health = UpstreamHealth.GOOD;
+        for (int failure = 0; failure < UpstreamHealth.FAILURES; failure++) {
+            assert health.mayTry(0);
+            health = health.failed(0);
+        }
+        assert !health.mayTry(UpstreamHealth.AVOID_MILLIS - 1);
+        assert health.mayTry(UpstreamHealth.AVOID_MILLIS);
+        UpstreamHealth trial = health.sent(UpstreamHealth.AVOID_MILLIS);
+        assert !trial.mayTry(UpstreamHealth.AVOID_MILLIS + 1);
+        assert trial.succeeded().mayTry(UpstreamHealth.AVOID_MILLIS + 1);
+        assert !trial.failed(10_000).mayTry(10_000 + UpstreamHealth.AVOID_MILLIS);
+    }
 }
