Round borrowed slots down

A node whose freed slot is not yet taken again is reported as one free slot, and rounding its third up let another node borrow it, so both sent to it.

--- a/decision/src/main/java/org/cowslipbank/decision/admission/Capacity.java
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/Capacity.java
@@ -62,7 +62,7 @@
             free += load.slots() - load.running() - load.waiting() - load.sentSinceReport();
         }
         int nodes = Math.max(1, input.nodes());
-        int borrowed = input.ownInFlight() + Math.floorDiv(free + nodes - 1, nodes);
+        int borrowed = input.ownInFlight() + Math.floorDiv(free, nodes);
         return new Outcome(slots, Math.max(input.ownSlots(), Math.min(slots, borrowed)));
     }
 }
