Weigh link use by bytes and judge exports by the peak rate

Eight nodes share a link, so the measured rate of a node falls with every burst of the others. It stood for the bytes moved and for the later fetch as well, and most exports of Confetes were refused as not worth the link. The link penalty now counts bytes at the configured rate, and an export is judged by a decaying peak of the measured rate.

--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -330,6 +330,7 @@
                 left,
                 0,
                 expectedMillis,
+                workload.linkUseBlockMillis(),
                 now - silentSince,
                 Math.max(0, run.queueAtStartMillis - (now - run.fetchStartMillis)),
                 workload.blockPrefillMillis(),
@@ -409,7 +410,7 @@
             return new ExportOutcome(ExportOutcome.Reason.NOT_WORTH_LINK, 0, StoreTier.DISK, 0);
         }
         LinkEstimate estimate = network.estimate(node, store);
-        double rate = policy.oracle() ? network.trueBytesPerSecond(store) : estimate.bytesPerSecond();
+        double rate = policy.oracle() ? network.trueBytesPerSecond(store) : estimate.peakBytesPerSecond();
         GapHistogram history = policy.oracle() ? nearness(0) : nodes[node].history[session.team];
         return RetentionDecision.export(new ExportInput(
                 history,
@@ -418,6 +419,7 @@
                 workload.blockBytes(),
                 workload.blockPrefillMillis(),
                 workload.blockBytes() * 1_000 / rate,
+                workload.linkUseBlockMillis(),
                 0,
                 MAX_EXPORT_DELAY_MILLIS,
                 stores[store].space(StoreTier.MEMORY),
@@ -520,6 +522,7 @@
         return new StoreLink(
                 storeIds.get(store),
                 network.isDead(store) ? LinkState.DOWN : LinkState.UP,
+                workload.linkBytesPerSecond(),
                 network.trueBytesPerSecond(store),
                 workload.diskBytesPerSecond(),
                 network.queuedBytesOfAll(store),
@@ -531,6 +534,7 @@
         return new StoreLink(
                 storeIds.get(store),
                 estimate.state(clock.nowWholeMillis()),
+                workload.linkBytesPerSecond(),
                 estimate.bytesPerSecond(),
                 workload.diskBytesPerSecond(),
                 network.queuedBytes(node, store),
--- a/decision/src/main/java/org/cowslipbank/decision/retention/ExportInput.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retention/ExportInput.java
@@ -8,7 +8,8 @@
  * @param blocks full blocks of the run that the store does not hold
  * @param blockBytes length of one block
  * @param recomputeBlockMillis time to recompute one block
- * @param transferBlockMillis time to move one block over the store's link at its measured rate
+ * @param transferBlockMillis time to move one block over the store's link at its measured peak rate
+ * @param linkUseBlockMillis time to move one block over the store's link at its configured rate
  * @param linkBusyMillis time until the exports that wait on the link have left, in milliseconds
  * @param maxExportDelayMillis time for which the engine is expected to hold the blocks, in milliseconds
  * @param memory space of the store's memory
@@ -22,6 +23,7 @@
         long blockBytes,
         double recomputeBlockMillis,
         double transferBlockMillis,
+        double linkUseBlockMillis,
         double linkBusyMillis,
         double maxExportDelayMillis,
         TierSpace memory,
--- a/decision/src/main/java/org/cowslipbank/decision/retention/RetentionDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retention/RetentionDecision.java
@@ -46,7 +46,7 @@
         double saved = probability
                 * ((weights.timeToFirstToken() + weights.recompute()) * input.recomputeBlockMillis()
                         - weights.timeToFirstToken() * input.transferBlockMillis());
-        double link = weights.link() * (1 + probability) * input.transferBlockMillis();
+        double link = weights.link() * (1 + probability) * input.linkUseBlockMillis();
         return saved > link;
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/routing/CandidateCost.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/CandidateCost.java
@@ -39,7 +39,7 @@
                 linkMillis[link] = prefix.startMillis(link);
             }
             linkMillis[link] += prefix.transferMillis(block);
-            linkUseMillis += prefix.transferMillis(block);
+            linkUseMillis += prefix.linkUseMillis(block);
             fetchMillis = Math.max(fetchMillis, linkMillis[link]);
             consider(candidate, local, block + 1, queueMillis, fetchMillis, linkUseMillis);
         }
--- a/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
@@ -52,7 +52,8 @@
         double arrivalMillis = (progress.blocksAhead() + progress.blocksLeft()) * blockMillis;
         double waitMillis = Math.max(0, arrivalMillis - progress.queueMillis());
         DecisionWeights weights = progress.weights();
-        return weights.timeToFirstToken() * waitMillis + weights.link() * progress.blocksLeft() * blockMillis;
+        double linkUseMillis = progress.blocksLeft() * progress.linkUseBlockMillis();
+        return weights.timeToFirstToken() * waitMillis + weights.link() * linkUseMillis;
     }
 
     private static double recomputeCost(FetchProgress progress, double recomputeMillis) {
--- a/decision/src/main/java/org/cowslipbank/decision/routing/LinkEstimate.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/LinkEstimate.java
@@ -4,7 +4,8 @@
  * Measured rate of a store's link.
  *
  * @param configuredBytesPerSecond rate of the link by configuration
- * @param bytesPerSecond moving average of the measured rate
+ * @param bytesPerSecond moving average of the measured rate; it falls while other nodes use the link
+ * @param peakBytesPerSecond decaying maximum of the measured rate, near the rate of the link when it is not shared
  * @param timeouts transfers in sequence that timed out
  * @param closedUntilMillis no transfer starts before this time, in milliseconds
  * @param lastSampleMillis time of the last measurement, in milliseconds
@@ -12,6 +13,7 @@
 public record LinkEstimate(
         double configuredBytesPerSecond,
         double bytesPerSecond,
+        double peakBytesPerSecond,
         int timeouts,
         long closedUntilMillis,
         long lastSampleMillis) {
@@ -21,6 +23,8 @@
     private static final double FAST_SAMPLE_SHARE = 0.2;
     private static final long FIRST_CLOSE_MILLIS = 1_000;
     private static final int MAX_CLOSE_DOUBLINGS = 5;
+    // Half-life of about 35 samples: long enough to span a burst of other nodes, short enough to follow a slow link.
+    private static final double PEAK_DECAY = 0.98;
     private static final double PROBE_RATE_SHARE = 0.5;
     private static final long PROBE_AFTER_MILLIS = 5_000;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -32,7 +36,7 @@
      * @return the estimate
      */
     public static LinkEstimate configured(double configuredBytesPerSecond) {
-        return new LinkEstimate(configuredBytesPerSecond, configuredBytesPerSecond, 0, 0, 0);
+        return new LinkEstimate(configuredBytesPerSecond, configuredBytesPerSecond, configuredBytesPerSecond, 0, 0, 0);
     }
 
     /**
@@ -44,7 +48,9 @@
      * @return the new estimate
      */
     public LinkEstimate received(long bytes, double elapsedMillis, long nowMillis) {
-        return new LinkEstimate(configuredBytesPerSecond, averaged(bytes, elapsedMillis), 0, 0, nowMillis);
+        double sample = bytes * MILLIS_PER_SECOND / elapsedMillis;
+        double peak = Math.max(sample, PEAK_DECAY * peakBytesPerSecond);
+        return new LinkEstimate(configuredBytesPerSecond, averaged(sample), peak, 0, 0, nowMillis);
     }
 
     /**
@@ -59,12 +65,14 @@
      */
     public LinkEstimate timedOut(long bytes, double elapsedMillis, long nowMillis) {
         long closeMillis = FIRST_CLOSE_MILLIS << Math.min(timeouts, MAX_CLOSE_DOUBLINGS);
-        double rate = Math.min(bytesPerSecond, averaged(bytes, elapsedMillis));
-        return new LinkEstimate(configuredBytesPerSecond, rate, timeouts + 1, nowMillis + closeMillis, nowMillis);
+        double bound = bytes * MILLIS_PER_SECOND / elapsedMillis;
+        double rate = Math.min(bytesPerSecond, averaged(bound));
+        long closedUntil = nowMillis + closeMillis;
+        return new LinkEstimate(
+                configuredBytesPerSecond, rate, peakBytesPerSecond, timeouts + 1, closedUntil, nowMillis);
     }
 
-    private double averaged(long bytes, double elapsedMillis) {
-        double sample = bytes * MILLIS_PER_SECOND / elapsedMillis;
+    private double averaged(double sample) {
         double share = sample < bytesPerSecond ? SLOW_SAMPLE_SHARE : FAST_SAMPLE_SHARE;
         return bytesPerSecond + share * (sample - bytesPerSecond);
     }
--- a/decision/src/main/java/org/cowslipbank/decision/routing/RetainedPrefix.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/RetainedPrefix.java
@@ -102,6 +102,12 @@
         return transferMillis[block];
     }
 
+    /** Time that a block takes of the link as configured, in milliseconds; a measure of its bytes. */
+    double linkUseMillis(int block) {
+        StoreLink link = input.links().get(linkIndexes[block]);
+        return blocks[block].lengthBytes() * MILLIS_PER_SECOND / link.configuredBytesPerSecond();
+    }
+
     /** Time before the first byte of a new transfer arrives over a link, in milliseconds. */
     double startMillis(int linkIndex) {
         StoreLink link = input.links().get(linkIndex);
--- a/decision/src/main/java/org/cowslipbank/decision/routing/StoreLink.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/StoreLink.java
@@ -7,6 +7,7 @@
  *
  * @param store the store
  * @param state whether the store answers
+ * @param configuredBytesPerSecond rate of the link by configuration; the penalty for link bytes is in its terms
  * @param bytesPerSecond measured rate of the link in bytes a second
  * @param diskBytesPerSecond rate at which the store reads its disk, in bytes a second
  * @param queuedBytes bytes that wait on the link with foreground priority
@@ -15,6 +16,7 @@
 public record StoreLink(
         StoreId store,
         LinkState state,
+        double configuredBytesPerSecond,
         double bytesPerSecond,
         double diskBytesPerSecond,
         long queuedBytes,
