Follow the decisions' new inputs and add calls of plain services

Cause: routing, retention and admission now judge links by their configured and peak rates, and slots by node; plain services had no path. Change: the tables keep what the decisions ask for; ServiceApi sends a call that may not be repeated only under a claim; log events are structured.

--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -13,11 +13,7 @@
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new ClaimsBench(),
-            new LimitsBench(),
-            new MembershipBench(),
-            new RoutingBench(),
-            new StreamsBench());
+            new ClaimsBench(), new LimitsBench(), new MembershipBench(), new RoutingBench(), new StreamsBench());
 
     private Benches() {}
 
--- a/cli/src/main/java/org/cowslipbank/cli/BenchCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/BenchCommand.java
@@ -94,7 +94,8 @@
                         case NONE -> "";
                     };
             String verdict = figure.relation() == Figure.Relation.NONE ? "" : figure.held() ? "held" : "MISSED";
-            console.out().printf(Locale.ROOT, "  %-60s %14.5g  %-14s %s%n", figure.name(), figure.value(), bound, verdict);
+            console.out()
+                    .printf(Locale.ROOT, "  %-60s %14.5g  %-14s %s%n", figure.name(), figure.value(), bound, verdict);
         }
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/http/ServiceApi.java
@@ -0,0 +1,255 @@
+package org.cowslipbank.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipbank.config.Service;
+import org.cowslipbank.config.Team;
+import org.cowslipbank.config.Upstream;
+import org.cowslipbank.config.UpstreamState;
+import org.cowslipbank.decision.claims.ClaimKey;
+import org.cowslipbank.decision.claims.ClaimOutcome;
+import org.cowslipbank.decision.claims.StoredAnswer;
+import org.cowslipbank.entry.claims.ClaimService;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.traffic.ConfigurationIndex;
+import org.cowslipbank.model.AttemptId;
+import org.cowslipbank.model.CowslipbankException;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.Refusal;
+import org.cowslipbank.model.RefusedException;
+import org.cowslipbank.model.RequestId;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.Step;
+import org.cowslipbank.ports.OutsideSystems;
+import org.cowslipbank.ports.ServiceAnswer;
+import org.cowslipbank.ports.ServiceCall;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Calls of plain services. A call that may not be repeated is sent only under a claim. */
+public final class ServiceApi implements CallerApi.ServiceCalls {
+    private static final Logger LOG = LogManager.getLogger(ServiceApi.class);
+    private static final String PREFIX = "/v1/services/";
+    private static final String KEY_HEADER = "idempotency-key";
+    // The caller gets its answer even if the platform is slow to record it; recording goes on after that.
+    private static final Duration RECORD_WAIT = Duration.ofMillis(500);
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final OutsideSystems systems;
+    private final Supplier<ConfigurationIndex> configuration;
+    private final ClaimService claims;
+    private final String region;
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private final AtomicInteger turn = new AtomicInteger();
+
+    /**
+     * Creates the interface.
+     *
+     * @param systems the outside systems
+     * @param configuration gives the configuration in force
+     * @param claims the claims
+     * @param region the node's region
+     */
+    public ServiceApi(
+            OutsideSystems systems, Supplier<ConfigurationIndex> configuration, ClaimService claims, String region) {
+        this.systems = systems;
+        this.configuration = configuration;
+        this.claims = claims;
+        this.region = region;
+    }
+
+    /**
+     * Returns the number of calls in progress, those included whose caller has gone.
+     *
+     * @return the number
+     */
+    public int inProgress() {
+        return inProgress.get();
+    }
+
+    @Override
+    public Mono<Void> call(Team team, HttpServerRequest request, byte[] body, HttpServerResponse response) {
+        return Mono.defer(() -> {
+                    try {
+                        return run(team, request, body);
+                    } catch (RefusedException e) {
+                        return Mono.error(e);
+                    }
+                })
+                .flatMap(answer -> response.status(answer.httpStatus())
+                        .header("content-type", answer.contentType())
+                        .sendByteArray(Mono.just(answer.body()))
+                        .then());
+    }
+
+    private Mono<ServiceAnswer> run(Team team, HttpServerRequest request, byte[] body) throws RefusedException {
+        String[] parts = request.uri().substring(PREFIX.length()).split("(?=[/?])", 2);
+        Service service = service(team, parts[0]);
+        String path = parts.length == 1 ? "/" : parts[1];
+        String method = request.method().name();
+        String contentType = request.requestHeaders().get("content-type", "application/octet-stream");
+        ServiceCall call =
+                new ServiceCall(new AttemptId("svc-" + UUID.randomUUID()), team.id(), method, path, contentType, body);
+        if (service.repeatableMethods().contains(method)) {
+            return counted(send(instances(service), call, true));
+        }
+        ClaimKey key = claimKey(team, request.requestHeaders().get(KEY_HEADER));
+        return counted(
+                claims.claim(key, fingerprint(service, call)).flatMap(outcome -> claimed(outcome, key, service, call)));
+    }
+
+    private Service service(Team team, String name) throws RefusedException {
+        Optional<Service> service = configuration.get().service(name).filter(known -> team.services()
+                .contains(known.name()));
+        return service.orElseThrow(() -> new RefusedException(
+                Step.PARSE,
+                Refusal.invalid(
+                        404,
+                        "service_not_found",
+                        "the service '" + name + "' does not exist or the team may not call it")));
+    }
+
+    private ClaimKey claimKey(Team team, String header) throws RefusedException {
+        if (!team.homeRegion().equals(region)) {
+            String message = "calls that may not be repeated are served in the team's home region " + team.homeRegion();
+            throw new RefusedException(Step.CLAIM, Refusal.invalid(421, "wrong_region", message));
+        }
+        Optional<ClaimKey> key = header == null ? Optional.empty() : ClaimKey.parse(team.id(), header);
+        String message = "the call may not be repeated and needs the header Idempotency-Key: <window>.<own part>, with"
+                + " the window from GET /v1/entries, now " + claims.currentWindow();
+        return key.orElseThrow(
+                () -> new RefusedException(Step.CLAIM, Refusal.invalid(400, "idempotency_key_required", message)));
+    }
+
+    // Once a claim is granted the call is carried to its end, even if the caller goes away.
+    private <T> Mono<T> counted(Mono<T> call) {
+        Mono<T> detached = Mono.defer(() -> {
+                    inProgress.incrementAndGet();
+                    return call;
+                })
+                .doFinally(signal -> inProgress.decrementAndGet())
+                .cache();
+        detached.subscribe(done -> {}, error -> {});
+        return detached;
+    }
+
+    private Mono<ServiceAnswer> claimed(ClaimOutcome outcome, ClaimKey key, Service service, ServiceCall call) {
+        return switch (outcome.kind()) {
+            case GRANTED -> runGranted(key, service, call);
+            case FINISHED -> stored(outcome.answer());
+            case MISMATCH -> refused(
+                    Refusal.invalid(409, "idempotency_key_reused", "the key was used before with another request"));
+            case REFUSED -> refused(
+                    Refusal.later(503, "claims_unavailable", "the call cannot be recorded now", RETRY_AFTER_MILLIS));
+            case EXPIRED -> refused(unknown(409, "idempotency_key_expired", "the key's window has passed", 0));
+            case IN_PROGRESS -> refused(
+                    unknown(409, "call_in_progress", "a call with this key is in progress", RETRY_AFTER_MILLIS));
+            default -> refused(unknown(
+                    503, "outcome_unknown", "the call may have run; its outcome is not known", RETRY_AFTER_MILLIS));
+        };
+    }
+
+    private Mono<ServiceAnswer> runGranted(ClaimKey key, Service service, ServiceCall call) {
+        return send(instances(service), call, false)
+                .flatMap(answer -> record(key, answer).thenReturn(answer))
+                .onErrorResume(error -> isNotRun(error) ? giveBack(key, error) : Mono.error(error));
+    }
+
+    private Mono<Void> record(ClaimKey key, ServiceAnswer answer) {
+        Mono<Void> recording = claims.finish(
+                        key, StoredAnswer.of(answer.httpStatus(), answer.contentType(), answer.body()))
+                .doOnError(error -> LOG.warn(LogFields.event("answer of a claimed call not recorded")
+                        .step(Step.CLAIM)
+                        .team(key.team())
+                        .error(error)))
+                .onErrorComplete()
+                .cache();
+        recording.subscribe();
+        return recording.timeout(RECORD_WAIT, Mono.empty());
+    }
+
+    private Mono<ServiceAnswer> giveBack(ClaimKey key, Throwable error) {
+        return claims.release(key).onErrorComplete().then(Mono.error(error));
+    }
+
+    private static Mono<ServiceAnswer> stored(StoredAnswer answer) {
+        if (!answer.complete()) {
+            return refused(new Refusal(
+                    409,
+                    "conflict_error",
+                    "already_run",
+                    "the call has run; its answer was too large to keep",
+                    RunState.RAN,
+                    0));
+        }
+        return Mono.just(new ServiceAnswer(answer.httpStatus(), answer.contentType(), answer.body()));
+    }
+
+    /** Sends a call; another instance is tried only if the call certainly did not run or may be repeated. */
+    private Mono<ServiceAnswer> send(List<Upstream> instances, ServiceCall call, boolean repeatable) {
+        if (instances.isEmpty()) {
+            return refused(
+                    Refusal.later(503, "no_instance", "no instance of the service takes calls", RETRY_AFTER_MILLIS));
+        }
+        return systems.service(instances.get(0).address()).call(call).onErrorResume(error -> {
+            LOG.info(LogFields.event("service call failed")
+                    .request(new RequestId(call.attempt().value()))
+                    .team(call.team())
+                    .step(Step.SERVICE_CALL)
+                    .peer(instances.get(0).address())
+                    .error(error));
+            boolean another = instances.size() > 1 && (repeatable || isNotRun(error));
+            return another ? send(instances.subList(1, instances.size()), call, repeatable) : Mono.error(error);
+        });
+    }
+
+    private List<Upstream> instances(Service service) {
+        ConfigurationIndex index = configuration.get();
+        List<Upstream> active = service.upstreams().stream()
+                .flatMap(id -> index.upstream(id).stream())
+                .filter(upstream -> upstream.state() == UpstreamState.ACTIVE)
+                .toList();
+        if (active.size() < 2) {
+            return active;
+        }
+        int first = Math.floorMod(turn.getAndIncrement(), active.size());
+        return Stream.concat(active.subList(first, active.size()).stream(), active.subList(0, first).stream())
+                .toList();
+    }
+
+    private static boolean isNotRun(Throwable error) {
+        return error instanceof PeerException && ((CowslipbankException) error).runState() == RunState.NOT_RUN;
+    }
+
+    private static Refusal unknown(int httpStatus, String code, String message, long retryAfterMillis) {
+        return new Refusal(httpStatus, "conflict_error", code, message, RunState.UNKNOWN, retryAfterMillis);
+    }
+
+    private static <T> Mono<T> refused(Refusal refusal) {
+        return Mono.error(new RefusedException(Step.CLAIM, refusal));
+    }
+
+    private static String fingerprint(Service service, ServiceCall call) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update((service.name() + "\n" + call.method() + "\n" + call.path() + "\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(call.body()));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is required of every Java platform", e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log events with the fields that all log lines share. */
+package org.cowslipbank.entry.log;
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -24,6 +25,7 @@
 import org.cowslipbank.entry.traffic.UpstreamTable;
 import org.cowslipbank.model.PromptChain;
 import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
 import org.cowslipbank.ports.OutsideSystems;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -122,8 +124,13 @@
         }
 
         @Override
-        public int liveNodes() {
-            return 1;
+        public VmId self() {
+            return new VmId("self");
+        }
+
+        @Override
+        public List<VmId> nodes() {
+            return List.of(self());
         }
 
         @Override
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
@@ -40,9 +40,10 @@
         teamSubsetSize = Math.max(1, nodes);
     }
 
-    synchronized void setCapacity(String model, List<Capacity.UpstreamLoad> loads, int nodes) {
+    synchronized void setCapacity(String model, List<Capacity.UpstreamLoad> loads, int nodes, int ownSlots) {
         Group group = group(model);
-        Capacity.Outcome capacity = Capacity.derive(new Capacity.Input(loads, nodes, group.admission.inFlight()));
+        Capacity.Outcome capacity =
+                Capacity.derive(new Capacity.Input(loads, nodes, ownSlots, group.admission.inFlight()));
         apply(group, group.admission.capacity(capacity.inFlightLimit(), clock.nowMillis()));
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
@@ -2,25 +2,22 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cowslipbank.config.StoreVm;
 import org.cowslipbank.decision.retention.ExportInput;
 import org.cowslipbank.decision.retention.ExportOutcome;
-import org.cowslipbank.decision.retention.GapHistogram;
 import org.cowslipbank.decision.retention.RetentionDecision;
 import org.cowslipbank.decision.retention.RetentionPolicy;
 import org.cowslipbank.decision.retention.TierSpace;
+import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.BlockIdentity;
 import org.cowslipbank.model.BlockRef;
-import org.cowslipbank.model.StoreId;
-import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.Step;
 import org.cowslipbank.ports.StoreStatus;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -29,7 +26,6 @@
 final class BlockExporter {
     private static final Logger LOG = LogManager.getLogger(BlockExporter.class);
     private static final long HORIZON_MILLIS = 24L * 60 * 60 * 1_000;
-    private static final long MEMORY_HORIZON_MILLIS = 60L * 60 * 1_000;
     private static final double EXPORT_LIMIT_SHARE = 0.95;
     private static final double EVICT_TARGET_SHARE = 0.9;
     private static final double MAX_EXPORT_DELAY_MILLIS = 30_000;
@@ -38,8 +34,7 @@
 
     private final TrafficContext context;
     private final BlockLocator locator;
-    private final Map<TeamId, GapHistogram> histories = new ConcurrentHashMap<>();
-    private final Map<StoreId, StoreStatus> statuses = new ConcurrentHashMap<>();
+    private final SessionGaps gaps = new SessionGaps();
     private volatile long blockBytes = FIRST_BLOCK_BYTES_ESTIMATE;
 
     BlockExporter(TrafficContext context, BlockLocator locator) {
@@ -47,6 +42,11 @@
         this.locator = locator;
     }
 
+    /** Notes that a session has sent a prompt. */
+    void began(PromptRequest request) {
+        gaps.began(request, context.clock().nowMillis());
+    }
+
     /**
      * Exports the blocks of a finished run that the store does not hold.
      *
@@ -55,7 +55,7 @@
      * @param placed where it ran
      */
     void export(PromptRequest request, AttemptId attempt, Placed placed) {
-        histories.merge(request.team().id(), GapHistogram.empty().withRun(), (old, first) -> old.withRun());
+        gaps.ended(request, context.clock().nowMillis());
         List<BlockIdentity> missing = missing(placed);
         Optional<StoreVm> store = missing.isEmpty() ? Optional.empty() : locator.storeFor(placed.chain());
         if (store.isEmpty()) {
@@ -66,7 +66,11 @@
                 .doOnNext(this::exported)
                 .subscribe(
                         ref -> {},
-                        error -> LOG.info("step=EXPORT peer={} {}", store.get().address(), error.toString()));
+                        error -> LOG.info(LogFields.event("export failed")
+                                .request(request.id())
+                                .step(Step.EXPORT)
+                                .peer(store.get().address())
+                                .error(error)));
     }
 
     private Flux<BlockRef> exportTo(
@@ -92,20 +96,21 @@
                 .map(load -> tokensPerBlock() * MILLIS_PER_SECOND / load.prefillTokensPerSecond())
                 .orElse(0.0);
         double transferMillis =
-                blockBytes * MILLIS_PER_SECOND / context.stores().bytesPerSecond(store);
+                blockBytes * MILLIS_PER_SECOND / context.stores().peakBytesPerSecond(store);
+        double linkUseMillis = blockBytes * MILLIS_PER_SECOND / store.linkBytesPerSecond();
         RetentionPolicy policy = new RetentionPolicy(
                 HORIZON_MILLIS,
-                MEMORY_HORIZON_MILLIS,
                 EXPORT_LIMIT_SHARE,
                 EVICT_TARGET_SHARE,
                 context.configuration().get().configuration().weights());
         return new ExportInput(
-                histories.get(request.team().id()),
+                gaps.history(request.team().id()),
                 request.hasSession(),
                 blocks,
                 blockBytes,
                 recomputeMillis,
                 transferMillis,
+                linkUseMillis,
                 0,
                 MAX_EXPORT_DELAY_MILLIS,
                 new TierSpace(status.memoryUsedBytes(), status.memoryCapacityBytes()),
@@ -118,7 +123,7 @@
     }
 
     private Mono<StoreStatus> status(StoreVm store) {
-        return context.systems().store(store.address()).status().doOnNext(status -> statuses.put(store.id(), status));
+        return context.systems().store(store.address()).status();
     }
 
     private void exported(BlockRef ref) {
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
@@ -67,7 +67,8 @@
         private final List<BlockIdentity> verified = new ArrayList<>();
         private Disposable transfer;
         private Disposable timer;
-        private long lastBlockNanos = System.nanoTime();
+        private final long startedNanos = System.nanoTime();
+        private long lastBlockNanos = startedNanos;
         private boolean ended;
 
         Fetch(Plan plan, MonoSink<List<BlockIdentity>> sink) {
@@ -105,7 +106,7 @@
 
         private synchronized void onTransferEnd(boolean failed) {
             if (failed && !ended) {
-                stores.timedOut(plan.store(), clock.nowMillis());
+                stores.timedOut(plan.store(), nextBytes(), sinceLastMillis(), clock.nowMillis());
             }
             end();
         }
@@ -114,19 +115,18 @@
             if (ended) {
                 return;
             }
-            int left = plan.blocks().size() - verified.size();
-            BlockRef next = plan.blocks().get(verified.size());
-            double expectedMillis = next.lengthBytes() * 1_000.0 / stores.bytesPerSecond(plan.store());
-            double sinceMillis = (System.nanoTime() - lastBlockNanos) / 1e6;
+            double blockMillis = nextBytes() * 1_000.0 / stores.bytesPerSecond(plan.store());
             FetchVerdict verdict = FetchDecision.check(new FetchProgress(
-                    left,
-                    expectedMillis,
-                    sinceMillis,
+                    plan.blocks().size() - verified.size(),
+                    blocksAhead(),
+                    blockMillis,
+                    nextBytes() * 1_000.0 / plan.store().linkBytesPerSecond(),
+                    linkSilentMillis(),
                     plan.queueMillis(),
                     plan.recomputeBlockMillis(),
                     plan.weights()));
             if (verdict.linkSilent()) {
-                stores.timedOut(plan.store(), clock.nowMillis());
+                stores.timedOut(plan.store(), nextBytes(), sinceLastMillis(), clock.nowMillis());
             }
             if (verdict.recomputeRest()) {
                 end();
@@ -157,6 +157,25 @@
             sink.success(List.copyOf(verified));
         }
 
+        private long nextBytes() {
+            return plan.blocks()
+                    .get(Math.min(verified.size(), plan.blocks().size() - 1))
+                    .lengthBytes();
+        }
+
+        private int blocksAhead() {
+            return (int) (Math.max(0, stores.queuedBytes(plan.store()) - bytesLeft()) / nextBytes());
+        }
+
+        private double sinceLastMillis() {
+            return Math.max(0.01, (System.nanoTime() - lastBlockNanos) / 1e6);
+        }
+
+        private double linkSilentMillis() {
+            long since = Math.max(startedNanos, stores.lastBlockNanos(plan.store()));
+            return (System.nanoTime() - since) / 1e6;
+        }
+
         private long bytesLeft() {
             return plan.blocks().stream()
                     .skip(verified.size())
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockLocator.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockLocator.java
@@ -45,7 +45,7 @@
         StoreVm store = placed.get();
         List<BlockKey> keys = chain.stream().map(BlockIdentity::key).toList();
         return systems.store(store.address()).find(keys).timeout(FIND_TIMEOUT).onErrorResume(error -> {
-            stores.timedOut(store, clock.nowMillis());
+            stores.timedOut(store, 1, FIND_TIMEOUT.toMillis(), clock.nowMillis());
             return Mono.just(List.of());
         });
     }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/FleetView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/FleetView.java
@@ -1,8 +1,10 @@
 package org.cowslipbank.entry.traffic;
 
+import java.util.List;
 import java.util.Set;
 
 import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
 
 /** What traffic needs to know about the fleet. Implementations return immutable snapshots. */
 public interface FleetView {
@@ -22,11 +24,18 @@
     double distanceMillis(UpstreamId upstream);
 
     /**
-     * Returns the number of live nodes, this one included.
+     * Returns this node.
      *
-     * @return the number
+     * @return the VM
      */
-    int liveNodes();
+    VmId self();
+
+    /**
+     * Returns the nodes that take work, this one included.
+     *
+     * @return the VMs
+     */
+    List<VmId> nodes();
 
     /**
      * Returns the number of nodes that share one team's limits.
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
@@ -1,14 +1,18 @@
 package org.cowslipbank.entry.traffic;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.cowslipbank.config.Model;
 import org.cowslipbank.config.ModelVersion;
 import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.decision.admission.SlotShares;
 import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.scheduler.Schedulers;
@@ -106,10 +110,20 @@
         List<UpstreamId> upstreams = ConfigurationIndex.activeVersion(model)
                 .map(ModelVersion::upstreams)
                 .orElse(List.of());
-        List<Capacity.UpstreamLoad> loads = upstreams.stream()
-                .filter(id -> !context.fleet().leavingUpstreams().contains(id))
-                .flatMap(id -> context.upstreams().capacityOf(id, nowMillis).stream())
-                .toList();
-        admission.setCapacity(model.name(), loads, context.fleet().liveNodes());
+        List<VmId> nodes = context.fleet().nodes();
+        List<Capacity.UpstreamLoad> loads = new ArrayList<>();
+        int ownSlots = 0;
+        for (UpstreamId id : upstreams) {
+            Optional<Capacity.UpstreamLoad> load =
+                    context.fleet().leavingUpstreams().contains(id)
+                            ? Optional.empty()
+                            : context.upstreams().capacityOf(id, nowMillis);
+            if (load.isPresent()) {
+                loads.add(load.get());
+                ownSlots +=
+                        SlotShares.own(id, load.get().slots(), context.fleet().self(), nodes);
+            }
+        }
+        admission.setCapacity(model.name(), loads, nodes.size(), ownSlots);
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -24,6 +24,7 @@
 import org.cowslipbank.decision.streams.StreamSpec;
 import org.cowslipbank.decision.streams.StreamState;
 import org.cowslipbank.decision.streams.StreamTransition;
+import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.RefusedException;
@@ -99,6 +100,7 @@
     }
 
     private void open(FluxSink<AnswerEvent> answerSink) {
+        exporter.began(request);
         sink = answerSink;
         sink.onCancel(() -> offer(new StreamEvent.CallerGone()));
         StreamSpec spec = new StreamSpec(
@@ -171,11 +173,12 @@
         } else if (effect instanceof StreamEffect.ContinueReading) {
             reader.proceed();
         } else if (effect instanceof StreamEffect.UpstreamGivenUp givenUp) {
-            LOG.info(
-                    "request={} step=GENERATE peer={} given up, silent={}",
-                    request.id(),
-                    givenUp.upstream(),
-                    givenUp.silent());
+            LOG.info(LogFields.event("upstream given up")
+                    .request(request.id())
+                    .team(request.team().id())
+                    .step(Step.GENERATE)
+                    .peer(givenUp.upstream().value())
+                    .field("silent", givenUp.silent()));
             context.upstreams().markDown(givenUp.upstream(), context.clock().nowMillis());
         } else if (effect instanceof StreamEffect.Dropped) {
             context.metrics().droppedEvents().inc();
@@ -230,7 +233,11 @@
         NotSentReason reason =
                 error instanceof NotPlacedException notPlaced ? notPlaced.reason() : NotSentReason.NO_UPSTREAM;
         if (!(error instanceof NotPlacedException)) {
-            LOG.warn("request={} step=ROUTE {}", request.id(), error.toString());
+            LOG.warn(LogFields.event("prompt not placed")
+                    .request(request.id())
+                    .team(request.team().id())
+                    .step(Step.ROUTE)
+                    .error(error));
         }
         offer(new StreamEvent.NotSent(start.attempt(), reason, NO_UPSTREAM_WAIT_MILLIS));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
@@ -32,18 +32,31 @@
 
     void received(StoreVm store, long bytes, double elapsedMillis) {
         View view = view(store);
+        view.lastBlockNanos = System.nanoTime();
         synchronized (view) {
-            view.estimate = view.estimate.received(bytes, elapsedMillis);
+            view.estimate = view.estimate.received(bytes, elapsedMillis, System.nanoTime() / 1_000_000);
         }
     }
 
-    void timedOut(StoreVm store, long nowMillis) {
+    void timedOut(StoreVm store, long bytes, double elapsedMillis, long nowMillis) {
         View view = view(store);
         synchronized (view) {
-            view.estimate = view.estimate.timedOut(nowMillis);
+            view.estimate = view.estimate.timedOut(bytes, elapsedMillis, nowMillis);
         }
     }
 
+    double peakBytesPerSecond(StoreVm store) {
+        return view(store).estimate.peakBytesPerSecond();
+    }
+
+    long queuedBytes(StoreVm store) {
+        return Math.max(0, view(store).queuedBytes.get());
+    }
+
+    long lastBlockNanos(StoreVm store) {
+        return view(store).lastBlockNanos;
+    }
+
     void addQueued(StoreVm store, long bytes) {
         view(store).queuedBytes.addAndGet(bytes);
     }
@@ -54,6 +67,7 @@
         return new StoreLink(
                 store.id(),
                 estimate.state(nowMillis),
+                store.linkBytesPerSecond(),
                 estimate.bytesPerSecond(),
                 estimate.bytesPerSecond() * DISK_SHARE_OF_LINK,
                 Math.max(0, view.queuedBytes.get()),
@@ -67,6 +81,7 @@
     private static final class View {
         private final AtomicLong queuedBytes = new AtomicLong();
         private volatile LinkEstimate estimate;
+        private volatile long lastBlockNanos = System.nanoTime();
 
         View(LinkEstimate estimate) {
             this.estimate = estimate;
