Wire fleet, configuration and claims into the node

Cause: the decisions had no caller in a running node. Change: FleetParts, ConfigurationParts, ClaimParts and PlatformShare connect the services with the transport; admin interface, metrics, settings; a demonstration of both deployments with faults.

--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/demo/Deployment.java
@@ -0,0 +1,56 @@
+package org.cowslipbank.bench.demo;
+
+import org.cowslipbank.config.DecisionWeights;
+import org.cowslipbank.standins.EngineSize;
+import org.cowslipbank.standins.StoreSize;
+
+/**
+ * A deployment as its users describe it, scaled to one process.
+ *
+ * @param name the deployment's name
+ * @param region its region
+ * @param weights what it weighs
+ * @param engine speed and size of each engine
+ * @param store size of each store
+ * @param minPromptBytes shortest first prompt of a session in bytes
+ * @param maxPromptBytes longest first prompt of a session in bytes
+ * @param promptsPerSecond prompts sent a second
+ * @param ordersPerSecond non-repeatable calls sent a second
+ */
+public record Deployment(
+        String name,
+        String region,
+        DecisionWeights weights,
+        EngineSize engine,
+        StoreSize store,
+        int minPromptBytes,
+        int maxPromptBytes,
+        int promptsPerSecond,
+        int ordersPerSecond) {
+    private static final StoreSize FAST_STORE = new StoreSize(60_000_000, 600_000_000, 60_000_000);
+    private static final StoreSize THIN_STORE = new StoreSize(60_000_000, 600_000_000, 12_000_000);
+
+    /** Vacoas Lattice Software: time to first token counts most. */
+    public static final Deployment VACOAS = new Deployment(
+            "vacoas",
+            "mu-west",
+            new DecisionWeights(1, 0.1, 0.05),
+            new EngineSize(30_000, 10, 32, 24_000, 16, 300, 300, true),
+            FAST_STORE,
+            8_000,
+            32_000,
+            20,
+            8);
+
+    /** Confetes Serra Gaúcha: recomputed share and link use count most; the links are thin. */
+    public static final Deployment CONFETES = new Deployment(
+            "confetes",
+            "rs-sul",
+            new DecisionWeights(0.2, 1, 0.5),
+            new EngineSize(30_000, 10, 32, 24_000, 16, 400, 300, false),
+            THIN_STORE,
+            20_000,
+            60_000,
+            12,
+            6);
+}
--- a/bench/src/test/java/org/cowslipbank/bench/WholePathTest.java
+++ b/bench/src/test/java/org/cowslipbank/bench/WholePathTest.java
@@ -1,35 +1,27 @@
 package org.cowslipbank.bench;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.Map;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.cowslipbank.adapters.HttpOutsideSystems;
-import org.cowslipbank.config.Configuration;
-import org.cowslipbank.config.DecisionWeights;
-import org.cowslipbank.config.Model;
-import org.cowslipbank.config.ModelVersion;
-import org.cowslipbank.config.StoreVm;
-import org.cowslipbank.config.Team;
-import org.cowslipbank.config.TeamLimits;
-import org.cowslipbank.config.Upstream;
-import org.cowslipbank.config.UpstreamKind;
-import org.cowslipbank.config.UpstreamState;
+import org.cowslipbank.config.Configurations;
 import org.cowslipbank.entry.node.Node;
+import org.cowslipbank.entry.node.NodeSecrets;
 import org.cowslipbank.entry.settings.ListenSettings;
 import org.cowslipbank.entry.settings.NodeSettings;
-import org.cowslipbank.entry.traffic.ConfigurationIndex;
-import org.cowslipbank.model.DataCentreId;
-import org.cowslipbank.model.ModelRef;
-import org.cowslipbank.model.StoreId;
-import org.cowslipbank.model.TeamId;
-import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.standins.AnswerText;
 import org.cowslipbank.standins.EngineSize;
 import org.cowslipbank.standins.EngineStandIn;
+import org.cowslipbank.standins.StandInSet;
+import org.cowslipbank.standins.StandInSettings;
 import org.cowslipbank.standins.StoreSize;
 import org.cowslipbank.standins.StoreStandIn;
 import reactor.core.publisher.Mono;
@@ -39,35 +31,44 @@
 /** Guards against a break anywhere between a caller, a node, an engine and a store. */
 final class WholePathTest {
     private static final String KEY = "test-key";
-    private static final String KEY_SHA256 = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
-    private static final ModelRef MODEL = new ModelRef("review", "v1", "");
-    private static final DataCentreId DATA_CENTRE = new DataCentreId("mu-west-1");
+    private static final String HOST = "127.0.0.1";
+    private static final String DATA_CENTRE = "mu-west-1";
     private static final EngineSize ENGINE_SIZE = new EngineSize(4_000, 5, 16, 100_000, 16, 300, 100, true);
+    private static final StoreSize STORE_SIZE = new StoreSize(50_000_000, 500_000_000, 100_000_000);
 
-    private final ScheduledExecutorService steps = Executors.newSingleThreadScheduledExecutor();
+    private StandInSet standIns;
     private EngineStandIn engine;
     private StoreStandIn store;
     private HttpOutsideSystems systems;
     private Node node;
 
     @BeforeTry
-    void start() {
-        engine = new EngineStandIn("127.0.0.1", 0, ENGINE_SIZE, MODEL, steps);
-        store = new StoreStandIn(
-                new StoreId("store-1"), "127.0.0.1", 0, new StoreSize(50_000_000, 500_000_000, 100_000_000));
-        systems = new HttpOutsideSystems("127.0.0.1:1", "127.0.0.1:1", id -> store.address());
-        ConfigurationIndex index = new ConfigurationIndex(configuration());
-        node = new Node(settings(), systems, () -> index, new byte[] {1});
+    void start() throws Exception {
+        standIns = new StandInSet(new StandInSettings(
+                HOST,
+                0,
+                0,
+                0,
+                List.of(),
+                List.of(new StandInSettings.EngineVm("engine-1", DATA_CENTRE, 0, "review", "v1", ENGINE_SIZE)),
+                List.of(new StandInSettings.StoreVm("store-1", DATA_CENTRE, 0, STORE_SIZE)),
+                List.of()));
+        engine = standIns.engines().get("engine-1");
+        store = standIns.stores().get("store-1");
+        systems = new HttpOutsideSystems(
+                standIns.keyValue().address(), standIns.vmList().address(), id -> store.address());
+        Path configuration = Files.createTempFile("whole-path", ".json");
+        Files.writeString(configuration, configuration());
+        node = new Node(settings(configuration), systems, new NodeSecrets(new byte[16], Map.of()));
         node.start();
+        Files.delete(configuration);
     }
 
     @AfterTry
     void stop() {
         node.close();
         systems.close();
-        engine.close();
-        store.close();
-        steps.shutdownNow();
+        standIns.close();
     }
 
     @Example
@@ -106,50 +107,45 @@
                 .block();
     }
 
-    private Configuration configuration() {
-        Team team = new Team(
-                new TeamId("joinery"),
-                List.of(KEY_SHA256),
-                new TeamLimits(100, 100, 100, 1),
-                List.of("review"),
-                List.of(),
-                "mu-west");
-        Upstream upstream = new Upstream(
-                new UpstreamId("engine-1"),
-                UpstreamKind.ENGINE,
-                DATA_CENTRE,
-                engine.address(),
-                UpstreamState.ACTIVE,
-                true);
-        ModelVersion version = new ModelVersion("v1", List.of(), List.of(upstream.id()));
-        return new Configuration(
-                1,
-                List.of(team),
-                List.of(new Model("review", "v1", List.of(version))),
-                List.of(),
-                List.of(upstream),
-                List.of(new StoreVm(new StoreId("store-1"), DATA_CENTRE, store.address(), 100_000_000)),
-                new DecisionWeights(1, 0.2, 0.1));
+    private String configuration() throws Exception {
+        return Configurations.builder()
+                .engine("engine-1", DATA_CENTRE, engine.address(), true)
+                .store("store-1", DATA_CENTRE, store.address(), STORE_SIZE.linkBytesPerSecond())
+                .model("review", "v1", List.of("engine-1"))
+                .team("joinery", "mu-west", team -> team.key(Configurations.keySha256(KEY))
+                        .limits(100, 100, 100, 1)
+                        .models("review"))
+                .weights(1, 0.2, 0.1)
+                .print();
     }
 
-    private static NodeSettings settings() {
-        ListenSettings any = new ListenSettings("127.0.0.1", 0);
+    private NodeSettings settings(Path configuration) throws Exception {
+        ListenSettings any = new ListenSettings(HOST, 0);
         return new NodeSettings(
                 "entry-1",
-                "mu-west-1",
+                DATA_CENTRE,
                 "mu-west",
+                List.of(),
+                new ListenSettings(HOST, freePort()),
                 any,
-                any,
-                any,
-                null,
+                new ListenSettings(HOST, freePort()),
                 null,
+                List.of(),
                 null,
                 null,
                 0,
                 0L,
-                null,
+                Map.of(),
+                configuration.toString(),
                 null,
                 null,
                 null);
     }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(HOST, 0));
+            return socket.getLocalPort();
+        }
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface: configuration, audit trail, status, drain, health and metrics. */
+package org.cowslipbank.entry.admin;
--- a/entry/src/main/java/org/cowslipbank/entry/fleet/FleetListener.java
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetListener.java
@@ -1,7 +1,9 @@
 package org.cowslipbank.entry.fleet;
 
 import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.FleetDigest;
 import org.cowslipbank.peer.PeerAddress;
+import org.cowslipbank.peer.PeerIdentity;
 
 /** Takes notice of changes in the fleet. Called on the control thread; must not block it. */
 public interface FleetListener {
@@ -20,6 +22,14 @@
      */
     default void onRevisionBehind(long revision, PeerAddress peer) {}
 
+    /**
+     * A peer has acknowledged a probe, with the configuration revision in force there.
+     *
+     * @param peer the peer
+     * @param digest what it says about itself
+     */
+    default void onAcknowledged(PeerIdentity peer, FleetDigest digest) {}
+
     /** The node was paused: leases and snapshots count as unconfirmed. */
     default void onAuthorityLost() {}
 
--- a/entry/src/main/java/org/cowslipbank/entry/fleet/FleetService.java
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetService.java
@@ -185,6 +185,9 @@
         }
         control.schedule(() -> {
             waiting.decrementAndGet();
+            if (message instanceof PeerMessage.ProbeAck ack) {
+                tell(listener -> listener.onAcknowledged(from, ack.digest()));
+            }
             FleetMessages.toPacket(message)
                     .ifPresent(packet -> step(new FleetEvent.Received(FleetMessages.nodeAddress(from), packet)));
         });
--- a/entry/src/main/java/org/cowslipbank/entry/http/Bodies.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/Bodies.java
@@ -12,12 +12,18 @@
 import reactor.netty.http.server.HttpServerResponse;
 
 /** Reads request bodies with a limit and writes JSON answers. */
-final class Bodies {
+public final class Bodies {
     static final int MAX_BODY_BYTES = 4_000_000;
 
     private Bodies() {}
 
-    static Mono<byte[]> read(HttpServerRequest request) {
+    /**
+     * Reads a body.
+     *
+     * @param request the request
+     * @return the bytes; an error if the body is too large
+     */
+    public static Mono<byte[]> read(HttpServerRequest request) {
         return request.receive()
                 .asByteArray()
                 .reduceWith(ByteArrayOutputStream::new, Bodies::append)
@@ -41,13 +47,27 @@
         return Mono.error(new RefusedException(Step.PARSE, refusal));
     }
 
-    static Mono<Void> send(HttpServerResponse response, JsonNode body) {
+    /**
+     * Writes a JSON answer.
+     *
+     * @param response the response
+     * @param body the answer
+     * @return completes when it is written
+     */
+    public static Mono<Void> send(HttpServerResponse response, JsonNode body) {
         return response.header("content-type", "application/json")
                 .sendByteArray(Mono.just(body.toString().getBytes(StandardCharsets.UTF_8)))
                 .then();
     }
 
-    static Mono<Void> sendFailure(HttpServerResponse response, Throwable error) {
+    /**
+     * Writes an error in the one shape that callers and operators see.
+     *
+     * @param response the response
+     * @param error the error
+     * @return completes when it is written
+     */
+    public static Mono<Void> sendFailure(HttpServerResponse response, Throwable error) {
         Refusal refusal = ErrorBody.refusalOf(error);
         response.status(refusal.httpStatus());
         if (refusal.retryAfterMillis() > 0) {
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/node/ConfigurationParts.java
@@ -0,0 +1,285 @@
+package org.cowslipbank.entry.node;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cowslipbank.config.Configuration;
+import org.cowslipbank.config.ConfigurationEdit;
+import org.cowslipbank.config.ConfigurationParser;
+import org.cowslipbank.decision.configuration.ChangeOrder;
+import org.cowslipbank.decision.membership.FleetNode;
+import org.cowslipbank.entry.configuration.ChangeOutcome;
+import org.cowslipbank.entry.configuration.ChangeRequest;
+import org.cowslipbank.entry.configuration.ConfigurationNode;
+import org.cowslipbank.entry.configuration.ConfigurationService;
+import org.cowslipbank.entry.configuration.PeerReport;
+import org.cowslipbank.entry.fleet.FleetListener;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.settings.NodeSettings;
+import org.cowslipbank.entry.traffic.ConfigurationIndex;
+import org.cowslipbank.model.ConfigurationException;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.Step;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.FleetDigest;
+import org.cowslipbank.peer.PeerAddress;
+import org.cowslipbank.peer.PeerIdentity;
+import org.cowslipbank.peer.RequestKind;
+import org.cowslipbank.ports.KeyValueStore;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/** Connects the configuration of a node with the fleet and gives traffic threads an index of it. */
+final class ConfigurationParts implements FleetListener {
+    private static final Logger LOG = LogManager.getLogger(ConfigurationParts.class);
+    private static final ObjectMapper MAPPER = new MessagePackMapper();
+    private static final TypeReference<Map<String, byte[]>> VALUES = new TypeReference<>() {};
+    private static final TypeReference<List<String>> NAMES = new TypeReference<>() {};
+    private static final long FETCH_TIMEOUT_MILLIS = 1_000;
+    private static final long REPORT_TIMEOUT_MILLIS = 500;
+    private static final Duration REPORT_PERIOD = Duration.ofMillis(200);
+    private static final Duration REVISION_PERIOD = Duration.ofMillis(500);
+    private static final Duration FIRST_CONFIGURATION = Duration.ofSeconds(10);
+    private static final long FIRST_CHECK_MILLIS = 50;
+    // An acknowledgement that arrives now answers a probe that was sent at most this long ago.
+    private static final long LONGEST_PROBE_MILLIS = 1_000;
+
+    private final NodeSettings settings;
+    private final FleetParts fleet;
+    private final Scheduler scheduler;
+    private final ConfigurationService service;
+    private volatile ConfigurationIndex index;
+    private Disposable telling = () -> {};
+
+    ConfigurationParts(
+            NodeSettings settings, FleetParts fleet, KeyValueStore store, KeyValueStore cleanUp, Scheduler scheduler) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.scheduler = scheduler;
+        VmId self = new VmId(settings.vm());
+        this.service = new ConfigurationService(
+                new ConfigurationNode(
+                        self,
+                        new DataCentreId(settings.dataCentre()),
+                        seedDataCentres(settings),
+                        ConfigurationNode.BOUND_TODAY_MILLIS),
+                store,
+                cleanUp,
+                this::fetch,
+                scheduler,
+                settings.vm().hashCode() ^ System.nanoTime());
+        this.index = new ConfigurationIndex(service.current());
+        fleet.service().addListener(this);
+        fleet.transport().onRequest(RequestKind.CONFIGURATION_SHARD, (from, body) -> serveValues(body));
+        fleet.transport()
+                .onRequest(
+                        RequestKind.CONFIGURATION_ROOT,
+                        (from, body) -> Mono.fromSupplier(() -> write(Report.of(service.report()))));
+    }
+
+    ConfigurationService service() {
+        return service;
+    }
+
+    /** Returns the configuration in force, indexed. Any thread may call this. */
+    ConfigurationIndex index() {
+        Configuration current = service.current();
+        ConfigurationIndex known = index;
+        if (known.configuration() != current) {
+            known = new ConfigurationIndex(current);
+            index = known;
+        }
+        return known;
+    }
+
+    boolean mayServe() {
+        return service.mayServe(scheduler.now(TimeUnit.MILLISECONDS));
+    }
+
+    String servingState() {
+        return service.serving(scheduler.now(TimeUnit.MILLISECONDS)).name();
+    }
+
+    /** Starts and waits a while for a first configuration; a node without one answers look-ups only. */
+    void start() throws ConfigurationException {
+        service.start();
+        telling = Flux.interval(REVISION_PERIOD, scheduler).subscribe(tick -> tellRevision());
+        waitForRevision();
+        if (settings.configurationFile() != null && service.current().revision() == 0) {
+            applyFirst(Path.of(settings.configurationFile()));
+        }
+    }
+
+    void stop() {
+        telling.dispose();
+        service.close();
+    }
+
+    /** Makes a change. While it runs, one node of each other data centre is asked for its revision. */
+    Mono<ChangeOutcome> change(ChangeRequest request) {
+        return Mono.defer(() -> {
+            Disposable asking = Flux.interval(REPORT_PERIOD, scheduler)
+                    .subscribe(tick -> askDataCentres().subscribe());
+            return askDataCentres().then(service.change(request)).doFinally(signal -> asking.dispose());
+        });
+    }
+
+    @Override
+    public void onAcknowledged(PeerIdentity peer, FleetDigest digest) {
+        long askedMillis = scheduler.now(TimeUnit.MILLISECONDS) - LONGEST_PROBE_MILLIS;
+        service.heard(
+                new PeerReport(peer.vm(), peer.dataCentre(), digest.revision(), digest.confirmedAgeMillis()),
+                askedMillis);
+    }
+
+    @Override
+    public void onRevisionBehind(long revision, PeerAddress peer) {
+        service.hinted(new PeerReport(peer.vm(), new DataCentreId(settings.dataCentre()), revision, -1));
+    }
+
+    private static Set<DataCentreId> seedDataCentres(NodeSettings settings) {
+        Set<DataCentreId> dataCentres = new HashSet<>();
+        settings.seeds().forEach(seed -> dataCentres.add(new DataCentreId(seed.dataCentre())));
+        dataCentres.add(new DataCentreId(settings.dataCentre()));
+        return dataCentres;
+    }
+
+    private void tellRevision() {
+        PeerReport report = service.report();
+        long confirmedAtMillis =
+                report.confirmedAgeMillis() < 0 ? -1 : fleet.service().nowMillis() - report.confirmedAgeMillis();
+        fleet.service().revisionInForce(report.revision(), confirmedAtMillis);
+    }
+
+    private Mono<Void> askDataCentres() {
+        List<FleetNode> nodes =
+                new ArrayList<>(fleet.service().snapshot().view().nodes());
+        Collections.shuffle(nodes);
+        Set<DataCentreId> asked = new HashSet<>(Set.of(new DataCentreId(settings.dataCentre())));
+        return Flux.fromIterable(nodes)
+                .filter(node -> asked.add(node.node().dataCentre()))
+                .flatMap(node ->
+                        askReport(new PeerAddress(node.node().vm(), node.node().address())))
+                .then();
+    }
+
+    private Mono<Void> askReport(PeerAddress peer) {
+        return Mono.defer(() -> {
+                    long askedMillis = scheduler.now(TimeUnit.MILLISECONDS);
+                    return fleet.transport()
+                            .request(peer, RequestKind.CONFIGURATION_ROOT, new byte[0], REPORT_TIMEOUT_MILLIS)
+                            .doOnNext(bytes -> heard(bytes, askedMillis));
+                })
+                .onErrorComplete()
+                .then();
+    }
+
+    private void heard(byte[] bytes, long askedMillis) {
+        try {
+            service.heard(MAPPER.readValue(bytes, Report.class).toReport(), askedMillis);
+        } catch (IOException e) {
+            LOG.warn(LogFields.event("unreadable revision report")
+                    .step(Step.PEER)
+                    .error(e));
+        }
+    }
+
+    private Mono<Map<String, byte[]>> fetch(VmId peer, List<String> keys) {
+        Optional<PeerAddress> address = fleet.addressOf(peer);
+        if (address.isEmpty()) {
+            return Mono.just(Map.of());
+        }
+        return fleet.transport()
+                .request(address.get(), RequestKind.CONFIGURATION_SHARD, write(keys), FETCH_TIMEOUT_MILLIS)
+                .flatMap(bytes -> read(bytes, VALUES));
+    }
+
+    private Mono<byte[]> serveValues(byte[] body) {
+        return read(body, NAMES).flatMap(service::values).map(ConfigurationParts::write);
+    }
+
+    private void waitForRevision() {
+        long untilNanos = System.nanoTime() + FIRST_CONFIGURATION.toNanos();
+        while (!mayServe() && System.nanoTime() < untilNanos) {
+            sleep();
+        }
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(FIRST_CHECK_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void applyFirst(Path file) throws ConfigurationException {
+        Configuration first;
+        try {
+            first = ConfigurationParser.parse(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            throw new ConfigurationException(file.toString(), 0, "$", "the file cannot be read: " + e.getMessage());
+        }
+        // Several nodes may start with the same file; the first one wins and the others find revision 1.
+        ChangeOrder order = new ChangeOrder(
+                "first-" + settings.vm(),
+                settings.vm(),
+                "first configuration from the settings",
+                System.currentTimeMillis(),
+                seedDataCentres(settings).stream().map(DataCentreId::value).toList());
+        ChangeOutcome outcome = service.change(new ChangeRequest(order, 0, ConfigurationEdit.replace(first)))
+                .block(FIRST_CONFIGURATION);
+        LOG.info(LogFields.event("first configuration")
+                .step(Step.CONFIGURE)
+                .field("outcome", outcome == null ? "none" : outcome.kind()));
+        waitForRevision();
+    }
+
+    private static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot encode a configuration message", e);
+        }
+    }
+
+    private static <T> Mono<T> read(byte[] bytes, TypeReference<T> type) {
+        try {
+            return Mono.just(MAPPER.readValue(bytes, type));
+        } catch (IOException e) {
+            return Mono.error(
+                    new PeerException(Step.CONFIGURE, "", RunState.NOT_RUN, "unreadable message of a peer", e));
+        }
+    }
+
+    /** A report on the wire. */
+    private record Report(String vm, String dataCentre, long revision, long confirmedAgeMillis) {
+        static Report of(PeerReport report) {
+            return new Report(
+                    report.node().value(), report.dataCentre().value(), report.revision(), report.confirmedAgeMillis());
+        }
+
+        PeerReport toReport() {
+            return new PeerReport(new VmId(vm), new DataCentreId(dataCentre), revision, confirmedAgeMillis);
+        }
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -2,19 +2,30 @@
 
 import java.time.Clock;
 import java.time.Duration;
-import java.util.List;
-import java.util.Set;
-import java.util.function.Supplier;
+import java.util.Optional;
+import java.util.function.Consumer;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cowslipbank.config.Team;
+import org.cowslipbank.config.Upstream;
+import org.cowslipbank.decision.claims.PlatformBudget;
+import org.cowslipbank.decision.entries.EntryAnswer;
+import org.cowslipbank.entry.admin.AdminApi;
+import org.cowslipbank.entry.admin.NodeControl;
+import org.cowslipbank.entry.claims.BudgetedKeyValueStore;
+import org.cowslipbank.entry.claims.ClaimService;
 import org.cowslipbank.entry.http.CallerApi;
+import org.cowslipbank.entry.http.ServiceApi;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.settings.ListenSettings;
 import org.cowslipbank.entry.settings.NodeSettings;
-import org.cowslipbank.entry.traffic.ConfigurationIndex;
+import org.cowslipbank.entry.settings.TlsSettings;
 import org.cowslipbank.entry.traffic.DecisionRecorder;
-import org.cowslipbank.entry.traffic.FleetView;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.entry.traffic.PromptRunner;
 import org.cowslipbank.entry.traffic.StoreTable;
@@ -23,70 +34,111 @@
 import org.cowslipbank.entry.traffic.TrafficMetrics;
 import org.cowslipbank.entry.traffic.TrafficSettings;
 import org.cowslipbank.entry.traffic.UpstreamTable;
+import org.cowslipbank.model.ConfigurationException;
+import org.cowslipbank.model.DataCentreId;
 import org.cowslipbank.model.PromptChain;
+import org.cowslipbank.model.Refusal;
+import org.cowslipbank.model.RefusedException;
+import org.cowslipbank.model.Step;
 import org.cowslipbank.model.UpstreamId;
-import org.cowslipbank.model.VmId;
 import org.cowslipbank.ports.OutsideSystems;
-import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRoutes;
 
 /** A node of the system, as a library. */
-public final class Node implements AutoCloseable {
+public final class Node implements NodeControl, AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(Node.class);
+    private static final Duration STOP_WAIT = Duration.ofSeconds(2);
+    private static final long DRAIN_CHECK_MILLIS = 50;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
     private final NodeSettings settings;
-    private final Supplier<ConfigurationIndex> configuration;
     private final MetricRegistry metrics = new MetricRegistry();
+    private final Scheduler control = Schedulers.newSingle("control", true);
+    private final PlatformShare platformShare;
+    private final FleetParts fleet;
+    private final ConfigurationParts configuration;
+    private final ClaimService claims;
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final StoreTable stores = new StoreTable();
     private final PromptRunner prompts;
     private final LoadPoller loads;
-    private DisposableServer callers;
+    private final ServiceApi services;
+    private final AdminApi admin;
+    private final NodeStatus status;
+    private DisposableServer callerServer;
+    private DisposableServer adminServer;
+    private volatile boolean draining;
+    private volatile boolean refusing;
 
     /**
      * Puts a node together; nothing is started yet.
      *
-     * @param settings the settings
+     * @param settings the settings; the ports of callers and peers must be set
      * @param systems the outside systems
-     * @param configuration gives the configuration in force
-     * @param fleetSecret the fleet's secret
+     * @param secrets the secrets
+     * @throws ConfigurationException if settings or secrets cannot be used
      */
-    public Node(
-            NodeSettings settings,
-            OutsideSystems systems,
-            Supplier<ConfigurationIndex> configuration,
-            byte[] fleetSecret) {
+    public Node(NodeSettings settings, OutsideSystems systems, NodeSecrets secrets) throws ConfigurationException {
         this.settings = settings;
-        this.configuration = configuration;
-        UpstreamTable upstreams = new UpstreamTable();
+        this.fleet = new FleetParts(settings, secrets, systems.vmList(), this::dataCentreOf);
+        this.platformShare = new PlatformShare(systems.keyValueStore(), control, fleet);
+        this.configuration = new ConfigurationParts(
+                settings,
+                fleet,
+                platformShare.at(PlatformBudget.Priority.CONFIGURATION),
+                platformShare.at(PlatformBudget.Priority.AUDIT),
+                control);
+        BudgetedKeyValueStore claimStore = platformShare.at(PlatformBudget.Priority.CLAIMS);
+        this.claims = new ClaimParts(settings, fleet, claimStore, control).service();
         int pieceBytes = settings.pieceBytes() == 0 ? PromptChain.DEFAULT_PIECE_BYTES : settings.pieceBytes();
         this.prompts = new PromptRunner(new TrafficContext(
                 systems,
-                configuration,
-                new SingleNodeView(),
+                configuration::index,
+                fleet,
                 upstreams,
-                new StoreTable(),
-                new TeamSecrets(fleetSecret),
+                stores,
+                new TeamSecrets(secrets.fleetSecret()),
                 new TrafficSettings(pieceBytes, settings.engineCacheMillis()),
                 MonotonicClock.SYSTEM,
                 DecisionRecorder.NONE,
                 new TrafficMetrics(metrics)));
-        this.loads = new LoadPoller(systems, configuration, upstreams);
+        this.loads = new LoadPoller(systems, configuration::index, upstreams);
+        this.services = new ServiceApi(systems, configuration::index, claims, settings.region());
+        this.status = new NodeStatus(fleet, configuration, upstreams, stores, metrics);
+        this.admin = new AdminApi(
+                configuration.service(),
+                configuration::change,
+                secrets.operatorsByKeySha256(),
+                this,
+                metrics,
+                Clock.systemUTC());
+        registerGauges();
     }
 
-    /** Starts the node. */
-    public void start() {
+    /**
+     * Starts the node: first its place in the fleet, then configuration and claims, last the listeners.
+     *
+     * @throws ConfigurationException if the first configuration is wrong
+     */
+    public void start() throws ConfigurationException {
+        fleet.start();
+        platformShare.start();
+        configuration.start();
+        claims.start();
         loads.start();
         prompts.start();
-        CallerApi api = new CallerApi(
-                configuration,
-                prompts::run,
-                this::entries,
-                (team, request, body, response) -> Mono.empty(),
-                () -> {},
-                Clock.systemUTC());
-        callers = HttpServer.create()
-                .host(settings.callers().host())
-                .port(settings.callers().port())
-                .route(api::addRoutes)
-                .bindNow();
+        CallerApi callers = new CallerApi(
+                configuration::index, prompts::run, this::entries, services, this::checkAccepts, Clock.systemUTC());
+        callerServer = listen(settings.callers(), callers::addRoutes);
+        adminServer = listen(settings.admin(), admin::addRoutes);
+        LOG.info(LogFields.event("node started")
+                .field("vm", settings.vm())
+                .field("callers", callerAddress())
+                .field("admin", adminAddress()));
     }
 
     /**
@@ -95,47 +147,134 @@
      * @return the address as {@code IP:port}
      */
     public String callerAddress() {
-        return callers.host() + ":" + callers.port();
+        return callerServer.host() + ":" + callerServer.port();
+    }
+
+    /**
+     * Returns the address of the operators' listener.
+     *
+     * @return the address as {@code IP:port}
+     */
+    public String adminAddress() {
+        return adminServer.host() + ":" + adminServer.port();
+    }
+
+    /**
+     * Returns the configuration revision in force here.
+     *
+     * @return the revision
+     */
+    public long revision() {
+        return configuration.index().configuration().revision();
+    }
+
+    @Override
+    public boolean isReady() {
+        return !draining && configuration.mayServe();
+    }
+
+    @Override
+    public ObjectNode status() {
+        return status.describe(settings.vm(), isReady(), draining, inProgress());
+    }
+
+    @Override
+    public long drain() {
+        draining = true;
+        long serveMillis = fleet.drain();
+        LOG.info(LogFields.event("drain started").field("servesForMillis", serveMillis));
+        return serveMillis;
+    }
+
+    /**
+     * Shuts down without cutting a request: leaves the look-up answers, serves as long as callers may hold an answer
+     * that names this node, waits for the requests in progress, then stops.
+     *
+     * @param patience longest wait for requests in progress after the node has stopped taking new ones
+     * @return true if no request was cut
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public boolean shutDown(Duration patience) throws InterruptedException {
+        Thread.sleep(drain());
+        refusing = true;
+        long untilNanos = System.nanoTime() + patience.toNanos();
+        while (inProgress() > 0 && System.nanoTime() < untilNanos) {
+            Thread.sleep(DRAIN_CHECK_MILLIS);
+        }
+        boolean idle = inProgress() == 0;
+        close();
+        return idle;
     }
 
+    /** Stops at once; requests in progress are cut. */
     @Override
     public void close() {
-        callers.disposeNow(Duration.ofSeconds(1));
+        dispose(callerServer);
+        dispose(adminServer);
         prompts.stop();
         loads.stop();
+        claims.close();
+        configuration.stop();
+        platformShare.stop();
+        fleet.stop();
+        control.dispose();
     }
 
-    private ObjectNode entries(Team team, String sessionKey) {
-        ObjectNode body = JsonNodeFactory.instance.objectNode();
-        body.putArray("entries").addObject().put("vm", settings.vm()).put("address", callerAddress());
-        body.put("valid_seconds", 10);
-        return body;
+    private int inProgress() {
+        return prompts.inProgress() + services.inProgress();
     }
 
-    private static final class SingleNodeView implements FleetView {
-        @Override
-        public Set<UpstreamId> leavingUpstreams() {
-            return Set.of();
-        }
+    private Optional<DataCentreId> dataCentreOf(UpstreamId id) {
+        return configuration.index().upstream(id).map(Upstream::dataCentre);
+    }
 
-        @Override
-        public double distanceMillis(UpstreamId upstream) {
-            return 0;
+    private void checkAccepts() throws RefusedException {
+        if (refusing) {
+            throw refused("node_leaving", "the node is shutting down; look up the addresses again");
         }
-
-        @Override
-        public VmId self() {
-            return new VmId("self");
+        if (!configuration.mayServe()) {
+            throw refused("configuration_unconfirmed", "the node cannot confirm its configuration; use another node");
         }
+    }
 
-        @Override
-        public List<VmId> nodes() {
-            return List.of(self());
-        }
+    private static RefusedException refused(String code, String message) {
+        return new RefusedException(Step.ADMIT, Refusal.later(503, code, message, RETRY_AFTER_MILLIS));
+    }
+
+    private ObjectNode entries(Team team, String sessionKey) {
+        EntryAnswer answer = fleet.entries(team.id(), sessionKey);
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        answer.nodes().forEach(node -> body.withArray("entries")
+                .addObject()
+                .put("vm", node.vm().value())
+                .put("data_centre", node.dataCentre().value())
+                .put("address", node.callerAddress()));
+        body.put("valid_millis", answer.validMillis());
+        body.put("window", claims.currentWindow());
+        return body;
+    }
+
+    private DisposableServer listen(ListenSettings listen, Consumer<HttpServerRoutes> routes)
+            throws ConfigurationException {
+        HttpServer server =
+                HttpServer.create().host(listen.host()).port(listen.port()).route(routes);
+        TlsSettings tls = settings.tls();
+        return (tls == null ? server : ServerTls.secure(server, tls)).bindNow();
+    }
 
-        @Override
-        public int teamSubsetSize() {
-            return 1;
+    private static void dispose(DisposableServer server) {
+        if (server != null) {
+            server.disposeNow(STOP_WAIT);
         }
     }
+
+    private void registerGauges() {
+        metrics.register("fleet.nodes", (Gauge<Integer>) () -> fleet.nodes().size());
+        metrics.register("fleet.confirmed", (Gauge<Integer>)
+                () -> fleet.service().snapshot().isConfirmed(fleet.service().nowMillis()) ? 1 : 0);
+        metrics.register("configuration.revision", (Gauge<Long>)
+                () -> configuration.index().configuration().revision());
+        metrics.register("configuration.confirmed", (Gauge<Integer>) () -> configuration.mayServe() ? 1 : 0);
+        metrics.register("traffic.inProgress", (Gauge<Integer>) this::inProgress);
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/node/PlatformShare.java
@@ -0,0 +1,59 @@
+package org.cowslipbank.entry.node;
+
+import java.time.Duration;
+
+import org.cowslipbank.decision.claims.ClaimSettings;
+import org.cowslipbank.decision.claims.PlatformBudget;
+import org.cowslipbank.entry.claims.BudgetedKeyValueStore;
+import org.cowslipbank.ports.KeyValueStore;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.scheduler.Scheduler;
+
+/** This node's share of the platform's call rates. It shrinks as the fleet grows. */
+final class PlatformShare {
+    private static final double FLEET_READS_PER_SECOND = 1_600;
+    private static final double FLEET_WRITES_PER_SECOND = 100;
+    // Owners of claim partitions need more writes than other nodes: a create and a delete for each batch.
+    private static final double PARTITION_WRITES_PER_SECOND = 70 * ClaimSettings.DEFAULT.partitions();
+    private static final double MIN_READS_PER_SECOND = 5;
+    private static final Duration RESIZE_PERIOD = Duration.ofSeconds(5);
+
+    private final KeyValueStore store;
+    private final Scheduler scheduler;
+    private final FleetParts fleet;
+    private final BudgetedKeyValueStore.Budgets budgets;
+    private int nodes = 1;
+    private Disposable resizing = () -> {};
+
+    PlatformShare(KeyValueStore store, Scheduler scheduler, FleetParts fleet) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.fleet = fleet;
+        this.budgets = new BudgetedKeyValueStore.Budgets(
+                scheduler, FLEET_READS_PER_SECOND, FLEET_WRITES_PER_SECOND + PARTITION_WRITES_PER_SECOND);
+    }
+
+    BudgetedKeyValueStore at(PlatformBudget.Priority priority) {
+        return new BudgetedKeyValueStore(store, budgets, priority);
+    }
+
+    void start() {
+        resizing = Flux.interval(RESIZE_PERIOD, scheduler).subscribe(tick -> resize());
+    }
+
+    void stop() {
+        resizing.dispose();
+    }
+
+    private void resize() {
+        int current = Math.max(1, fleet.nodes().size());
+        if (current == nodes) {
+            return;
+        }
+        nodes = current;
+        budgets.resize(
+                Math.max(MIN_READS_PER_SECOND, FLEET_READS_PER_SECOND / nodes),
+                FLEET_WRITES_PER_SECOND / nodes + PARTITION_WRITES_PER_SECOND);
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/settings/NodeSettings.java
+++ b/entry/src/main/java/org/cowslipbank/entry/settings/NodeSettings.java
@@ -9,6 +9,7 @@
  * @param vm name of the VM, unique in the fleet
  * @param dataCentre its data centre
  * @param region its region
+ * @param regionDataCentres data centres of the region, empty if all nodes are in one region
  * @param callers listener for callers
  * @param admin listener for operators, health checks and metrics
  * @param peers listener for other nodes
@@ -22,12 +23,14 @@
  * @param distancesMillis one-way distance to other data centres in milliseconds
  * @param configurationFile configuration to start with where the platform holds none, or null
  * @param traceFile file to which decisions are recorded, or null
+ * @param entriesValidMillis how long a caller may keep an address look-up, in milliseconds; null for the default
  * @param tls TLS of the listeners, or null for none
  */
 public record NodeSettings(
         String vm,
         String dataCentre,
         String region,
+        List<String> regionDataCentres,
         ListenSettings callers,
         ListenSettings admin,
         ListenSettings peers,
@@ -40,13 +43,17 @@
         Map<String, Double> distancesMillis,
         String configurationFile,
         String traceFile,
+        Long entriesValidMillis,
         TlsSettings tls) {
     // Engines evict blocks of sessions that pause for longer, so an older hint is more often wrong than right.
+    private static final long DEFAULT_ENTRIES_VALID_MILLIS = 10_000;
     private static final long DEFAULT_ENGINE_CACHE_MILLIS = 10_000;
 
     /** Copies the collections; absent ones become empty. */
     public NodeSettings {
+        regionDataCentres = regionDataCentres == null ? List.of() : List.copyOf(regionDataCentres);
         seeds = seeds == null ? List.of() : List.copyOf(seeds);
+        entriesValidMillis = entriesValidMillis == null ? DEFAULT_ENTRIES_VALID_MILLIS : entriesValidMillis;
         engineCacheMillis = engineCacheMillis == null ? DEFAULT_ENGINE_CACHE_MILLIS : engineCacheMillis;
         distancesMillis = distancesMillis == null ? Map.of() : Map.copyOf(distancesMillis);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
@@ -26,7 +26,23 @@
         return stores.stream().map(store -> link(store, nowMillis)).toList();
     }
 
-    double bytesPerSecond(StoreVm store) {
+    /**
+     * Tells whether a store's link is in use.
+     *
+     * @param store the store
+     * @return false while the link is closed after a time-out
+     */
+    public boolean isUp(StoreVm store) {
+        return state(store, System.nanoTime() / 1_000_000) == LinkState.UP;
+    }
+
+    /**
+     * Returns the measured rate of a store's link.
+     *
+     * @param store the store
+     * @return the rate in bytes a second
+     */
+    public double bytesPerSecond(StoreVm store) {
         return view(store).estimate.bytesPerSecond();
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/UpstreamTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/UpstreamTable.java
@@ -73,6 +73,16 @@
         return view(upstream).inFlight.get();
     }
 
+    /**
+     * Returns the last load report of an engine.
+     *
+     * @param upstream the engine
+     * @return the report, or empty if there is none
+     */
+    public Optional<EngineLoad> report(UpstreamId upstream) {
+        return Optional.ofNullable(views.get(upstream)).map(view -> view.load);
+    }
+
     Optional<EngineLoad> load(UpstreamId upstream, long nowMillis) {
         View view = views.get(upstream);
         if (view == null || view.load == null || nowMillis < view.downUntilMillis) {
--- a/peer/src/main/java/org/cowslipbank/peer/RequestKind.java
+++ b/peer/src/main/java/org/cowslipbank/peer/RequestKind.java
@@ -9,5 +9,7 @@
     /** Asks for one configuration shard by its content hash. */
     CONFIGURATION_SHARD,
     /** Asks for the member table and facts, for the status command. */
-    STATUS
+    STATUS,
+    /** Asks for the highest sequence that a node knows of a claims partition. */
+    CLAIM_SEQUENCE
 }
--- /dev/null
+++ b/standins/src/main/java/org/cowslipbank/standins/StandInSettings.java
@@ -0,0 +1,74 @@
+package org.cowslipbank.standins;
+
+import java.util.List;
+
+/**
+ * Settings of a set of stand-ins.
+ *
+ * @param host the IP address on which all listen
+ * @param keyValuePort port of the key-value service, zero for any
+ * @param vmListPort port of the VM list, zero for any
+ * @param vmListLagMillis how long a change of the VM list takes to show, in milliseconds
+ * @param entryVms the nodes that the VM list names
+ * @param engines the engines
+ * @param stores the stores
+ * @param services the plain services
+ */
+public record StandInSettings(
+        String host,
+        int keyValuePort,
+        int vmListPort,
+        long vmListLagMillis,
+        List<EntryVm> entryVms,
+        List<EngineVm> engines,
+        List<StoreVm> stores,
+        List<ServiceVm> services) {
+    /** Copies the lists; absent ones become empty. */
+    public StandInSettings {
+        entryVms = entryVms == null ? List.of() : List.copyOf(entryVms);
+        engines = engines == null ? List.of() : List.copyOf(engines);
+        stores = stores == null ? List.of() : List.copyOf(stores);
+        services = services == null ? List.of() : List.copyOf(services);
+    }
+
+    /**
+     * A node in the VM list.
+     *
+     * @param vm its name
+     * @param dataCentre its data centre
+     * @param peerAddress address of its peer listener as {@code IP:port}
+     */
+    public record EntryVm(String vm, String dataCentre, String peerAddress) {}
+
+    /**
+     * An engine.
+     *
+     * @param vm its name
+     * @param dataCentre its data centre
+     * @param port its port, zero for any
+     * @param model the model loaded at the start
+     * @param weightVersion the weight version loaded at the start
+     * @param size speed and size
+     */
+    public record EngineVm(
+            String vm, String dataCentre, int port, String model, String weightVersion, EngineSize size) {}
+
+    /**
+     * A store.
+     *
+     * @param vm its name
+     * @param dataCentre its data centre
+     * @param port its port, zero for any
+     * @param size capacities and link rate
+     */
+    public record StoreVm(String vm, String dataCentre, int port, StoreSize size) {}
+
+    /**
+     * An instance of a plain service.
+     *
+     * @param vm its name
+     * @param dataCentre its data centre
+     * @param port its port, zero for any
+     */
+    public record ServiceVm(String vm, String dataCentre, int port) {}
+}
