Add the configuration service, its decisions and bench config

Cause: an accepted change must be in force on every node within the bound and never revert, at up to 340 nodes within the platform's rate. Change: decision.configuration with root, shards, audit chunks, change plan and the serving decision; entry.configuration with ConfigurationService; bench config at 9, 50, 100 and 340 nodes on a virtual clock.

--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -4,12 +4,13 @@
 import java.util.Optional;
 
 import org.cowslipbank.bench.claims.ClaimsBench;
+import org.cowslipbank.bench.config.ConfigBench;
 
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new ClaimsBench());
+            new ClaimsBench(), new ConfigBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/config/ConfigurationFleet.java
@@ -0,0 +1,285 @@
+package org.cowslipbank.bench.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
+
+import org.cowslipbank.bench.platform.FakeKeyValueStore;
+import org.cowslipbank.bench.platform.PausableScheduler;
+import org.cowslipbank.bench.platform.VirtualScheduler;
+import org.cowslipbank.config.ConfigurationEdit;
+import org.cowslipbank.decision.claims.PlatformBudget.Priority;
+import org.cowslipbank.decision.configuration.ChangeOrder;
+import org.cowslipbank.entry.claims.BudgetedKeyValueStore;
+import org.cowslipbank.entry.configuration.ChangeOutcome;
+import org.cowslipbank.entry.configuration.ChangeRequest;
+import org.cowslipbank.entry.configuration.ConfigurationNode;
+import org.cowslipbank.entry.configuration.ConfigurationService;
+import org.cowslipbank.entry.configuration.PeerReport;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.ports.KeyValueStore;
+import reactor.core.publisher.Mono;
+
+/**
+ * Nodes with configuration services on one virtual clock. Each node probes a random node of its own data centre and
+ * one of the other data centres in turn once a second; probes stand in for the peer module.
+ */
+public final class ConfigurationFleet {
+    /** Reads a second that the platform supports for the whole fleet. */
+    static final double PLATFORM_READS_PER_SECOND = 2_000;
+
+    /** Writes a second that the platform supports for the whole fleet. */
+    static final double PLATFORM_WRITES_PER_SECOND = 300;
+
+    private static final Duration ONE_WAY = Duration.ofNanos(1_500_000);
+    private static final long PROBE_MILLIS = 1_000;
+
+    private final VirtualScheduler scheduler;
+    private final FakeKeyValueStore platform;
+    private final int dataCentres;
+    private final long boundMillis;
+    private final Random random;
+    private final List<ConfigurationService> services = new ArrayList<>();
+    private final List<PausableScheduler> schedulers = new ArrayList<>();
+    private final boolean[] alive;
+    private final boolean[] platformReachable;
+    private IntPredicate[] cut;
+    private long starts;
+
+    /**
+     * Creates a fleet and starts it.
+     *
+     * @param scheduler the clock
+     * @param platform the key-value service
+     * @param nodes number of nodes; node n is in data centre n modulo their number
+     * @param dataCentres number of data centres
+     * @param boundMillis staleness bound in milliseconds
+     * @param seed seed of every random source
+     */
+    public ConfigurationFleet(
+            VirtualScheduler scheduler,
+            FakeKeyValueStore platform,
+            int nodes,
+            int dataCentres,
+            long boundMillis,
+            long seed) {
+        this.scheduler = scheduler;
+        this.platform = platform;
+        this.dataCentres = dataCentres;
+        this.boundMillis = boundMillis;
+        this.random = new Random(seed);
+        this.alive = new boolean[nodes];
+        this.platformReachable = new boolean[nodes];
+        for (int node = 0; node < nodes; node++) {
+            schedulers.add(new PausableScheduler(scheduler));
+            platformReachable[node] = true;
+            alive[node] = true;
+            services.add(start(node));
+            probeLater(node, random.nextInt((int) PROBE_MILLIS), 0);
+        }
+    }
+
+    /**
+     * Returns a node's service.
+     *
+     * @param node the node
+     * @return the service
+     */
+    public ConfigurationService service(int node) {
+        return services.get(node);
+    }
+
+    /**
+     * Returns the number of nodes.
+     *
+     * @return the number
+     */
+    public int size() {
+        return services.size();
+    }
+
+    /**
+     * Kills a node.
+     *
+     * @param node the node
+     */
+    public void kill(int node) {
+        alive[node] = false;
+        services.get(node).close();
+    }
+
+    /**
+     * Replaces a node by one that holds nothing.
+     *
+     * @param node the node
+     */
+    public void restart(int node) {
+        services.get(node).close();
+        alive[node] = true;
+        services.set(node, start(node));
+    }
+
+    /**
+     * Cuts or restores a node's link to the platform.
+     *
+     * @param node the node
+     * @param isReachable false to cut it
+     */
+    public void setPlatformReachable(int node, boolean isReachable) {
+        platformReachable[node] = isReachable;
+    }
+
+    /**
+     * Pauses or resumes a node.
+     *
+     * @param node the node
+     * @param isPaused true to pause it
+     */
+    public void setPaused(int node, boolean isPaused) {
+        schedulers.get(node).setPaused(isPaused);
+    }
+
+    /**
+     * Cuts all links between two parts of the fleet.
+     *
+     * @param part tells the part of a node, or null to restore all links
+     */
+    public void partition(IntPredicate part) {
+        cut = part == null ? null : new IntPredicate[] {part};
+    }
+
+    /**
+     * Makes a change at a node.
+     *
+     * @param node the node
+     * @param changeId the change's identifier
+     * @param ifMatch the revision expected
+     * @param edit the change
+     * @param mayLag data centres that may lag
+     * @return the outcome
+     */
+    public Mono<ChangeOutcome> change(
+            int node, String changeId, long ifMatch, ConfigurationEdit edit, List<String> mayLag) {
+        ChangeOrder order = new ChangeOrder(changeId, "operator-" + node, "bench", scheduler.nowMillis(), mayLag);
+        return services.get(node).change(new ChangeRequest(order, ifMatch, edit));
+    }
+
+    /**
+     * Tells whether every living node has a revision or a later one.
+     *
+     * @param revision the revision
+     * @return true if it is in force everywhere
+     */
+    public boolean isEverywhere(long revision) {
+        for (int node = 0; node < services.size(); node++) {
+            if (alive[node] && services.get(node).current().revision() < revision) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Counts the living nodes that take new work.
+     *
+     * @return the number
+     */
+    public long serving() {
+        long serving = 0;
+        for (int node = 0; node < services.size(); node++) {
+            serving += alive[node] && services.get(node).mayServe(scheduler.nowMillis()) ? 1 : 0;
+        }
+        return serving;
+    }
+
+    private ConfigurationService start(int node) {
+        Set<DataCentreId> all = new TreeSet<>();
+        for (int i = 0; i < dataCentres; i++) {
+            all.add(dataCentre(i));
+        }
+        BudgetedKeyValueStore.Budgets budgets = new BudgetedKeyValueStore.Budgets(
+                schedulers.get(node),
+                PLATFORM_READS_PER_SECOND / alive.length,
+                PLATFORM_WRITES_PER_SECOND / alive.length);
+        KeyValueStore client = platform.client(() -> platformReachable[node]);
+        ConfigurationService service = new ConfigurationService(
+                new ConfigurationNode(vm(node), dataCentre(node), all, boundMillis),
+                new BudgetedKeyValueStore(client, budgets, Priority.CONFIGURATION),
+                new BudgetedKeyValueStore(client, budgets, Priority.AUDIT),
+                (peer, keys) -> fetch(node, peer, keys),
+                schedulers.get(node),
+                random.nextLong() + starts++);
+        service.start();
+        return service;
+    }
+
+    private Mono<Map<String, byte[]>> fetch(int from, VmId peer, List<String> keys) {
+        int to = Integer.parseInt(peer.value().substring(1));
+        return link(from, to)
+                .then(Mono.defer(() -> services.get(to).values(keys)))
+                .delayElement(ONE_WAY, scheduler);
+    }
+
+    private void probeLater(int node, long delayMillis, int round) {
+        schedulers.get(node).schedule(() -> probe(node, round), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void probe(int node, int round) {
+        probeLater(node, PROBE_MILLIS, round + 1);
+        if (!alive[node]) {
+            return;
+        }
+        ask(node, otherNode(node));
+        if (dataCentres > 1) {
+            ask(node, randomNode((node + 1 + round % (dataCentres - 1)) % dataCentres));
+        }
+    }
+
+    private int otherNode(int node) {
+        int perCentre = (alive.length + dataCentres - 1) / dataCentres;
+        int step = 1 + random.nextInt(Math.max(1, perCentre - 1));
+        return (node / dataCentres + step) % perCentre * dataCentres + node % dataCentres;
+    }
+
+    private int randomNode(int dataCentre) {
+        return random.nextInt((alive.length + dataCentres - 1) / dataCentres) * dataCentres + dataCentre;
+    }
+
+    private void ask(int from, int to) {
+        if (to == from || to >= alive.length || !alive[to]) {
+            return;
+        }
+        ConfigurationService asking = services.get(from);
+        long askedMillis = scheduler.nowMillis();
+        PeerReport own = asking.report();
+        link(from, to)
+                .then(Mono.fromCallable(() -> {
+                            services.get(to).hinted(own);
+                            return services.get(to).report();
+                        })
+                        .subscribeOn(schedulers.get(to)))
+                .delayElement(ONE_WAY, scheduler)
+                .subscribe(report -> asking.heard(report, askedMillis));
+    }
+
+    private Mono<Long> link(int from, int to) {
+        return Mono.delay(ONE_WAY, scheduler)
+                .filter(zero -> alive[from] && alive[to] && (cut == null || cut[0].test(from) == cut[0].test(to)))
+                .switchIfEmpty(Mono.never());
+    }
+
+    private DataCentreId dataCentre(int node) {
+        return new DataCentreId("dc" + node % dataCentres);
+    }
+
+    private static VmId vm(int node) {
+        return new VmId("n" + node);
+    }
+}
--- a/bench/src/main/java/org/cowslipbank/bench/platform/FakeKeyValueStore.java
+++ b/bench/src/main/java/org/cowslipbank/bench/platform/FakeKeyValueStore.java
@@ -259,7 +259,9 @@
                 return Mono.never();
             }
             boolean lost = random.nextDouble() < lostShare;
-            return effect.delayElement(half, scheduler).filter(value -> !lost).switchIfEmpty(Mono.never());
+            return effect.delayElement(half, scheduler)
+                    .filter(value -> !lost && !down && reachable.get())
+                    .switchIfEmpty(Mono.never());
         }
     }
 
--- a/config/src/main/java/org/cowslipbank/config/ConfigurationChecks.java
+++ b/config/src/main/java/org/cowslipbank/config/ConfigurationChecks.java
@@ -24,14 +24,33 @@
     }
 
     /**
-     * Checks a configuration that was built or edited in memory.
+     * Checks a configuration that was built or edited in memory. Teams that an already checked configuration holds are
+     * only checked against the rest, since the structure of thousands of teams takes long to check.
      *
      * @param source name of the source, used in messages
-     * @param configuration the configuration
-     * @throws ConfigurationException the first problem; its line is that of the canonical print
+     * @param checked a configuration that has been checked before
+     * @param next the configuration to check
+     * @throws ConfigurationException the first problem; line and path are those of the print of the changed teams and
+     *     the other sections, or the line is zero and the path is that of the canonical order
      */
-    public static void require(String source, Configuration configuration) throws ConfigurationException {
-        ConfigurationParser.parse(source, ConfigurationPrinter.print(configuration));
+    public static void require(String source, Configuration checked, Configuration next) throws ConfigurationException {
+        Set<Team> known = new HashSet<>(checked.teams());
+        List<Team> changed =
+                next.teams().stream().filter(team -> !known.contains(team)).toList();
+        Configuration reduced = new Configuration(
+                next.revision(),
+                changed,
+                next.models(),
+                next.services(),
+                next.upstreams(),
+                next.stores(),
+                next.weights());
+        ConfigurationParser.parse(source, ConfigurationPrinter.print(reduced));
+        List<Problem> problems = problems(ConfigurationPrinter.canonical(next));
+        if (!problems.isEmpty()) {
+            throw new ConfigurationException(
+                    source, 0, problems.get(0).path(), problems.get(0).expected());
+        }
     }
 
     static List<Problem> problems(Configuration configuration) {
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/configuration/ChangeWriter.java
@@ -0,0 +1,85 @@
+package org.cowslipbank.entry.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.cowslipbank.model.CowslipbankException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.ports.CasResult;
+import org.cowslipbank.ports.KeyValueStore;
+import org.cowslipbank.ports.VersionedValue;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.util.retry.Retry;
+
+/** Writes of a change at the key-value service. */
+final class ChangeWriter {
+    /** Result of a swap whose response may be lost. */
+    enum Swap {
+        DONE,
+        NOT_DONE,
+        NEVER_SENT,
+        UNKNOWN
+    }
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+    private static final int CREATE_RETRIES = 3;
+    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+    private static final int CONCURRENT_WRITES = 8;
+    // Nodes that still read the replaced revision find its shards for this long.
+    private static final long DELETE_DELAY_MILLIS = 60_000;
+    private static final long FIRST_VERSION = 1;
+
+    private final KeyValueStore store;
+    private final KeyValueStore cleanUp;
+    private final Scheduler scheduler;
+
+    ChangeWriter(KeyValueStore store, KeyValueStore cleanUp, Scheduler scheduler) {
+        this.store = store;
+        this.cleanUp = cleanUp;
+        this.scheduler = scheduler;
+    }
+
+    Mono<Optional<VersionedValue>> read(String key) {
+        return store.get(key).timeout(CALL_TIMEOUT, scheduler).publishOn(scheduler);
+    }
+
+    // The key names digest and change, so a value that exists already is the same one.
+    Mono<Void> create(Map<String, byte[]> values) {
+        return Flux.fromIterable(values.entrySet())
+                .flatMap(
+                        value -> store.compareAndSwap(value.getKey(), KeyValueStore.ABSENT, value.getValue())
+                                .timeout(CALL_TIMEOUT, scheduler)
+                                .retryWhen(Retry.fixedDelay(CREATE_RETRIES, RETRY_DELAY)
+                                        .scheduler(scheduler)),
+                        CONCURRENT_WRITES)
+                .then()
+                .publishOn(scheduler);
+    }
+
+    Mono<Swap> swap(String key, long version, byte[] value) {
+        return store.compareAndSwap(key, version, value)
+                .timeout(CALL_TIMEOUT, scheduler)
+                .map(CasResult::swapped)
+                .map(swapped -> swapped ? Swap.DONE : Swap.NOT_DONE)
+                .onErrorResume(error -> Mono.just(isNotRun(error) ? Swap.NEVER_SENT : Swap.UNKNOWN))
+                .publishOn(scheduler);
+    }
+
+    void deleteLater(List<String> keys) {
+        scheduler.schedule(
+                () -> Flux.fromIterable(keys)
+                        .concatMap(key -> cleanUp.delete(key, FIRST_VERSION).onErrorResume(error -> Mono.empty()))
+                        .subscribe(),
+                DELETE_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private static boolean isNotRun(Throwable error) {
+        return error instanceof CowslipbankException known && known.runState() == RunState.NOT_RUN;
+    }
+}
