Record decisions as JSON lines and replay them

A wrong outcome on a running node could not be reproduced, because neither input nor outcome of a decision could be kept. A trace record holds both with sequence, time, revision and seed; the catalogue lists the decisions, and Replay runs the inputs again and names the first value that differs. The text of answers is left out of every line.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/Decisions.java
@@ -0,0 +1,58 @@
+package org.cowslipbank.decision.trace;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.decision.admission.TeamShares;
+import org.cowslipbank.decision.claims.ClaimLookup;
+import org.cowslipbank.decision.entries.Duties;
+import org.cowslipbank.decision.entries.Entries;
+import org.cowslipbank.decision.orders.OrdersController;
+import org.cowslipbank.decision.retention.RetentionDecision;
+import org.cowslipbank.decision.retry.RetryPolicy;
+import org.cowslipbank.decision.routing.FetchDecision;
+import org.cowslipbank.decision.routing.PrefetchDecision;
+import org.cowslipbank.decision.routing.RoutingDecision;
+import org.cowslipbank.decision.streams.StreamMachine;
+import org.cowslipbank.decision.suspects.SuspectFacts;
+
+/** Catalogue of the decisions that can be recorded and replayed. */
+public final class Decisions {
+    private static final List<Decision<?, ?>> ALL = List.of(
+            Capacity.DECISION,
+            ClaimLookup.DECISION,
+            Duties.DECISION,
+            Entries.DECISION,
+            RetentionDecision.EVICT,
+            RetentionDecision.EXPORT,
+            OrdersController.DECISION,
+            FetchDecision.OVERTAKE,
+            PrefetchDecision.PREFETCH,
+            RetryPolicy.DECISION,
+            RoutingDecision.ROUTE,
+            StreamMachine.DECISION,
+            SuspectFacts.DECISION,
+            TeamShares.DECISION);
+
+    private Decisions() {}
+
+    /**
+     * Returns all decisions.
+     *
+     * @return the decisions
+     */
+    public static List<Decision<?, ?>> all() {
+        return ALL;
+    }
+
+    /**
+     * Finds a decision.
+     *
+     * @param kind the decision's name in a trace
+     * @return the decision, or empty if there is none of that name
+     */
+    public static Optional<Decision<?, ?>> find(String kind) {
+        return ALL.stream().filter(decision -> decision.kind().equals(kind)).findFirst();
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/TraceJson.java
@@ -0,0 +1,198 @@
+package org.cowslipbank.decision.trace;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.BeanProperty;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.KeyDeserializer;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.annotation.JsonSerialize;
+import com.fasterxml.jackson.databind.deser.ContextualDeserializer;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import org.cowslipbank.decision.streams.StreamEffect;
+import org.cowslipbank.decision.streams.StreamEvent;
+import org.cowslipbank.model.AttemptId;
+import org.cowslipbank.model.BlockKey;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.RequestId;
+import org.cowslipbank.model.SessionKey;
+import org.cowslipbank.model.StoreId;
+import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+
+/**
+ * JSON mapping of traces: identifiers are plain strings, sealed interfaces carry the property that their annotations
+ * name, and the text of answers is left out, because a trace must not hold what callers send or receive.
+ */
+final class TraceJson {
+    private static final ObjectMapper MAPPER = newMapper();
+
+    private TraceJson() {}
+
+    static ObjectMapper mapper() {
+        return MAPPER;
+    }
+
+    /** Converts a value to a tree by way of its text, so that numbers compare equal to those read from a file. */
+    static JsonNode toTree(Object value) throws IOException {
+        return MAPPER.readTree(MAPPER.writeValueAsBytes(value));
+    }
+
+    private static ObjectMapper newMapper() {
+        SimpleModule module = new SimpleModule("trace");
+        addIdentifier(module, TeamId.class, TeamId::value, TeamId::new);
+        addIdentifier(module, UpstreamId.class, UpstreamId::value, UpstreamId::new);
+        addIdentifier(module, VmId.class, VmId::value, VmId::new);
+        addIdentifier(module, StoreId.class, StoreId::value, StoreId::new);
+        addIdentifier(module, DataCentreId.class, DataCentreId::value, DataCentreId::new);
+        addIdentifier(module, RequestId.class, RequestId::value, RequestId::new);
+        addIdentifier(module, AttemptId.class, AttemptId::value, AttemptId::new);
+        addIdentifier(module, SessionKey.class, SessionKey::value, SessionKey::new);
+        addIdentifier(module, BlockKey.class, BlockKey::hex, BlockKey::new);
+        module.addSerializer(new OptionalSerializer());
+        module.addDeserializer(Optional.class, new OptionalDeserializer(null));
+        return JsonMapper.builder()
+                .addModule(module)
+                .addMixIn(StreamEvent.Token.class, WithoutText.class)
+                .addMixIn(StreamEffect.Emit.class, WithoutText.class)
+                // Predicates of a record are derived from its components.
+                .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
+                .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                .build();
+    }
+
+    private static <T> void addIdentifier(
+            SimpleModule module, Class<T> type, Function<T, String> toText, Function<String, T> fromText) {
+        module.addSerializer(type, new TextSerializer<>(type, toText, false));
+        module.addKeySerializer(type, new TextSerializer<>(type, toText, true));
+        module.addDeserializer(type, new TextDeserializer<>(type, fromText));
+        module.addKeyDeserializer(type, new TextKeyDeserializer(fromText));
+    }
+
+    private interface WithoutText {
+        @JsonSerialize(using = EmptyText.class)
+        String text();
+    }
+
+    private static final class EmptyText extends StdSerializer<String> {
+        private static final long serialVersionUID = 1L;
+
+        EmptyText() {
+            super(String.class);
+        }
+
+        @Override
+        public void serialize(String value, JsonGenerator generator, SerializerProvider provider) throws IOException {
+            generator.writeString("");
+        }
+    }
+
+    private static final class TextSerializer<T> extends StdSerializer<T> {
+        private static final long serialVersionUID = 1L;
+
+        private final transient Function<T, String> toText;
+        private final boolean asName;
+
+        TextSerializer(Class<T> type, Function<T, String> toText, boolean asName) {
+            super(type);
+            this.toText = toText;
+            this.asName = asName;
+        }
+
+        @Override
+        public void serialize(T value, JsonGenerator generator, SerializerProvider provider) throws IOException {
+            if (asName) {
+                generator.writeFieldName(toText.apply(value));
+            } else {
+                generator.writeString(toText.apply(value));
+            }
+        }
+    }
+
+    private static final class TextDeserializer<T> extends StdDeserializer<T> {
+        private static final long serialVersionUID = 1L;
+
+        private final transient Function<String, T> fromText;
+
+        TextDeserializer(Class<T> type, Function<String, T> fromText) {
+            super(type);
+            this.fromText = fromText;
+        }
+
+        @Override
+        public T deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            return fromText.apply(parser.getValueAsString());
+        }
+    }
+
+    private static final class TextKeyDeserializer extends KeyDeserializer {
+        private final Function<String, ?> fromText;
+
+        TextKeyDeserializer(Function<String, ?> fromText) {
+            this.fromText = fromText;
+        }
+
+        @Override
+        public Object deserializeKey(String key, DeserializationContext context) {
+            return fromText.apply(key);
+        }
+    }
+
+    private static final class OptionalSerializer extends StdSerializer<Optional<?>> {
+        private static final long serialVersionUID = 1L;
+
+        OptionalSerializer() {
+            super(Optional.class, false);
+        }
+
+        @Override
+        public void serialize(Optional<?> value, JsonGenerator generator, SerializerProvider provider)
+                throws IOException {
+            provider.defaultSerializeValue(value.orElse(null), generator);
+        }
+    }
+
+    /** Reads null or an absent property as empty. */
+    private static final class OptionalDeserializer extends JsonDeserializer<Optional<?>>
+            implements ContextualDeserializer {
+        private final JavaType content;
+
+        OptionalDeserializer(JavaType content) {
+            this.content = content;
+        }
+
+        @Override
+        public JsonDeserializer<?> createContextual(DeserializationContext context, BeanProperty property) {
+            return new OptionalDeserializer(context.getContextualType().containedTypeOrUnknown(0));
+        }
+
+        @Override
+        public Optional<?> deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            return Optional.of(context.readValue(parser, content));
+        }
+
+        @Override
+        public Optional<?> getNullValue(DeserializationContext context) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Object getAbsentValue(DeserializationContext context) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/TraceRecord.java
@@ -0,0 +1,56 @@
+package org.cowslipbank.decision.trace;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+
+/**
+ * One line of a trace: a decision with its input and outcome, a fact, or a note on lines that were dropped. Property
+ * names are read without regard to case.
+ *
+ * @param kind name of the decision, {@link #FACT} or {@link #DROPPED}
+ * @param sequence position in the trace; it rises, and gaps are dropped lines
+ * @param timeMillis time of the line in milliseconds, on the clock of the process that wrote it
+ * @param configurationRevision revision of the configuration in force
+ * @param seed seed of the run, zero where none is used
+ * @param input the decision's input, or the fact
+ * @param outcome the decision's outcome; null for other lines
+ */
+@JsonFormat(with = JsonFormat.Feature.ACCEPT_CASE_INSENSITIVE_PROPERTIES)
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record TraceRecord(
+        String kind,
+        long sequence,
+        long timeMillis,
+        long configurationRevision,
+        long seed,
+        JsonNode input,
+        JsonNode outcome) {
+    /** Kind of a line whose input is a fact, not a decision. */
+    public static final String FACT = "fact";
+
+    /** Kind of a line that counts the lines dropped before it. */
+    public static final String DROPPED = "dropped";
+
+    /** Treats an outcome that is the JSON value null as absent. */
+    public TraceRecord {
+        outcome = outcome instanceof NullNode ? null : outcome;
+    }
+
+    /**
+     * Tells whether the line holds a decision.
+     *
+     * @return true if it can be replayed
+     */
+    public boolean holdsDecision() {
+        return !FACT.equals(kind) && !DROPPED.equals(kind);
+    }
+
+    /**
+     * Input of a {@link #DROPPED} line.
+     *
+     * @param lines number of lines dropped since the previous such line
+     */
+    public record Dropped(long lines) {}
+}
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
@@ -0,0 +1,107 @@
+package org.cowslipbank.decision.trace;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.decision.entries.Duties;
+import org.cowslipbank.decision.entries.Duty;
+import org.cowslipbank.decision.entries.DutyQuery;
+import org.cowslipbank.decision.orders.EngineProgress;
+import org.cowslipbank.decision.orders.EngineView;
+import org.cowslipbank.decision.orders.OrderLimits;
+import org.cowslipbank.decision.orders.OrderTarget;
+import org.cowslipbank.decision.orders.OrdersController;
+import org.cowslipbank.decision.orders.OrdersEvent;
+import org.cowslipbank.decision.orders.OrdersInput;
+import org.cowslipbank.decision.orders.OrdersState;
+import org.cowslipbank.decision.streams.StreamEvent;
+import org.cowslipbank.decision.streams.StreamInput;
+import org.cowslipbank.decision.streams.StreamLimits;
+import org.cowslipbank.decision.streams.StreamMachine;
+import org.cowslipbank.decision.streams.StreamSpec;
+import org.cowslipbank.decision.streams.StreamState;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.ModelRef;
+import org.cowslipbank.model.RequestId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+
+/** Guards against traces that cannot be read back, and against a replay that overlooks a changed outcome. */
+final class ReplayTest {
+    private static final UpstreamId ENGINE = new UpstreamId("engine-1");
+    private static final ModelRef MODEL = new ModelRef("review", "v1", "");
+    private static final TraceFiles.Stamp STAMP = new TraceFiles.Stamp(7, 1_000, 3, 1);
+
+    @Example
+    void capacityReplaysAndAChangedOutcomeIsFound() throws IOException {
+        String line =
+                recorded(Capacity.DECISION, new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 4));
+        assert replay(line).isEmpty() : replay(line);
+        String changed = line.replace("\"slots\":16,\"inFlightLimit\"", "\"slots\":17,\"inFlightLimit\"");
+        assert !changed.equals(line);
+        Difference difference = replay(changed).orElseThrow();
+        assert difference.toString().equals("sequence 7, capacity at /slots: recorded 17, replayed 16") : difference;
+    }
+
+    @Example
+    void mapsOptionalsAndSealedInterfacesSurviveAFile() throws IOException {
+        OrdersState state = new OrdersState(
+                new OrderLimits(2, 1e9, 1e9, 60_000, 5_000, 60_000, 0.5),
+                1,
+                5_000,
+                true,
+                0,
+                0,
+                0,
+                1e9,
+                Map.of(ENGINE, new OrderTarget(ENGINE, new DataCentreId("mu-west-1"), MODEL, 1e6, false)),
+                Map.of(ENGINE, new EngineView(ENGINE, MODEL, false, false, 0, 900)),
+                Map.of(ENGINE, new EngineProgress(-1, -1, -1, -1, -1, -1, -1, EngineProgress.Export.NONE)));
+        assert replay(recorded(OrdersController.DECISION, new OrdersInput(state, new OrdersEvent.Tick(), 1_000)))
+                .isEmpty();
+        DutyQuery nobody = new DutyQuery(Duty.values()[0], "p0", List.of(), List.of(), new VmId("entry-1"), true);
+        assert replay(recorded(Duties.DECISION, nobody)).isEmpty();
+    }
+
+    @Example
+    void answerTextIsNotWritten() throws IOException {
+        StreamState state = StreamMachine.open(
+                        new StreamSpec(new RequestId("req-1"), MODEL, true, 8, 0, StreamLimits.DEFAULTS), 0)
+                .state();
+        state = StreamMachine.on(state, new StreamEvent.Sent(state.attempt().id(), ENGINE, MODEL), 1)
+                .state();
+        state = StreamMachine.on(state, new StreamEvent.Started(state.attempt().id(), 0, MODEL), 2)
+                .state();
+        String line = recorded(
+                StreamMachine.DECISION,
+                new StreamInput(state, new StreamEvent.Token(state.attempt().id(), 0, 0, "confidential"), 3));
+        assert line.contains("\"emit\"") : line;
+        assert !line.contains("confidential") : line;
+        assert replay(line).isEmpty() : replay(line);
+    }
+
+    @Example
+    void unreadableLineIsNamedByItsNumber() {
+        try {
+            TraceFiles.read(List.of("// comment", "{\"kind\":"));
+            throw new AssertionError("an unreadable line was accepted");
+        } catch (IOException e) {
+            assert e.getMessage().startsWith("line 2:") : e.getMessage();
+        }
+    }
+
+    private static <I, O> String recorded(Decision<I, O> decision, I input) throws IOException {
+        O outcome = decision.function().apply(input);
+        byte[] line = TraceFiles.line(TraceFiles.decision(decision, input, outcome, STAMP));
+        return new String(line, StandardCharsets.UTF_8);
+    }
+
+    private static Optional<Difference> replay(String line) throws IOException {
+        return Replay.run(TraceFiles.read(List.of(line)));
+    }
+}
