--- a/decision/src/main/java/org/cowslipbank/decision/trace/TraceRecord.java
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/TraceRecord.java
@@ -10,7 +10,7 @@
  * names are read without regard to case.
  *
  * @param kind name of the decision, {@link #FACT} or {@link #DROPPED}
- * @param sequence position in the trace; it rises, and gaps are dropped lines
+ * @param sequence position in the trace, rising from line to line
  * @param timeMillis time of the line in milliseconds, on the clock of the process that wrote it
  * @param configurationRevision revision of the configuration in force
  * @param seed seed of the run, zero where none is used
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
@@ -0,0 +1,59 @@
+package org.cowslipbank.entry.trace;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.decision.trace.Replay;
+import org.cowslipbank.decision.trace.TraceFiles;
+import org.cowslipbank.decision.trace.TraceRecord;
+
+/** Guards against traffic that waits for the trace file, and against records that vanish without a count. */
+final class FileDecisionRecorderTest {
+    private static final Capacity.Input INPUT =
+            new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4);
+
+    @Example
+    void stalledFileDropsAndCounts() throws Exception {
+        StalledOutput out = new StalledOutput();
+        FileDecisionRecorder recorder = new FileDecisionRecorder(out, 4, () -> 0, () -> 3);
+        recorder.decide(Capacity.DECISION, INPUT);
+        out.reached.await();
+        for (int i = 0; i < 10; i++) {
+            recorder.decide(Capacity.DECISION, INPUT);
+        }
+        out.stall.countDown();
+        recorder.close();
+        List<TraceRecord> lines =
+                TraceFiles.read(out.bytes.toString(StandardCharsets.UTF_8).lines().toList());
+        long decisions = lines.stream().filter(TraceRecord::holdsDecision).count();
+        long dropped = lines.stream()
+                .filter(line -> !line.holdsDecision())
+                .mapToLong(line -> line.input().get("lines").asLong())
+                .sum();
+        assert decisions == 5 : lines;
+        assert dropped == 6 : lines;
+        assert Replay.run(lines).isEmpty();
+    }
+
+    private static final class StalledOutput extends OutputStream {
+        private final CountDownLatch reached = new CountDownLatch(1);
+        private final CountDownLatch stall = new CountDownLatch(1);
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+        @Override
+        public void write(int value) {
+            reached.countDown();
+            try {
+                stall.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            bytes.write(value);
+        }
+    }
+}
