--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -5,6 +5,7 @@
 
 import org.cowslipbank.bench.claims.ClaimsBench;
 import org.cowslipbank.bench.limits.LimitsBench;
+import org.cowslipbank.bench.load.LoadBench;
 import org.cowslipbank.bench.membership.MembershipBench;
 import org.cowslipbank.bench.routing.RoutingBench;
 import org.cowslipbank.bench.streams.StreamsBench;
@@ -13,7 +14,12 @@
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new ClaimsBench(), new LimitsBench(), new MembershipBench(), new RoutingBench(), new StreamsBench());
+            new ClaimsBench(),
+            new LimitsBench(),
+            new LoadBench(),
+            new MembershipBench(),
+            new RoutingBench(),
+            new StreamsBench());
 
     private Benches() {}
 
--- a/bench/src/main/java/org/cowslipbank/bench/load/Arrivals.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/Arrivals.java
@@ -48,8 +48,7 @@
     private LoadRequest again(LoadRequest earlier) {
         int added = (int) (settings.promptBytes() * GROWTH_PER_TURN);
         String prompt = earlier.prompt() + text(" turn " + (earlier.turn() + 1), added);
-        return new LoadRequest(
-                next, (long) offsetNanos, earlier.session(), earlier.team(), earlier.turn() + 1, prompt);
+        return new LoadRequest(next, (long) offsetNanos, earlier.session(), earlier.team(), earlier.turn() + 1, prompt);
     }
 
     // The unique start keeps sessions from sharing a prefix in the engine's cache.
--- a/bench/src/main/java/org/cowslipbank/bench/load/EngineProtocol.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/EngineProtocol.java
@@ -38,8 +38,8 @@
                 "salt",
                 settings.maxTokens(),
                 0);
-        String address =
-                settings.addresses().get((int) (request.number() % settings.addresses().size()));
+        String address = settings.addresses()
+                .get((int) (request.number() % settings.addresses().size()));
         return new Call(
                 "http://" + address + "/engine/generate", "", new String(WireJson.write(call), StandardCharsets.UTF_8));
     }
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LoadBench.java
@@ -0,0 +1,116 @@
+package org.cowslipbank.bench.load;
+
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.cowslipbank.bench.Bench;
+import org.cowslipbank.bench.BenchOptions;
+import org.cowslipbank.bench.BenchReport;
+import org.cowslipbank.bench.Figure;
+import org.cowslipbank.standins.AnswerText;
+import org.cowslipbank.standins.EngineSize;
+
+/**
+ * What a node adds to streams under load. Most streams go through the node; a tenth goes to the same engines directly
+ * at the same time, so that both see the same engines and the same machine.
+ */
+public final class LoadBench implements Bench {
+    private static final double STREAMS_PER_SECOND = 300;
+    private static final double DIRECT_STREAMS_PER_SECOND = 30;
+    private static final double TOKENS_PER_SECOND = 80_000;
+    // Rounded up, so that the stated rate of streams carries the stated rate of tokens.
+    private static final int TOKENS_PER_STREAM = 270;
+    private static final double MAX_ADDED_FIRST_TOKEN_MILLIS = 2;
+    private static final double MAX_ADDED_BETWEEN_TOKENS_MILLIS = 3;
+    // Sampling variation of Poisson arrivals over the time measured.
+    private static final double RATE_TOLERANCE = 0.05;
+    private static final int WARM_UP_SECONDS = 15;
+    private static final int MEASURE_SECONDS = 20;
+    private static final int PROMPT_BYTES = 6_000;
+    private static final int ENGINES = 8;
+    private static final EngineSize ENGINE_SIZE = new EngineSize(2_000_000, 20, 600, 1_000_000, 1, 300, 100, true);
+
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    @Override
+    public BenchReport run(BenchOptions options) throws Exception {
+        ExecutorService directThread = Executors.newSingleThreadExecutor();
+        try (LocalSystem system = new LocalSystem(ENGINES, ENGINE_SIZE, List.of())) {
+            LoadSettings nodeLoad = settings(List.of(system.nodeAddress()), STREAMS_PER_SECOND, options.seed());
+            LoadSettings directLoad = settings(system.engineAddresses(), DIRECT_STREAMS_PER_SECOND, options.seed() + 1);
+            LoadTool direct = new LoadTool(
+                    directLoad,
+                    new EngineProtocol(directLoad, LocalSystem.MODEL),
+                    LoadBench::isAnswer,
+                    () -> 0,
+                    List.of(),
+                    line -> {});
+            LoadTool throughNode = new LoadTool(nodeLoad, LoadBench::isAnswer, () -> 0, List.of(), options.progress());
+            Future<LoadResult> directResult = directThread.submit(direct::run);
+            LoadResult nodeResult = throughNode.run();
+            return new BenchReport(name(), options.seed(), figures(nodeResult, directResult.get()));
+        } finally {
+            directThread.shutdownNow();
+        }
+    }
+
+    private static boolean isAnswer(String prompt, String answer) {
+        return answer.equals(AnswerText.answer(prompt, TOKENS_PER_STREAM));
+    }
+
+    private static LoadSettings settings(List<String> addresses, double rate, long seed) {
+        return new LoadSettings(
+                addresses,
+                LocalSystem.TEAMS,
+                LocalSystem.MODEL.model(),
+                rate,
+                WARM_UP_SECONDS,
+                MEASURE_SECONDS,
+                PROMPT_BYTES,
+                TOKENS_PER_STREAM,
+                0,
+                1,
+                seed);
+    }
+
+    private static List<Figure> figures(LoadResult node, LoadResult direct) {
+        double allSeconds = WARM_UP_SECONDS + (double) MEASURE_SECONDS;
+        return List.of(
+                Figure.atLeast(
+                        "streams_per_second", node.requests() / allSeconds, STREAMS_PER_SECOND * (1 - RATE_TOLERANCE)),
+                Figure.atLeast(
+                        "tokens_per_second",
+                        node.tokens() / node.measuredSeconds(),
+                        TOKENS_PER_SECOND * (1 - RATE_TOLERANCE)),
+                Figure.atMost("not_answered", (double) node.requests() - node.answered(), 0),
+                Figure.atMost("wrong_answers", node.wrong(), 0),
+                Figure.atMost(
+                        "added_first_token_p99_millis",
+                        node.firstToken().p99() - direct.firstToken().p99(),
+                        MAX_ADDED_FIRST_TOKEN_MILLIS),
+                Figure.atMost(
+                        "added_between_tokens_p99_millis",
+                        node.betweenTokens().p99() - direct.betweenTokens().p99(),
+                        MAX_ADDED_BETWEEN_TOKENS_MILLIS),
+                Figure.info("node_first_token_p50_millis", node.firstToken().p50()),
+                Figure.info("node_first_token_p99_millis", node.firstToken().p99()),
+                Figure.info("direct_first_token_p50_millis", direct.firstToken().p50()),
+                Figure.info("direct_first_token_p99_millis", direct.firstToken().p99()),
+                Figure.info(
+                        "node_between_tokens_p99_millis", node.betweenTokens().p99()),
+                Figure.info(
+                        "direct_between_tokens_p99_millis",
+                        direct.betweenTokens().p99()),
+                Figure.info(
+                        "node_between_tokens_p999_millis", node.betweenTokens().p999()),
+                Figure.info(
+                        "direct_between_tokens_p999_millis",
+                        direct.betweenTokens().p999()),
+                Figure.info("direct_not_answered", (double) direct.requests() - direct.answered()));
+    }
+}
--- a/bench/src/main/java/org/cowslipbank/bench/load/LoadStatistics.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LoadStatistics.java
@@ -95,13 +95,7 @@
     }
 
     record Counts(
-            long started,
-            long answered,
-            long wrong,
-            long refused,
-            long failed,
-            long promptTokens,
-            long cachedTokens) {
+            long started, long answered, long wrong, long refused, long failed, long promptTokens, long cachedTokens) {
         Counts minus(Counts other) {
             return new Counts(
                     started - other.started,
--- a/bench/src/main/java/org/cowslipbank/bench/load/LoadTool.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LoadTool.java
@@ -95,8 +95,8 @@
         try {
             sampledLinkBytes = linkBytes.getAsLong();
             startNanos = System.nanoTime();
-            faults.forEach(fault -> sampling.schedule(
-                    () -> cause(fault), (long) (fault.atSeconds() * 1_000), TimeUnit.MILLISECONDS));
+            faults.forEach(fault ->
+                    sampling.schedule(() -> cause(fault), (long) (fault.atSeconds() * 1_000), TimeUnit.MILLISECONDS));
             sampling.scheduleAtFixedRate(this::sample, 1, 1, TimeUnit.SECONDS);
             send(HttpClient.create(connections).runOn(loops));
             drain();
@@ -162,8 +162,7 @@
 
     private void sample() {
         int at = seconds.size() + 1;
-        boolean measured =
-                at > settings.warmUpSeconds() && at <= settings.warmUpSeconds() + settings.measureSeconds();
+        boolean measured = at > settings.warmUpSeconds() && at <= settings.warmUpSeconds() + settings.measureSeconds();
         LoadStatistics.Sample sample = statistics.sample(measured);
         long bytes = linkBytes.getAsLong() - sampledLinkBytes;
         sampledLinkBytes += bytes;
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LocalSystem.java
@@ -0,0 +1,179 @@
+package org.cowslipbank.bench.load;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import org.cowslipbank.adapters.HttpOutsideSystems;
+import org.cowslipbank.config.Configuration;
+import org.cowslipbank.config.DecisionWeights;
+import org.cowslipbank.config.Model;
+import org.cowslipbank.config.ModelVersion;
+import org.cowslipbank.config.StoreVm;
+import org.cowslipbank.config.Team;
+import org.cowslipbank.config.TeamLimits;
+import org.cowslipbank.config.Upstream;
+import org.cowslipbank.config.UpstreamKind;
+import org.cowslipbank.config.UpstreamState;
+import org.cowslipbank.entry.node.Node;
+import org.cowslipbank.entry.settings.ListenSettings;
+import org.cowslipbank.entry.settings.NodeSettings;
+import org.cowslipbank.entry.traffic.ConfigurationIndex;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.ModelRef;
+import org.cowslipbank.model.StoreId;
+import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.standins.EngineSize;
+import org.cowslipbank.standins.EngineStandIn;
+import org.cowslipbank.standins.StoreSize;
+import org.cowslipbank.standins.StoreStandIn;
+
+/** One node with engine and store stand-ins on loopback. */
+final class LocalSystem implements AutoCloseable {
+    static final ModelRef MODEL = new ModelRef("review", "v1", "");
+    static final List<LoadSettings.LoadTeam> TEAMS = List.of(
+            new LoadSettings.LoadTeam("joinery", "key-joinery"),
+            new LoadSettings.LoadTeam("timber-yard", "key-timber-yard"),
+            new LoadSettings.LoadTeam("design", "key-design"));
+
+    private static final DataCentreId DATA_CENTRE = new DataCentreId("mu-west-1");
+    private static final int STEP_THREADS = 4;
+    private static final int TEAM_LIMIT = 1_000_000;
+
+    private final ScheduledExecutorService steps = Executors.newScheduledThreadPool(STEP_THREADS);
+    private final List<EngineStandIn> engines = new ArrayList<>();
+    private final List<StoreStandIn> stores = new ArrayList<>();
+    private final HttpOutsideSystems systems;
+    private final Node node;
+
+    /**
+     * Starts the system.
+     *
+     * @param engineCount number of engines; their batch steps are spread over the time of a step
+     * @param size size of each engine
+     * @param storeSizes size of each store
+     */
+    LocalSystem(int engineCount, EngineSize size, List<StoreSize> storeSizes) throws InterruptedException {
+        for (int i = 0; i < engineCount; i++) {
+            engines.add(new EngineStandIn("127.0.0.1", 0, size, MODEL, steps));
+            Thread.sleep(Math.max(1, size.stepMillis() / engineCount));
+        }
+        for (StoreSize storeSize : storeSizes) {
+            stores.add(new StoreStandIn(storeId(stores.size()), "127.0.0.1", 0, storeSize));
+        }
+        systems = new HttpOutsideSystems("127.0.0.1:1", "127.0.0.1:1", this::storeAddress);
+        ConfigurationIndex index = new ConfigurationIndex(configuration(storeSizes));
+        node = new Node(settings(), systems, () -> index, new byte[] {1});
+        node.start();
+    }
+
+    String nodeAddress() {
+        return node.callerAddress();
+    }
+
+    List<String> engineAddresses() {
+        return engines.stream().map(EngineStandIn::address).toList();
+    }
+
+    List<EngineStandIn> engines() {
+        return engines;
+    }
+
+    @Override
+    public void close() {
+        node.close();
+        systems.close();
+        engines.forEach(EngineStandIn::close);
+        stores.forEach(StoreStandIn::close);
+        steps.shutdownNow();
+    }
+
+    private static StoreId storeId(int index) {
+        return new StoreId("store-" + (index + 1));
+    }
+
+    private String storeAddress(StoreId id) {
+        for (int i = 0; i < stores.size(); i++) {
+            if (storeId(i).equals(id)) {
+                return stores.get(i).address();
+            }
+        }
+        throw new IllegalArgumentException("unknown store " + id);
+    }
+
+    private Configuration configuration(List<StoreSize> storeSizes) {
+        List<Team> teams = TEAMS.stream()
+                .map(team -> new Team(
+                        new TeamId(team.name()),
+                        List.of(sha256(team.bearerKey())),
+                        new TeamLimits(TEAM_LIMIT, TEAM_LIMIT, TEAM_LIMIT, 1),
+                        List.of(MODEL.model()),
+                        List.of(),
+                        "mu-west"))
+                .toList();
+        List<Upstream> upstreams = new ArrayList<>();
+        for (EngineStandIn engine : engines) {
+            upstreams.add(new Upstream(
+                    new UpstreamId("engine-" + (upstreams.size() + 1)),
+                    UpstreamKind.ENGINE,
+                    DATA_CENTRE,
+                    engine.address(),
+                    UpstreamState.ACTIVE,
+                    true));
+        }
+        List<StoreVm> storeVms = new ArrayList<>();
+        for (StoreSize size : storeSizes) {
+            int index = storeVms.size();
+            storeVms.add(
+                    new StoreVm(storeId(index), DATA_CENTRE, stores.get(index).address(), size.linkBytesPerSecond()));
+        }
+        ModelVersion version = new ModelVersion(
+                MODEL.weightVersion(),
+                List.of(),
+                upstreams.stream().map(Upstream::id).toList());
+        return new Configuration(
+                1,
+                teams,
+                List.of(new Model(MODEL.model(), MODEL.weightVersion(), List.of(version))),
+                List.of(),
+                upstreams,
+                storeVms,
+                new DecisionWeights(1, 0.2, 0.1));
+    }
+
+    private static String sha256(String text) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is required of every Java platform", e);
+        }
+    }
+
+    private static NodeSettings settings() {
+        ListenSettings any = new ListenSettings("127.0.0.1", 0);
+        return new NodeSettings(
+                "entry-1",
+                DATA_CENTRE.value(),
+                "mu-west",
+                any,
+                any,
+                any,
+                null,
+                null,
+                null,
+                null,
+                0,
+                0L,
+                null,
+                null,
+                null,
+                null);
+    }
+}
--- a/bench/src/main/java/org/cowslipbank/bench/load/NodeProtocol.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/NodeProtocol.java
@@ -64,7 +64,9 @@
         return usage.isObject()
                 ? StreamLine.usage(
                         usage.path("prompt_tokens").asLong(),
-                        usage.path("prompt_tokens_details").path("cached_tokens").asLong())
+                        usage.path("prompt_tokens_details")
+                                .path("cached_tokens")
+                                .asLong())
                 : StreamLine.OTHER;
     }
 }
--- a/bench/src/main/java/org/cowslipbank/bench/load/StreamRun.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/StreamRun.java
@@ -56,12 +56,14 @@
     }
 
     private void on(StreamLine line, long nowNanos) {
-        switch (line.kind()) {
-            case TOKEN -> token(line.text(), nowNanos);
-            case USAGE -> usage = line;
-            case END -> complete = true;
-            case ERROR -> errorRun = line.text();
-            default -> {}
+        if (line.kind() == StreamLine.Kind.TOKEN) {
+            token(line.text(), nowNanos);
+        } else if (line.kind() == StreamLine.Kind.USAGE) {
+            usage = line;
+        } else if (line.kind() == StreamLine.Kind.ERROR) {
+            errorRun = line.text();
+        } else if (line.kind() == StreamLine.Kind.END) {
+            complete = true;
         }
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/trace/FileDecisionRecorder.java
+++ b/entry/src/main/java/org/cowslipbank/entry/trace/FileDecisionRecorder.java
@@ -68,7 +68,8 @@
     @Override
     public <I, O> O decide(Decision<I, O> decision, I input) {
         O outcome = decision.function().apply(input);
-        if (closing || !queue.offer(new Entry<>(decision, input, outcome, clockMillis.getAsLong(), revision.getAsLong()))) {
+        if (closing
+                || !queue.offer(new Entry<>(decision, input, outcome, clockMillis.getAsLong(), revision.getAsLong()))) {
             dropped.incrementAndGet();
         }
         return outcome;
@@ -122,8 +123,7 @@
     private void writeDropped() throws IOException {
         long lines = dropped.getAndSet(0);
         if (lines > 0) {
-            TraceFiles.Stamp stamp =
-                    new TraceFiles.Stamp(++sequence, clockMillis.getAsLong(), revision.getAsLong(), 0);
+            TraceFiles.Stamp stamp = new TraceFiles.Stamp(++sequence, clockMillis.getAsLong(), revision.getAsLong(), 0);
             out.write(TraceFiles.line(TraceFiles.dropped(lines, stamp)));
         }
     }
--- a/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
@@ -28,8 +28,8 @@
         }
         out.stall.countDown();
         recorder.close();
-        List<TraceRecord> lines =
-                TraceFiles.read(out.bytes.toString(StandardCharsets.UTF_8).lines().toList());
+        List<TraceRecord> lines = TraceFiles.read(
+                out.bytes.toString(StandardCharsets.UTF_8).lines().toList());
         long decisions = lines.stream().filter(TraceRecord::holdsDecision).count();
         long dropped = lines.stream()
                 .filter(line -> !line.holdsDecision())
