--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -6,6 +6,7 @@
 import org.cowslipbank.bench.claims.ClaimsBench;
 import org.cowslipbank.bench.config.ConfigBench;
 import org.cowslipbank.bench.limits.LimitsBench;
+import org.cowslipbank.bench.load.LoadBench;
 import org.cowslipbank.bench.membership.MembershipBench;
 import org.cowslipbank.bench.routing.RoutingBench;
 import org.cowslipbank.bench.streams.StreamsBench;
@@ -17,6 +18,7 @@
             new ClaimsBench(),
             new ConfigBench(),
             new LimitsBench(),
+            new LoadBench(),
             new MembershipBench(),
             new RoutingBench(),
             new StreamsBench());
--- a/bench/src/main/java/org/cowslipbank/bench/demo/CallerClient.java
+++ b/bench/src/main/java/org/cowslipbank/bench/demo/CallerClient.java
@@ -129,8 +129,10 @@
                 .send(ByteBufFlux.fromString(Mono.just(body.toString())))
                 .response((response, content) -> response.status().code() == 200
                         ? LineSplitter.lines(content.asByteArray())
-                        : content.aggregate().asByteArray().flatMapMany(bytes -> Flux.error(
-                                refusal(address, response.status().code(), bytes))))
+                        : content.aggregate()
+                                .asByteArray()
+                                .flatMapMany(bytes -> Flux.error(
+                                        refusal(address, response.status().code(), bytes))))
                 .timeout(SILENCE)
                 .doOnNext(collector::line)
                 .then(Mono.defer(() -> collector.answer(address)));
@@ -154,7 +156,8 @@
     private static Exception refusal(String address, int status, byte[] bytes) {
         JsonNode error = json(bytes).path("error");
         String code = error.path("code").asText();
-        String message = "HTTP " + status + " " + code + ": " + error.path("message").asText();
+        String message =
+                "HTTP " + status + " " + code + ": " + error.path("message").asText();
         RunState runState = error.path("run").asText().equals("not_run") ? RunState.NOT_RUN : RunState.UNKNOWN;
         boolean retryable = status == 429 || status >= 500 || code.equals("call_in_progress");
         return retryable
--- a/bench/src/main/java/org/cowslipbank/bench/demo/DeploymentRun.java
+++ b/bench/src/main/java/org/cowslipbank/bench/demo/DeploymentRun.java
@@ -261,8 +261,7 @@
 
     private Mono<Void> send(CallerClient client, long number, int team, String text, boolean returning) {
         requests.incrementAndGet();
-        CallerClient.Prompt prompt =
-                new CallerClient.Prompt(teamKey(team), "review", "s" + number, text, MAX_TOKENS);
+        CallerClient.Prompt prompt = new CallerClient.Prompt(teamKey(team), "review", "s" + number, text, MAX_TOKENS);
         return client.complete(prompt)
                 .timeout(ANSWER_PATIENCE)
                 .doOnNext(answer -> count(text, answer, returning))
--- a/bench/src/main/java/org/cowslipbank/bench/demo/Faults.java
+++ b/bench/src/main/java/org/cowslipbank/bench/demo/Faults.java
@@ -41,11 +41,16 @@
     Mono<Void> run() {
         return Mono.when(
                 at(2_500, "an open stream of every engine goes silent", this::muteStreams),
-                at(4_000, "a node is killed without notice", () -> nodes.get(KILLED_NODE).close()),
+                at(4_000, "a node is killed without notice", () -> nodes.get(KILLED_NODE)
+                        .close()),
                 at(5_500, "half the engines retire", this::retireHalf),
                 at(7_500, "a store dies", () -> standIns.stores().get("store-1").close()),
-                at(9_000, "the key-value service goes away", () -> standIns.keyValue().faults().setDown(true)),
-                at(12_000, "the key-value service is back", () -> standIns.keyValue().faults().setDown(false)),
+                at(9_000, "the key-value service goes away", () -> standIns.keyValue()
+                        .faults()
+                        .setDown(true)),
+                at(12_000, "the key-value service is back", () -> standIns.keyValue()
+                        .faults()
+                        .setDown(false)),
                 at(13_000, "the weights are changed", this::changeWeights));
     }
 
@@ -87,13 +92,19 @@
     private double changeConfiguration(Consumer<ObjectNode> edit) {
         Node node = nodes.get(0);
         String root = "http://" + node.adminAddress() + "/admin/v1/configuration";
-        ObjectNode tree = (ObjectNode) parse(authorized(client).get().uri(root).responseContent().aggregate().asString().block());
+        ObjectNode tree = (ObjectNode) parse(authorized(client)
+                .get()
+                .uri(root)
+                .responseContent()
+                .aggregate()
+                .asString()
+                .block());
         long revision = tree.path("revision").asLong();
         edit.accept(tree);
         long startNanos = System.nanoTime();
         Mono<String> change = authorized(client)
-                .headers(headers -> headers.set("if-match", "\"" + revision + "\"")
-                        .set("x-change-reason", "demonstration"))
+                .headers(headers ->
+                        headers.set("if-match", "\"" + revision + "\"").set("x-change-reason", "demonstration"))
                 .put()
                 .uri(root)
                 .send(ByteBufFlux.fromString(Mono.just(tree.toString())))
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/AdminClient.java
@@ -0,0 +1,134 @@
+package org.cowslipbank.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpMethod;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.cowslipbank.model.ConfigurationException;
+import org.cowslipbank.model.CowslipbankException;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.Step;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+
+/** Calls the administration interface of a node. */
+final class AdminClient {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    private final String address;
+    private final String key;
+
+    private AdminClient(String address, String key) {
+        this.address = address;
+        this.key = key;
+    }
+
+    /** The options that all commands share which call a node. */
+    static final class Connection {
+        private final OptionSpec<String> address;
+        private final OptionSpec<String> keyFile;
+
+        Connection(OptionParser parser) {
+            address = parser.accepts("admin", "Address of a node's operators' listener as IP:port.")
+                    .withRequiredArg()
+                    .defaultsTo("127.0.0.1:9090");
+            keyFile = parser.accepts("key-file", "File with the operator's key.")
+                    .withRequiredArg()
+                    .required();
+        }
+
+        AdminClient client(OptionSet options) throws ConfigurationException {
+            String file = options.valueOf(keyFile);
+            try {
+                return new AdminClient(options.valueOf(address), Files.readString(Path.of(file)).trim());
+            } catch (IOException e) {
+                throw new ConfigurationException(file, 0, "$", "the key file cannot be read");
+            }
+        }
+    }
+
+    Answer call(HttpMethod method, String path, Map<String, String> headers, String body) throws CowslipbankException {
+        try {
+            return HttpClient.newConnection()
+                    .headers(set -> {
+                        set.set("authorization", "Bearer " + key);
+                        headers.forEach(set::set);
+                    })
+                    .request(method)
+                    .uri("http://" + address + "/admin/v1" + path)
+                    .send(ByteBufFlux.fromString(Mono.just(body)))
+                    .responseSingle((response, content) -> content.asString()
+                            .defaultIfEmpty("")
+                            .map(text -> new Answer(response.status().code(), text)))
+                    .block(TIMEOUT);
+        } catch (RuntimeException e) {
+            throw new PeerException(Step.CONFIGURE, address, RunState.UNKNOWN, "the node does not answer", e);
+        }
+    }
+
+    Answer get(String path) throws CowslipbankException {
+        return call(HttpMethod.GET, path, Map.of(), "");
+    }
+
+    /**
+     * An answer.
+     *
+     * @param status the HTTP status
+     * @param text the body
+     */
+    record Answer(int status, String text) {
+        boolean isSuccess() {
+            return status == 200;
+        }
+
+        JsonNode json() {
+            try {
+                return MAPPER.readTree(text);
+            } catch (IOException e) {
+                return MAPPER.createObjectNode();
+            }
+        }
+
+        String pretty() {
+            return json().toPrettyString();
+        }
+
+        /** Returns the error's message, or the whole text where it has none. */
+        String errorMessage() {
+            JsonNode error = json().path("error");
+            return error.has("message")
+                    ? error.path("code").asText() + ": " + error.path("message").asText()
+                    : "HTTP status " + status;
+        }
+
+        ExitCode report(Console console) {
+            if (isSuccess()) {
+                console.out().println(pretty());
+                return ExitCode.DONE;
+            }
+            console.err().println(errorMessage());
+            return exitCode();
+        }
+
+        ExitCode exitCode() {
+            if (isSuccess()) {
+                return ExitCode.DONE;
+            }
+            if (status == 503) {
+                return ExitCode.UNREACHABLE;
+            }
+            return status == 409 ? ExitCode.OUTCOME_MISSED : ExitCode.BAD_INPUT;
+        }
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cowslipbank.config.StoreVm;
 import org.cowslipbank.config.Team;
 import org.cowslipbank.config.Upstream;
 import org.cowslipbank.decision.claims.PlatformBudget;
@@ -40,6 +41,7 @@
 import org.cowslipbank.model.Refusal;
 import org.cowslipbank.model.RefusedException;
 import org.cowslipbank.model.Step;
+import org.cowslipbank.model.StoreId;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.ports.OutsideSystems;
 import reactor.core.scheduler.Scheduler;
@@ -159,6 +161,16 @@
         return adminServer.host() + ":" + adminServer.port();
     }
 
+    /**
+     * Returns the address of a store in the configuration in force.
+     *
+     * @param store the store
+     * @return the address as {@code IP:port}; one that refuses connections if the store is not configured
+     */
+    public String storeAddress(StoreId store) {
+        return configuration.index().store(store).map(StoreVm::address).orElse("127.0.0.1:1");
+    }
+
     /**
      * Returns the configuration revision in force here.
      *
--- a/standins/src/main/java/org/cowslipbank/standins/StandInSet.java
+++ b/standins/src/main/java/org/cowslipbank/standins/StandInSet.java
@@ -57,13 +57,22 @@
             entries.add(entry(vm.vm(), VmKind.ENTRY, vm.dataCentre(), vm.peerAddress()));
         }
         for (StandInSettings.EngineVm vm : settings.engines()) {
-            entries.add(entry(vm.vm(), VmKind.ENGINE, vm.dataCentre(), engines.get(vm.vm()).address()));
+            entries.add(entry(
+                    vm.vm(),
+                    VmKind.ENGINE,
+                    vm.dataCentre(),
+                    engines.get(vm.vm()).address()));
         }
         for (StandInSettings.StoreVm vm : settings.stores()) {
-            entries.add(entry(vm.vm(), VmKind.STORE, vm.dataCentre(), stores.get(vm.vm()).address()));
+            entries.add(entry(
+                    vm.vm(), VmKind.STORE, vm.dataCentre(), stores.get(vm.vm()).address()));
         }
         for (StandInSettings.ServiceVm vm : settings.services()) {
-            entries.add(entry(vm.vm(), VmKind.SERVICE, vm.dataCentre(), services.get(vm.vm()).address()));
+            entries.add(entry(
+                    vm.vm(),
+                    VmKind.SERVICE,
+                    vm.dataCentre(),
+                    services.get(vm.vm()).address()));
         }
         return entries;
     }
