--- a/bench/src/main/java/org/cowslipbank/bench/demo/CallerClient.java
+++ b/bench/src/main/java/org/cowslipbank/bench/demo/CallerClient.java
@@ -66,13 +66,15 @@
      * @param key the team's bearer key
      * @param ownKeyPart the caller's own part of the idempotency key
      * @param order the order's text
+     * @param onNotRun called whenever a refusal says that the order did not run
      * @return the answer's text; an error if the outcome stayed unknown
      */
-    public Mono<String> order(String key, String ownKeyPart, String order) {
+    public Mono<String> order(String key, String ownKeyPart, String order, Runnable onNotRun) {
         return entry(key, ownKeyPart, 0).retry(MAX_TRIES).flatMap(first -> {
             String idempotencyKey = first.window() + "." + ownKeyPart;
             return withRetries(attempt -> entry(key, ownKeyPart, attempt)
-                    .flatMap(entry -> sendOrder(entry.address(), key, idempotencyKey, order)));
+                    .flatMap(entry -> sendOrder(entry.address(), key, idempotencyKey, order))
+                    .doOnError(error -> tellNotRun(error, onNotRun)));
         });
     }
 
@@ -92,6 +94,12 @@
                         : Mono.error(error));
     }
 
+    private static void tellNotRun(Throwable error, Runnable onNotRun) {
+        if (error instanceof PeerException peer && peer.runState() == RunState.NOT_RUN) {
+            onNotRun.run();
+        }
+    }
+
     private static boolean isWorthRetrying(Throwable error) {
         return !(error instanceof FinalFailure);
     }
--- a/cli/src/main/java/org/cowslipbank/cli/AdminClient.java
+++ b/cli/src/main/java/org/cowslipbank/cli/AdminClient.java
@@ -51,7 +51,9 @@
         AdminClient client(OptionSet options) throws ConfigurationException {
             String file = options.valueOf(keyFile);
             try {
-                return new AdminClient(options.valueOf(address), Files.readString(Path.of(file)).trim());
+                return new AdminClient(
+                        options.valueOf(address),
+                        Files.readString(Path.of(file)).trim());
             } catch (IOException e) {
                 throw new ConfigurationException(file, 0, "$", "the key file cannot be read");
             }
--- a/cli/src/main/java/org/cowslipbank/cli/ConfigCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/ConfigCommand.java
@@ -72,8 +72,7 @@
         return ExitCode.DONE;
     }
 
-    private static ExitCode apply(List<String> arguments, Console console)
-            throws CowslipbankException, UsageException {
+    private static ExitCode apply(List<String> arguments, Console console) throws CowslipbankException, UsageException {
         OptionParser parser = new OptionParser();
         OptionSpec<String> names = parser.nonOptions("FILE: the configuration, JSON with comments.");
         OptionSpec<Long> revision = parser.accepts(
@@ -128,7 +127,8 @@
             return answer.report(console);
         }
         Configuration inForce = ConfigurationParser.parse("in force", answer.text());
-        ConfigurationDifference.between(inForce, next).forEach(line -> console.out().println(line));
+        ConfigurationDifference.between(inForce, next)
+                .forEach(line -> console.out().println(line));
         return ExitCode.DONE;
     }
 
--- a/cli/src/main/java/org/cowslipbank/cli/DemoCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/DemoCommand.java
@@ -85,16 +85,24 @@
     private static ObjectNode json(List<DemoOutcome> outcomes) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("requests", outcomes.stream().mapToInt(DemoOutcome::requests).sum());
-        root.put("answeredOnce", outcomes.stream().mapToInt(DemoOutcome::answeredOnce).sum());
+        root.put(
+                "answeredOnce",
+                outcomes.stream().mapToInt(DemoOutcome::answeredOnce).sum());
         root.put("lost", outcomes.stream().mapToInt(DemoOutcome::lost).sum());
         root.put("doubled", outcomes.stream().mapToInt(DemoOutcome::doubled).sum());
-        root.put("wrongAnswers", outcomes.stream().mapToInt(DemoOutcome::wrongAnswers).sum());
-        root.put("outcomeUnknown", outcomes.stream().mapToInt(DemoOutcome::outcomeUnknown).sum());
-        root.put("crossTeam", outcomes.stream().mapToLong(DemoOutcome::crossTeam).sum());
+        root.put(
+                "wrongAnswers",
+                outcomes.stream().mapToInt(DemoOutcome::wrongAnswers).sum());
+        root.put(
+                "outcomeUnknown",
+                outcomes.stream().mapToInt(DemoOutcome::outcomeUnknown).sum());
+        root.put(
+                "crossTeam", outcomes.stream().mapToLong(DemoOutcome::crossTeam).sum());
         root.put("ttftFirstP95Ms", max(outcomes, DemoOutcome::ttftFirstP95Ms));
         root.put("ttftReturningP95Ms", max(outcomes, DemoOutcome::ttftReturningP95Ms));
         root.put("recomputedShare", max(outcomes, DemoOutcome::recomputedShare));
-        root.put("linkBytes", outcomes.stream().mapToLong(DemoOutcome::linkBytes).sum());
+        root.put(
+                "linkBytes", outcomes.stream().mapToLong(DemoOutcome::linkBytes).sum());
         root.put("configAppliedMs", max(outcomes, DemoOutcome::configAppliedMs));
         root.put("held", outcomes.stream().allMatch(DemoOutcome::promisesHeld));
         for (DemoOutcome outcome : outcomes) {
--- a/cli/src/main/java/org/cowslipbank/cli/DrainCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/DrainCommand.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.Map;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
@@ -41,7 +41,8 @@
         again.add("--admin");
         again.add(nodes.get(0));
         Optional<OptionSet> resolved = new Options(parser).parse(again, console);
-        return connection.client(resolved.orElseThrow())
+        return connection
+                .client(resolved.orElseThrow())
                 .call(HttpMethod.POST, "/drain", Map.of(), "")
                 .report(console);
     }
--- a/cli/src/main/java/org/cowslipbank/cli/GetCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/GetCommand.java
@@ -1,10 +1,10 @@
 package org.cowslipbank.cli;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.Map;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.cowslipbank.model.CowslipbankException;
--- a/cli/src/main/java/org/cowslipbank/cli/Main.java
+++ b/cli/src/main/java/org/cowslipbank/cli/Main.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.cowslipbank.model.ConfigurationException;
 import org.cowslipbank.model.CowslipbankException;
@@ -18,10 +19,12 @@
             new DemoCommand(),
             new DrainCommand(),
             new NodeCommand(),
-            new ReplayCommand(),
             new StandInCommand(),
             new StatusCommand());
 
+    // These run nodes and stand-ins in this process and print results for a person.
+    private static final Set<String> QUIET_COMMANDS = Set.of("demo", "bench");
+
     private Main() {}
 
     /**
@@ -30,6 +33,9 @@
      * @param arguments the command's name and its arguments
      */
     public static void main(String[] arguments) {
+        if (arguments.length > 0 && QUIET_COMMANDS.contains(arguments[0])) {
+            System.setProperty("cowslipbank.log.level", System.getProperty("cowslipbank.log.level", "off"));
+        }
         Console console = new Console(System.out, System.err);
         System.exit(run(Arrays.asList(arguments), console).value());
     }
--- a/cli/src/main/java/org/cowslipbank/cli/NodeCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/NodeCommand.java
@@ -49,8 +49,8 @@
             return ExitCode.DONE;
         }
         Path settingsFile = Path.of(options.get().valueOf(file));
-        NodeSettings settings = NodeSettingsChecks.checked(
-                settingsFile, SettingsParser.read(settingsFile, NodeSettings.class));
+        NodeSettings settings =
+                NodeSettingsChecks.checked(settingsFile, SettingsParser.read(settingsFile, NodeSettings.class));
         // The configuration, once applied, names the stores; until then no block is fetched.
         Node[] started = new Node[1];
         HttpOutsideSystems systems = new HttpOutsideSystems(
@@ -60,8 +60,9 @@
         Node node = new Node(settings, systems, secrets(settings));
         started[0] = node;
         node.start();
-        console.err().println("node " + settings.vm() + " serves callers at " + node.callerAddress()
-                + " and operators at " + node.adminAddress());
+        console.err()
+                .println("node " + settings.vm() + " serves callers at " + node.callerAddress() + " and operators at "
+                        + node.adminAddress());
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(node, systems, stopped), "shutdown"));
         await(stopped);
@@ -91,8 +92,7 @@
         byte[] fleetSecret = readFile(settings.fleetSecretFile());
         Map<String, String> operators = new HashMap<>();
         int lineNumber = 0;
-        for (String line : new String(readFile(settings.adminKeysFile()), StandardCharsets.UTF_8)
-                .split("\n")) {
+        for (String line : new String(readFile(settings.adminKeysFile()), StandardCharsets.UTF_8).split("\n")) {
             lineNumber++;
             if (line.isBlank() || line.startsWith("#")) {
                 continue;
--- a/cli/src/main/java/org/cowslipbank/cli/StandInCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/StandInCommand.java
@@ -35,17 +35,20 @@
         if (options.isEmpty()) {
             return ExitCode.DONE;
         }
-        StandInSet standIns = new StandInSet(
-                SettingsParser.read(Path.of(options.get().valueOf(file)), StandInSettings.class));
-        console.err().println("stand-ins run: key-value service at " + standIns.keyValue().address() + ", VM list at "
-                + standIns.vmList().address());
+        StandInSet standIns =
+                new StandInSet(SettingsParser.read(Path.of(options.get().valueOf(file)), StandInSettings.class));
+        console.err()
+                .println("stand-ins run: key-value service at "
+                        + standIns.keyValue().address() + ", VM list at "
+                        + standIns.vmList().address());
         CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(
-                () -> {
-                    standIns.close();
-                    stopped.countDown();
-                },
-                "shutdown"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            standIns.close();
+                            stopped.countDown();
+                        },
+                        "shutdown"));
         try {
             stopped.await();
         } catch (InterruptedException e) {
