--- a/bench/src/main/java/org/cowslipbank/bench/routing/Policy.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Policy.java
@@ -39,11 +39,16 @@
     static final Policy NO_OVERTAKE = system("no_overtake", SelectionMode.FULL_SCAN, false, true);
     static final Policy ORACLE = new Policy("oracle", Policy::decide, SelectionMode.FULL_SCAN, true, true, true, true);
 
+    static final Policy AFFINITY = storeless("affinity", Policy::affinity);
+
+    /** The system without one of its parts. */
+    static final List<Policy> VARIANTS = List.of(TWO_CHOICES, NO_PREFETCH, NO_OVERTAKE);
+
     /** The baselines that the system must not be worse than. */
     static final List<Policy> BASELINES = List.of(
             storeless("random", Policy::random),
             storeless("least_loaded", Policy::leastLoaded),
-            storeless("affinity", Policy::affinity),
+            AFFINITY,
             new Policy("fetch_always", Policy::fetchAlways, SelectionMode.FULL_SCAN, true, false, false, false),
             storeless("recompute_always", Policy::decide));
 
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
@@ -20,6 +20,10 @@
 
     double fetchStartMillis;
     double queueAtStartMillis;
+    double plannedMillis;
+    /** Blocks that the prefetch had received when the request arrived. */
+    int receivedBeforeArrival;
+
     long assignedTokens;
     double readyMillis = -1;
 
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -71,7 +71,7 @@
         this.policy = policy;
         this.arrivals = arrivals;
         this.measureFromMillis = measureFromMillis;
-        this.retention = new RetentionPolicy(3_600_000, 0.95, 0.85, workload.weights());
+        this.retention = new RetentionPolicy(3_600_000, 120_000, 0.95, 0.85, workload.weights());
         this.network = new TransferNetwork(clock, workload);
         this.engines = new EngineModel[workload.engines()];
         this.visibleTokens = new long[engines.length];
@@ -227,22 +227,42 @@
         }
         RoutingInput input = input(run);
         RoutingOutcome choice = policy.rule().route(input, session.key);
+        probeSlowLinks(run.node);
         int engine = engineIndexes.get(choice.upstream());
-        stopFetch(run);
+        boolean continued =
+                run.transferId >= 0 && engine == run.engine && !choice.fetch().isEmpty();
+        if (!continued) {
+            stopFetch(run);
+        }
         if (engine != run.engine) {
             run.engine = engine;
             run.base = 0;
             run.received = 0;
         }
-        int split = choice.localBlocks() + choice.fetch().size();
+        int split = continued
+                ? run.base + run.planned
+                : choice.localBlocks() + choice.fetch().size();
         run.assignedTokens = Math.max(1, run.arrival.promptTokens() - (long) split * Workload.BLOCK_TOKENS);
-        node.assigned.get(engine).add(run);
-        probeSlowLinks(run.node);
-        if (choice.fetch().isEmpty()) {
+        nodes[run.node].assigned.get(engine).add(run);
+        if (continued) {
+            continueFetch(run, choice);
+        } else if (choice.fetch().isEmpty()) {
             engines[engine].submit(run);
-            return;
+        } else {
+            startFetch(run, choice, TransferPriority.FOREGROUND);
+        }
+    }
+
+    // The request has arrived while its blocks are being prefetched to the chosen engine.
+    private void continueFetch(Run run, RoutingOutcome choice) {
+        network.reprioritise(run.node, run.link, run.transferId, TransferPriority.FOREGROUND);
+        run.fetchStartMillis = clock.nowMillis();
+        run.queueAtStartMillis = choice.queueMillis();
+        run.plannedMillis = choice.fetchMillis();
+        run.receivedBeforeArrival = run.received;
+        if (policy.overtakes()) {
+            checkFetch(run, run.fetchNumber);
         }
-        startFetch(run, choice, TransferPriority.FOREGROUND);
     }
 
     private void probeSlowLinks(int node) {
@@ -263,6 +283,8 @@
         run.link = storeIds.indexOf(choice.fetch().get(0).store());
         run.fetchStartMillis = clock.nowMillis();
         run.queueAtStartMillis = choice.queueMillis();
+        run.plannedMillis = choice.fetchMillis();
+        run.receivedBeforeArrival = 0;
         int fetchNumber = ++run.fetchNumber;
         boolean fromDisk = choice.fetch().get(0).tier() == StoreTier.DISK;
         run.transferId = network.submit(
@@ -322,18 +344,18 @@
             return;
         }
         double now = clock.nowMillis();
-        LinkEstimate estimate = network.estimate(run.node, run.link);
         double silentSince = Math.max(run.fetchStartMillis, network.silentSinceMillis(run.node, run.link));
-        double expectedMillis = workload.blockBytes() * 1_000 / estimate.bytesPerSecond();
-        int left = run.planned - run.received;
+        double elapsedMillis = now - run.fetchStartMillis;
         FetchVerdict verdict = FetchDecision.check(new FetchProgress(
-                left,
-                0,
-                expectedMillis,
-                workload.linkUseBlockMillis(),
+                run.planned - run.receivedBeforeArrival,
+                run.received - run.receivedBeforeArrival,
+                run.plannedMillis,
+                elapsedMillis,
                 now - silentSince,
-                Math.max(0, run.queueAtStartMillis - (now - run.fetchStartMillis)),
+                Math.max(0, run.queueAtStartMillis - elapsedMillis),
+                workload.linkUseBlockMillis(),
                 workload.blockPrefillMillis(),
+                run.arrival.promptTokens() * 1_000 / workload.prefillTokensPerSecond(),
                 workload.weights()));
         if (verdict.recomputeRest()) {
             stopFetch(run);
--- a/bench/src/main/java/org/cowslipbank/bench/routing/StoreModel.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/StoreModel.java
@@ -72,8 +72,9 @@
                 held.add(describe.apply(session));
             }
         }
+        long horizonMillis = tier == StoreTier.MEMORY ? policy.memoryHorizonMillis() : policy.horizonMillis();
         long bytesToFree = used - (long) (policy.evictTargetShare() * capacity);
-        EvictionOutcome outcome = RetentionDecision.evict(new EvictionInput(held, bytesToFree, policy));
+        EvictionOutcome outcome = RetentionDecision.evict(new EvictionInput(held, bytesToFree, horizonMillis));
         for (EvictionOutcome.Cut cut : outcome.cuts()) {
             Session session = sessions.get((int) cut.id());
             if (tier == StoreTier.MEMORY) {
--- a/bench/src/main/java/org/cowslipbank/bench/routing/TransferNetwork.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/TransferNetwork.java
@@ -16,10 +16,13 @@
 import org.cowslipbank.decision.routing.TransferPriority;
 
 /**
- * The links of the stores. Each node schedules its own transfers and has one block in flight per link; a link serves the
- * blocks of all nodes in order of request, so nodes share it without coordination.
+ * The links of the stores. Each node schedules its own transfers and has two blocks in flight per link, so that the disk
+ * reads one while the link carries the other. Disk and link each serve the blocks of all nodes in order of request, so
+ * nodes share them without coordination.
  */
 final class TransferNetwork {
+    private static final int BLOCKS_IN_FLIGHT = 2;
+
     private final VirtualClock clock;
     private final Workload workload;
     private final Link[] links;
@@ -64,6 +67,10 @@
         port.scheduler.cancel(transferId);
     }
 
+    void reprioritise(int node, int link, long transferId, TransferPriority priority) {
+        ports[node][link].scheduler.reprioritise(transferId, priority);
+    }
+
     LinkEstimate estimate(int node, int link) {
         return ports[node][link].estimate;
     }
@@ -71,8 +78,7 @@
     /** Bytes that a new foreground transfer of a node finds ahead of it. */
     long queuedBytes(int node, int link) {
         Port port = ports[node][link];
-        long inFlight = port.inFlight == null ? 0 : port.inFlight.bytes();
-        return port.scheduler.waitingBytes(TransferPriority.FOREGROUND) + inFlight;
+        return port.scheduler.waitingBytes(TransferPriority.FOREGROUND) + port.inFlight.size() * workload.blockBytes();
     }
 
     /** Foreground bytes of all nodes. */
@@ -107,11 +113,13 @@
     void kill(int link) {
         links[link].dead = true;
         links[link].waiting.clear();
+        links[link].waitingForDisk.clear();
     }
 
     void revive(int link) {
         links[link].dead = false;
         links[link].busy = false;
+        links[link].diskBusy = false;
     }
 
     /** Drops everything a node had queued, as when its process dies. */
@@ -126,11 +134,11 @@
     private record Block(Port port, BlockGrant grant, boolean fromDisk, double grantedMillis) {}
 
     private final class Port {
-        private final LinkScheduler scheduler = new LinkScheduler(1);
+        private final LinkScheduler scheduler = new LinkScheduler(BLOCKS_IN_FLIGHT);
         private final Map<Long, Callbacks> callbacks = new HashMap<>();
         private final int link;
         private LinkEstimate estimate = LinkEstimate.configured(workload.linkBytesPerSecond());
-        private BlockGrant inFlight;
+        private final List<BlockGrant> inFlight = new ArrayList<>();
         private double lastArrivalMillis;
 
         Port(int link) {
@@ -138,27 +146,42 @@
         }
 
         void pump() {
-            Optional<BlockGrant> next = scheduler.next();
-            if (next.isEmpty()) {
-                return;
+            for (Optional<BlockGrant> next = scheduler.next(); next.isPresent(); next = scheduler.next()) {
+                BlockGrant grant = next.get();
+                inFlight.add(grant);
+                Callbacks target = callbacks.get(grant.transferId());
+                links[link].request(new Block(this, grant, target.fromDisk(), clock.nowMillis()));
+                watch(grant, clock.nowMillis());
             }
-            BlockGrant grant = next.get();
-            inFlight = grant;
-            Callbacks target = callbacks.get(grant.transferId());
-            links[link].request(new Block(this, grant, target.fromDisk(), clock.nowMillis()));
+        }
+
+        private void watch(BlockGrant grant, double grantedMillis) {
             double expectedMillis = grant.bytes() * 1_000 / estimate.bytesPerSecond();
-            double silentAfterMillis = FetchDecision.silentAfterMillis(expectedMillis);
-            clock.after(silentAfterMillis, () -> timeOut(grant, silentAfterMillis));
+            double limitMillis = FetchDecision.silentAfterMillis(expectedMillis);
+            double silentFromMillis = Math.max(grantedMillis, lastArrivalMillis);
+            clock.at(silentFromMillis + limitMillis, () -> {
+                if (!inFlight.contains(grant)) {
+                    return;
+                }
+                if (lastArrivalMillis > silentFromMillis) {
+                    watch(grant, grantedMillis);
+                    return;
+                }
+                timeOut(grant, limitMillis);
+            });
         }
 
         void arrived(Block block) {
-            if (inFlight != block.grant()) {
+            if (!inFlight.remove(block.grant())) {
                 return;
             }
             double now = clock.nowMillis();
-            inFlight = null;
+            // A block that waited behind this node's own block occupied the link only since that one arrived.
+            double fromMillis = Math.max(block.grantedMillis(), lastArrivalMillis);
+            if (now > fromMillis) {
+                estimate = estimate.received(block.grant().bytes(), now - fromMillis, clock.nowWholeMillis());
+            }
             lastArrivalMillis = now;
-            estimate = estimate.received(block.grant().bytes(), now - block.grantedMillis(), clock.nowWholeMillis());
             Callbacks target = callbacks.get(block.grant().transferId());
             if (scheduler.ended(block.grant())) {
                 callbacks.remove(block.grant().transferId());
@@ -170,22 +193,21 @@
         }
 
         private void timeOut(BlockGrant grant, double waitedMillis) {
-            if (inFlight != grant) {
-                return;
-            }
-            inFlight = null;
             estimate = estimate.timedOut(grant.bytes(), waitedMillis, clock.nowWholeMillis());
-            scheduler.ended(grant);
             List<Callbacks> failed = new ArrayList<>(callbacks.values());
             List.copyOf(callbacks.keySet()).forEach(scheduler::cancel);
             callbacks.clear();
+            inFlight.forEach(scheduler::ended);
+            inFlight.clear();
             failed.forEach(target -> target.onFailed().run());
         }
     }
 
     private final class Link {
         private final Deque<Block> waiting = new ArrayDeque<>();
+        private final Deque<Block> waitingForDisk = new ArrayDeque<>();
         private boolean busy;
+        private boolean diskBusy;
         private boolean dead;
         private double factor = 1;
 
@@ -193,10 +215,32 @@
             if (dead) {
                 return;
             }
+            if (block.fromDisk()) {
+                waitingForDisk.addLast(block);
+                readDisk();
+                return;
+            }
             waiting.addLast(block);
             serve();
         }
 
+        private void readDisk() {
+            if (diskBusy || waitingForDisk.isEmpty()) {
+                return;
+            }
+            Block block = waitingForDisk.removeFirst();
+            diskBusy = true;
+            clock.after(block.grant().bytes() * 1_000 / workload.diskBytesPerSecond(), () -> {
+                if (dead) {
+                    return;
+                }
+                diskBusy = false;
+                waiting.addLast(block);
+                serve();
+                readDisk();
+            });
+        }
+
         private void serve() {
             if (busy || waiting.isEmpty()) {
                 return;
@@ -204,8 +248,7 @@
             Block block = waiting.removeFirst();
             busy = true;
             double rate = workload.linkBytesPerSecond() * factor;
-            double served = block.fromDisk() ? Math.min(rate, workload.diskBytesPerSecond()) : rate;
-            clock.after(block.grant().bytes() * 1_000 / served, () -> finish(block));
+            clock.after(block.grant().bytes() * 1_000 / rate, () -> finish(block));
         }
 
         private void finish(Block block) {
--- a/decision/src/main/java/org/cowslipbank/decision/retention/EvictionInput.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retention/EvictionInput.java
@@ -7,9 +7,9 @@
  *
  * @param sessions what it holds
  * @param bytesToFree bytes to give up
- * @param policy the rules
+ * @param horizonMillis returns after this time count nothing; short for memory, whose content changes soon
  */
-public record EvictionInput(List<RetainedSession> sessions, long bytesToFree, RetentionPolicy policy) {
+public record EvictionInput(List<RetainedSession> sessions, long bytesToFree, long horizonMillis) {
     /** Copies the list. */
     public EvictionInput {
         sessions = List.copyOf(sessions);
--- a/decision/src/main/java/org/cowslipbank/decision/retention/RetentionDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retention/RetentionDecision.java
@@ -71,8 +71,9 @@
      */
     public static EvictionOutcome evict(EvictionInput input) {
         List<RetainedSession> byValue = new ArrayList<>(input.sessions());
-        byValue.sort(Comparator.comparingDouble((RetainedSession session) -> valuePerByte(session, input.policy()))
-                .thenComparingLong(RetainedSession::id));
+        byValue.sort(
+                Comparator.comparingDouble((RetainedSession session) -> valuePerByte(session, input.horizonMillis()))
+                        .thenComparingLong(RetainedSession::id));
         List<EvictionOutcome.Cut> cuts = new ArrayList<>();
         long left = input.bytesToFree();
         for (RetainedSession session : byValue) {
@@ -87,8 +88,8 @@
         return new EvictionOutcome(cuts);
     }
 
-    private static double valuePerByte(RetainedSession session, RetentionPolicy policy) {
-        double probability = session.history().returnProbability(session.awayMillis(), policy.horizonMillis());
+    private static double valuePerByte(RetainedSession session, long horizonMillis) {
+        double probability = session.history().returnProbability(session.awayMillis(), horizonMillis);
         return probability * session.recomputeBlockMillis() / session.blockBytes();
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
@@ -9,8 +9,8 @@
     public static final Decision<FetchProgress, FetchVerdict> OVERTAKE =
             new Decision<>("overtake", FetchProgress.class, FetchVerdict.class, FetchDecision::check);
 
-    // Nodes share a link without coordination, so blocks arrive irregularly; a shorter silence says nothing.
-    private static final double LATE_FACTOR = 3;
+    // Nodes share a link without coordination, so blocks arrive irregularly; a smaller delay says nothing.
+    private static final double BEHIND_FACTOR = 4;
     // Hysteresis: without it a fetch whose cost equals that of recompute would be cancelled at the first slow block.
     private static final double OVERTAKE_MARGIN = 1.25;
     // A link that is silent for this factor of the expected time, and at least the floor, is treated as dead.
@@ -21,20 +21,24 @@
     private FetchDecision() {}
 
     /**
-     * Compares the rest of the fetch at the link's present rate with recomputing it. Once the link has been silent for
-     * the time that recomputing everything left would take, the fetch ends whatever the weights: a prompt never waits
-     * longer for a dead store than recompute takes.
+     * Compares the rest of a fetch that is behind its estimate, at the rate it has shown, with recomputing that rest.
+     * Once the link has been silent for the time that computing the prompt without the store would take, the fetch ends whatever
+     * the weights: a prompt never waits longer for a dead store than recompute takes.
      *
      * @param progress the progress
      * @return the verdict
      */
     public static FetchVerdict check(FetchProgress progress) {
-        double recomputeMillis = progress.blocksLeft() * progress.recomputeBlockMillis();
-        boolean late = progress.linkSilentMillis() >= LATE_FACTOR * progress.expectedBlockMillis();
-        boolean outOfTime = late && progress.linkSilentMillis() >= recomputeMillis;
-        boolean dearer = fetchCost(progress, late) > OVERTAKE_MARGIN * recomputeCost(progress, recomputeMillis);
-        boolean silent = progress.linkSilentMillis() >= silentAfterMillis(progress.expectedBlockMillis());
-        return new FetchVerdict(outOfTime || dearer || silent, silent, checkAfterMillis(progress, recomputeMillis));
+        double outOfTimeMillis = progress.promptRecomputeMillis();
+        double behindMillis = BEHIND_FACTOR * progress.plannedBlockMillis() * (progress.blocksReceived() + 1);
+        boolean outOfTime = progress.linkSilentMillis() >= outOfTimeMillis;
+        boolean behind = progress.blocksReceived() > 0 && progress.elapsedMillis() >= behindMillis;
+        boolean silent = progress.linkSilentMillis() >= silentAfterMillis(progress.plannedBlockMillis());
+        boolean recompute = outOfTime || silent || behind && costsMoreThanRecompute(progress);
+        double untilBehind = Math.max(progress.plannedBlockMillis(), behindMillis - progress.elapsedMillis());
+        double untilOutOfTime = outOfTimeMillis - progress.linkSilentMillis();
+        double checkAfterMillis = Math.max(MIN_CHECK_MILLIS, Math.min(untilBehind, untilOutOfTime));
+        return new FetchVerdict(recompute, silent, checkAfterMillis);
     }
 
     /**
@@ -47,26 +51,16 @@
         return Math.max(SILENT_FACTOR * expectedBlockMillis, SILENT_FLOOR_MILLIS);
     }
 
-    private static double fetchCost(FetchProgress progress, boolean late) {
-        double blockMillis = late ? progress.linkSilentMillis() : progress.expectedBlockMillis();
-        double arrivalMillis = (progress.blocksAhead() + progress.blocksLeft()) * blockMillis;
-        double waitMillis = Math.max(0, arrivalMillis - progress.queueMillis());
+    // Before the first block only silence counts: the time so far may be a wait behind other nodes' blocks.
+    private static boolean costsMoreThanRecompute(FetchProgress progress) {
         DecisionWeights weights = progress.weights();
-        double linkUseMillis = progress.blocksLeft() * progress.linkUseBlockMillis();
-        return weights.timeToFirstToken() * waitMillis + weights.link() * linkUseMillis;
-    }
-
-    private static double recomputeCost(FetchProgress progress, double recomputeMillis) {
-        return (progress.weights().timeToFirstToken() + progress.weights().recompute()) * recomputeMillis;
-    }
-
-    private static double checkAfterMillis(FetchProgress progress, double recomputeMillis) {
-        double lateMillis = LATE_FACTOR * progress.expectedBlockMillis();
-        double untilLate = lateMillis - progress.linkSilentMillis();
-        if (untilLate > 0) {
-            return Math.max(MIN_CHECK_MILLIS, untilLate);
-        }
-        double untilOutOfTime = recomputeMillis - progress.linkSilentMillis();
-        return Math.max(MIN_CHECK_MILLIS, Math.min(progress.expectedBlockMillis(), untilOutOfTime));
+        int left = progress.blocksLeft();
+        double blockMillis = progress.elapsedMillis() / progress.blocksReceived();
+        double waitMillis = Math.max(0, left * blockMillis - progress.queueMillis());
+        double fetchCost =
+                weights.timeToFirstToken() * waitMillis + weights.link() * left * progress.linkUseBlockMillis();
+        double recomputeMillis = left * progress.recomputeBlockMillis();
+        double recomputeCost = (weights.timeToFirstToken() + weights.recompute()) * recomputeMillis;
+        return fetchCost > OVERTAKE_MARGIN * recomputeCost;
     }
 }
