--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -5,12 +5,23 @@
 
 import org.cowslipbank.bench.claims.ClaimsBench;
 import org.cowslipbank.bench.config.ConfigBench;
+import org.cowslipbank.bench.limits.LimitsBench;
+import org.cowslipbank.bench.load.LoadBench;
+import org.cowslipbank.bench.membership.MembershipBench;
+import org.cowslipbank.bench.routing.RoutingBench;
+import org.cowslipbank.bench.streams.StreamsBench;
 
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new ClaimsBench(), new ConfigBench());
+            new ClaimsBench(),
+            new ConfigBench(),
+            new LimitsBench(),
+            new LoadBench(),
+            new MembershipBench(),
+            new RoutingBench(),
+            new StreamsBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/bench/src/test/java/org/cowslipbank/bench/WholePathTest.java
@@ -0,0 +1,151 @@
+package org.cowslipbank.bench;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.cowslipbank.adapters.HttpOutsideSystems;
+import org.cowslipbank.config.Configurations;
+import org.cowslipbank.entry.node.Node;
+import org.cowslipbank.entry.node.NodeSecrets;
+import org.cowslipbank.entry.settings.ListenSettings;
+import org.cowslipbank.entry.settings.NodeSettings;
+import org.cowslipbank.standins.AnswerText;
+import org.cowslipbank.standins.EngineSize;
+import org.cowslipbank.standins.EngineStandIn;
+import org.cowslipbank.standins.StandInSet;
+import org.cowslipbank.standins.StandInSettings;
+import org.cowslipbank.standins.StoreSize;
+import org.cowslipbank.standins.StoreStandIn;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+
+/** Guards against a break anywhere between a caller, a node, an engine and a store. */
+final class WholePathTest {
+    private static final String KEY = "test-key";
+    private static final String HOST = "127.0.0.1";
+    private static final String DATA_CENTRE = "mu-west-1";
+    private static final EngineSize ENGINE_SIZE = new EngineSize(4_000, 5, 16, 100_000, 16, 300, 100, true);
+    private static final StoreSize STORE_SIZE = new StoreSize(50_000_000, 500_000_000, 100_000_000);
+
+    private StandInSet standIns;
+    private EngineStandIn engine;
+    private StoreStandIn store;
+    private HttpOutsideSystems systems;
+    private Node node;
+
+    @BeforeTry
+    void start() throws Exception {
+        standIns = new StandInSet(new StandInSettings(
+                HOST,
+                0,
+                0,
+                0,
+                List.of(),
+                List.of(new StandInSettings.EngineVm("engine-1", DATA_CENTRE, 0, "review", "v1", ENGINE_SIZE)),
+                List.of(new StandInSettings.StoreVm("store-1", DATA_CENTRE, 0, STORE_SIZE)),
+                List.of()));
+        engine = standIns.engines().get("engine-1");
+        store = standIns.stores().get("store-1");
+        systems = new HttpOutsideSystems(
+                standIns.keyValue().address(), standIns.vmList().address(), id -> store.address());
+        Path configuration = Files.createTempFile("whole-path", ".json");
+        Files.writeString(configuration, configuration());
+        node = new Node(settings(configuration), systems, new NodeSecrets(new byte[16], Map.of()));
+        node.start();
+        Files.delete(configuration);
+    }
+
+    @AfterTry
+    void stop() {
+        node.close();
+        systems.close();
+        standIns.close();
+    }
+
+    @Example
+    void returningPromptIsServedFromTheStoreAfterTheEngineHasEvictedIt() throws Exception {
+        String prompt = "Span of the pergola beam. ".repeat(800);
+        String first = complete(prompt);
+        assert first.contains("cached_tokens") : first;
+        waitForBlocks(5);
+        engine.evictAll();
+        String second = complete(prompt);
+        assert first.contains(AnswerText.answer(prompt, 8)) : first;
+        assert second.contains(AnswerText.answer(prompt, 8)) : second;
+        assert first.contains("\"cached_tokens\":0") : first;
+        assert second.contains("\"cached_tokens\":5000") : second;
+        assert engine.counters().foreignBlocks() == 0;
+    }
+
+    private void waitForBlocks(int blocks) throws InterruptedException {
+        for (int i = 0; i < 500 && store.blockCount() < blocks; i++) {
+            Thread.sleep(20);
+        }
+        assert store.blockCount() == blocks : "blocks in the store: " + store.blockCount();
+    }
+
+    private String complete(String prompt) {
+        String body =
+                "{\"model\":\"review\",\"max_tokens\":8,\"prompt_cache_key\":\"s1\",\"prompt\":\"" + prompt + "\"}";
+        return HttpClient.create()
+                .headers(headers -> headers.set("authorization", "Bearer " + KEY))
+                .post()
+                .uri("http://" + node.callerAddress() + "/v1/completions")
+                .send(ByteBufFlux.fromString(Mono.just(body)))
+                .responseContent()
+                .aggregate()
+                .asString()
+                .block();
+    }
+
+    private String configuration() throws Exception {
+        return Configurations.builder()
+                .engine("engine-1", DATA_CENTRE, engine.address(), true)
+                .store("store-1", DATA_CENTRE, store.address(), STORE_SIZE.linkBytesPerSecond())
+                .model("review", "v1", List.of("engine-1"))
+                .team("joinery", "mu-west", team -> team.key(Configurations.keySha256(KEY))
+                        .limits(100, 100, 100, 1)
+                        .models("review"))
+                .weights(1, 0.2, 0.1)
+                .print();
+    }
+
+    private NodeSettings settings(Path configuration) throws Exception {
+        ListenSettings any = new ListenSettings(HOST, 0);
+        return new NodeSettings(
+                "entry-1",
+                DATA_CENTRE,
+                "mu-west",
+                List.of(),
+                new ListenSettings(HOST, freePort()),
+                any,
+                new ListenSettings(HOST, freePort()),
+                null,
+                List.of(),
+                null,
+                null,
+                0,
+                0L,
+                Map.of(),
+                configuration.toString(),
+                null,
+                null,
+                null);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(HOST, 0));
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/DemoCommand.java
@@ -0,0 +1,115 @@
+package org.cowslipbank.cli;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.cowslipbank.bench.demo.DemoOutcome;
+import org.cowslipbank.bench.demo.Deployment;
+import org.cowslipbank.bench.demo.DeploymentRun;
+import org.cowslipbank.model.CowslipbankException;
+
+/** Runs a short working day of both deployments with faults, in one process. */
+final class DemoCommand implements Command {
+    @Override
+    public String name() {
+        return "demo";
+    }
+
+    @Override
+    public String summary() {
+        return "run a short working day of both deployments with faults, in one process";
+    }
+
+    @Override
+    public ExitCode run(List<String> arguments, Console console) throws CowslipbankException, UsageException {
+        OptionParser parser = new OptionParser();
+        parser.accepts("json", "Print one JSON object as the last line.");
+        Optional<OptionSet> options = new Options(parser).parse(arguments, console);
+        if (options.isEmpty()) {
+            return ExitCode.DONE;
+        }
+        List<DemoOutcome> outcomes = new ArrayList<>();
+        for (Deployment deployment : List.of(Deployment.VACOAS, Deployment.CONFETES)) {
+            outcomes.add(run(deployment, console));
+        }
+        outcomes.forEach(outcome -> print(outcome, console));
+        boolean held = outcomes.stream().allMatch(DemoOutcome::promisesHeld);
+        console.out().println(held ? "Every promise held." : "A promise was broken.");
+        if (options.get().has("json")) {
+            console.out().println(json(outcomes));
+        }
+        return held ? ExitCode.DONE : ExitCode.OUTCOME_MISSED;
+    }
+
+    private static DemoOutcome run(Deployment deployment, Console console) throws CowslipbankException, UsageException {
+        try {
+            return new DeploymentRun(deployment, line -> console.out().println(line)).run();
+        } catch (IOException e) {
+            throw new UsageException("the demonstration could not be started: " + e.getMessage());
+        }
+    }
+
+    private static void print(DemoOutcome outcome, Console console) {
+        console.out()
+                .printf(
+                        Locale.ROOT,
+                        "%s: %d requests, %d answered once, %d lost, %d doubled, %d wrong, %d with unknown outcome%n",
+                        outcome.deployment(),
+                        outcome.requests(),
+                        outcome.answeredOnce(),
+                        outcome.lost(),
+                        outcome.doubled(),
+                        outcome.wrongAnswers(),
+                        outcome.outcomeUnknown());
+        console.out()
+                .printf(
+                        Locale.ROOT,
+                        "  first token at the 95th percentile: %.0f ms for first prompts, %.0f ms for returning ones;"
+                                + " recomputed %.1f%% of returning prompts; %.1f MB over the stores' links;"
+                                + " the change was in force everywhere after %.0f ms%n",
+                        outcome.ttftFirstP95Ms(),
+                        outcome.ttftReturningP95Ms(),
+                        100 * outcome.recomputedShare(),
+                        outcome.linkBytes() / 1e6,
+                        outcome.configAppliedMs());
+    }
+
+    private static ObjectNode json(List<DemoOutcome> outcomes) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("requests", outcomes.stream().mapToInt(DemoOutcome::requests).sum());
+        root.put("answeredOnce", outcomes.stream().mapToInt(DemoOutcome::answeredOnce).sum());
+        root.put("lost", outcomes.stream().mapToInt(DemoOutcome::lost).sum());
+        root.put("doubled", outcomes.stream().mapToInt(DemoOutcome::doubled).sum());
+        root.put("wrongAnswers", outcomes.stream().mapToInt(DemoOutcome::wrongAnswers).sum());
+        root.put("outcomeUnknown", outcomes.stream().mapToInt(DemoOutcome::outcomeUnknown).sum());
+        root.put("crossTeam", outcomes.stream().mapToLong(DemoOutcome::crossTeam).sum());
+        root.put("ttftFirstP95Ms", max(outcomes, DemoOutcome::ttftFirstP95Ms));
+        root.put("ttftReturningP95Ms", max(outcomes, DemoOutcome::ttftReturningP95Ms));
+        root.put("recomputedShare", max(outcomes, DemoOutcome::recomputedShare));
+        root.put("linkBytes", outcomes.stream().mapToLong(DemoOutcome::linkBytes).sum());
+        root.put("configAppliedMs", max(outcomes, DemoOutcome::configAppliedMs));
+        root.put("held", outcomes.stream().allMatch(DemoOutcome::promisesHeld));
+        for (DemoOutcome outcome : outcomes) {
+            ObjectNode one = root.withObject("/deployments/" + outcome.deployment());
+            one.put("requests", outcome.requests());
+            one.put("ttftFirstP95Ms", outcome.ttftFirstP95Ms());
+            one.put("ttftReturningP95Ms", outcome.ttftReturningP95Ms());
+            one.put("recomputedShare", outcome.recomputedShare());
+            one.put("linkBytes", outcome.linkBytes());
+            one.put("configAppliedMs", outcome.configAppliedMs());
+        }
+        return root;
+    }
+
+    private static double max(List<DemoOutcome> outcomes, ToDoubleFunction<DemoOutcome> figure) {
+        return outcomes.stream().mapToDouble(figure).max().orElse(0);
+    }
+}
