Give changes of the node's configuration their own budget

Cause: ConfigurationService now takes ConfigurationStores, and a budget gives its figure as the sum of burst and refill in any one second, so the owner of both partitions would have been held to 120 writes a second of 134 needed. Change: PlatformShare builds the stores and doubles the partitions' part.

--- a/entry/src/main/java/org/cowslipbank/entry/node/ConfigurationParts.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/ConfigurationParts.java
@@ -26,6 +26,7 @@
 import org.cowslipbank.entry.configuration.ChangeRequest;
 import org.cowslipbank.entry.configuration.ConfigurationNode;
 import org.cowslipbank.entry.configuration.ConfigurationService;
+import org.cowslipbank.entry.configuration.ConfigurationStores;
 import org.cowslipbank.entry.configuration.PeerReport;
 import org.cowslipbank.entry.fleet.FleetListener;
 import org.cowslipbank.entry.log.LogFields;
@@ -41,7 +42,6 @@
 import org.cowslipbank.peer.PeerAddress;
 import org.cowslipbank.peer.PeerIdentity;
 import org.cowslipbank.peer.RequestKind;
-import org.cowslipbank.ports.KeyValueStore;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -70,8 +70,7 @@
     private volatile ConfigurationIndex index;
     private Disposable telling = () -> {};
 
-    ConfigurationParts(
-            NodeSettings settings, FleetParts fleet, KeyValueStore store, KeyValueStore cleanUp, Scheduler scheduler) {
+    ConfigurationParts(NodeSettings settings, FleetParts fleet, ConfigurationStores stores, Scheduler scheduler) {
         this.settings = settings;
         this.fleet = fleet;
         this.scheduler = scheduler;
@@ -82,8 +81,7 @@
                         new DataCentreId(settings.dataCentre()),
                         seedDataCentres(settings),
                         ConfigurationNode.BOUND_TODAY_MILLIS),
-                store,
-                cleanUp,
+                stores,
                 this::fetch,
                 scheduler,
                 settings.vm().hashCode() ^ System.nanoTime());
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -88,12 +88,7 @@
         this.settings = settings;
         this.fleet = new FleetParts(settings, secrets, systems.vmList(), this::dataCentreOf);
         this.platformShare = new PlatformShare(systems.keyValueStore(), control, fleet);
-        this.configuration = new ConfigurationParts(
-                settings,
-                fleet,
-                platformShare.at(PlatformBudget.Priority.CONFIGURATION),
-                platformShare.at(PlatformBudget.Priority.AUDIT),
-                control);
+        this.configuration = new ConfigurationParts(settings, fleet, platformShare.configurationStores(), control);
         BudgetedKeyValueStore claimStore = platformShare.at(PlatformBudget.Priority.CLAIMS);
         this.claims = new ClaimParts(settings, fleet, claimStore, control).service();
         int pieceBytes = settings.pieceBytes() == 0 ? PromptChain.DEFAULT_PIECE_BYTES : settings.pieceBytes();
--- a/entry/src/main/java/org/cowslipbank/entry/node/PlatformShare.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/PlatformShare.java
@@ -5,6 +5,7 @@
 import org.cowslipbank.decision.claims.ClaimSettings;
 import org.cowslipbank.decision.claims.PlatformBudget;
 import org.cowslipbank.entry.claims.BudgetedKeyValueStore;
+import org.cowslipbank.entry.configuration.ConfigurationStores;
 import org.cowslipbank.ports.KeyValueStore;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -14,8 +15,10 @@
 final class PlatformShare {
     private static final double FLEET_READS_PER_SECOND = 1_600;
     private static final double FLEET_WRITES_PER_SECOND = 100;
-    // Owners of claim partitions need more writes than other nodes: a create and a delete for each batch.
-    private static final double PARTITION_WRITES_PER_SECOND = 70 * ClaimSettings.DEFAULT.partitions();
+    // Owners of claim partitions need more writes than other nodes: a create and a delete for each batch, 67 a second.
+    // Half of a budget is its rate.
+    private static final double PARTITION_WRITES_PER_SECOND = 140 * ClaimSettings.DEFAULT.partitions();
+    private static final double CHANGE_CALLS_PER_SECOND = 100;
     private static final double MIN_READS_PER_SECOND = 5;
     private static final Duration RESIZE_PERIOD = Duration.ofSeconds(5);
 
@@ -23,6 +26,7 @@
     private final Scheduler scheduler;
     private final FleetParts fleet;
     private final BudgetedKeyValueStore.Budgets budgets;
+    private final BudgetedKeyValueStore.Budgets changeBudgets;
     private int nodes = 1;
     private Disposable resizing = () -> {};
 
@@ -32,12 +36,21 @@
         this.fleet = fleet;
         this.budgets = new BudgetedKeyValueStore.Budgets(
                 scheduler, FLEET_READS_PER_SECOND, FLEET_WRITES_PER_SECOND + PARTITION_WRITES_PER_SECOND);
+        this.changeBudgets =
+                new BudgetedKeyValueStore.Budgets(scheduler, CHANGE_CALLS_PER_SECOND, CHANGE_CALLS_PER_SECOND);
     }
 
     BudgetedKeyValueStore at(PlatformBudget.Priority priority) {
         return new BudgetedKeyValueStore(store, budgets, priority);
     }
 
+    ConfigurationStores configurationStores() {
+        return new ConfigurationStores(
+                at(PlatformBudget.Priority.CONFIGURATION),
+                new BudgetedKeyValueStore(store, changeBudgets, PlatformBudget.Priority.CONFIGURATION),
+                new BudgetedKeyValueStore(store, changeBudgets, PlatformBudget.Priority.AUDIT));
+    }
+
     void start() {
         resizing = Flux.interval(RESIZE_PERIOD, scheduler).subscribe(tick -> resize());
     }
