Derive neighbours once per change instead of once per fact sent

Each fact added to a message scanned all members to find the number of neighbours, and every load digest rebuilt the list of nodes in the view. The state now keeps neighbours, gateways and the number of suspects until members change, and a view reuses its nodes.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -150,7 +150,7 @@
             return;
         }
         step.state.reach.put(id, merged);
-        step.state.version++;
+        step.state.nodesChanged();
         step.learned.add(merged);
         spread(step, new FactKey(FactKey.Kind.REACH, id));
     }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/FleetView.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FleetView.java
@@ -27,6 +27,7 @@
  * @param loads load digests by upstream
  * @param crashes by request fingerprint, the crashes at which the request was in flight and not cleared
  * @param version version of the state from which the view was made
+ * @param nodesVersion version of the nodes in that state
  */
 public record FleetView(
         NodeAddress self,
@@ -37,7 +38,8 @@
         Set<UpstreamId> leavingUpstreams,
         Map<UpstreamId, ObservedLoad> loads,
         Map<Long, Integer> crashes,
-        long version) {
+        long version,
+        long nodesVersion) {
     /** Copies the collections. */
     public FleetView {
         nodes = List.copyOf(nodes);
@@ -55,23 +57,46 @@
      * @return the view
      */
     public static FleetView of(MembershipState state) {
-        Step step = new Step(state, state.lastTickMillis, 0);
-        Set<DataCentreId> unreachable = unreachable(step);
-        List<FleetNode> nodes = new ArrayList<>();
-        Set<VmId> dead = new HashSet<>();
+        Set<DataCentreId> unreachable = unreachable(state);
         NodeAddress self = new NodeAddress(
                 state.self.vm(), state.self.dataCentre(), state.self.address(), state.self.callerPort());
+        List<FleetNode> nodes = new ArrayList<>();
         nodes.add(new FleetNode(self, MemberStatus.ALIVE, state.self.leaving(), true));
+        Set<VmId> dead = new HashSet<>();
         for (Member member : state.members.view().values()) {
             if (member.isDead()) {
                 dead.add(member.fact().vm());
-                continue;
+            } else {
+                nodes.add(node(member, unreachable));
             }
-            boolean leaving = member.fact().leaving() || member.listedLeaving();
-            boolean reachable = !unreachable.contains(member.fact().dataCentre());
-            nodes.add(new FleetNode(member.node(), member.fact().status(), leaving, reachable));
         }
         nodes.sort((left, right) -> left.node().vm().compareTo(right.node().vm()));
+        return withFacts(state, self, nodes, dead, unreachable);
+    }
+
+    /**
+     * Makes the view of a state, reusing the nodes of an earlier view of the same node if they have not changed.
+     *
+     * @param state the state
+     * @param earlier a view of an earlier state of the same node
+     * @return the view
+     */
+    public static FleetView of(MembershipState state, FleetView earlier) {
+        if (earlier.version == state.version) {
+            return earlier;
+        }
+        if (earlier.nodesVersion != state.nodesVersion) {
+            return of(state);
+        }
+        return withFacts(state, earlier.self, earlier.nodes, earlier.deadNodes, earlier.unreachable);
+    }
+
+    private static FleetView withFacts(
+            MembershipState state,
+            NodeAddress self,
+            List<FleetNode> nodes,
+            Set<VmId> dead,
+            Set<DataCentreId> unreachable) {
         return new FleetView(
                 self,
                 state.self.leaving(),
@@ -81,19 +106,25 @@
                 leavingUpstreams(state),
                 loads(state),
                 crashes(state),
-                state.version);
+                state.version,
+                state.nodesVersion);
+    }
+
+    private static FleetNode node(Member member, Set<DataCentreId> unreachable) {
+        boolean leaving = member.fact().leaving() || member.listedLeaving();
+        boolean reachable = !unreachable.contains(member.fact().dataCentre());
+        return new FleetNode(member.node(), member.fact().status(), leaving, reachable);
     }
 
     /** A data centre is out of reach if every gateway to it that has judged says so, and at least one has. */
-    private static Set<DataCentreId> unreachable(Step step) {
-        if (step.state.reach.view().values().stream().allMatch(ReachFact::reachable)) {
+    private static Set<DataCentreId> unreachable(MembershipState state) {
+        if (state.reach.view().values().stream().allMatch(ReachFact::reachable)) {
             return Collections.emptySet();
         }
         Set<DataCentreId> unreachable = new TreeSet<>();
-        for (DataCentreId dataCentre : step.otherDataCentres()) {
-            List<ReachFact> facts = step.gateways(dataCentre).stream()
-                    .map(gateway ->
-                            step.state.reach.get(FactStore.reachId(new ReachFact(gateway, dataCentre, true, 0))))
+        for (DataCentreId dataCentre : state.otherDataCentres()) {
+            List<ReachFact> facts = state.gateways(dataCentre).stream()
+                    .map(gateway -> state.reach.get(FactStore.reachId(new ReachFact(gateway, dataCentre, true, 0))))
                     .toList();
             if (facts.stream().allMatch(fact -> fact != null && !fact.reachable())) {
                 unreachable.add(dataCentre);
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Membership.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Membership.java
@@ -1,7 +1,10 @@
 package org.cowslipbank.decision.membership;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
+import org.cowslipbank.model.VmId;
 import org.cowslipbank.model.fleet.Facts;
 import org.cowslipbank.model.fleet.FleetDigest;
 import org.cowslipbank.model.fleet.MemberFact;
@@ -116,7 +119,7 @@
         state.pending.clear();
         state.crossFailures.clear();
         state.nextProbeMillis = step.nowMillis;
-        state.version++;
+        state.nodesChanged();
         step.members(member -> member.fact().status() == MemberStatus.SUSPECT)
                 .forEach(member -> state.putMember(
                         new Member(member.fact(), step.nowMillis, member.listed(), member.listedLeaving())));
@@ -236,7 +239,10 @@
 
     /** Adds listed nodes. A node that is missing from the list stays: the list lags, and probes judge. */
     private static void list(Step step, List<ListedNode> nodes) {
-        for (Member member : step.members(Member::listed)) {
+        Set<VmId> named = new HashSet<>();
+        nodes.forEach(listed -> named.add(listed.node().vm()));
+        for (Member member : step.members(
+                known -> known.listed() && !named.contains(known.fact().vm()))) {
             step.state.putMember(new Member(member.fact(), member.changedMillis(), false, false));
         }
         for (ListedNode listed : nodes) {
@@ -247,7 +253,10 @@
             Member known = step.state.members.get(node.vm());
             MemberFact fact = known == null ? unproved(node) : known.fact();
             long changed = known == null ? step.nowMillis : known.changedMillis();
-            step.state.putMember(new Member(fact, changed, true, listed.leaving()));
+            Member next = new Member(fact, changed, true, listed.leaving());
+            if (!next.equals(known)) {
+                step.state.putMember(next);
+            }
         }
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.decision.membership;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.cowslipbank.decision.hashing.Rendezvous;
@@ -47,6 +48,16 @@
     boolean ackedSincePause;
     long version;
 
+    /** Rises when members, reachability or this node's own state change, not with every load digest. */
+    long nodesVersion;
+
+    /** Derived from the members at {@link #derivedVersion}, because a scan for every fact sent costs most of a step. */
+    private List<Member> ownLive = List.of();
+
+    private List<DataCentreId> gatewayTo = List.of();
+    private int suspectCount;
+    private long derivedVersion = -1;
+
     MembershipState(MembershipSettings settings, MemberFact self, long nowMillis) {
         this.settings = settings;
         this.self = self;
@@ -92,6 +103,11 @@
         unconfirmedSinceMillis = other.unconfirmedSinceMillis;
         ackedSincePause = other.ackedSincePause;
         version = other.version;
+        nodesVersion = other.nodesVersion;
+        ownLive = other.ownLive;
+        gatewayTo = other.gatewayTo;
+        suspectCount = other.suspectCount;
+        derivedVersion = other.derivedVersion;
     }
 
     MembershipState fork() {
@@ -114,21 +130,81 @@
         }
         tableHash ^= hash(member.fact());
         members.put(member.fact().vm(), member);
-        version++;
+        nodesChanged();
     }
 
     void removeMember(VmId vm) {
         Member known = members.remove(vm);
         if (known != null) {
             tableHash ^= hash(known.fact());
-            version++;
+            nodesChanged();
         }
     }
 
+    void nodesChanged() {
+        version++;
+        nodesVersion++;
+    }
+
+    /** Nodes of the own data centre that are not dead, without this one. */
+    List<Member> ownLive() {
+        derive();
+        return ownLive;
+    }
+
+    /** The other data centres for which this node is a gateway. */
+    List<DataCentreId> gatewayTo() {
+        derive();
+        return gatewayTo;
+    }
+
+    int suspectCount() {
+        derive();
+        return suspectCount;
+    }
+
+    private void derive() {
+        if (derivedVersion == nodesVersion) {
+            return;
+        }
+        ownLive = members.view().values().stream()
+                .filter(member -> !member.isDead() && member.fact().dataCentre().equals(dataCentre()))
+                .toList();
+        suspectCount = (int) ownLive.stream()
+                .filter(member -> member.fact().status() == MemberStatus.SUSPECT)
+                .count();
+        gatewayTo = otherDataCentres().stream()
+                .filter(other -> gateways(ownLive, other).contains(self.vm()))
+                .toList();
+        derivedVersion = nodesVersion;
+    }
+
+    /** The nodes of the own data centre that probe another one. */
+    List<VmId> gateways(DataCentreId other) {
+        return gateways(ownLive(), other);
+    }
+
+    List<DataCentreId> otherDataCentres() {
+        return members.view().values().stream()
+                .map(member -> member.fact().dataCentre())
+                .filter(other -> !other.equals(dataCentre()))
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    private List<VmId> gateways(List<Member> live, DataCentreId other) {
+        List<VmId> candidates = new ArrayList<>();
+        live.forEach(member -> candidates.add(member.fact().vm()));
+        candidates.add(self.vm());
+        String key = Rendezvous.key("gateway", dataCentre().value(), other.value());
+        return Rendezvous.top(key, candidates, VmId::value, settings.gateways());
+    }
+
     void replaceSelf(MemberFact next) {
         tableHash ^= hash(self) ^ hash(next);
         self = next;
-        version++;
+        nodesChanged();
     }
 
     /**
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
@@ -55,7 +55,7 @@
         for (Member member : step.pick(step.ownLive(), step.state.settings.pushFanout())) {
             push(step, member.node());
         }
-        for (DataCentreId dataCentre : step.gatewayTo()) {
+        for (DataCentreId dataCentre : step.state.gatewayTo()) {
             step.pick(step.live(dataCentre), 1).forEach(member -> push(step, member.node()));
         }
     }
@@ -74,7 +74,7 @@
     static void pushRevision(Step step) {
         Packet packet = Packet.push(step.digest(Optional.empty()), Facts.NONE);
         step.pick(step.ownLive(), step.state.settings.pushFanout()).forEach(member -> step.send(member.node(), packet));
-        for (DataCentreId dataCentre : step.gatewayTo()) {
+        for (DataCentreId dataCentre : step.state.gatewayTo()) {
             step.pick(step.live(dataCentre), 1).forEach(member -> step.send(member.node(), packet));
         }
     }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Prober.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Prober.java
@@ -146,7 +146,7 @@
     }
 
     private static void expireSuspicions(Step step) {
-        if (!step.state.confirmed) {
+        if (!step.state.confirmed || step.state.suspectCount() == 0) {
             return;
         }
         long limit = step.nowMillis - step.state.settings.suspicionMillis();
@@ -196,7 +196,7 @@
             return;
         }
         step.state.nextCrossMillis = step.nowMillis + step.state.settings.crossProbePeriodMillis();
-        for (DataCentreId dataCentre : step.gatewayTo()) {
+        for (DataCentreId dataCentre : step.state.gatewayTo()) {
             step.pick(step.live(dataCentre), 1)
                     .forEach(member ->
                             Messenger.probe(step, Pending.of(Pending.Purpose.CROSS, member.node(), step.nowMillis)));
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Step.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Step.java
@@ -9,9 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
-import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.model.DataCentreId;
-import org.cowslipbank.model.VmId;
 import org.cowslipbank.model.fleet.FleetDigest;
 
 /** Working copy of the state during one step, with the time, a seeded random source and the effects so far. */
@@ -50,9 +48,8 @@
         return member.fact().dataCentre().equals(state.dataCentre());
     }
 
-    /** Nodes of the own data centre that are not dead, without this one. */
     List<Member> ownLive() {
-        return members(member -> isOwn(member) && !member.isDead());
+        return state.ownLive();
     }
 
     List<Member> live(DataCentreId dataCentre) {
@@ -72,28 +69,4 @@
         }
         return copy;
     }
-
-    /** The other data centres for which this node is a gateway. */
-    List<DataCentreId> gatewayTo() {
-        return otherDataCentres().stream()
-                .filter(dataCentre -> gateways(dataCentre).contains(state.self.vm()))
-                .toList();
-    }
-
-    List<DataCentreId> otherDataCentres() {
-        return state.members.view().values().stream()
-                .filter(member -> !isOwn(member))
-                .map(member -> member.fact().dataCentre())
-                .distinct()
-                .sorted()
-                .toList();
-    }
-
-    List<VmId> gateways(DataCentreId dataCentre) {
-        List<VmId> candidates = new ArrayList<>();
-        ownLive().forEach(member -> candidates.add(member.fact().vm()));
-        candidates.add(state.self.vm());
-        String key = Rendezvous.key("gateway", state.dataCentre().value(), dataCentre.value());
-        return Rendezvous.top(key, candidates, VmId::value, state.settings.gateways());
-    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/fleet/FleetService.java
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetService.java
@@ -225,8 +225,7 @@
         try {
             Membership.Outcome outcome = Membership.step(state, event, clockMillis.getAsLong(), seeds.nextLong());
             state = outcome.state();
-            FleetView known = snapshot.view();
-            snapshot = snapshotOf(known.version() == state.version() ? known : FleetView.of(state));
+            snapshot = snapshotOf(FleetView.of(state, snapshot.view()));
             outcome.effects().forEach(this::perform);
         } catch (RuntimeException e) {
             // The control thread must go on: a step that fails leaves the state as it was.
