Count how often facts are sent to other data centres

A fact sent across data centres was not counted, so a node alone in its data centre never dropped one and its budget went to repeated load digests. Own and foreign transmissions now have their own limits.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/Membership.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Membership.java
@@ -52,7 +52,7 @@
                 MemberStatus.ALIVE,
                 false);
         MembershipState state = new MembershipState(settings, fact, nowMillis);
-        state.outbox.put(FactStore.memberKey(fact), 0);
+        state.outbox.put(FactStore.memberKey(fact), Transmissions.NONE);
         return state;
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
@@ -25,7 +25,7 @@
     final CowMap<UpstreamId, Held<LoadFact>> loads;
     final CowMap<String, Held<SuspectFact>> suspects;
     final CowMap<String, ReachFact> reach;
-    final CowMap<FactKey, Integer> outbox;
+    final CowMap<FactKey, Transmissions> outbox;
     final CowMap<Long, Pending> pending;
     final CowMap<DataCentreId, SyncState> syncs;
     final CowMap<DataCentreId, Integer> crossFailures;
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -24,20 +24,23 @@
 
     private static final int URGENT_ROUNDS = 2;
 
-    private static final Comparator<Map.Entry<FactKey, Integer>> ORDER =
-            Comparator.<Map.Entry<FactKey, Integer>>comparingInt(
+    /** Number of times that a gateway sends a fact to each other data centre, on average. */
+    private static final int ROUNDS_ACROSS = 3;
+
+    private static final Comparator<Map.Entry<FactKey, Transmissions>> ORDER =
+            Comparator.<Map.Entry<FactKey, Transmissions>>comparingInt(
                             entry -> entry.getKey().kind() == FactKey.Kind.LOAD ? 1 : 0)
-                    .thenComparing(Map.Entry::getValue);
+                    .thenComparingInt(entry -> entry.getValue().total());
 
     private Outbox() {}
 
     static void add(Step step, FactKey key) {
-        step.state.outbox.put(key, 0);
+        step.state.outbox.put(key, Transmissions.NONE);
     }
 
     static void addIfAbsent(Step step, FactKey key) {
         if (step.state.outbox.get(key) == null) {
-            step.state.outbox.put(key, 0);
+            step.state.outbox.put(key, Transmissions.NONE);
         }
     }
 
@@ -50,15 +53,18 @@
     /** Adds queued facts for a receiver up to the limit of a message and of the budget. */
     static void fill(Step step, FactsBuilder builder, DataCentreId receiver) {
         boolean own = receiver.equals(step.state.dataCentre());
-        List<Map.Entry<FactKey, Integer>> queued =
+        List<Map.Entry<FactKey, Transmissions>> queued =
                 step.state.outbox.view().entrySet().stream().sorted(ORDER).toList();
-        for (Map.Entry<FactKey, Integer> entry : queued) {
+        for (Map.Entry<FactKey, Transmissions> entry : queued) {
             if (builder.bytes() >= step.state.settings.factBytesPerMessage()) {
                 return;
             }
             FactKey key = entry.getKey();
-            if (hasBudget(step, key, builder.bytes()) && append(step, builder, key, own) && own) {
-                count(step, key, entry.getValue() + 1);
+            Transmissions sent = entry.getValue();
+            if (isDue(step, key, sent, own)
+                    && hasBudget(step, key, builder.bytes())
+                    && append(step, builder, key, own)) {
+                count(step, key, own ? sent.plusOwn() : sent.plusAcross());
             }
         }
     }
@@ -82,12 +88,22 @@
         return key.kind() == FactKey.Kind.LOAD ? left > 0 : left > -OVERDRAFT_BYTES;
     }
 
-    private static void count(Step step, FactKey key, int transmissions) {
-        if (transmissions >= limit(step, key)) {
-            step.state.outbox.remove(key);
+    private static void count(Step step, FactKey key, Transmissions sent) {
+        if (isDue(step, key, sent, true) || isDue(step, key, sent, false)) {
+            step.state.outbox.put(key, sent);
         } else {
-            step.state.outbox.put(key, transmissions);
+            step.state.outbox.remove(key);
+        }
+    }
+
+    private static boolean isDue(Step step, FactKey key, Transmissions sent, boolean own) {
+        if (own) {
+            return !step.ownLive().isEmpty() && sent.own() < limit(step, key);
         }
+        boolean crosses = key.kind() != FactKey.Kind.REACH
+                && (key.kind() != FactKey.Kind.LOAD || step.state.settings.loadsCrossDataCentres());
+        int rounds = key.kind() == FactKey.Kind.LOAD ? 1 : ROUNDS_ACROSS;
+        return crosses && sent.across() < rounds * step.state.gatewayTo().size();
     }
 
     /** Grows with the logarithm of the data centre's size, which is the number of rounds that a fact needs. */
