--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -63,10 +63,7 @@
         if (fact.incarnation() == 0 && fact.status() == MemberStatus.ALIVE) {
             return;
         }
-        Outbox.add(step, memberKey(fact));
-        if (fact.status() != MemberStatus.SUSPECT) {
-            step.urgent.add(memberKey(fact));
-        }
+        spread(step, memberKey(fact));
     }
 
     /** Answers a false statement about this node with a greater incarnation. */
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Prober.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Prober.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.decision.membership;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,9 +15,6 @@
     /** Probes sent at once after a pause, so that the node is confirmed early. */
     private static final int PROBES_AFTER_PAUSE = 3;
 
-    /** Age in milliseconds up to which an acknowledgement proves that this node's own receiving works. */
-    private static final long ACK_PROOF_MILLIS = 3_000;
-
     private Prober() {}
 
     static void tick(Step step) {
@@ -64,21 +62,28 @@
 
     private static void askHelpers(Step step, long sequence, Pending probe) {
         step.effects.add(new FleetEffect.ResetConnection(probe.target()));
-        List<Member> others = step.members(member -> step.isOwn(member)
-                && member.fact().status() == MemberStatus.ALIVE
-                && !member.fact().vm().equals(probe.target().vm()));
-        List<Member> helpers = step.pick(others, step.state.settings.indirectProbes());
+        List<Member> helpers = helpers(step, probe.target());
         step.state.pending.put(sequence, probe.withHelpers(helpers.size()));
         helpers.forEach(helper -> step.send(
                 helper.node(), Packet.indirectProbe(sequence, probe.target().vm())));
     }
+    /** Helpers of the own data centre, filled up from others where it is small. */
+    private static List<Member> helpers(Step step, NodeAddress target) {
+        int wanted = step.state.settings.indirectProbes();
+        List<Member> candidates = step.members(member -> member.fact().status() == MemberStatus.ALIVE
+                && !member.fact().vm().equals(target.vm()));
+        List<Member> helpers = new ArrayList<>(
+                step.pick(candidates.stream().filter(step::isOwn).toList(), wanted));
+        List<Member> others =
+                candidates.stream().filter(member -> !step.isOwn(member)).toList();
+        helpers.addAll(step.pick(others, wanted - helpers.size()));
+        return helpers;
+    }
 
     /** A node is accused only with evidence that this node's own sending and receiving work. */
     private static void judge(Step step, Pending probe) {
-        boolean helperHeardNothing = probe.refusals() > 0;
-        boolean ownPathWorks =
-                step.state.lastAckMillis >= 0 && step.nowMillis - step.state.lastAckMillis <= ACK_PROOF_MILLIS;
-        if (!step.state.confirmed || !helperHeardNothing && !ownPathWorks) {
+        // An answering helper proves both that this node is heard and that it hears.
+        if (!step.state.confirmed || probe.refusals() == 0) {
             return;
         }
         Member target = step.state.members.get(probe.target().vm());
