Estimate the queue wait with arrivals and keep places for modest teams

The wait was estimated from the queue alone, though requests of other teams that arrive meanwhile are served before a long queue; and a modest team's request found every place taken. Refusals that came late are now given when the request arrives, and a few places, by the modest teams' share of the service rate, are kept free for them. A request's last sending time leaves room for the first token.

--- a/bench/src/main/java/org/cowslipbank/bench/limits/LimitsBench.java
+++ b/bench/src/main/java/org/cowslipbank/bench/limits/LimitsBench.java
@@ -27,6 +27,8 @@
     private static final long PREFILL_MILLIS = 150;
     private static final long TOKEN_MILLIS = 33;
     private static final int TEAMS = 10;
+    private static final int LARGE_TEAMS = 2;
+    private static final double OVERLOAD = 1.5;
 
     /** Measuring begins after the queues have filled. */
     private static final long WARM_MILLIS = 20_000;
@@ -44,8 +46,9 @@
     @Override
     public BenchReport run(BenchOptions options) {
         List<Figure> figures = new ArrayList<>();
-        overload("overload", options.seed(), false, figures);
-        overload("overload_resending", options.seed(), true, figures);
+        overload("overload", options.seed(), false, 1, figures);
+        overload("overload_resending", options.seed(), true, 1, figures);
+        overload("overload_few_large", options.seed(), false, 8, figures);
         isolation("isolation", options.seed(), 0.4, figures);
         isolation("isolation_overcommitted", options.seed(), 1.2, figures);
         attempts("third_aborting", options.seed(), figures, false);
@@ -78,10 +81,13 @@
                 true));
     }
 
-    private static void overload(String name, long seed, boolean resend, List<Figure> figures) {
+    private static void overload(String name, long seed, boolean resend, double largeFactor, List<Figure> figures) {
         World world = world(seed);
+        double parts = LARGE_TEAMS * largeFactor + TEAMS - LARGE_TEAMS;
         for (int team = 0; team < TEAMS; team++) {
-            new TeamLoad(world, "t" + team, NODES, 1.5 * capacityPerSecond() / TEAMS, resend).until(ARRIVALS_MILLIS);
+            double part = (team < LARGE_TEAMS ? largeFactor : 1) / parts;
+            new TeamLoad(world, "t" + team, NODES, OVERLOAD * part * capacityPerSecond(), resend)
+                    .until(ARRIVALS_MILLIS);
         }
         world.clock().runUntil(END_MILLIS);
         long inTime = world.callers().stream()
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
@@ -92,7 +92,9 @@
             return;
         }
         long patienceMillis = caller.request.patienceMillis();
-        long sendByMillis = now() + (patienceMillis > 0 ? patienceMillis : DEFAULT_PATIENCE_MILLIS);
+        // A request that is sent later than this has its first token after the deadline.
+        long startMillis = 2 * (world.options.prefillMillis() + World.LATENCY_MILLIS);
+        long sendByMillis = now() + (patienceMillis > 0 ? patienceMillis : DEFAULT_PATIENCE_MILLIS) - startMillis;
         AdmissionRequest request = new AdmissionRequest(caller.request.id(), caller.request.team(), 1, sendByMillis);
         AdmissionAnswer answer = admission.offer(request, world.shares.apply(caller.request.team()), now());
         stream.admitted = request;
--- a/decision/src/main/java/org/cowslipbank/decision/admission/Admission.java
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/Admission.java
@@ -19,6 +19,20 @@
     /** Shortest time to retry that a caller is told, in milliseconds; clients round a smaller one to zero. */
     private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
 
+    /** Part of the modest teams' requests that may find every reserved place in use; below the 5% beyond the bound. */
+    private static final double RESERVE_MISS = 0.03;
+
+    /** The largest part of the places that is reserved. */
+    private static final double MAX_RESERVE_SHARE = 0.125;
+
+    /** Modest teams that offer less than this part of the service rate get no reserve. */
+    private static final double MIN_MODEST_SHARE = 0.001;
+
+    /** Steps of the iteration for the expected wait; the estimate changes little after them. */
+    private static final int WAIT_STEPS = 4;
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     private final Map<TeamId, TeamQueue> teams = new HashMap<>();
     private final List<TeamQueue> backlogged = new ArrayList<>();
     private ServiceRate rate;
@@ -61,18 +75,18 @@
                     waitMillis,
                     TOO_MANY_REQUESTS);
         }
-        if (inFlight < inFlightLimit && backlogged.isEmpty()) {
-            team.bucket = team.bucket.less(1);
+        if (mayEnter(team, nowMillis) && (backlogged.isEmpty() || isModest(team))) {
+            accept(team, request, nowMillis);
             virtualTime = Math.max(virtualTime, tag(team, request));
             enter(team);
             return new AdmissionAnswer(AdmissionAnswer.Verdict.ADMITTED, null, 0);
         }
-        long waitMillis = (long) Math.min(Long.MAX_VALUE, rate.waitMillis(costAhead(team, request), inFlightLimit));
+        long waitMillis = expectedWaitMillis(team, request, nowMillis);
         if (nowMillis + waitMillis > request.sendByMillis() || inFlightLimit <= 0) {
             long excessMillis = nowMillis + waitMillis - request.sendByMillis();
             return refused("overloaded", "the expected wait exceeds the deadline", excessMillis, UNAVAILABLE);
         }
-        team.bucket = team.bucket.less(1);
+        accept(team, request, nowMillis);
         enqueue(team, request);
         return new AdmissionAnswer(AdmissionAnswer.Verdict.QUEUED, null, waitMillis);
     }
@@ -164,12 +178,16 @@
         return total;
     }
 
+    private static void accept(TeamQueue team, AdmissionRequest request, long nowMillis) {
+        team.bucket = team.bucket.less(1);
+        team.arrivals = team.arrivals.added(request.cost(), nowMillis);
+    }
+
     private AdmissionRelease release(long nowMillis) {
         List<AdmissionRequest> admitted = new ArrayList<>();
         List<AdmissionRelease.Refused> refused = new ArrayList<>();
         expire(nowMillis, refused);
-        while (inFlight < inFlightLimit && !backlogged.isEmpty()) {
-            TeamQueue team = earliest();
+        for (TeamQueue team = earliest(nowMillis); team != null; team = earliest(nowMillis)) {
             TeamQueue.Waiting next = team.waiting.removeFirst();
             team.queuedCost -= next.request().cost();
             virtualTime = Math.max(virtualTime, next.startTag());
@@ -196,16 +214,53 @@
         }
     }
 
-    private TeamQueue earliest() {
-        TeamQueue best = backlogged.get(0);
+    private TeamQueue earliest(long nowMillis) {
+        TeamQueue best = null;
         for (TeamQueue team : backlogged) {
-            if (team.waiting.getFirst().startTag() < best.waiting.getFirst().startTag()) {
+            boolean earlier = best == null
+                    || team.waiting.getFirst().startTag()
+                            < best.waiting.getFirst().startTag();
+            if (earlier && mayEnter(team, nowMillis)) {
                 best = team;
             }
         }
         return best;
     }
 
+    private boolean mayEnter(TeamQueue team, long nowMillis) {
+        return inFlight < (isModest(team) ? inFlightLimit : inFlightLimit - reserve(nowMillis));
+    }
+
+    /** A team is modest while it uses less than its fair share of the places, its next request included. */
+    private boolean isModest(TeamQueue team) {
+        double weights = 0;
+        for (TeamQueue other : teams.values()) {
+            weights += other == team || !other.idle() ? other.share.weight() : 0;
+        }
+        boolean alone = weights <= team.share.weight();
+        return !alone && team.waiting.size() <= 1 && team.inFlight + 1 <= inFlightLimit * team.share.weight() / weights;
+    }
+
+    /**
+     * Returns the places that only modest teams may take while others have a backlog. Without them a modest team's
+     * request would wait for the next run to end, which takes longer than the bound on its first token allows. If modest
+     * teams offer the part p of the service rate, k reserved places are all in use for about the part p to the power k
+     * of their requests.
+     */
+    private int reserve(long nowMillis) {
+        double offered = 0;
+        for (TeamQueue team : teams.values()) {
+            offered += isModest(team) ? team.arrivals.perSecond(nowMillis) : 0;
+        }
+        double share = offered * rate.millisPerCost() / (MILLIS_PER_SECOND * Math.max(1, inFlightLimit));
+        if (share < MIN_MODEST_SHARE) {
+            return 0;
+        }
+        int most = (int) (inFlightLimit * MAX_RESERVE_SHARE);
+        int wanted = share >= 1 ? most : (int) Math.ceil(Math.log(RESERVE_MISS) / Math.log(share));
+        return Math.min(most, wanted);
+    }
+
     private void enqueue(TeamQueue team, AdmissionRequest request) {
         if (team.waiting.isEmpty()) {
             backlogged.add(team);
@@ -220,13 +275,29 @@
         return start;
     }
 
+    /**
+     * Estimates the wait of a new request. Requests of other teams that arrive during the wait may have earlier tags, so
+     * the wait is the fixed point of the cost ahead, which the iteration approaches from below.
+     */
+    private long expectedWaitMillis(TeamQueue team, AdmissionRequest request, long nowMillis) {
+        double waitMillis = 0;
+        for (int step = 0; step < WAIT_STEPS; step++) {
+            waitMillis = rate.waitMillis(costAhead(team, request, waitMillis, nowMillis), inFlightLimit);
+        }
+        return (long) Math.min(Long.MAX_VALUE, waitMillis);
+    }
+
     /** Returns the cost that fair queueing serves before a new request of the team, its own included. */
-    private double costAhead(TeamQueue team, AdmissionRequest request) {
+    private double costAhead(TeamQueue team, AdmissionRequest request, double waitMillis, long nowMillis) {
         double start = Math.max(virtualTime, team.lastFinishTag);
-        double ahead = request.cost();
+        double ahead = request.cost() + team.queuedCost;
         for (TeamQueue other : backlogged) {
+            if (other == team) {
+                continue;
+            }
             double span = Math.max(0, start - other.waiting.getFirst().startTag()) * other.share.weight();
-            ahead += other == team ? other.queuedCost : Math.min(other.queuedCost, span + 1);
+            double arriving = other.arrivals.perSecond(nowMillis) * waitMillis / MILLIS_PER_SECOND;
+            ahead += Math.min(other.queuedCost + arriving, span + 1);
         }
         return ahead;
     }
--- a/decision/src/main/java/org/cowslipbank/decision/admission/AdmissionRequest.java
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/AdmissionRequest.java
@@ -9,6 +9,7 @@
  * @param request the request
  * @param team the team
  * @param cost expected work relative to a usual request of the model, above zero
- * @param sendByMillis time by which it must be sent to an upstream; later it is refused
+ * @param sendByMillis time by which it must be sent to an upstream; later it is refused. The caller's deadline less the
+ *     time that the first token usually takes once a request is sent
  */
 public record AdmissionRequest(RequestId request, TeamId team, double cost, long sendByMillis) {}
--- a/decision/src/main/java/org/cowslipbank/decision/admission/TeamQueue.java
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/TeamQueue.java
@@ -11,6 +11,7 @@
     TokenBucket bucket;
     int inFlight;
     double lastFinishTag;
+    ArrivalRate arrivals = ArrivalRate.NONE;
     double queuedCost;
 
     /**
