--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
@@ -26,6 +26,7 @@
 final class BlockExporter {
     private static final Logger LOG = LogManager.getLogger(BlockExporter.class);
     private static final long HORIZON_MILLIS = 24L * 60 * 60 * 1_000;
+    private static final long MEMORY_HORIZON_MILLIS = 60L * 60 * 1_000;
     private static final double EXPORT_LIMIT_SHARE = 0.95;
     private static final double EVICT_TARGET_SHARE = 0.9;
     private static final double MAX_EXPORT_DELAY_MILLIS = 30_000;
@@ -100,6 +101,7 @@
         double linkUseMillis = blockBytes * MILLIS_PER_SECOND / store.linkBytesPerSecond();
         RetentionPolicy policy = new RetentionPolicy(
                 HORIZON_MILLIS,
+                MEMORY_HORIZON_MILLIS,
                 EXPORT_LIMIT_SHARE,
                 EVICT_TARGET_SHARE,
                 context.configuration().get().configuration().weights());
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
@@ -50,15 +50,19 @@
      *
      * @param blocks the blocks in prompt order
      * @param store the store that holds them
+     * @param plannedMillis time that the fetch is expected to take
      * @param queueMillis time the prompt would wait at the engine in any case
      * @param recomputeBlockMillis time to recompute one block
+     * @param promptRecomputeMillis time to compute the whole prompt without the store
      * @param weights what the deployment weighs
      */
     record Plan(
             List<BlockRef> blocks,
             StoreVm store,
+            double plannedMillis,
             double queueMillis,
             double recomputeBlockMillis,
+            double promptRecomputeMillis,
             DecisionWeights weights) {}
 
     private final class Fetch {
@@ -115,15 +119,17 @@
             if (ended) {
                 return;
             }
-            double blockMillis = nextBytes() * 1_000.0 / stores.bytesPerSecond(plan.store());
+            double elapsedMillis = (System.nanoTime() - startedNanos) / 1e6;
             FetchVerdict verdict = FetchDecision.check(new FetchProgress(
-                    plan.blocks().size() - verified.size(),
-                    blocksAhead(),
-                    blockMillis,
-                    nextBytes() * 1_000.0 / plan.store().linkBytesPerSecond(),
+                    plan.blocks().size(),
+                    verified.size(),
+                    plan.plannedMillis(),
+                    elapsedMillis,
                     linkSilentMillis(),
-                    plan.queueMillis(),
+                    Math.max(0, plan.queueMillis() - elapsedMillis),
+                    nextBytes() * 1_000.0 / plan.store().linkBytesPerSecond(),
                     plan.recomputeBlockMillis(),
+                    plan.promptRecomputeMillis(),
                     plan.weights()));
             if (verdict.linkSilent()) {
                 stores.timedOut(plan.store(), nextBytes(), sinceLastMillis(), clock.nowMillis());
@@ -163,10 +169,6 @@
                     .lengthBytes();
         }
 
-        private int blocksAhead() {
-            return (int) (Math.max(0, stores.queuedBytes(plan.store()) - bytesLeft()) / nextBytes());
-        }
-
         private double sinceLastMillis() {
             return Math.max(0.01, (System.nanoTime() - lastBlockNanos) / 1e6);
         }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
@@ -112,10 +112,17 @@
             return Mono.just(List.of());
         }
         double recomputeBlockMillis = recomputeBlockMillis(input, outcome.upstream());
+        double promptRecomputeMillis = recomputeBlockMillis * input.promptTokens() / input.pieceTokens();
         return fetcher.fetch(
                 engine,
                 new BlockFetcher.Plan(
-                        outcome.fetch(), store.get(), outcome.queueMillis(), recomputeBlockMillis, input.weights()));
+                        outcome.fetch(),
+                        store.get(),
+                        outcome.fetchMillis(),
+                        outcome.queueMillis(),
+                        recomputeBlockMillis,
+                        promptRecomputeMillis,
+                        input.weights()));
     }
 
     private static double recomputeBlockMillis(RoutingInput input, UpstreamId upstream) {
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
@@ -65,10 +65,6 @@
         return view(store).estimate.peakBytesPerSecond();
     }
 
-    long queuedBytes(StoreVm store) {
-        return Math.max(0, view(store).queuedBytes.get());
-    }
-
     long lastBlockNanos(StoreVm store) {
         return view(store).lastBlockNanos;
     }
