Keep a link down until a probe arrives and finish a cut prefetch

After a timeout each request and export could be the one that tried a dead store again, and exports to it were lost. A link now stays down until one probe block arrives. A link may also be silent for 2 s before it counts as dead, because 16 blocks of other nodes can be ahead on a healthy one. Blocks beyond the bound of a prefetch are fetched when the request arrives instead of recomputed.

--- a/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
@@ -1,5 +1,9 @@
 package org.cowslipbank.bench.routing;
 
+import java.util.List;
+
+import org.cowslipbank.model.BlockRef;
+
 /** One request from its address lookup to its first token. */
 final class Run {
     final Arrival arrival;
@@ -21,6 +25,9 @@
     double fetchStartMillis;
     double queueAtStartMillis;
     double plannedMillis;
+    /** Blocks wanted beyond those of the prefetch. */
+    List<BlockRef> extra = List.of();
+
     /** Blocks that the prefetch had received when the request arrived. */
     int receivedBeforeArrival;
 
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -111,7 +111,6 @@
 
     void killStore(int store) {
         network.kill(store);
-        stores[store].clear();
     }
 
     void slowLink(int store, double factor) {
@@ -240,7 +239,9 @@
             run.received = 0;
         }
         int split = continued
-                ? run.base + run.planned
+                ? Math.max(
+                        run.base + run.planned,
+                        choice.localBlocks() + choice.fetch().size())
                 : choice.localBlocks() + choice.fetch().size();
         run.assignedTokens = Math.max(1, run.arrival.promptTokens() - (long) split * Workload.BLOCK_TOKENS);
         nodes[run.node].assigned.get(engine).add(run);
@@ -260,6 +261,9 @@
         run.queueAtStartMillis = choice.queueMillis();
         run.plannedMillis = choice.fetchMillis();
         run.receivedBeforeArrival = run.received;
+        int beyondPrefetch = choice.localBlocks() + choice.fetch().size() - run.base - run.planned;
+        int size = choice.fetch().size();
+        run.extra = choice.fetch().subList(size - Math.max(0, beyondPrefetch), size);
         if (policy.overtakes()) {
             checkFetch(run, run.fetchNumber);
         }
@@ -300,6 +304,27 @@
         }
     }
 
+    // A prefetch is bounded in time; what the request wants beyond it follows as a fetch of its own.
+    private void fetchExtra(Run run) {
+        List<BlockRef> extra = run.extra;
+        run.extra = List.of();
+        double blockMillis = workload.blockBytes()
+                * 1_000
+                / network.estimate(run.node, run.link).bytesPerSecond();
+        startFetch(
+                run,
+                new RoutingOutcome(
+                        RoutingOutcome.Result.CHOSEN,
+                        engineIds.get(run.engine),
+                        run.blocksAtEngine(),
+                        extra,
+                        0,
+                        extra.size() * blockMillis,
+                        0,
+                        0),
+                TransferPriority.FOREGROUND);
+    }
+
     private void stopFetch(Run run) {
         if (run.transferId >= 0) {
             network.cancel(run.node, run.link, run.transferId);
@@ -317,6 +342,10 @@
             return;
         }
         run.transferId = -1;
+        if (run.arrived && !run.extra.isEmpty()) {
+            fetchExtra(run);
+            return;
+        }
         if (run.arrived) {
             engines[run.engine].submit(run);
         }
@@ -418,7 +447,7 @@
             int store = storeIds.indexOf(id);
             boolean down = policy.oracle()
                     ? network.isDead(store)
-                    : network.estimate(node, store).state(clock.nowWholeMillis()) == LinkState.DOWN;
+                    : network.estimate(node, store).state() == LinkState.DOWN;
             if (!down) {
                 return store;
             }
@@ -555,7 +584,7 @@
         LinkEstimate estimate = network.estimate(node, store);
         return new StoreLink(
                 storeIds.get(store),
-                estimate.state(clock.nowWholeMillis()),
+                estimate.state(),
                 workload.linkBytesPerSecond(),
                 estimate.bytesPerSecond(),
                 workload.diskBytesPerSecond(),
--- a/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
@@ -13,9 +13,10 @@
     private static final double BEHIND_FACTOR = 4;
     // Hysteresis: without it a fetch whose cost equals that of recompute would be cancelled at the first slow block.
     private static final double OVERTAKE_MARGIN = 1.25;
-    // A link that is silent for this factor of the expected time, and at least the floor, is treated as dead.
+    // A link that is silent for this factor of the expected time, and at least the floor, is treated as dead. Sixteen
+    // blocks of other nodes may be ahead on a healthy link, and closing a healthy link is dear.
     private static final double SILENT_FACTOR = 16;
-    private static final double SILENT_FLOOR_MILLIS = 500;
+    private static final double SILENT_FLOOR_MILLIS = 2_000;
     private static final double MIN_CHECK_MILLIS = 5;
 
     private FetchDecision() {}
--- a/decision/src/main/java/org/cowslipbank/decision/routing/LinkEstimate.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/LinkEstimate.java
@@ -7,7 +7,7 @@
  * @param bytesPerSecond moving average of the measured rate; it falls while other nodes use the link
  * @param peakBytesPerSecond decaying maximum of the measured rate, near the rate of the link when it is not shared
  * @param timeouts transfers in sequence that timed out
- * @param closedUntilMillis no transfer starts before this time, in milliseconds
+ * @param closedUntilMillis no probe starts before this time after a timeout, in milliseconds
  * @param lastSampleMillis time of the last measurement, in milliseconds
  */
 public record LinkEstimate(
@@ -55,7 +55,7 @@
 
     /**
      * Takes in a transfer that timed out. The link closes for a time that doubles with each timeout in sequence, up to
-     * 32 s; then a transfer may try it again. The rate falls as well, because the time until the timeout bounds it: a
+     * 32 s; then one block may probe it. The rate falls as well, because the time until the timeout bounds it: a
      * slow link is thereby told from a dead one.
      *
      * @param bytes length of the block that did not arrive
@@ -80,23 +80,25 @@
     /**
      * Tells whether the link may be used.
      *
-     * @param nowMillis the time in milliseconds
-     * @return down while the link is closed after a timeout
+     * @return down from a timeout until a block arrives, so that no prompt is the one that probes a dead store
      */
-    public LinkState state(long nowMillis) {
-        return nowMillis < closedUntilMillis ? LinkState.DOWN : LinkState.UP;
+    public LinkState state() {
+        return timeouts > 0 ? LinkState.DOWN : LinkState.UP;
     }
 
     /**
-     * Tells whether one block should be fetched only to measure the link. A link that is estimated to be slow is avoided
-     * and would otherwise never be seen to recover.
+     * Tells whether one block should be fetched only to measure the link. A link that is down or estimated to be slow is
+     * avoided and would otherwise never be seen to recover.
      *
      * @param nowMillis the time in milliseconds
-     * @return true if the link is open, estimated slow and has not been measured for 5 s
+     * @return true if the link is down and its closed time has passed, or if it is estimated slow and has not been
+     *     measured for 5 s
      */
     public boolean needsProbe(long nowMillis) {
-        return state(nowMillis) == LinkState.UP
-                && bytesPerSecond < PROBE_RATE_SHARE * configuredBytesPerSecond
+        if (timeouts > 0) {
+            return nowMillis >= closedUntilMillis;
+        }
+        return bytesPerSecond < PROBE_RATE_SHARE * configuredBytesPerSecond
                 && nowMillis - lastSampleMillis >= PROBE_AFTER_MILLIS;
     }
 }
