Overtake a fetch by the rate of its own blocks only

The time before the first block is a wait behind other transfers; taken as the rate, it made healthy fetches look late.

--- a/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
@@ -24,7 +24,8 @@
 
     double fetchStartMillis;
     double queueAtStartMillis;
-    double plannedMillis;
+    double expectedBlockMillis;
+    double firstBlockMillis = -1;
     /** Blocks wanted beyond those of the prefetch. */
     List<BlockRef> extra = List.of();
 
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -259,7 +259,8 @@
         network.reprioritise(run.node, run.link, run.transferId, TransferPriority.FOREGROUND);
         run.fetchStartMillis = clock.nowMillis();
         run.queueAtStartMillis = choice.queueMillis();
-        run.plannedMillis = choice.fetchMillis();
+        run.expectedBlockMillis = expectedBlockMillis(run);
+        run.firstBlockMillis = -1;
         run.receivedBeforeArrival = run.received;
         int beyondPrefetch = choice.localBlocks() + choice.fetch().size() - run.base - run.planned;
         int size = choice.fetch().size();
@@ -287,7 +288,8 @@
         run.link = storeIds.indexOf(choice.fetch().get(0).store());
         run.fetchStartMillis = clock.nowMillis();
         run.queueAtStartMillis = choice.queueMillis();
-        run.plannedMillis = choice.fetchMillis();
+        run.expectedBlockMillis = expectedBlockMillis(run);
+        run.firstBlockMillis = -1;
         run.receivedBeforeArrival = 0;
         int fetchNumber = ++run.fetchNumber;
         boolean fromDisk = choice.fetch().get(0).tier() == StoreTier.DISK;
@@ -308,9 +310,6 @@
     private void fetchExtra(Run run) {
         List<BlockRef> extra = run.extra;
         run.extra = List.of();
-        double blockMillis = workload.blockBytes()
-                * 1_000
-                / network.estimate(run.node, run.link).bytesPerSecond();
         startFetch(
                 run,
                 new RoutingOutcome(
@@ -319,12 +318,17 @@
                         run.blocksAtEngine(),
                         extra,
                         0,
-                        extra.size() * blockMillis,
+                        extra.size() * expectedBlockMillis(run),
                         0,
                         0),
                 TransferPriority.FOREGROUND);
     }
 
+    private double expectedBlockMillis(Run run) {
+        double rate = network.estimate(run.node, run.link).bytesPerSecond();
+        return workload.blockBytes() * 1_000 / rate;
+    }
+
     private void stopFetch(Run run) {
         if (run.transferId >= 0) {
             network.cancel(run.node, run.link, run.transferId);
@@ -338,6 +342,7 @@
             return;
         }
         run.received++;
+        run.firstBlockMillis = run.firstBlockMillis < 0 ? clock.nowMillis() : run.firstBlockMillis;
         if (run.received < run.planned) {
             return;
         }
@@ -378,8 +383,8 @@
         FetchVerdict verdict = FetchDecision.check(new FetchProgress(
                 run.planned - run.receivedBeforeArrival,
                 run.received - run.receivedBeforeArrival,
-                run.plannedMillis,
-                elapsedMillis,
+                run.expectedBlockMillis,
+                run.firstBlockMillis < 0 ? 0 : now - run.firstBlockMillis,
                 now - silentSince,
                 Math.max(0, run.queueAtStartMillis - elapsedMillis),
                 workload.linkUseBlockMillis(),
--- a/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/FetchDecision.java
@@ -10,7 +10,7 @@
             new Decision<>("overtake", FetchProgress.class, FetchVerdict.class, FetchDecision::check);
 
     // Nodes share a link without coordination, so blocks arrive irregularly; a smaller delay says nothing.
-    private static final double BEHIND_FACTOR = 4;
+    private static final double BEHIND_FACTOR = 8;
     // Hysteresis: without it a fetch whose cost equals that of recompute would be cancelled at the first slow block.
     private static final double OVERTAKE_MARGIN = 1.25;
     // A link that is silent for this factor of the expected time, and at least the floor, is treated as dead. Sixteen
@@ -31,14 +31,12 @@
      */
     public static FetchVerdict check(FetchProgress progress) {
         double outOfTimeMillis = progress.promptRecomputeMillis();
-        double behindMillis = BEHIND_FACTOR * progress.plannedBlockMillis() * (progress.blocksReceived() + 1);
         boolean outOfTime = progress.linkSilentMillis() >= outOfTimeMillis;
-        boolean behind = progress.blocksReceived() > 0 && progress.elapsedMillis() >= behindMillis;
-        boolean silent = progress.linkSilentMillis() >= silentAfterMillis(progress.plannedBlockMillis());
+        boolean silent = progress.linkSilentMillis() >= silentAfterMillis(progress.expectedBlockMillis());
+        boolean behind = progress.shownBlockMillis() >= BEHIND_FACTOR * progress.expectedBlockMillis();
         boolean recompute = outOfTime || silent || behind && costsMoreThanRecompute(progress);
-        double untilBehind = Math.max(progress.plannedBlockMillis(), behindMillis - progress.elapsedMillis());
         double untilOutOfTime = outOfTimeMillis - progress.linkSilentMillis();
-        double checkAfterMillis = Math.max(MIN_CHECK_MILLIS, Math.min(untilBehind, untilOutOfTime));
+        double checkAfterMillis = Math.max(MIN_CHECK_MILLIS, Math.min(progress.expectedBlockMillis(), untilOutOfTime));
         return new FetchVerdict(recompute, silent, checkAfterMillis);
     }
 
@@ -52,12 +50,10 @@
         return Math.max(SILENT_FACTOR * expectedBlockMillis, SILENT_FLOOR_MILLIS);
     }
 
-    // Before the first block only silence counts: the time so far may be a wait behind other nodes' blocks.
     private static boolean costsMoreThanRecompute(FetchProgress progress) {
         DecisionWeights weights = progress.weights();
         int left = progress.blocksLeft();
-        double blockMillis = progress.elapsedMillis() / progress.blocksReceived();
-        double waitMillis = Math.max(0, left * blockMillis - progress.queueMillis());
+        double waitMillis = Math.max(0, left * progress.shownBlockMillis() - progress.queueMillis());
         double fetchCost =
                 weights.timeToFirstToken() * waitMillis + weights.link() * left * progress.linkUseBlockMillis();
         double recomputeMillis = left * progress.recomputeBlockMillis();
--- a/decision/src/main/java/org/cowslipbank/decision/routing/FetchProgress.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/FetchProgress.java
@@ -7,8 +7,8 @@
  *
  * @param blocksPlanned blocks of the fetch
  * @param blocksReceived blocks that have arrived
- * @param plannedMillis time that the whole fetch was expected to take when it began
- * @param elapsedMillis time since it began
+ * @param expectedBlockMillis time for one block at the rate measured when the fetch began
+ * @param sinceFirstBlockMillis time since its first block arrived, zero before
  * @param linkSilentMillis time since any block arrived over the link, or since the fetch began if that is later
  * @param queueMillis time the prompt would still wait at the upstream in any case
  * @param linkUseBlockMillis time for one block at the link's configured rate
@@ -19,8 +19,8 @@
 public record FetchProgress(
         int blocksPlanned,
         int blocksReceived,
-        double plannedMillis,
-        double elapsedMillis,
+        double expectedBlockMillis,
+        double sinceFirstBlockMillis,
         double linkSilentMillis,
         double queueMillis,
         double linkUseBlockMillis,
@@ -31,7 +31,8 @@
         return blocksPlanned - blocksReceived;
     }
 
-    double plannedBlockMillis() {
-        return plannedMillis / blocksPlanned;
+    /** Time for one block as the fetch has shown it; the wait before the first block says nothing about the rate. */
+    double shownBlockMillis() {
+        return blocksReceived < 2 ? 0 : sinceFirstBlockMillis / (blocksReceived - 1);
     }
 }
