--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -111,7 +111,6 @@
 
     void killStore(int store) {
         network.kill(store);
-        stores[store].clear();
     }
 
     void slowLink(int store, double factor) {
@@ -240,7 +239,9 @@
             run.received = 0;
         }
         int split = continued
-                ? run.base + run.planned
+                ? Math.max(
+                        run.base + run.planned,
+                        choice.localBlocks() + choice.fetch().size())
                 : choice.localBlocks() + choice.fetch().size();
         run.assignedTokens = Math.max(1, run.arrival.promptTokens() - (long) split * Workload.BLOCK_TOKENS);
         nodes[run.node].assigned.get(engine).add(run);
@@ -258,8 +259,12 @@
         network.reprioritise(run.node, run.link, run.transferId, TransferPriority.FOREGROUND);
         run.fetchStartMillis = clock.nowMillis();
         run.queueAtStartMillis = choice.queueMillis();
-        run.plannedMillis = choice.fetchMillis();
+        run.expectedBlockMillis = expectedBlockMillis(run);
+        run.firstBlockMillis = -1;
         run.receivedBeforeArrival = run.received;
+        int beyondPrefetch = choice.localBlocks() + choice.fetch().size() - run.base - run.planned;
+        int size = choice.fetch().size();
+        run.extra = choice.fetch().subList(size - Math.max(0, beyondPrefetch), size);
         if (policy.overtakes()) {
             checkFetch(run, run.fetchNumber);
         }
@@ -283,7 +288,8 @@
         run.link = storeIds.indexOf(choice.fetch().get(0).store());
         run.fetchStartMillis = clock.nowMillis();
         run.queueAtStartMillis = choice.queueMillis();
-        run.plannedMillis = choice.fetchMillis();
+        run.expectedBlockMillis = expectedBlockMillis(run);
+        run.firstBlockMillis = -1;
         run.receivedBeforeArrival = 0;
         int fetchNumber = ++run.fetchNumber;
         boolean fromDisk = choice.fetch().get(0).tier() == StoreTier.DISK;
@@ -300,6 +306,29 @@
         }
     }
 
+    // A prefetch is bounded in time; what the request wants beyond it follows as a fetch of its own.
+    private void fetchExtra(Run run) {
+        List<BlockRef> extra = run.extra;
+        run.extra = List.of();
+        startFetch(
+                run,
+                new RoutingOutcome(
+                        RoutingOutcome.Result.CHOSEN,
+                        engineIds.get(run.engine),
+                        run.blocksAtEngine(),
+                        extra,
+                        0,
+                        extra.size() * expectedBlockMillis(run),
+                        0,
+                        0),
+                TransferPriority.FOREGROUND);
+    }
+
+    private double expectedBlockMillis(Run run) {
+        double rate = network.estimate(run.node, run.link).bytesPerSecond();
+        return workload.blockBytes() * 1_000 / rate;
+    }
+
     private void stopFetch(Run run) {
         if (run.transferId >= 0) {
             network.cancel(run.node, run.link, run.transferId);
@@ -313,10 +342,15 @@
             return;
         }
         run.received++;
+        run.firstBlockMillis = run.firstBlockMillis < 0 ? clock.nowMillis() : run.firstBlockMillis;
         if (run.received < run.planned) {
             return;
         }
         run.transferId = -1;
+        if (run.arrived && !run.extra.isEmpty()) {
+            fetchExtra(run);
+            return;
+        }
         if (run.arrived) {
             engines[run.engine].submit(run);
         }
@@ -349,8 +383,8 @@
         FetchVerdict verdict = FetchDecision.check(new FetchProgress(
                 run.planned - run.receivedBeforeArrival,
                 run.received - run.receivedBeforeArrival,
-                run.plannedMillis,
-                elapsedMillis,
+                run.expectedBlockMillis,
+                run.firstBlockMillis < 0 ? 0 : now - run.firstBlockMillis,
                 now - silentSince,
                 Math.max(0, run.queueAtStartMillis - elapsedMillis),
                 workload.linkUseBlockMillis(),
@@ -418,7 +452,7 @@
             int store = storeIds.indexOf(id);
             boolean down = policy.oracle()
                     ? network.isDead(store)
-                    : network.estimate(node, store).state(clock.nowWholeMillis()) == LinkState.DOWN;
+                    : network.estimate(node, store).state() == LinkState.DOWN;
             if (!down) {
                 return store;
             }
@@ -555,7 +589,7 @@
         LinkEstimate estimate = network.estimate(node, store);
         return new StoreLink(
                 storeIds.get(store),
-                estimate.state(clock.nowWholeMillis()),
+                estimate.state(),
                 workload.linkBytesPerSecond(),
                 estimate.bytesPerSecond(),
                 workload.diskBytesPerSecond(),
