Let urgent facts exceed the budget for a while

When a whole fleet starts, the budget cut off the nodes' own facts, so some nodes knew others only from the list, and their suspicions at incarnation zero were ignored by the rest. Urgent facts may now run up a debt of 16 KB, which load digests pay back by pausing, an immediate message holds up to 4 KB, and a node that accuses at an old incarnation is sent the newer fact.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -43,7 +43,7 @@
         if (!merged.equals(known.fact())) {
             step.state.putMember(new Member(merged, step.nowMillis, known.listed(), known.listedLeaving()));
             announce(step, merged);
-        } else if (!fact.equals(merged) && fact.incarnation() > 0) {
+        } else if (!fact.equals(merged) && (fact.incarnation() > 0 || fact.status() != MemberStatus.ALIVE)) {
             // The sender lags behind: what it lacks is sent again unless it is on its way already.
             Outbox.addIfAbsent(step, memberKey(merged));
         }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -17,8 +17,14 @@
 
 /** Chooses which facts go into a message: urgent kinds first, among them those sent least often. */
 final class Outbox {
-    /** Bytes that urgent facts may use beyond the budget, so that a burst of deaths still spreads at once. */
-    private static final double OVERDRAFT_BYTES = 2_000;
+    /**
+     * Bytes that urgent facts may use beyond the budget, so that a burst of deaths, starts or leaving upstreams still
+     * spreads at once. Load digests pause until the budget has recovered.
+     */
+    private static final double OVERDRAFT_BYTES = 16_000;
+
+    /** Most bytes of facts in an immediate message; hundreds of upstreams may leave at once. */
+    private static final int PUSH_BYTES = 4_000;
 
     private static final double BURST_SECONDS = 3;
 
@@ -73,7 +79,7 @@
     static void fill(Step step, FactsBuilder builder, Collection<FactKey> keys, DataCentreId receiver) {
         boolean own = receiver.equals(step.state.dataCentre());
         for (FactKey key : keys) {
-            if (builder.bytes() < step.state.settings.factBytesPerMessage() && hasBudget(step, key, builder.bytes())) {
+            if (builder.bytes() < PUSH_BYTES && hasBudget(step, key, builder.bytes())) {
                 append(step, builder, key, own);
             }
         }
