Probe other data centres every two seconds

A node alone in its data centre is a gateway to all others and spent most of its bytes on probes and load digests for them. Gateways now probe each data centre every 2 s and hold it for unreachable after four unanswered probes instead of six; a small fleet spends at most 500 B/s on facts.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipSettings.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipSettings.java
@@ -39,9 +39,9 @@
         boolean loadsCrossDataCentres) {
     /** Settings of a fleet of up to a few dozen nodes. */
     public static final MembershipSettings SMALL_FLEET = new MembershipSettings(
-            1_000, 300, 300, 3, 3_000, 5_000, 600_000, 2, 1_000, 800, 6, 400, 800, 3, 2_000, true);
+            1_000, 300, 300, 3, 3_000, 5_000, 600_000, 2, 2_000, 800, 4, 400, 500, 3, 2_000, true);
 
     /** Settings of a fleet of hundreds of nodes. */
     public static final MembershipSettings LARGE_FLEET = new MembershipSettings(
-            1_000, 300, 300, 3, 3_000, 5_000, 600_000, 2, 1_000, 800, 6, 400, 800, 3, 2_000, false);
+            1_000, 300, 300, 3, 3_000, 5_000, 600_000, 2, 2_000, 800, 4, 400, 800, 3, 2_000, false);
 }
