--- a/decision/src/main/java/org/cowslipbank/decision/configuration/ServingState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/configuration/ServingState.java
@@ -102,7 +102,7 @@
     /**
      * A peer has answered.
      *
-     * @param named the revision that it has applied
+     * @param named the revision that it has applied; a peer that has none does not count as heard
      * @param contactMillis a time not later than that at which that revision was last confirmed, or {@link #NEVER}
      * @param askedMillis when the peer was asked; an answer that waited during a pause is as old as its question
      * @return the new state
@@ -113,7 +113,7 @@
                 revision,
                 confirmed,
                 Math.max(peerContactMillis, contactMillis),
-                Math.max(heardMillis, askedMillis),
+                named == NONE ? heardMillis : Math.max(heardMillis, askedMillis),
                 Math.max(highestRevision, named));
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/configuration/ChangeRun.java
+++ b/entry/src/main/java/org/cowslipbank/entry/configuration/ChangeRun.java
@@ -150,7 +150,7 @@
     }
 
     private List<String> behind(Set<DataCentreId> named, long revision) {
-        return dataCentres.behind(named, request.order().mayLag(), revision);
+        return dataCentres.behind(named, request.order().mayLag(), revision, service.nowMillis());
     }
 
     // A repeated request finds the record of the first one.
--- a/entry/src/main/java/org/cowslipbank/entry/configuration/ConfigurationService.java
+++ b/entry/src/main/java/org/cowslipbank/entry/configuration/ConfigurationService.java
@@ -185,7 +185,6 @@
     public void hinted(PeerReport report) {
         scheduler.schedule(() -> {
             publish(published.state().peerNamed(report.revision(), ServingState.NEVER, ServingState.NEVER));
-            dataCentres.reported(report);
             rememberPeer(report.node(), report.revision());
             checkBehind(report.node());
         });
