--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.cowslipbank.bench.claims.ClaimsBench;
+import org.cowslipbank.bench.config.ConfigBench;
 import org.cowslipbank.bench.limits.LimitsBench;
 import org.cowslipbank.bench.load.LoadBench;
 import org.cowslipbank.bench.membership.MembershipBench;
@@ -15,6 +16,7 @@
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
             new ClaimsBench(),
+            new ConfigBench(),
             new LimitsBench(),
             new LoadBench(),
             new MembershipBench(),
--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -63,10 +63,7 @@
         if (fact.incarnation() == 0 && fact.status() == MemberStatus.ALIVE) {
             return;
         }
-        Outbox.add(step, memberKey(fact));
-        if (fact.status() != MemberStatus.SUSPECT) {
-            step.urgent.add(memberKey(fact));
-        }
+        spread(step, memberKey(fact));
     }
 
     /** Answers a false statement about this node with a greater incarnation. */
@@ -150,7 +147,7 @@
             return;
         }
         step.state.reach.put(id, merged);
-        step.state.version++;
+        step.state.nodesChanged();
         step.learned.add(merged);
         spread(step, new FactKey(FactKey.Kind.REACH, id));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/fleet/FleetService.java
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetService.java
@@ -185,6 +185,9 @@
         }
         control.schedule(() -> {
             waiting.decrementAndGet();
+            if (message instanceof PeerMessage.ProbeAck ack) {
+                tell(listener -> listener.onAcknowledged(from, ack.digest()));
+            }
             FleetMessages.toPacket(message)
                     .ifPresent(packet -> step(new FleetEvent.Received(FleetMessages.nodeAddress(from), packet)));
         });
@@ -225,8 +228,7 @@
         try {
             Membership.Outcome outcome = Membership.step(state, event, clockMillis.getAsLong(), seeds.nextLong());
             state = outcome.state();
-            FleetView known = snapshot.view();
-            snapshot = snapshotOf(known.version() == state.version() ? known : FleetView.of(state));
+            snapshot = snapshotOf(FleetView.of(state, snapshot.view()));
             outcome.effects().forEach(this::perform);
         } catch (RuntimeException e) {
             // The control thread must go on: a step that fails leaves the state as it was.
