--- a/decision/src/main/java/org/cowslipbank/decision/trace/TraceFiles.java
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/TraceFiles.java
@@ -82,6 +82,35 @@
         return (TraceJson.mapper().writeValueAsString(trace) + "\n").getBytes(StandardCharsets.UTF_8);
     }
 
+    /**
+     * Returns the record of a fact.
+     *
+     * @param fact the fact
+     * @param stamp where and when it was recorded
+     * @return the record
+     * @throws IOException if the fact cannot be written as JSON, which is a programming error
+     */
+    public static TraceRecord fact(Object fact, Stamp stamp) throws IOException {
+        return record(TraceRecord.FACT, stamp, fact, null);
+    }
+
+    /**
+     * Reads the input of a record.
+     *
+     * @param <T> the input's type
+     * @param trace the record
+     * @param type the input's class
+     * @return the input
+     * @throws IOException if the record's input is of another type; the message holds the sequence number
+     */
+    public static <T> T input(TraceRecord trace, Class<T> type) throws IOException {
+        try {
+            return TraceJson.mapper().treeToValue(trace.input(), type);
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw new IOException("sequence " + trace.sequence() + ": " + e.getMessage(), e);
+        }
+    }
+
     static TraceRecord record(String kind, Stamp stamp, Object input, Object outcome) throws IOException {
         return new TraceRecord(
                 kind,
