Probe stores whose links are down and follow admission's kept places

Cause: a link stays down until a block arrives, so a store that is back was never used again; admission keeps places free for modest teams. Change: the node probes such stores by their status; the gate passes the kept places.

--- a/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
@@ -40,7 +40,7 @@
     @Example
     void capacityReplaysAndAChangedOutcomeIsFound() throws IOException {
         String line = recorded(
-                Capacity.DECISION, new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4));
+                Capacity.DECISION, new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4, 0));
         assert replay(line).isEmpty() : replay(line);
         String changed = line.replace("\"slots\":16,\"inFlightLimit\"", "\"slots\":17,\"inFlightLimit\"");
         assert !changed.equals(line);
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
@@ -42,9 +42,9 @@
 
     synchronized void setCapacity(String model, List<Capacity.UpstreamLoad> loads, int nodes, int ownSlots) {
         Group group = group(model);
-        Capacity.Outcome capacity =
-                Capacity.derive(new Capacity.Input(loads, nodes, ownSlots, group.admission.inFlight()));
-        apply(group, group.admission.capacity(capacity.inFlightLimit(), clock.nowMillis()));
+        Capacity.Outcome capacity = Capacity.derive(
+                new Capacity.Input(loads, nodes, ownSlots, group.admission.inFlight(), group.admission.keptFree()));
+        apply(group, group.admission.capacity(capacity, clock.nowMillis()));
     }
 
     synchronized void tick() {
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
@@ -27,6 +27,7 @@
     private final RetryGate retries;
     private final PromptRouter router;
     private final BlockExporter exporter;
+    private final StoreProber prober;
     private final SessionHints hints;
     private final Set<PromptSession> sessions = ConcurrentHashMap.newKeySet();
     private Disposable ticking;
@@ -46,11 +47,13 @@
                 new BlockLocator(context.systems(), context.stores(), context.configuration(), context.clock());
         this.router = new PromptRouter(context, locator, hints);
         this.exporter = new BlockExporter(context, locator);
+        this.prober = new StoreProber(context);
     }
 
     /** Starts the periodic checks. */
     public void start() {
         tick();
+        prober.start();
         ticking =
                 Flux.interval(TICK, Schedulers.newSingle("traffic-tick", true)).subscribe(tick -> tick());
     }
@@ -58,6 +61,7 @@
     /** Stops the periodic checks. */
     public void stop() {
         ticking.dispose();
+        prober.stop();
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/StoreTable.java
@@ -15,11 +15,12 @@
 public final class StoreTable {
     private static final double DISK_SHARE_OF_LINK = 0.25;
     private static final double LATENCY_MILLIS = 2;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Map<StoreId, View> views = new ConcurrentHashMap<>();
 
     LinkState state(StoreVm store, long nowMillis) {
-        return view(store).estimate.state(nowMillis);
+        return view(store).estimate.state();
     }
 
     List<StoreLink> links(List<StoreVm> stores, long nowMillis) {
@@ -61,6 +62,24 @@
         }
     }
 
+    boolean needsProbe(StoreVm store, long nowMillis) {
+        return view(store).estimate.needsProbe(nowMillis);
+    }
+
+    /**
+     * Takes in that a store has answered a probe. A probe carries no block, so a link that was down keeps its rate, and
+     * a link that is estimated slow is moved towards its configured rate, until a fetch measures it.
+     */
+    void answeredProbe(StoreVm store, long nowMillis) {
+        View view = view(store);
+        synchronized (view) {
+            LinkEstimate old = view.estimate;
+            boolean down = old.state() == LinkState.DOWN;
+            double rate = down ? old.bytesPerSecond() : store.linkBytesPerSecond();
+            view.estimate = old.received(Math.max(1, (long) rate), MILLIS_PER_SECOND, nowMillis);
+        }
+    }
+
     double peakBytesPerSecond(StoreVm store) {
         return view(store).estimate.peakBytesPerSecond();
     }
@@ -78,7 +97,7 @@
         LinkEstimate estimate = view.estimate;
         return new StoreLink(
                 store.id(),
-                estimate.state(nowMillis),
+                estimate.state(),
                 store.linkBytesPerSecond(),
                 estimate.bytesPerSecond(),
                 estimate.bytesPerSecond() * DISK_SHARE_OF_LINK,
--- a/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
@@ -15,7 +15,7 @@
 /** Guards against traffic that waits for the trace file, and against records that vanish without a count. */
 final class FileDecisionRecorderTest {
     private static final Capacity.Input INPUT =
-            new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4);
+            new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4, 0);
 
     @Example
     void stalledFileDropsAndCounts() throws Exception {
