--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,13 +3,14 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.recovery.RecoveryBench;
 import org.cowslipbank.bench.routing.RoutingBench;
 
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new RoutingBench());
+            new RecoveryBench(), new RoutingBench());
 
     private Benches() {}
 
--- a/decision/src/main/java/org/cowslipbank/decision/directory/UpdateLog.java
+++ b/bench/src/main/java/org/cowslipbank/bench/recovery/UpdateLog.java
@@ -1,4 +1,4 @@
-package org.cowslipbank.decision.directory;
+package org.cowslipbank.bench.recovery;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.decision.directory.SessionHint;
+
 /**
  * Bounded log of hint updates for a peer that missed some. Beyond the bound the peer needs a snapshot. After
  * Castro-Company et al., "CLOB: Communication Support for Efficient Replicated Database Recovery", section 4.3.
  */
-public final class UpdateLog {
+final class UpdateLog {
     private final Deque<SessionHint> updates = new ArrayDeque<>();
     private final int maxUpdates;
     private long nextSequence;
@@ -20,7 +22,7 @@
      *
      * @param maxUpdates the most updates kept
      */
-    public UpdateLog(int maxUpdates) {
+    UpdateLog(int maxUpdates) {
         this.maxUpdates = maxUpdates;
     }
 
@@ -30,7 +32,7 @@
      * @param update the update
      * @return its sequence number
      */
-    public long append(SessionHint update) {
+    long append(SessionHint update) {
         updates.addLast(update);
         if (updates.size() > maxUpdates) {
             updates.removeFirst();
@@ -44,7 +46,7 @@
      * @param sequence first sequence number that it has not seen
      * @return the updates in order, or empty if some are gone and a snapshot is needed
      */
-    public Optional<List<SessionHint>> since(long sequence) {
+    Optional<List<SessionHint>> since(long sequence) {
         long first = nextSequence - updates.size();
         if (sequence < first || sequence > nextSequence) {
             return Optional.empty();
--- /dev/null
+++ b/bench/src/main/java/org/cowslipbank/bench/recovery/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures how long returning prompts are recomputed after a loss, and what the ways of recovering directory hints cost.
+ */
+package org.cowslipbank.bench.recovery;
--- a/bench/src/main/java/org/cowslipbank/bench/routing/EngineModel.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/EngineModel.java
@@ -26,6 +26,7 @@
     private int cachedBlocks;
     private long readyTokens;
     private boolean busy;
+    private int life;
     private double busyUntilMillis;
 
     EngineModel(VirtualClock clock, Workload workload, ObjIntConsumer<Run> onFirstToken) {
@@ -70,21 +71,42 @@
         }
     }
 
+    /** Loses everything, as when the process dies. */
+    void reset() {
+        life++;
+        busy = false;
+        ready.clear();
+        readyTokens = 0;
+        cache.clear();
+        cacheView.clear();
+        cachedBlocks = 0;
+    }
+
     private void startNext() {
         if (busy || ready.isEmpty()) {
             return;
         }
         Run run = ready.remove();
         readyTokens -= run.assignedTokens;
+        if (run.cancelled) {
+            startNext();
+            return;
+        }
         int known = run.arrival.knownTokens() / Workload.BLOCK_TOKENS;
         int local = Math.min(known, Math.max(run.blocksAtEngine(), cached(run.session.id)));
         long tokens = Math.max(1, run.arrival.promptTokens() - (long) local * Workload.BLOCK_TOKENS);
         busy = true;
         busyUntilMillis = clock.nowMillis() + tokens / tokensPerMilli;
+        int startedIn = life;
         clock.at(busyUntilMillis, () -> {
+            if (life != startedIn) {
+                return;
+            }
             busy = false;
             keep(run.session.id, run.arrival.fullBlocks());
-            onFirstToken.accept(run, local);
+            if (!run.cancelled) {
+                onFirstToken.accept(run, local);
+            }
             startNext();
         });
     }
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Run.java
@@ -10,6 +10,9 @@
     final Session session;
     int node;
     boolean arrived;
+    /** The node or engine that had it died; the caller has sent the request again. */
+    boolean cancelled;
+
     int engine = -1;
     /** Leading blocks that are at the engine before the fetch. */
     int base;
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -3,10 +3,15 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.cowslipbank.config.UpstreamState;
 import org.cowslipbank.decision.directory.Placement;
 import org.cowslipbank.decision.retention.ExportInput;
@@ -41,6 +46,7 @@
     private static final double MAX_EXPORT_DELAY_MILLIS = 20_000;
     private static final double MAX_PREFETCH_MILLIS = 5_000;
     private static final int ENGINE_SLOTS = 64;
+    private static final double RESEND_MILLIS = 1_000;
     private static final double CERTAIN = 1e9;
     private static final double NEVER_SECONDS = 1e9;
     private static final long SWEEP_INTERVAL_MILLIS = 10_000;
@@ -60,6 +66,11 @@
     private final List<StoreId> storeIds;
     private final Map<Integer, Session> sessions = new HashMap<>();
     private final Outcome outcome = new Outcome();
+    private final Set<Run> active = new LinkedHashSet<>();
+    private final List<Sample> samples = new ArrayList<>();
+    private final double[] engineUpMillis;
+    private boolean hintsReplicated;
+    private long hintUpdates;
     private long[] visibleTokens;
     private long[] capturedTokens;
     private double capturedMillis;
@@ -75,6 +86,7 @@
         this.network = new TransferNetwork(clock, workload);
         this.engines = new EngineModel[workload.engines()];
         this.visibleTokens = new long[engines.length];
+        this.engineUpMillis = new double[engines.length];
         this.capturedTokens = new long[engines.length];
         for (int engine = 0; engine < engines.length; engine++) {
             engines[engine] = new EngineModel(clock, workload, this::firstToken);
@@ -113,6 +125,65 @@
         network.kill(store);
     }
 
+    void replaceStore(int store) {
+        network.revive(store);
+        stores[store].clear();
+    }
+
+    /** Ends a node's process; another with empty memory takes its place after a while. */
+    void restartNode(int node, double downMillis) {
+        nodes[node] = new Node(workload);
+        nodes[node].upMillis = clock.nowMillis() + downMillis;
+        network.reset(node);
+        resendWhere(run -> run.node == node);
+    }
+
+    /** Ends an engine's process; another with empty memory takes its place after a while. */
+    void restartEngine(int engine, double downMillis) {
+        engines[engine].reset();
+        engineUpMillis[engine] = clock.nowMillis() + downMillis;
+        resendWhere(run -> run.engine == engine && run.arrived);
+    }
+
+    /** Keeps a copy of all hints at a second node, so that none is lost with one node. */
+    void replicateHints() {
+        hintsReplicated = true;
+    }
+
+    long hintUpdates() {
+        return hintUpdates;
+    }
+
+    /** Sessions with retained blocks and the number of those blocks. */
+    long[] retained() {
+        long[] counts = new long[2];
+        for (Session session : sessions.values()) {
+            counts[0] += session.storedBlocks > 0 ? 1 : 0;
+            counts[1] += session.storedBlocks;
+        }
+        return counts;
+    }
+
+    List<Sample> samples() {
+        return samples;
+    }
+
+    private void resendWhere(Predicate<Run> lost) {
+        for (Run run : List.copyOf(active)) {
+            if (!lost.test(run)) {
+                continue;
+            }
+            stopFetch(run);
+            run.cancelled = true;
+            active.remove(run);
+            if (run.arrived) {
+                clock.after(RESEND_MILLIS, () -> lookup(run.arrival));
+            } else {
+                lookup(run.arrival);
+            }
+        }
+    }
+
     void slowLink(int store, double factor) {
         network.slow(store, factor);
     }
@@ -190,18 +261,42 @@
 
     private void lookup(Arrival arrival) {
         Session session = sessions.computeIfAbsent(arrival.session(), id -> newSession(id, arrival.team()));
+        int node = owner(session);
+        if (node < 0) {
+            clock.after(RESEND_MILLIS, () -> lookup(arrival));
+            return;
+        }
+        session.node = node;
         Run run = new Run(arrival, session);
-        run.node = session.node;
-        if (policy.prefetches() && session.storedBlocks > 0) {
+        run.node = node;
+        active.add(run);
+        boolean hinted = hintsReplicated || nodes[node].hints.contains(session.id);
+        if (policy.prefetches() && session.storedBlocks > 0 && hinted) {
             prefetch(run);
         }
-        clock.at(arrival.arrivalMillis(), () -> arrive(run));
+        // Without a hint the node asks the store that the placement names, which costs one round trip.
+        double askMillis = policy.stores() && !hinted ? 2 * workload.oneWayMillis() : 0;
+        clock.at(Math.max(arrival.arrivalMillis(), clock.nowMillis()) + askMillis, () -> arrive(run));
+    }
+
+    // The first live node in the session's rendezvous order, negative if none is live.
+    private int owner(Session session) {
+        long sessionHash = Hashing.komihash5_0().hashCharsToLong(session.key);
+        int best = -1;
+        long bestWeight = 0;
+        for (int node = 0; node < nodes.length; node++) {
+            long weight = Hashing.komihash5_0().hashLongLongToLong(sessionHash, node);
+            boolean live = nodes[node].upMillis <= clock.nowMillis();
+            if (live && (best < 0 || weight > bestWeight)) {
+                best = node;
+                bestWeight = weight;
+            }
+        }
+        return best;
     }
 
     private Session newSession(int id, int team) {
-        Session session = new Session(id, team);
-        session.node = Math.floorMod(Integer.hashCode(id * 0x9E3779B9) >> 8, nodes.length);
-        return session;
+        return new Session(id, team);
     }
 
     private void prefetch(Run run) {
@@ -215,6 +310,9 @@
     }
 
     private void arrive(Run run) {
+        if (run.cancelled) {
+            return;
+        }
         run.arrived = true;
         Node node = nodes[run.node];
         Session session = run.session;
@@ -400,7 +498,13 @@
     }
 
     private void firstToken(Run run, int localBlocks) {
+        active.remove(run);
         Arrival arrival = run.arrival;
+        if (run.isReturning()) {
+            long cached = (long) localBlocks * Workload.BLOCK_TOKENS;
+            double millis = clock.nowMillis() - arrival.arrivalMillis() + 2 * workload.oneWayMillis();
+            samples.add(new Sample(arrival.arrivalMillis(), arrival.knownTokens(), cached, millis));
+        }
         if (arrival.arrivalMillis() >= measureFromMillis) {
             long local = (long) localBlocks * Workload.BLOCK_TOKENS;
             outcome.addWork(arrival.promptTokens(), arrival.knownTokens(), Math.max(0, arrival.knownTokens() - local));
@@ -416,6 +520,8 @@
         session.lastRunEndMillis = clock.nowMillis();
         session.awayCountedMillis = 0;
         engines[run.engine].keep(session.id, run.arrival.blocksAfterRun());
+        nodes[run.node].hints.add(session.id);
+        hintUpdates++;
         if (policy.stores()) {
             export(run);
         }
@@ -535,7 +641,7 @@
         int local = Math.min(known, Math.max(staged, engines[engine].cached(run.session.id)));
         return new Candidate(
                 engineIds.get(engine),
-                UpstreamState.ACTIVE,
+                engineUpMillis[engine] > clock.nowMillis() ? UpstreamState.LEAVING : UpstreamState.ACTIVE,
                 Session.MODEL,
                 false,
                 engines[engine].waitingRuns(),
@@ -600,6 +706,8 @@
     private static final class Node {
         private final GapHistogram[] history;
         private final List<List<Run>> assigned = new ArrayList<>();
+        private final Set<Integer> hints = new HashSet<>();
+        private double upMillis;
 
         Node(Workload workload) {
             history = new GapHistogram[workload.teams().size()];
