Announce an engine as leaving before it drains or loads

An engine that starts to drain or load refuses what the nodes still send it. When several engines load at once, a request used up its three attempts in 18 ms and was refused.

--- a/bench/src/main/java/org/cowslipbank/bench/streams/FaultScenarios.java
+++ b/bench/src/main/java/org/cowslipbank/bench/streams/FaultScenarios.java
@@ -107,7 +107,7 @@
                 new WorldOptions(seed, 3, 12, 3, 16, 150, false, 33, 4_000, aborts, LinkFaults.NONE, false);
         World world = new World(options);
         ModelRef next = new ModelRef("review", "v2", "");
-        OrderLimits limits = new OrderLimits(2, 2e9, 4e9, 10_000, 2_000, drainMillis, 0.5);
+        OrderLimits limits = new OrderLimits(2, 2e9, 4e9, 10_000, 2_000, 3_000, drainMillis, 0.5);
         SimController.Slots slots = new SimController.Slots();
         List<SimController> controllers = new ArrayList<>();
         for (int group = 0; group < 2; group++) {
--- a/bench/src/main/java/org/cowslipbank/bench/streams/HalvingScenario.java
+++ b/bench/src/main/java/org/cowslipbank/bench/streams/HalvingScenario.java
@@ -47,7 +47,7 @@
                 new WorldOptions(seed, NODES, ENGINES, 3, 16, 160, true, 33, 4_000, true, LinkFaults.NONE, false));
         new Arrivals(world, NODES, REQUESTS_PER_SECOND, 20, 150, UnaryOperator.identity()).until(ARRIVALS_MILLIS);
         if (halve) {
-            OrderLimits limits = new OrderLimits(2, 2e9, 4e9, 10_000, 2_000, 20_000, 0.25);
+            OrderLimits limits = new OrderLimits(2, 2e9, 4e9, 10_000, 2_000, 3_000, 20_000, 0.25);
             SimController controller = new SimController(world, limits, new SimController.Slots());
             world.clock().after(HALVE_MILLIS, () -> controller.targets(targets(world)));
         }
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimController.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimController.java
@@ -64,6 +64,8 @@
         long askedMillis = world.clock.nowMillis();
         if (effect instanceof OrdersEffect.AskLease) {
             later(() -> apply(new OrdersEvent.LeaseAnswer(true, 1, askedMillis, LEASE_TTL_MILLIS)));
+        } else if (effect instanceof OrdersEffect.Announce announce) {
+            world.announce(announce.upstream(), announce.leaving());
         } else if (effect instanceof OrdersEffect.ReadState read) {
             later(() -> observe(world.engine(read.upstream()), askedMillis));
         } else if (effect instanceof OrdersEffect.Order order) {
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
@@ -134,7 +134,7 @@
             report.waiting = engine.waiting();
             report.ownAtReport = report.own;
             report.ownSlots = SlotShares.own(engine.id, world.options.slots(), id, world.nodeIds());
-            report.usable = engine.alive && !engine.draining && !engine.loading && !world.avoided(engine.id);
+            report.usable = engine.alive && !engine.draining && !engine.loading && !world.leaving(engine.id);
         }
         if (world.options.admission()) {
             release(admission.capacity(capacity(), now()));
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/World.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/World.java
@@ -27,6 +27,9 @@
     /** Time that a weight load takes, in milliseconds. */
     static final long LOAD_MILLIS = 400;
 
+    /** Time within which all nodes know that an engine leaves. */
+    private static final long ANNOUNCE_MILLIS = 2_000;
+
     private static final long REPORT_MILLIS = 100;
     private static final long TICK_MILLIS = 50;
     private static final long GOSSIP_MILLIS = 1_000;
@@ -44,7 +47,7 @@
     int crashedByRequest;
     private final List<SimCaller> callers = new ArrayList<>();
     private final List<VmId> nodeIds = new ArrayList<>();
-    private final Set<UpstreamId> avoided = new HashSet<>();
+    private final Set<UpstreamId> leaving = new HashSet<>();
     private final Map<DataCentreId, Integer> loads = new HashMap<>();
     private int mostLoads;
 
@@ -229,17 +232,20 @@
         return probability > 0 && random.nextDouble() < probability;
     }
 
-    /**
-     * Keeps new work from an engine, as routing does for one whose runs fail.
-     *
-     * @param upstream the engine
-     */
-    public void avoid(UpstreamId upstream) {
-        avoided.add(upstream);
+    /** Tells the nodes whether an engine leaves; they know within the time of a few probes. */
+    void announce(UpstreamId upstream, boolean leaves) {
+        long delayMillis = leaves ? random.nextInt((int) ANNOUNCE_MILLIS) : 0;
+        clock.after(delayMillis, () -> {
+            if (leaves) {
+                leaving.add(upstream);
+            } else {
+                leaving.remove(upstream);
+            }
+        });
     }
 
-    boolean avoided(UpstreamId upstream) {
-        return avoided.contains(upstream);
+    boolean leaving(UpstreamId upstream) {
+        return leaving.contains(upstream);
     }
 
     void loadStarted(DataCentreId dataCentre) {
--- a/decision/src/main/java/org/cowslipbank/decision/orders/EngineProgress.java
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/EngineProgress.java
@@ -5,6 +5,7 @@
  *
  * @param orderedAtMillis when the last command was given
  * @param loadOrderedAtMillis when the last load was ordered and has not shown yet
+ * @param announcedAtMillis when the nodes were told that it leaves
  * @param drainSinceMillis when the drain began
  * @param askedAtMillis when its state was last asked for
  * @param slot number of the load slot held for it, -1 for none
@@ -15,6 +16,7 @@
 public record EngineProgress(
         long orderedAtMillis,
         long loadOrderedAtMillis,
+        long announcedAtMillis,
         long drainSinceMillis,
         long askedAtMillis,
         int slot,
@@ -34,12 +36,26 @@
     static final int NO_SLOT = -1;
     static final long NEVER = -1;
     static final EngineProgress NONE =
-            new EngineProgress(NEVER, NEVER, NEVER, NEVER, NO_SLOT, NEVER, NEVER, Export.NONE);
+            new EngineProgress(NEVER, NEVER, NEVER, NEVER, NEVER, NO_SLOT, NEVER, NEVER, Export.NONE);
 
     EngineProgress ordered(long nowMillis, boolean load) {
         return new EngineProgress(
                 nowMillis,
                 load ? nowMillis : loadOrderedAtMillis,
+                announcedAtMillis,
+                drainSinceMillis,
+                askedAtMillis,
+                slot,
+                slotUntilMillis,
+                slotAskedAtMillis,
+                exported);
+    }
+
+    EngineProgress announced(long nowMillis) {
+        return new EngineProgress(
+                orderedAtMillis,
+                loadOrderedAtMillis,
+                nowMillis,
                 drainSinceMillis,
                 askedAtMillis,
                 slot,
@@ -52,6 +68,7 @@
         return new EngineProgress(
                 orderedAtMillis,
                 loadOrderedAtMillis,
+                announcedAtMillis,
                 sinceMillis,
                 askedAtMillis,
                 slot,
@@ -64,6 +81,7 @@
         return new EngineProgress(
                 orderedAtMillis,
                 loadOrderedAtMillis,
+                announcedAtMillis,
                 drainSinceMillis,
                 nowMillis,
                 slot,
@@ -76,6 +94,7 @@
         return new EngineProgress(
                 orderedAtMillis,
                 loadOrderedAtMillis,
+                announcedAtMillis,
                 drainSinceMillis,
                 askedAtMillis,
                 NO_SLOT,
@@ -88,6 +107,7 @@
         return new EngineProgress(
                 orderedAtMillis,
                 loadOrderedAtMillis,
+                announcedAtMillis,
                 drainSinceMillis,
                 askedAtMillis,
                 held,
@@ -97,13 +117,14 @@
     }
 
     EngineProgress settled() {
-        return new EngineProgress(orderedAtMillis, NEVER, NEVER, askedAtMillis, NO_SLOT, NEVER, NEVER, exported);
+        return new EngineProgress(orderedAtMillis, NEVER, NEVER, NEVER, askedAtMillis, NO_SLOT, NEVER, NEVER, exported);
     }
 
     EngineProgress withExport(Export export) {
         return new EngineProgress(
                 orderedAtMillis,
                 loadOrderedAtMillis,
+                announcedAtMillis,
                 drainSinceMillis,
                 askedAtMillis,
                 slot,
--- a/decision/src/main/java/org/cowslipbank/decision/orders/OrderLimits.java
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/OrderLimits.java
@@ -8,6 +8,8 @@
  * @param weightStoreBurstBytes the most bytes of unused rate that are kept; at least one version's weights
  * @param slotTtlMillis lifetime of a load slot; longer than a load may take
  * @param pendingMillis how long a command may take to show in the engine's state before it is given again
+ * @param announceMillis time from telling the nodes that an engine leaves to the command, so that none sends it work that
+ *     it refuses
  * @param drainMillis longest drain before a version change; zero lets runs keep going during the load
  * @param unavailableShare share of the group that may be out of service at once; at least one engine may
  */
@@ -17,5 +19,6 @@
         double weightStoreBurstBytes,
         long slotTtlMillis,
         long pendingMillis,
+        long announceMillis,
         long drainMillis,
         double unavailableShare) {}
--- a/decision/src/main/java/org/cowslipbank/decision/orders/OrdersController.java
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/OrdersController.java
@@ -119,10 +119,15 @@
         if (!loadDone || target.retire()) {
             return result(next);
         }
-        OrdersState settled = next.withProgress(view.upstream(), progress.settled());
-        return progress.slot() == EngineProgress.NO_SLOT
-                ? result(settled)
-                : result(settled, new OrdersEffect.ReleaseSlot(view.upstream(), target.dataCentre(), progress.slot()));
+        List<OrdersEffect> effects = new ArrayList<>();
+        if (progress.slot() != EngineProgress.NO_SLOT && !view.draining()) {
+            effects.add(new OrdersEffect.ReleaseSlot(view.upstream(), target.dataCentre(), progress.slot()));
+        }
+        if (progress.announcedAtMillis() != EngineProgress.NEVER && !view.draining()) {
+            effects.add(new OrdersEffect.Announce(view.upstream(), false));
+        }
+        EngineProgress settled = view.draining() ? progress : progress.settled();
+        return new OrdersTransition(next.withProgress(view.upstream(), settled), effects);
     }
 
     private static OrdersTransition onSlot(OrdersState state, OrdersEvent.SlotAnswer answer) {
@@ -200,6 +205,9 @@
         if (!reload) {
             return view.draining() ? order(state, target, view, false, effects, nowMillis) : state;
         }
+        if (!isAnnounced(state, target.upstream(), nowMillis)) {
+            return announce(state, target.upstream(), effects, nowMillis);
+        }
         long drainSinceMillis = progress.drainSinceMillis();
         boolean drained = view.inFlight() == 0 || state.limits().drainMillis() <= 0;
         if (!drained && drainSinceMillis == EngineProgress.NEVER) {
@@ -215,7 +223,9 @@
         UpstreamId upstream = target.upstream();
         EngineProgress progress = state.progressOf(upstream);
         if (!view.draining()) {
-            return drain(state, target, view, effects, nowMillis);
+            return isAnnounced(state, upstream, nowMillis)
+                    ? drain(state, target, view, effects, nowMillis)
+                    : announce(state, upstream, effects, nowMillis);
         }
         if (view.inFlight() > 0 || progress.exported() == EngineProgress.Export.RUNNING) {
             return state;
@@ -230,11 +240,25 @@
         return state.withTargets(remaining);
     }
 
-    private static OrdersState drain(
-            OrdersState state, OrderTarget target, EngineView view, List<OrdersEffect> effects, long nowMillis) {
-        if (!mayTakeOut(state, target.upstream())) {
+    private static boolean isAnnounced(OrdersState state, UpstreamId upstream, long nowMillis) {
+        long announcedAtMillis = state.progressOf(upstream).announcedAtMillis();
+        return announcedAtMillis != EngineProgress.NEVER
+                && nowMillis - announcedAtMillis >= state.limits().announceMillis();
+    }
+
+    /** Announces an engine as leaving, unless it is announced already or too many are out of service. */
+    private static OrdersState announce(
+            OrdersState state, UpstreamId upstream, List<OrdersEffect> effects, long nowMillis) {
+        EngineProgress progress = state.progressOf(upstream);
+        if (progress.announcedAtMillis() != EngineProgress.NEVER || !mayTakeOut(state, upstream)) {
             return state;
         }
+        effects.add(new OrdersEffect.Announce(upstream, true));
+        return state.withProgress(upstream, progress.announced(nowMillis));
+    }
+
+    private static OrdersState drain(
+            OrdersState state, OrderTarget target, EngineView view, List<OrdersEffect> effects, long nowMillis) {
         OrdersState draining = state.withProgress(
                 target.upstream(), state.progressOf(target.upstream()).drainingSince(nowMillis));
         return order(draining, target, view, true, effects, nowMillis);
@@ -251,7 +275,7 @@
     private static boolean isOut(OrdersState state, UpstreamId upstream) {
         EngineView view = state.views().get(upstream);
         boolean reportedOut = view == null || view.draining() || view.loading();
-        return reportedOut || state.progressOf(upstream).drainSinceMillis() != EngineProgress.NEVER;
+        return reportedOut || state.progressOf(upstream).announcedAtMillis() != EngineProgress.NEVER;
     }
 
     private static OrdersState load(
@@ -264,7 +288,7 @@
         if (!slotUsable) {
             return askSlot(state, target, effects, nowMillis);
         }
-        if (state.budgetBytes() < target.weightBytes() || !mayTakeOut(state, upstream)) {
+        if (state.budgetBytes() < target.weightBytes()) {
             return state;
         }
         OrdersState paid = state.ticked(nowMillis, state.budgetBytes() - target.weightBytes());
--- a/decision/src/main/java/org/cowslipbank/decision/orders/OrdersEffect.java
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/OrdersEffect.java
@@ -10,6 +10,7 @@
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "effect")
 @JsonSubTypes({
     @JsonSubTypes.Type(value = OrdersEffect.AskLease.class, name = "ask_lease"),
+    @JsonSubTypes.Type(value = OrdersEffect.Announce.class, name = "announce"),
     @JsonSubTypes.Type(value = OrdersEffect.ReadState.class, name = "read_state"),
     @JsonSubTypes.Type(value = OrdersEffect.AskSlot.class, name = "ask_slot"),
     @JsonSubTypes.Type(value = OrdersEffect.ReleaseSlot.class, name = "release_slot"),
@@ -21,6 +22,14 @@
     /** Acquire or renew the controller's lease. */
     record AskLease() implements OrdersEffect {}
 
+    /**
+     * Tell the nodes with the probes whether an engine takes new work.
+     *
+     * @param upstream the engine
+     * @param leaving true if it takes none
+     */
+    record Announce(UpstreamId upstream, boolean leaving) implements OrdersEffect {}
+
     /**
      * Read an engine's state.
      *
@@ -39,7 +48,7 @@
     record AskSlot(UpstreamId upstream, DataCentreId dataCentre, int slot, long ttlMillis) implements OrdersEffect {}
 
     /**
-     * Release a load slot.
+     * Release a load slot under the token of its lease; a lapsed one is left alone.
      *
      * @param upstream the engine that held it
      * @param dataCentre its data centre
--- a/decision/src/main/java/org/cowslipbank/decision/orders/package-info.java
+++ b/decision/src/main/java/org/cowslipbank/decision/orders/package-info.java
@@ -16,6 +16,10 @@
  * a load may take and is not renewed, so a paused holder cannot cause a third load: it sends the command only early in
  * the lease. The rate of the weight store is a token bucket in bytes; a controller has its share.
  *
+ * <p>Before an engine drains or loads, the nodes are told with the probes that it leaves, and the command waits until
+ * they know. Without that the nodes would send work to engines that refuse it, and several engines that load at once use
+ * up a request's attempts in milliseconds.
+ *
  * <p>A version change drains an engine before it loads, for a bounded time. Scale-down drains without a bound, exports
  * what is worth keeping and then retires, so it interrupts no request. At most a share of the group is out of service
  * at a time.
--- a/decision/src/test/java/org/cowslipbank/decision/orders/OrdersControllerTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/orders/OrdersControllerTest.java
@@ -16,7 +16,7 @@
     private static final ModelRef V2 = new ModelRef("review", "v2", "");
     private static final UpstreamId A = new UpstreamId("a");
     private static final DataCentreId DC = new DataCentreId("dc1");
-    private static final OrderLimits LIMITS = new OrderLimits(2, 1e9, 1e9, 10_000, 2_000, 0, 1.0);
+    private static final OrderLimits LIMITS = new OrderLimits(2, 1e9, 1e9, 10_000, 2_000, 250, 0, 1.0);
     private static final long STEP_MILLIS = 250;
 
     private OrdersState state = OrdersController.start(LIMITS, 0);
@@ -66,7 +66,7 @@
         assert !has(OrdersEffect.Order.class);
         see(new EngineView(A, V1, false, false, 0, nowMillis + 1));
         OrdersEffect.AskSlot ask = null;
-        for (int step = 0; step < 2; step++) {
+        for (int step = 0; step < 3; step++) {
             tick();
             ask = has(OrdersEffect.AskSlot.class) ? first(OrdersEffect.AskSlot.class) : ask;
         }
@@ -124,6 +124,8 @@
     void scaleDownDrainsThenExportsThenRetires() {
         target(true, V1);
         confirmAndSee(new EngineView(A, V1, false, false, 4, 0));
+        assert first(OrdersEffect.Announce.class).leaving() && !has(OrdersEffect.Order.class) : effects;
+        tick();
         assert first(OrdersEffect.Order.class).draining();
         see(new EngineView(A, V1, true, false, 4, nowMillis + 1));
         tick();
