Compare and fetch upstream and suspect facts with the member table

A fact stated while the regions were apart was never sent across after the partition healed, because its transmissions had been used up. The table hash now covers leaving upstreams and suspect requests, and a peer that asks for the table gets them first.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/CowMap.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/CowMap.java
@@ -56,10 +56,6 @@
         return Collections.unmodifiableSortedMap(entries);
     }
 
-    SortedMap<K, V> after(K key) {
-        return Collections.unmodifiableSortedMap(entries.tailMap(key, false));
-    }
-
     private Map<K, V> writable() {
         if (!owned) {
             entries = new TreeMap<>(entries);
--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -110,12 +110,11 @@
         if (order == 0) {
             // The earlier end wins, so that a fact cannot be kept alive by being passed around.
             if (deadline < known.atMillis()) {
-                step.state.upstreams.put(fact.upstream(), new Held<>(known.fact(), deadline));
+                step.state.putUpstream(known.fact(), deadline);
             }
             return;
         }
-        step.state.upstreams.put(fact.upstream(), new Held<>(fact, deadline));
-        step.state.version++;
+        step.state.putUpstream(fact, deadline);
         step.learned.add(fact);
         spread(step, new FactKey(FactKey.Kind.UPSTREAM, fact.upstream().value()));
     }
@@ -129,12 +128,11 @@
         Held<SuspectFact> known = step.state.suspects.get(id);
         if (known != null && (known.fact().cleared() || !fact.cleared())) {
             if (fact.cleared() == known.fact().cleared() && deadline < known.atMillis()) {
-                step.state.suspects.put(id, new Held<>(known.fact(), deadline));
+                step.state.putSuspect(id, known.fact(), deadline);
             }
             return;
         }
-        step.state.suspects.put(id, new Held<>(fact, deadline));
-        step.state.version++;
+        step.state.putSuspect(id, fact, deadline);
         step.learned.add(fact);
         spread(step, new FactKey(FactKey.Kind.SUSPECT, id));
     }
@@ -210,18 +208,12 @@
                 .filter(held -> held.atMillis() <= step.nowMillis)
                 .map(held -> held.fact().upstream())
                 .toList()
-                .forEach(upstream -> {
-                    state.upstreams.remove(upstream);
-                    state.version++;
-                });
+                .forEach(state::removeUpstream);
         state.suspects.view().values().stream()
                 .filter(held -> held.atMillis() <= step.nowMillis)
                 .map(held -> suspectId(held.fact()))
                 .toList()
-                .forEach(id -> {
-                    state.suspects.remove(id);
-                    state.version++;
-                });
+                .forEach(state::removeSuspect);
         state.loads.view().values().stream()
                 .filter(held -> step.nowMillis - held.atMillis() >= LOAD_EXPIRY_MILLIS)
                 .map(held -> held.fact().upstream())
--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
@@ -200,6 +200,40 @@
         String key = Rendezvous.key("gateway", dataCentre().value(), other.value());
         return Rendezvous.top(key, candidates, VmId::value, settings.gateways());
     }
+    /** Adds or removes a fact other than a member's from the table hash; applying it twice undoes it. */
+    void toggleHash(FactKey key, long factVersion) {
+        tableHash ^= (int) Rendezvous.weight(Rendezvous.hash(key.kind() + key.id()), factVersion);
+    }
+
+    void putUpstream(UpstreamFact fact, long deadlineMillis) {
+        removeUpstream(fact.upstream());
+        toggleHash(new FactKey(FactKey.Kind.UPSTREAM, fact.upstream().value()), fact.version());
+        upstreams.put(fact.upstream(), new Held<>(fact, deadlineMillis));
+    }
+
+    void removeUpstream(UpstreamId upstream) {
+        Held<UpstreamFact> known = upstreams.remove(upstream);
+        if (known != null) {
+            toggleHash(
+                    new FactKey(FactKey.Kind.UPSTREAM, upstream.value()),
+                    known.fact().version());
+        }
+        version++;
+    }
+
+    void putSuspect(String id, SuspectFact fact, long deadlineMillis) {
+        removeSuspect(id);
+        toggleHash(new FactKey(FactKey.Kind.SUSPECT, id), fact.cleared() ? 1 : 0);
+        suspects.put(id, new Held<>(fact, deadlineMillis));
+    }
+
+    void removeSuspect(String id) {
+        Held<SuspectFact> known = suspects.remove(id);
+        if (known != null) {
+            toggleHash(new FactKey(FactKey.Kind.SUSPECT, id), known.fact().cleared() ? 1 : 0);
+        }
+        version++;
+    }
 
     void replaceSelf(MemberFact next) {
         tableHash ^= hash(self) ^ hash(next);
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
@@ -1,13 +1,12 @@
 package org.cowslipbank.decision.membership;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.SortedMap;
 
 import org.cowslipbank.model.DataCentreId;
-import org.cowslipbank.model.VmId;
 import org.cowslipbank.model.fleet.Facts;
-import org.cowslipbank.model.fleet.MemberFact;
 import org.cowslipbank.model.fleet.MemberStatus;
 
 /** Builds messages with their facts. */
@@ -93,30 +92,50 @@
         }
     }
 
-    /** Adds members after the cursor and returns the next cursor. */
+    /**
+     * Adds facts after the cursor and returns the next cursor. Upstream and suspect facts come first, because they are
+     * few and matter for every request.
+     */
     private static String addTablePart(Step step, FactsBuilder facts, String cursor, boolean own) {
-        SortedMap<VmId, Member> rest =
-                cursor.isEmpty() ? step.state.members.view() : step.state.members.after(new VmId(cursor));
-        for (Member member : rest.values()) {
-            MemberFact fact = member.fact();
-            if (fact.incarnation() == 0) {
+        for (FactKey key : tableKeys(step)) {
+            String position = position(key);
+            if (position.compareTo(cursor) <= 0) {
                 continue;
             }
-            facts.add(!own && fact.status() == MemberStatus.SUSPECT ? fact.withStatus(MemberStatus.ALIVE) : fact);
+            Outbox.append(step, facts, key, own);
             if (facts.bytes() >= SYNC_BYTES) {
-                return fact.vm().value();
+                return position;
             }
         }
         facts.add(step.state.self);
         return "";
     }
 
+    private static List<FactKey> tableKeys(Step step) {
+        List<FactKey> keys = new ArrayList<>();
+        step.state.suspects.view().keySet().forEach(id -> keys.add(new FactKey(FactKey.Kind.SUSPECT, id)));
+        step.state
+                .upstreams
+                .view()
+                .keySet()
+                .forEach(upstream -> keys.add(new FactKey(FactKey.Kind.UPSTREAM, upstream.value())));
+        step.members(member -> member.fact().incarnation() > 0)
+                .forEach(member -> keys.add(FactStore.memberKey(member.fact())));
+        keys.sort(Comparator.comparing(Messenger::position));
+        return keys;
+    }
+
+    /** Place of a fact in the table; members come last. */
+    private static String position(FactKey key) {
+        return switch (key.kind()) {
+            case SUSPECT -> "1" + key.id();
+            case UPSTREAM -> "2" + key.id();
+            default -> "3" + key.id();
+        };
+    }
+
     static SyncState sync(Step step, DataCentreId dataCentre) {
         SyncState known = step.state.syncs.get(dataCentre);
         return known == null ? SyncState.AGREED : known;
     }
-
-    static List<NodeAddress> nodes(List<Member> members) {
-        return members.stream().map(Member::node).toList();
-    }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -119,7 +119,7 @@
     }
 
     /** Appends a fact in its current state. Returns false if it has gone or does not concern the receiver. */
-    private static boolean append(Step step, FactsBuilder builder, FactKey key, boolean own) {
+    static boolean append(Step step, FactsBuilder builder, FactKey key, boolean own) {
         return switch (key.kind()) {
             case MEMBER -> appendMember(step, builder, key, own);
             case UPSTREAM -> appendUpstream(step, builder, key);
@@ -137,10 +137,8 @@
             return false;
         }
         MemberFact fact = member == null ? step.state.self : member.fact();
-        if (!own && fact.status() == MemberStatus.SUSPECT) {
-            return false;
-        }
-        builder.add(fact);
+        // A suspicion concerns the own data centre only; others go on holding the node for alive until it is dead.
+        builder.add(!own && fact.status() == MemberStatus.SUSPECT ? fact.withStatus(MemberStatus.ALIVE) : fact);
         return true;
     }
 
--- a/model/src/main/java/org/cowslipbank/model/fleet/FleetDigest.java
+++ b/model/src/main/java/org/cowslipbank/model/fleet/FleetDigest.java
@@ -5,12 +5,12 @@
 /**
  * What every probe and acknowledgement says about its sender.
  *
- * @param tableHash hash of the member table; equal for equal tables
+ * @param tableHash hash of the sender's members, leaving upstreams and suspect requests; equal for equal tables
  * @param revision highest configuration revision in force at the sender
  * @param confirmedAgeMillis age in milliseconds of the last confirmation of that revision by the platform, negative if
  *     it was never confirmed
- * @param syncCursor in a probe: asks for member states after this VM in ascending order; in an acknowledgement: where
- *     the next part starts, an empty text after the last part
+ * @param syncCursor in a probe: asks for the part of the table after this position; in an acknowledgement: where the
+ *     next part starts, an empty text after the last part
  */
 public record FleetDigest(int tableHash, long revision, long confirmedAgeMillis, Optional<String> syncCursor) {
     /** A digest of a sender that knows nothing. */
