--- a/bench/src/main/java/org/cowslipbank/bench/load/LoadReport.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LoadReport.java
@@ -81,13 +81,15 @@
     private static void plot(
             StringBuilder page, String title, LoadResult result, ToDoubleFunction<LoadResult.Second> value) {
         List<LoadResult.Second> seconds = result.seconds();
-        double maxValue = Math.max(1e-9, seconds.stream().mapToDouble(value).max().orElse(1));
+        double maxValue =
+                Math.max(1e-9, seconds.stream().mapToDouble(value).max().orElse(1));
         double perSecond = (double) WIDTH / Math.max(1, seconds.size());
         boolean warmsUp = !seconds.isEmpty() && !seconds.get(0).measured();
         page.append("<h2>").append(title).append("</h2>");
         add(page, "<svg width=\"%d\" height=\"%d\">", WIDTH, HEIGHT);
         if (warmsUp) {
-            long until = seconds.stream().takeWhile(second -> !second.measured()).count();
+            long until =
+                    seconds.stream().takeWhile(second -> !second.measured()).count();
             add(page, "<rect class=\"warm\" width=\"%.1f\" height=\"%d\"/>", until * perSecond, HEIGHT);
         }
         page.append("<polyline points=\"");
--- a/bench/src/test/java/org/cowslipbank/bench/load/LoadToolTest.java
+++ b/bench/src/test/java/org/cowslipbank/bench/load/LoadToolTest.java
@@ -16,8 +16,8 @@
         try (LocalSystem system = new LocalSystem(2, SIZE, List.of())) {
             LoadSettings settings = new LoadSettings(
                     List.of(system.nodeAddress()), LocalSystem.TEAMS, "review", 20, 0, 3, 4_200, TOKENS, 500, 3, 1);
-            LoadFault evict = new LoadFault(
-                    1.5, "evict <all>", () -> system.engines().forEach(engine -> engine.evictAll()));
+            LoadFault evict =
+                    new LoadFault(1.5, "evict <all>", () -> system.engines().forEach(engine -> engine.evictAll()));
             LoadResult result = new LoadTool(
                             settings,
                             (prompt, answer) -> answer.equals(AnswerText.answer(prompt, TOKENS)),
--- a/decision/src/main/java/org/cowslipbank/decision/trace/Decisions.java
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/Decisions.java
@@ -6,6 +6,7 @@
 import org.cowslipbank.decision.admission.Capacity;
 import org.cowslipbank.decision.admission.TeamShares;
 import org.cowslipbank.decision.claims.ClaimLookup;
+import org.cowslipbank.decision.configuration.ServingState;
 import org.cowslipbank.decision.entries.Duties;
 import org.cowslipbank.decision.entries.Entries;
 import org.cowslipbank.decision.orders.OrdersController;
@@ -32,6 +33,7 @@
             RetryPolicy.DECISION,
             RoutingDecision.ROUTE,
             StreamMachine.DECISION,
+            ServingState.DECISION,
             SuspectFacts.DECISION,
             TeamShares.DECISION);
 
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/trace/RecordOutcomes.java
@@ -0,0 +1,47 @@
+package org.cowslipbank.entry.trace;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cowslipbank.decision.trace.Decision;
+import org.cowslipbank.decision.trace.Decisions;
+import org.cowslipbank.decision.trace.TraceFiles;
+import org.cowslipbank.decision.trace.TraceRecord;
+
+/** Adds the outcomes of decisions to new cases that state inputs only. Review what it adds before it is committed. */
+final class RecordOutcomes {
+    private RecordOutcomes() {}
+
+    public static void main(String[] files) throws IOException {
+        for (String name : files) {
+            Path file = Path.of(name);
+            List<String> lines = new ArrayList<>();
+            for (String line : Files.readAllLines(file)) {
+                lines.add(
+                        line.startsWith("{")
+                                ? completed(TraceFiles.read(List.of(line)).get(0), line)
+                                : line);
+            }
+            Files.write(file, lines);
+        }
+    }
+
+    private static String completed(TraceRecord trace, String line) throws IOException {
+        if (!trace.holdsDecision() || trace.outcome() != null) {
+            return line;
+        }
+        TraceRecord full = decided(trace, Decisions.find(trace.kind()).orElseThrow());
+        return new String(TraceFiles.line(full), StandardCharsets.UTF_8).strip();
+    }
+
+    private static <I, O> TraceRecord decided(TraceRecord trace, Decision<I, O> decision) throws IOException {
+        I input = TraceFiles.input(trace, decision.inputType());
+        TraceFiles.Stamp stamp =
+                new TraceFiles.Stamp(trace.sequence(), trace.timeMillis(), trace.configurationRevision(), trace.seed());
+        return TraceFiles.decision(decision, input, decision.function().apply(input), stamp);
+    }
+}
