--- a/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 
 import net.jqwik.api.Example;
-import org.cowslipbank.decision.admission.Capacity;
 import org.cowslipbank.decision.entries.Duties;
 import org.cowslipbank.decision.entries.Duty;
 import org.cowslipbank.decision.entries.DutyQuery;
@@ -19,6 +18,9 @@
 import org.cowslipbank.decision.orders.OrdersEvent;
 import org.cowslipbank.decision.orders.OrdersInput;
 import org.cowslipbank.decision.orders.OrdersState;
+import org.cowslipbank.decision.retry.RetryInput;
+import org.cowslipbank.decision.retry.RetryPolicy;
+import org.cowslipbank.decision.retry.RetryQuestion;
 import org.cowslipbank.decision.streams.StreamEvent;
 import org.cowslipbank.decision.streams.StreamInput;
 import org.cowslipbank.decision.streams.StreamLimits;
@@ -28,6 +30,7 @@
 import org.cowslipbank.model.DataCentreId;
 import org.cowslipbank.model.ModelRef;
 import org.cowslipbank.model.RequestId;
+import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 
@@ -38,14 +41,15 @@
     private static final TraceFiles.Stamp STAMP = new TraceFiles.Stamp(7, 1_000, 3, 1);
 
     @Example
-    void capacityReplaysAndAChangedOutcomeIsFound() throws IOException {
-        String line = recorded(
-                Capacity.DECISION, new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4));
+    void retryReplaysAndAChangedOutcomeIsFound() throws IOException {
+        RetryQuestion question = new RetryQuestion(2, RunState.NOT_RUN, true, false, false);
+        String line = recorded(RetryPolicy.DECISION, new RetryInput(RetryPolicy.start(0), question, 1_500));
         assert replay(line).isEmpty() : replay(line);
-        String changed = line.replace("\"slots\":16,\"inFlightLimit\"", "\"slots\":17,\"inFlightLimit\"");
-        assert !changed.equals(line);
+        String changed = line.replace("\"verdict\":\"ALLOWED\"", "\"verdict\":\"WAIT\"");
+        assert !changed.equals(line) : line;
         Difference difference = replay(changed).orElseThrow();
-        assert difference.toString().equals("sequence 7, capacity at /slots: recorded 17, replayed 16") : difference;
+        assert difference.toString().equals("sequence 7, retry at /verdict: recorded \"WAIT\", replayed \"ALLOWED\"")
+                : difference;
     }
 
     @Example
--- a/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/trace/FileDecisionRecorderTest.java
@@ -7,24 +7,24 @@
 import java.util.concurrent.CountDownLatch;
 
 import net.jqwik.api.Example;
-import org.cowslipbank.decision.admission.Capacity;
+import org.cowslipbank.decision.claims.ClaimLookup;
 import org.cowslipbank.decision.trace.Replay;
 import org.cowslipbank.decision.trace.TraceFiles;
 import org.cowslipbank.decision.trace.TraceRecord;
 
 /** Guards against traffic that waits for the trace file, and against records that vanish without a count. */
 final class FileDecisionRecorderTest {
-    private static final Capacity.Input INPUT =
-            new Capacity.Input(List.of(new Capacity.UpstreamLoad(16, 2, 0, 1)), 3, 1, 4);
+    private static final ClaimLookup.Input INPUT =
+            new ClaimLookup.Input(true, ClaimLookup.Recorded.NONE, true, false, 0, 30_000);
 
     @Example
     void stalledFileDropsAndCounts() throws Exception {
         StalledOutput out = new StalledOutput();
         FileDecisionRecorder recorder = new FileDecisionRecorder(out, 4, () -> 0, () -> 3);
-        recorder.decide(Capacity.DECISION, INPUT);
+        recorder.decide(ClaimLookup.DECISION, INPUT);
         out.reached.await();
         for (int i = 0; i < 10; i++) {
-            recorder.decide(Capacity.DECISION, INPUT);
+            recorder.decide(ClaimLookup.DECISION, INPUT);
         }
         out.stall.countDown();
         recorder.close();
