--- a/cli/src/main/java/org/cowslipbank/cli/ReplayCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/ReplayCommand.java
@@ -30,8 +30,7 @@
         if (options.isEmpty()) {
             return ExitCode.DONE;
         }
-        List<Path> files =
-                options.get().valuesOf(names).stream().map(Path::of).toList();
+        List<Path> files = options.get().valuesOf(names).stream().map(Path::of).toList();
         if (files.isEmpty()) {
             throw new UsageException("name at least one FILE");
         }
--- a/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
@@ -55,7 +55,7 @@
     @Example
     void mapsOptionalsAndSealedInterfacesSurviveAFile() throws IOException {
         OrdersState state = new OrdersState(
-                new OrderLimits(2, 1e9, 1e9, 60_000, 5_000, 60_000, 0.5),
+                new OrderLimits(2, 1e9, 1e9, 60_000, 5_000, 3_000, 60_000, 0.5),
                 1,
                 5_000,
                 true,
@@ -65,7 +65,7 @@
                 1e9,
                 Map.of(ENGINE, new OrderTarget(ENGINE, new DataCentreId("mu-west-1"), MODEL, 1e6, false)),
                 Map.of(ENGINE, new EngineView(ENGINE, MODEL, false, false, 0, 900)),
-                Map.of(ENGINE, new EngineProgress(-1, -1, -1, -1, -1, -1, -1, EngineProgress.Export.NONE)));
+                Map.of(ENGINE, new EngineProgress(-1, -1, -1, -1, -1, -1, -1, -1, EngineProgress.Export.NONE)));
         assert replay(recorded(OrdersController.DECISION, new OrdersInput(state, new OrdersEvent.Tick(), 1_000)))
                 .isEmpty();
         DutyQuery nobody = new DutyQuery(Duty.values()[0], "p0", List.of(), List.of(), new VmId("entry-1"), true);
