--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -8,6 +8,7 @@
 import org.cowslipbank.bench.limits.LimitsBench;
 import org.cowslipbank.bench.load.LoadBench;
 import org.cowslipbank.bench.membership.MembershipBench;
+import org.cowslipbank.bench.micro.MicroBench;
 import org.cowslipbank.bench.routing.RoutingBench;
 import org.cowslipbank.bench.streams.StreamsBench;
 
@@ -20,6 +21,7 @@
             new LimitsBench(),
             new LoadBench(),
             new MembershipBench(),
+            new MicroBench(),
             new RoutingBench(),
             new StreamsBench());
 
