--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -9,6 +9,7 @@
 import org.cowslipbank.bench.load.LoadBench;
 import org.cowslipbank.bench.membership.MembershipBench;
 import org.cowslipbank.bench.micro.MicroBench;
+import org.cowslipbank.bench.recovery.RecoveryBench;
 import org.cowslipbank.bench.routing.RoutingBench;
 import org.cowslipbank.bench.streams.StreamsBench;
 
@@ -22,6 +23,7 @@
             new LoadBench(),
             new MembershipBench(),
             new MicroBench(),
+            new RecoveryBench(),
             new RoutingBench(),
             new StreamsBench());
 
