--- a/bench/src/main/java/org/cowslipbank/bench/routing/Policy.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Policy.java
@@ -9,7 +9,6 @@
 import org.cowslipbank.decision.routing.RoutingDecision;
 import org.cowslipbank.decision.routing.RoutingInput;
 import org.cowslipbank.decision.routing.RoutingOutcome;
-import org.cowslipbank.decision.routing.SelectionMode;
 import org.cowslipbank.decision.routing.StoreLink;
 import org.cowslipbank.model.BlockRef;
 import org.cowslipbank.model.UpstreamId;
@@ -19,7 +18,7 @@
  *
  * @param name the name used in figures
  * @param rule how an upstream is chosen
- * @param mode how many candidates the decision compares
+ * @param subsetSize how many candidates there are
  * @param stores whether blocks are exported and fetched
  * @param oracle whether it sees the exact queues, links and future returns
  * @param overtakes whether a late fetch is overtaken by recompute
@@ -28,44 +27,47 @@
 record Policy(
         String name,
         RouteRule rule,
-        SelectionMode mode,
+        int subsetSize,
         boolean stores,
         boolean oracle,
         boolean overtakes,
         boolean prefetches) {
-    static final Policy SYSTEM = system("system", SelectionMode.FULL_SCAN, true, true);
-    static final Policy TWO_CHOICES = system("two_choices", SelectionMode.TWO_CHOICES, true, true);
-    static final Policy NO_PREFETCH = system("no_prefetch", SelectionMode.FULL_SCAN, true, false);
-    static final Policy NO_OVERTAKE = system("no_overtake", SelectionMode.FULL_SCAN, false, true);
-    static final Policy ORACLE = new Policy("oracle", Policy::decide, SelectionMode.FULL_SCAN, true, true, true, true);
+    static final Policy SYSTEM = system("system", RoutingDecision.SUBSET_SIZE, true, true);
+    static final Policy TWO_CANDIDATES = system("two_candidates", 2, true, true);
+    static final Policy NO_PREFETCH = system("no_prefetch", RoutingDecision.SUBSET_SIZE, true, false);
+    static final Policy NO_OVERTAKE = system("no_overtake", RoutingDecision.SUBSET_SIZE, false, true);
+    static final Policy ORACLE =
+            new Policy("oracle", Policy::decide, RoutingDecision.SUBSET_SIZE, true, true, true, true);
 
     static final Policy AFFINITY = storeless("affinity", Policy::affinity);
 
     /** The system without one of its parts. */
-    static final List<Policy> VARIANTS = List.of(TWO_CHOICES, NO_PREFETCH, NO_OVERTAKE);
+    static final List<Policy> VARIANTS = List.of(TWO_CANDIDATES, NO_PREFETCH, NO_OVERTAKE);
 
     /** The baselines that the system must not be worse than. */
     static final List<Policy> BASELINES = List.of(
             storeless("random", Policy::random),
             storeless("least_loaded", Policy::leastLoaded),
             AFFINITY,
-            new Policy("fetch_always", Policy::fetchAlways, SelectionMode.FULL_SCAN, true, false, false, false),
+            new Policy("fetch_always", Policy::fetchAlways, RoutingDecision.SUBSET_SIZE, true, false, false, false),
             storeless("recompute_always", Policy::decide));
 
-    private static Policy system(String name, SelectionMode mode, boolean overtakes, boolean prefetches) {
-        return new Policy(name, Policy::decide, mode, true, false, overtakes, prefetches);
+    private static Policy system(String name, int subsetSize, boolean overtakes, boolean prefetches) {
+        return new Policy(name, Policy::decide, subsetSize, true, false, overtakes, prefetches);
     }
 
     private static Policy storeless(String name, RouteRule rule) {
-        return new Policy(name, rule, SelectionMode.FULL_SCAN, false, false, false, false);
+        return new Policy(name, rule, RoutingDecision.SUBSET_SIZE, false, false, false, false);
     }
 
     private static RoutingOutcome decide(RoutingInput input, String sessionKey) {
         return RoutingDecision.choose(input);
     }
 
+    // The prompt's length differs at each return, so a session does not stay at one engine.
     private static RoutingOutcome random(RoutingInput input, String sessionKey) {
-        long hash = Hashing.komihash5_0().hashLongLongToLong(input.seed(), 1);
+        long keyHash = Hashing.komihash5_0().hashCharsToLong(sessionKey);
+        long hash = Hashing.komihash5_0().hashLongLongToLong(keyHash, input.promptTokens());
         int index = (int) Long.remainderUnsigned(hash, input.candidates().size());
         return at(input.candidates().get(index), List.of());
     }
--- a/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/routing/Simulation.java
@@ -75,7 +75,6 @@
     private long[] capturedTokens;
     private double capturedMillis;
     private double visibleMillis;
-    private long requestCount;
 
     Simulation(Workload workload, Policy policy, List<Arrival> arrivals, long measureFromMillis) {
         this.workload = workload;
@@ -617,7 +616,7 @@
         boolean fetches = policy.stores() && session.storedBlocks > 0;
         List<BlockRef> retained = fetches ? session.refs(storeIds, workload.blockBytes(), known) : List.of();
         List<Candidate> candidates = new ArrayList<>(engines.length);
-        for (UpstreamId id : RoutingDecision.subset(session.key, engineIds, RoutingDecision.SUBSET_SIZE)) {
+        for (UpstreamId id : RoutingDecision.subset(session.key, engineIds, policy.subsetSize())) {
             candidates.add(candidate(run, engineIndexes.get(id), known));
         }
         return new RoutingInput(
@@ -629,8 +628,6 @@
                 retained,
                 candidates,
                 links(run.node),
-                policy.mode(),
-                requestCount++,
                 workload.weights());
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/routing/PrefetchDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/PrefetchDecision.java
@@ -67,8 +67,6 @@
                 retained,
                 input.candidates(),
                 input.links(),
-                input.mode(),
-                input.seed(),
                 weights);
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/routing/RoutingDecision.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/RoutingDecision.java
@@ -85,22 +85,7 @@
                     anyActive ? RoutingOutcome.Result.NO_MATCHING_VERSION : RoutingOutcome.Result.NO_ACTIVE_UPSTREAM);
         }
         CandidateCost cost = new CandidateCost(input);
-        if (input.mode() == SelectionMode.TWO_CHOICES) {
-            offerTwo(input.seed(), eligible, cost);
-        } else {
-            eligible.forEach(cost::offer);
-        }
+        eligible.forEach(cost::offer);
         return cost.outcome();
     }
-
-    private static void offerTwo(long seed, List<Candidate> eligible, CandidateCost cost) {
-        int size = eligible.size();
-        int first = (int) Long.remainderUnsigned(HASHER.hashLongLongToLong(seed, 1), size);
-        cost.offer(eligible.get(first));
-        if (size == 1) {
-            return;
-        }
-        int step = 1 + (int) Long.remainderUnsigned(HASHER.hashLongLongToLong(seed, 2), size - 1);
-        cost.offer(eligible.get((first + step) % size));
-    }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/routing/RoutingInput.java
+++ b/decision/src/main/java/org/cowslipbank/decision/routing/RoutingInput.java
@@ -19,8 +19,6 @@
  * @param retained committed blocks that stores or hints name, in prompt order; a block may occur once per store
  * @param candidates upstreams to choose from, see {@link RoutingDecision#subset}
  * @param links the links of the stores
- * @param mode how many candidates are compared
- * @param seed draws the candidates of {@link SelectionMode#TWO_CHOICES}
  * @param weights what the deployment weighs
  */
 public record RoutingInput(
@@ -32,8 +30,6 @@
         List<BlockRef> retained,
         List<Candidate> candidates,
         List<StoreLink> links,
-        SelectionMode mode,
-        long seed,
         DecisionWeights weights) {
     /** Copies the lists. */
     public RoutingInput {
--- a/decision/src/test/java/org/cowslipbank/decision/routing/RoutingDecisionTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/routing/RoutingDecisionTest.java
@@ -97,8 +97,6 @@
                 refs,
                 candidates,
                 List.of(link),
-                SelectionMode.FULL_SCAN,
-                1,
                 new DecisionWeights(1, 0, 0)));
     }
 
