--- a/bench/src/main/java/org/cowslipbank/bench/streams/CrashScenario.java
+++ b/bench/src/main/java/org/cowslipbank/bench/streams/CrashScenario.java
@@ -18,7 +18,11 @@
 final class CrashScenario {
     private static final int NODES = 5;
     private static final int ENGINES = 8;
-    private static final int COPIES = 5;
+    private static final int COPIES = 10;
+
+    /** All copies are sent before the first one has reached the token at which it crashes its engine. */
+    private static final long COPY_GAP_MILLIS = 14;
+
     private static final int RESENDS = 40;
     private static final long RESEND_MILLIS = 200;
     private static final long CRASH_MILLIS = 20_000;
@@ -45,11 +49,10 @@
 
     private Outcome run(String name) {
         new Arrivals(world, NODES, REQUESTS_PER_SECOND, 20, 150, UnaryOperator.identity()).until(ARRIVALS_MILLIS);
-        world.clock().after(CRASH_MILLIS, () -> {
-            for (int copy = 0; copy < COPIES; copy++) {
-                send(copy % NODES);
-            }
-        });
+        for (int copy = 0; copy < COPIES; copy++) {
+            int node = copy % NODES;
+            world.clock().after(CRASH_MILLIS + copy * COPY_GAP_MILLIS, () -> send(node));
+        }
         world.clock().runUntil(END_MILLIS);
         List<SimCaller> harmless = new ArrayList<>(world.callers());
         harmless.removeAll(copies);
