Replace a failed peer connection at its next use

A request right after a connection failed could still be given the old channel, because its close is noticed later on the event loop, and a late close removed the entry of its successor. The entry is now checked at use and removed only for itself.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/Prober.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Prober.java
@@ -133,6 +133,8 @@
         step.state.crossFailures.remove(dataCentre);
         ReachFact known = ownReach(step, dataCentre);
         if (known != null && !known.reachable()) {
+            // The tables have very likely drifted apart meanwhile.
+            step.state.syncs.put(dataCentre, SyncState.NEEDED);
             stateReach(step, dataCentre, true);
         }
     }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/SyncState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/SyncState.java
@@ -9,10 +9,11 @@
  */
 record SyncState(int score, String cursor) {
     static final SyncState AGREED = new SyncState(0, "");
-
     private static final int THRESHOLD = 10;
     private static final int MAX_SCORE = 15;
 
+    static final SyncState NEEDED = new SyncState(MAX_SCORE, "");
+
     SyncState compared(boolean equal) {
         int next = equal ? Math.max(0, score - 1) : Math.min(MAX_SCORE, score + 1);
         return next == 0 ? AGREED : new SyncState(next, cursor);
--- a/peer/src/main/java/org/cowslipbank/peer/TcpPeerTransport.java
+++ b/peer/src/main/java/org/cowslipbank/peer/TcpPeerTransport.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -143,7 +144,15 @@
             if (accepted != null && isUsable(accepted, to)) {
                 return Mono.just(accepted);
             }
-            return outbound.computeIfAbsent(to, this::connect);
+            Mono<PeerChannel> known = outbound.computeIfAbsent(to, this::connect);
+            return known.flatMap(channel -> {
+                if (channel.isOpen() && !channel.isOld()) {
+                    return Mono.just(channel);
+                }
+                // The channel has failed or is too old, but its close has not been noticed here yet.
+                outbound.remove(to, known);
+                return outbound.computeIfAbsent(to, this::connect);
+            });
         });
     }
 
@@ -159,7 +168,8 @@
         }
         String host = to.address().substring(0, colon);
         int port = Integer.parseInt(to.address().substring(colon + 1));
-        return Mono.<PeerChannel>create(sink -> {
+        AtomicReference<Mono<PeerChannel>> entry = new AtomicReference<>();
+        Mono<PeerChannel> connecting = Mono.<PeerChannel>create(sink -> {
                     TcpClient plain = TcpClient.create(ConnectionProvider.newConnection())
                             .host(host)
                             .port(port)
@@ -167,7 +177,7 @@
                                     settings.limits().connectTimeoutMillis())
                             .doOnChannelInit((observer, channel, remote) -> {
                                 PeerChannel created = install(channel, Optional.of(to.vm()));
-                                channel.closeFuture().addListener(closed -> outbound.remove(to));
+                                channel.closeFuture().addListener(closed -> outbound.remove(to, entry.get()));
                                 created.opened().subscribe(sink::success, sink::error);
                             });
                     TcpClient client = clientTls
@@ -178,8 +188,10 @@
                 .onErrorMap(
                         e -> !(e instanceof PeerException),
                         e -> error(to, RunState.NOT_RUN, "cannot connect: " + e.getMessage(), e))
-                .doOnError(e -> outbound.remove(to))
+                .doOnError(e -> outbound.remove(to, entry.get()))
                 .cache();
+        entry.set(connecting);
+        return connecting;
     }
 
     private PeerChannel install(Channel channel, Optional<VmId> expected) {
