--- a/bench/src/main/java/org/cowslipbank/bench/membership/FleetSimulation.java
+++ b/bench/src/main/java/org/cowslipbank/bench/membership/FleetSimulation.java
@@ -147,7 +147,7 @@
         return source.substring(0, 2).equals(target.substring(0, 2)) ? REGION_LATENCY_MILLIS : WORLD_LATENCY_MILLIS;
     }
 
-    private Node find(VmId vm) {
+    Node find(VmId vm) {
         return byVm.get(vm);
     }
 
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/entries/EntriesTest.java
@@ -0,0 +1,97 @@
+package org.cowslipbank.decision.entries;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.membership.FleetNode;
+import org.cowslipbank.decision.membership.NodeAddress;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.MemberStatus;
+
+class EntriesTest {
+    private static final DataCentreId HERE = new DataCentreId("here");
+    private static final DataCentreId THERE = new DataCentreId("there");
+    private static final TeamId TEAM = new TeamId("team");
+
+    /** Guards against a caller that is sent to a leaving or unreachable node, or across data centres without need. */
+    @Example
+    void ownDataCentreComesFirstAndLeavingNodesAreNotNamed() {
+        List<FleetNode> nodes = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            nodes.add(node("here-" + i, HERE, MemberStatus.ALIVE, i == 0, true));
+            nodes.add(node("there-" + i, THERE, MemberStatus.ALIVE, false, i != 0));
+        }
+        nodes.add(node("here-suspect", HERE, MemberStatus.SUSPECT, false, true));
+        EntryAnswer answer = answer(nodes, true, 10);
+        List<String> names =
+                answer.nodes().stream().map(node -> node.vm().value()).toList();
+        require(names.size() == 7 && !names.contains("here-0") && !names.contains("there-0"), names.toString());
+        require(names.subList(0, 3).stream().allMatch(name -> name.startsWith("here-")), names.toString());
+        require("here-suspect".equals(names.get(6)), names.toString());
+        require(answer(nodes, true, 2).nodes().equals(answer.nodes().subList(0, 2)), "limit changes the order");
+    }
+
+    /** Guards against a long-lived answer from a node that was paused. */
+    @Example
+    void unconfirmedAnswerIsValidForAShortTime() {
+        List<FleetNode> nodes = List.of(node("here-1", HERE, MemberStatus.ALIVE, false, true));
+        require(answer(nodes, false, 3).validMillis() == 2_000, "validity");
+        require(answer(nodes, true, 3).validUntilMillis() == 31_000, "validity");
+    }
+
+    /** Guards against a shutdown that interrupts callers who still hold a valid answer (P8). */
+    @Example
+    void drainingNodeServesUntilEveryIssuedAnswerHasEnded() {
+        DrainPlan plan = DrainPlan.NONE.issued(new EntryAnswer(List.of(), 90_000, 91_000));
+        require(plan.serveUntilMillis(5_000, 30_000) == 93_000, "own answers");
+        require(DrainPlan.NONE.serveUntilMillis(5_000, 30_000) == 40_000, "answers of other nodes");
+    }
+
+    /** Guards against two owners of a partition, or an owner that was paused and acts all the same. */
+    @Example
+    void oneConfirmedNodeOwnsADuty() {
+        List<FleetNode> nodes = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            nodes.add(node("n" + i, i < 3 ? HERE : THERE, MemberStatus.ALIVE, false, true));
+        }
+        for (int partition = 0; partition < 20; partition++) {
+            int owners = 0;
+            for (FleetNode node : nodes) {
+                DutyQuery query = new DutyQuery(
+                        Duty.CLAIMS_PARTITION,
+                        "p" + partition,
+                        List.of(THERE),
+                        nodes,
+                        node.node().vm(),
+                        true);
+                owners += Duties.assign(query).mine() ? 1 : 0;
+                require(
+                        Duties.assign(query).owner().orElseThrow().dataCentre().equals(THERE),
+                        "owner outside the preferred data centre");
+                DutyQuery unconfirmed =
+                        new DutyQuery(query.duty(), query.name(), query.preferred(), nodes, query.self(), false);
+                require(!Duties.assign(unconfirmed).mine(), "unconfirmed owner");
+            }
+            require(owners == 1, "owners: " + owners);
+        }
+    }
+
+    private static EntryAnswer answer(List<FleetNode> nodes, boolean confirmed, int limit) {
+        return Entries.answer(new EntryQuery(TEAM, "session", HERE, nodes, confirmed, limit, 30_000, 1_000));
+    }
+
+    private static FleetNode node(
+            String name, DataCentreId dataCentre, MemberStatus status, boolean leaving, boolean reachable) {
+        return new FleetNode(
+                new NodeAddress(new VmId(name), dataCentre, "10.0.0.1:7400", 8080), status, leaving, reachable);
+    }
+
+    private static void require(boolean condition, String message) {
+        if (!condition) {
+            throw new AssertionError(message);
+        }
+    }
+}
