Stage a session's blocks when its caller looks up addresses

Cause: the look-up is the earliest sign of a return, and nothing used it; the trace setting had no effect. Change: a node that answers a look-up tells the node it names first, which stages the retained blocks of the session's last prompt at the engine that routing expects; the blocks are named in the call only after their receipts were compared. Decisions are recorded where the settings name a file.

--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/node/LookupHints.java
@@ -0,0 +1,81 @@
+package org.cowslipbank.entry.node;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.cowslipbank.config.Team;
+import org.cowslipbank.decision.entries.EntryAnswer;
+import org.cowslipbank.decision.membership.NodeAddress;
+import org.cowslipbank.entry.traffic.ConfigurationIndex;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.SessionKey;
+import org.cowslipbank.model.Step;
+import org.cowslipbank.model.TeamId;
+import org.cowslipbank.peer.PeerAddress;
+import org.cowslipbank.peer.RequestKind;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+import reactor.core.publisher.Mono;
+
+/**
+ * Announces that a session is about to return. A look-up is the earliest sign of it, and the node that the answer
+ * names first is the one that served the session before.
+ */
+final class LookupHints {
+    private static final ObjectMapper MAPPER = new MessagePackMapper();
+    private static final long TIMEOUT_MILLIS = 500;
+
+    private final FleetParts fleet;
+    private final Supplier<ConfigurationIndex> configuration;
+    private final BiConsumer<Team, SessionKey> prefetch;
+
+    LookupHints(FleetParts fleet, Supplier<ConfigurationIndex> configuration, BiConsumer<Team, SessionKey> prefetch) {
+        this.fleet = fleet;
+        this.configuration = configuration;
+        this.prefetch = prefetch;
+        fleet.transport().onRequest(RequestKind.PREFETCH, (from, body) -> receive(body));
+    }
+
+    void announce(Team team, String session, EntryAnswer answer) {
+        if (session.isBlank() || answer.nodes().isEmpty()) {
+            return;
+        }
+        NodeAddress first = answer.nodes().get(0);
+        if (first.vm().equals(fleet.self())) {
+            prefetch.accept(team, new SessionKey(session));
+            return;
+        }
+        fleet.transport()
+                .request(
+                        new PeerAddress(first.vm(), first.address()),
+                        RequestKind.PREFETCH,
+                        write(new Hint(team.id().value(), session)),
+                        TIMEOUT_MILLIS)
+                .subscribe(done -> {}, error -> {});
+    }
+
+    private Mono<byte[]> receive(byte[] body) {
+        try {
+            Hint hint = MAPPER.readValue(body, Hint.class);
+            Optional<Team> team = configuration.get().team(new TeamId(hint.team()));
+            team.ifPresent(known -> prefetch.accept(known, new SessionKey(hint.session())));
+            return Mono.just(new byte[0]);
+        } catch (IOException e) {
+            return Mono.error(new PeerException(Step.PEER, "", RunState.NOT_RUN, "unreadable message of a peer", e));
+        }
+    }
+
+    private static byte[] write(Hint hint) {
+        try {
+            return MAPPER.writeValueAsBytes(hint);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot encode a hint", e);
+        }
+    }
+
+    /** A hint on the wire. */
+    private record Hint(String team, String session) {}
+}
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -1,5 +1,7 @@
 package org.cowslipbank.entry.node;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.Optional;
@@ -26,6 +28,7 @@
 import org.cowslipbank.entry.settings.ListenSettings;
 import org.cowslipbank.entry.settings.NodeSettings;
 import org.cowslipbank.entry.settings.TlsSettings;
+import org.cowslipbank.entry.trace.FileDecisionRecorder;
 import org.cowslipbank.entry.traffic.DecisionRecorder;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.entry.traffic.PromptRunner;
@@ -66,10 +69,12 @@
     private final ClaimService claims;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final StoreTable stores = new StoreTable();
+    private final DecisionRecorder recorder;
     private final PromptRunner prompts;
     private final LoadPoller loads;
     private final ServiceApi services;
     private final AdminApi admin;
+    private final LookupHints lookups;
     private final NodeStatus status;
     private DisposableServer callerServer;
     private DisposableServer adminServer;
@@ -91,6 +96,7 @@
         this.configuration = new ConfigurationParts(settings, fleet, platformShare.configurationStores(), control);
         BudgetedKeyValueStore claimStore = platformShare.at(PlatformBudget.Priority.CLAIMS);
         this.claims = new ClaimParts(settings, fleet, claimStore, control).service();
+        this.recorder = recorder(settings);
         int pieceBytes = settings.pieceBytes() == 0 ? PromptChain.DEFAULT_PIECE_BYTES : settings.pieceBytes();
         this.prompts = new PromptRunner(new TrafficContext(
                 systems,
@@ -101,10 +107,11 @@
                 new TeamSecrets(secrets.fleetSecret()),
                 new TrafficSettings(pieceBytes, settings.engineCacheMillis()),
                 MonotonicClock.SYSTEM,
-                DecisionRecorder.NONE,
+                recorder,
                 new TrafficMetrics(metrics)));
         this.loads = new LoadPoller(systems, configuration::index, upstreams);
         this.services = new ServiceApi(systems, configuration::index, claims, settings.region());
+        this.lookups = new LookupHints(fleet, configuration::index, prompts::prefetch);
         this.status = new NodeStatus(fleet, configuration, upstreams, stores, metrics);
         this.admin = new AdminApi(
                 configuration.service(),
@@ -224,9 +231,31 @@
         configuration.stop();
         platformShare.stop();
         fleet.stop();
+        closeRecorder();
         control.dispose();
     }
 
+    private DecisionRecorder recorder(NodeSettings from) throws ConfigurationException {
+        if (from.traceFile() == null) {
+            return DecisionRecorder.NONE;
+        }
+        try {
+            return new FileDecisionRecorder(
+                    Path.of(from.traceFile()),
+                    FileDecisionRecorder.DEFAULT_CAPACITY,
+                    System::currentTimeMillis,
+                    this::revision);
+        } catch (IOException e) {
+            throw new ConfigurationException(from.traceFile(), 0, "$.traceFile", "the file cannot be written");
+        }
+    }
+
+    private void closeRecorder() {
+        if (recorder instanceof FileDecisionRecorder file) {
+            file.close();
+        }
+    }
+
     private int inProgress() {
         return prompts.inProgress() + services.inProgress();
     }
@@ -250,6 +279,7 @@
 
     private ObjectNode entries(Team team, String sessionKey) {
         EntryAnswer answer = fleet.entries(team.id(), sessionKey);
+        lookups.announce(team, sessionKey, answer);
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         answer.nodes().forEach(node -> body.withArray("entries")
                 .addObject()
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
@@ -9,19 +9,22 @@
 import org.cowslipbank.config.Configuration;
 import org.cowslipbank.config.ModelVersion;
 import org.cowslipbank.config.StoreVm;
+import org.cowslipbank.config.Team;
 import org.cowslipbank.config.Upstream;
 import org.cowslipbank.config.UpstreamState;
 import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.routing.Candidate;
+import org.cowslipbank.decision.routing.PrefetchDecision;
+import org.cowslipbank.decision.routing.PrefetchInput;
 import org.cowslipbank.decision.routing.RoutingDecision;
 import org.cowslipbank.decision.routing.RoutingInput;
 import org.cowslipbank.decision.routing.RoutingOutcome;
-import org.cowslipbank.decision.routing.SelectionMode;
 import org.cowslipbank.decision.streams.NotSentReason;
 import org.cowslipbank.model.BlockIdentity;
 import org.cowslipbank.model.BlockRef;
 import org.cowslipbank.model.ModelRef;
 import org.cowslipbank.model.PromptChain;
+import org.cowslipbank.model.SessionKey;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.ports.Engine;
 import org.cowslipbank.ports.EngineLoad;
@@ -32,6 +35,9 @@
 final class PromptRouter {
     private static final int BYTES_PER_TOKEN = 4;
     private static final double MILLIS_PER_SECOND = 1_000;
+    // A caller looks up addresses in order to send; some look-ups only renew an answer that is about to expire.
+    private static final double REQUEST_PROBABILITY = 0.8;
+    private static final double MAX_PREFETCH_MILLIS = 2_000;
 
     private final OutsideSystems systems;
     private final Supplier<ConfigurationIndex> configuration;
@@ -43,6 +49,7 @@
     private final TrafficSettings settings;
     private final FleetView fleet;
     private final SessionHints hints;
+    private final Prefetches prefetches = new Prefetches();
     private final MonotonicClock clock;
     private final DecisionRecorder recorder;
 
@@ -72,10 +79,68 @@
     Mono<Placed> place(PromptRequest request, ModelRef wanted, List<UpstreamId> avoid) {
         return Mono.defer(() -> {
             List<BlockIdentity> chain = chainOf(request, wanted);
-            return locator.find(chain).flatMap(retained -> choose(request, wanted, avoid, chain, retained));
+            PromptOutline prompt = new PromptOutline(
+                    request.team(),
+                    request.session(),
+                    wanted,
+                    chain,
+                    request.prompt().length());
+            return Mono.zip(locator.find(chain), prefetches.await(key(request.team(), request.session())))
+                    .flatMap(found -> choose(prompt, avoid, found.getT1(), found.getT2()));
         });
     }
 
+    /**
+     * Stages the retained blocks of a session that has looked up its addresses, so that they are at an engine when its
+     * prompt arrives.
+     *
+     * @param team the team
+     * @param session the session key
+     */
+    void prefetch(Team team, SessionKey session) {
+        String key = key(team, session);
+        Optional<PromptOutline> run = prefetches.lastRun(key).filter(last -> isCurrent(last.model()));
+        if (run.isEmpty() || prefetches.isKnown(key)) {
+            return;
+        }
+        PromptOutline last = run.get();
+        prefetches.begin(key, locator.find(last.chain()).flatMap(retained -> stage(last, retained)));
+    }
+
+    private boolean isCurrent(ModelRef ran) {
+        return configuration
+                .get()
+                .model(ran.model())
+                .filter(model -> model.activeVersion().equals(ran.weightVersion()))
+                .isPresent();
+    }
+
+    private Mono<Prefetches.Staged> stage(PromptOutline last, List<BlockRef> retained) {
+        RoutingInput expected = input(last, List.of(), retained, Prefetches.Staged.NONE);
+        RoutingOutcome outcome = recorder.decide(
+                PrefetchDecision.PREFETCH, new PrefetchInput(expected, REQUEST_PROBABILITY, MAX_PREFETCH_MILLIS));
+        boolean useful = outcome.result() == RoutingOutcome.Result.CHOSEN
+                && outcome.localBlocks() == 0
+                && !outcome.fetch().isEmpty();
+        Optional<Upstream> upstream = useful ? configuration.get().upstream(outcome.upstream()) : Optional.empty();
+        if (upstream.isEmpty()) {
+            return Mono.just(Prefetches.Staged.NONE);
+        }
+        return fetch(systems.engine(upstream.get().address()), expected, outcome)
+                .map(blocks -> new Prefetches.Staged(outcome.upstream(), blocks));
+    }
+
+    /** Notes where a prompt ran, for the return of its session. */
+    void ran(PromptRequest request, Placed placed) {
+        String key = key(request.team(), request.session());
+        hints.ran(key, placed.upstream().id(), placed.chain());
+        prefetches.ran(key, request, placed);
+    }
+
+    private static String key(Team team, SessionKey session) {
+        return Rendezvous.key(team.id().value(), session.value());
+    }
+
     private List<BlockIdentity> chainOf(PromptRequest request, ModelRef model) {
         byte[] secret = secrets.hashingKey(request.team().id());
         byte[] prompt = request.prompt().getBytes(StandardCharsets.UTF_8);
@@ -83,12 +148,8 @@
     }
 
     private Mono<Placed> choose(
-            PromptRequest request,
-            ModelRef wanted,
-            List<UpstreamId> avoid,
-            List<BlockIdentity> chain,
-            List<BlockRef> retained) {
-        RoutingInput input = input(request, wanted, avoid, chain, retained);
+            PromptOutline prompt, List<UpstreamId> avoid, List<BlockRef> retained, Prefetches.Staged staged) {
+        RoutingInput input = input(prompt, avoid, retained, staged);
         RoutingOutcome outcome = recorder.decide(RoutingDecision.ROUTE, input);
         if (outcome.result() != RoutingOutcome.Result.CHOSEN) {
             NotSentReason reason = outcome.result() == RoutingOutcome.Result.NO_MATCHING_VERSION
@@ -101,7 +162,9 @@
             return Mono.error(new NotPlacedException(NotSentReason.NO_UPSTREAM));
         }
         Engine engine = systems.engine(upstream.get().address());
-        return fetch(engine, input, outcome).map(staged -> placed(upstream.get(), wanted, input, outcome, staged));
+        List<BlockIdentity> prefetched = staged.leading(outcome.upstream(), prompt.chain());
+        return fetch(engine, input, outcome)
+                .map(fetched -> placed(upstream.get(), prompt.model(), input, outcome, joined(prefetched, fetched)));
     }
 
     private Mono<List<BlockIdentity>> fetch(Engine engine, RoutingInput input, RoutingOutcome outcome) {
@@ -133,38 +196,39 @@
                 .orElse(0);
     }
 
+    private static List<BlockIdentity> joined(List<BlockIdentity> prefetched, List<BlockIdentity> fetched) {
+        List<BlockIdentity> all = new ArrayList<>(prefetched);
+        all.addAll(fetched);
+        return List.copyOf(all);
+    }
+
     private static Placed placed(
             Upstream upstream, ModelRef model, RoutingInput input, RoutingOutcome outcome, List<BlockIdentity> staged) {
-        long cachedTokens = (long) (outcome.localBlocks() + staged.size()) * input.pieceTokens();
+        int lastStaged = staged.isEmpty() ? 0 : staged.get(staged.size() - 1).pieceIndex() + 1;
+        long cachedTokens = (long) Math.max(outcome.localBlocks(), lastStaged) * input.pieceTokens();
         long computeTokens = Math.max(1, input.promptTokens() - cachedTokens);
         return new Placed(upstream, model, input.chain(), input.retained(), staged, computeTokens);
     }
 
     private RoutingInput input(
-            PromptRequest request,
-            ModelRef wanted,
-            List<UpstreamId> avoid,
-            List<BlockIdentity> chain,
-            List<BlockRef> retained) {
+            PromptOutline prompt, List<UpstreamId> avoid, List<BlockRef> retained, Prefetches.Staged staged) {
         Configuration current = configuration.get().configuration();
-        String key =
-                Rendezvous.key(request.team().id().value(), request.session().value());
-        List<Candidate> candidates = candidates(wanted, avoid, key, chain);
         return new RoutingInput(
-                request.team().id(),
-                wanted,
-                chain,
-                request.prompt().length() / BYTES_PER_TOKEN + 1,
+                prompt.team().id(),
+                prompt.model(),
+                prompt.chain(),
+                prompt.promptBytes() / BYTES_PER_TOKEN + 1,
                 settings.pieceBytes() / BYTES_PER_TOKEN,
                 retained,
-                candidates,
+                candidates(prompt, avoid, staged),
                 stores.links(current.stores(), clock.nowMillis()),
-                SelectionMode.FULL_SCAN,
-                0,
                 current.weights());
     }
 
-    private List<Candidate> candidates(ModelRef wanted, List<UpstreamId> avoid, String key, List<BlockIdentity> chain) {
+    private List<Candidate> candidates(PromptOutline prompt, List<UpstreamId> avoid, Prefetches.Staged staged) {
+        ModelRef wanted = prompt.model();
+        List<BlockIdentity> chain = prompt.chain();
+        String key = key(prompt.team(), prompt.session());
         ConfigurationIndex index = configuration.get();
         List<UpstreamId> allowed = index.model(wanted.model())
                 .map(model -> allowedUpstreams(model.versions(), wanted))
@@ -173,9 +237,9 @@
                 allowed.stream().filter(id -> isUsable(index, id, avoid)).toList();
         List<Candidate> candidates = new ArrayList<>();
         for (UpstreamId id : RoutingDecision.subset(key, usable, RoutingDecision.SUBSET_SIZE)) {
-            upstreams
-                    .load(id, clock.nowMillis())
-                    .ifPresent(load -> candidates.add(candidate(id, load, hints.localBlocks(key, id, chain))));
+            int local = Math.max(
+                    hints.localBlocks(key, id, chain), staged.leading(id, chain).size());
+            upstreams.load(id, clock.nowMillis()).ifPresent(load -> candidates.add(candidate(id, load, local)));
         }
         return candidates;
     }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
@@ -9,8 +9,10 @@
 
 import org.cowslipbank.config.Model;
 import org.cowslipbank.config.ModelVersion;
+import org.cowslipbank.config.Team;
 import org.cowslipbank.decision.admission.Capacity;
 import org.cowslipbank.decision.admission.SlotShares;
+import org.cowslipbank.model.SessionKey;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 import reactor.core.Disposable;
@@ -28,7 +30,6 @@
     private final PromptRouter router;
     private final BlockExporter exporter;
     private final StoreProber prober;
-    private final SessionHints hints;
     private final Set<PromptSession> sessions = ConcurrentHashMap.newKeySet();
     private Disposable ticking;
     private long ticks;
@@ -40,12 +41,12 @@
      */
     public PromptRunner(TrafficContext context) {
         this.context = context;
-        this.hints = new SessionHints(context.settings().engineCacheMillis());
         this.admission = new AdmissionGate(context.clock());
         this.retries = new RetryGate(context.clock());
         BlockLocator locator =
                 new BlockLocator(context.systems(), context.stores(), context.configuration(), context.clock());
-        this.router = new PromptRouter(context, locator, hints);
+        this.router = new PromptRouter(
+                context, locator, new SessionHints(context.settings().engineCacheMillis()));
         this.exporter = new BlockExporter(context, locator);
         this.prober = new StoreProber(context);
     }
@@ -73,6 +74,16 @@
         return sessions.size();
     }
 
+    /**
+     * Stages the retained blocks of a session that is about to return.
+     *
+     * @param team the team
+     * @param session the session key
+     */
+    public void prefetch(Team team, SessionKey session) {
+        router.prefetch(team, session);
+    }
+
     /**
      * Runs a prompt. Cancelling the subscription cancels the run.
      *
@@ -91,7 +102,7 @@
 
     private Flux<AnswerEvent> runAdmitted(PromptRequest request, AdmissionGate.Permit permit) {
         return Flux.defer(() -> {
-            PromptSession session = new PromptSession(context, router, retries, exporter, hints, request);
+            PromptSession session = new PromptSession(context, router, retries, exporter, request);
             sessions.add(session);
             return session.answer().doFinally(signal -> {
                 sessions.remove(session);
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -10,7 +10,6 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.retry.RetryOutcome;
 import org.cowslipbank.decision.retry.RetryQuestion;
 import org.cowslipbank.decision.retry.RetryVerdict;
@@ -57,7 +56,6 @@
     private final PromptRouter router;
     private final RetryGate retries;
     private final BlockExporter exporter;
-    private final SessionHints hints;
     private final PromptRequest request;
     private final Queue<StreamEvent> events = new ConcurrentLinkedQueue<>();
     private final AtomicInteger pending = new AtomicInteger();
@@ -78,13 +76,11 @@
             PromptRouter router,
             RetryGate retries,
             BlockExporter exporter,
-            SessionHints hints,
             PromptRequest request) {
         this.context = context;
         this.router = router;
         this.retries = retries;
         this.exporter = exporter;
-        this.hints = hints;
         this.request = request;
     }
 
@@ -212,9 +208,7 @@
         context.metrics().importedPromptTokens().inc(run.importedTokens());
         sink.next(new AnswerEvent.Done(run));
         sink.complete();
-        String session =
-                Rendezvous.key(request.team().id().value(), request.session().value());
-        hints.ran(session, placed.upstream().id(), placed.chain());
+        router.ran(request, placed);
         exporter.export(request, state.attempt().id(), placed);
     }
 
--- a/peer/src/main/java/org/cowslipbank/peer/RequestKind.java
+++ b/peer/src/main/java/org/cowslipbank/peer/RequestKind.java
@@ -11,5 +11,7 @@
     /** Asks for the member table and facts, for the status command. */
     STATUS,
     /** Asks for the highest sequence that a node knows of a claims partition. */
-    CLAIM_SEQUENCE
+    CLAIM_SEQUENCE,
+    /** Tells the node that a session was sent to that the session is about to return. */
+    PREFETCH
 }
