--- a/bench/src/main/java/org/cowslipbank/bench/micro/RoutingFleet.java
+++ b/bench/src/main/java/org/cowslipbank/bench/micro/RoutingFleet.java
@@ -77,7 +77,18 @@
     private static Candidate candidate(UpstreamId id) {
         int spread = Math.floorMod(id.value().hashCode(), 16);
         return new Candidate(
-                id, UpstreamState.ACTIVE, MODEL, false, spread, spread / 4, 32, spread * 500L, 0, 8_000, 0.5, spread / 8);
+                id,
+                UpstreamState.ACTIVE,
+                MODEL,
+                false,
+                spread,
+                spread / 4,
+                32,
+                spread * 500L,
+                0,
+                8_000,
+                0.5,
+                spread / 8);
     }
 
     /**
--- a/bench/src/main/java/org/cowslipbank/bench/micro/SingleFunctions.java
+++ b/bench/src/main/java/org/cowslipbank/bench/micro/SingleFunctions.java
@@ -68,10 +68,9 @@
                 .weights(1, 0.2, 0.1);
         for (int i = 0; i < TEAMS; i++) {
             String key = String.format("%0" + KEY_DIGITS + "x", i);
-            builder.team(
-                    "team-" + i,
-                    "mu-west",
-                    team -> team.key(key).limits(10, 20, 8, 1).models("review"));
+            builder.team("team-" + i, "mu-west", team -> team.key(key)
+                    .limits(10, 20, 8, 1)
+                    .models("review"));
         }
         configuration = builder.print();
     }
--- a/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/trace/ReplayTest.java
@@ -3,14 +3,12 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import net.jqwik.api.Example;
 import org.cowslipbank.decision.entries.Duties;
 import org.cowslipbank.decision.entries.Duty;
 import org.cowslipbank.decision.entries.DutyQuery;
-import org.cowslipbank.decision.orders.EngineProgress;
 import org.cowslipbank.decision.orders.EngineView;
 import org.cowslipbank.decision.orders.OrderLimits;
 import org.cowslipbank.decision.orders.OrderTarget;
@@ -54,18 +52,14 @@
 
     @Example
     void mapsOptionalsAndSealedInterfacesSurviveAFile() throws IOException {
-        OrdersState state = new OrdersState(
-                new OrderLimits(2, 1e9, 1e9, 60_000, 5_000, 60_000, 0.5),
-                1,
-                5_000,
-                true,
-                0,
-                0,
-                0,
-                1e9,
-                Map.of(ENGINE, new OrderTarget(ENGINE, new DataCentreId("mu-west-1"), MODEL, 1e6, false)),
-                Map.of(ENGINE, new EngineView(ENGINE, MODEL, false, false, 0, 900)),
-                Map.of(ENGINE, new EngineProgress(-1, -1, -1, -1, -1, -1, -1, EngineProgress.Export.NONE)));
+        OrderLimits limits = new OrderLimits(2, 1e9, 1e9, 60_000, 5_000, 3_000, 60_000, 0.5);
+        OrderTarget target = new OrderTarget(ENGINE, new DataCentreId("mu-west-1"), MODEL, 1e6, false);
+        OrdersState state = OrdersController.start(limits, 0);
+        state = OrdersController.on(state, new OrdersEvent.Targets(List.of(target)), 800)
+                .state();
+        state = OrdersController.on(
+                        state, new OrdersEvent.Observed(new EngineView(ENGINE, MODEL, false, false, 0, 900)), 900)
+                .state();
         assert replay(recorded(OrdersController.DECISION, new OrdersInput(state, new OrdersEvent.Tick(), 1_000)))
                 .isEmpty();
         DutyQuery nobody = new DutyQuery(Duty.values()[0], "p0", List.of(), List.of(), new VmId("entry-1"), true);
