Test that the experiments recognise wrong answers

An audit that recognises no wrong answer would report zeros for any fault. The test feeds it a lost, a doubled, a misdelivered and a falsely reported answer.

--- /dev/null
+++ b/bench/src/test/java/org/cowslipbank/bench/virtual/AuditTest.java
@@ -0,0 +1,43 @@
+package org.cowslipbank.bench.virtual;
+
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.streams.FinishedRun;
+import org.cowslipbank.model.Refusal;
+import org.cowslipbank.model.RequestId;
+import org.cowslipbank.model.TeamId;
+
+final class AuditTest {
+    private static final FinishedRun TWO = new FinishedRun("stop", 1, 0, 0, 2, true);
+    private static final SimRequest REQUEST = new SimRequest(
+            new RequestId("r"), new TeamId("t"), 1, 2, true, SimRequest.HARMLESS, 0, SimRequest.STAYS, 0);
+
+    /** Failure guarded against: the experiments count no wrong answer because they recognise none. */
+    @Example
+    void wrongAnswersAreCounted() {
+        assert audit("r:0:v1", "r:1:v1").whole() == 1;
+        assert audit("r:0:v1", "r:1:v2").lost() == 1;
+        assert audit("r:0:v1", "r:0:v1").doubled() == 1;
+        assert audit("r:0:v1", "q:1:v1").misdelivered() == 1;
+        assert audit("r:0:v1").lost() == 1;
+        SimCaller silent = new SimCaller(REQUEST, 0);
+        assert Audit.of(List.of(silent)).lost() == 1;
+        SimCaller refused = new SimCaller(REQUEST, 0);
+        refused.failed(Refusal.later(503, "overloaded", "full", 1_000), 5);
+        assert Audit.of(List.of(refused)).falselyReported() == 0;
+        refused.ranInTruth = true;
+        assert Audit.of(List.of(refused)).falselyReported() == 1;
+        refused.completed(TWO, 6);
+        assert Audit.of(List.of(refused)).doubled() == 1;
+    }
+
+    private static Audit audit(String... texts) {
+        SimCaller caller = new SimCaller(REQUEST, 0);
+        for (int index = 0; index < texts.length; index++) {
+            caller.token(index, texts[index], index);
+        }
+        caller.completed(TWO, texts.length);
+        return Audit.of(List.of(caller));
+    }
+}
