Make the admission of one request a decision that can be replayed

Admission holds queues, so its verdicts could not be recorded and replayed. The verdict is now AdmissionRule, a pure function of the facts that Admission gathers. A time to retry is at most 60 s, since without capacity it was unbounded, and a request no longer overtakes an earlier one of its own team through the kept places.

--- a/decision/src/main/java/org/cowslipbank/decision/admission/Admission.java
+++ b/decision/src/main/java/org/cowslipbank/decision/admission/Admission.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.cowslipbank.model.Refusal;
 import org.cowslipbank.model.TeamId;
 
 /**
@@ -13,12 +12,6 @@
  * thread calls it.
  */
 public final class Admission {
-    private static final int TOO_MANY_REQUESTS = 429;
-    private static final int UNAVAILABLE = 503;
-
-    /** Shortest time to retry that a caller is told, in milliseconds; clients round a smaller one to zero. */
-    private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
-
     /** Part of the modest teams' requests that may find every reserved place in use; below the 5% beyond the bound. */
     private static final double RESERVE_MISS = 0.03;
 
@@ -70,32 +63,34 @@
         TeamQueue team = teams.computeIfAbsent(request.team(), id -> new TeamQueue(share, nowMillis));
         team.share = share;
         team.bucket = team.bucket.refilled(share.requestsPerSecond(), share.burstRequests(), nowMillis);
-        if (team.bucket.tokens() < 1) {
-            long waitMillis = team.bucket.millisUntil(1, share.requestsPerSecond());
-            return refused("team_rate_exceeded", "the team's request rate is used up", waitMillis, TOO_MANY_REQUESTS);
-        }
-        if (team.inFlight + team.waiting.size() >= share.concurrentRequests()) {
-            long waitMillis = (long) rate.waitMillis(1, share.concurrentRequests());
-            return refused(
-                    "team_concurrency_exceeded",
-                    "the team has its limit of requests in flight",
-                    waitMillis,
-                    TOO_MANY_REQUESTS);
-        }
-        if (mayEnter(team) && (backlogged.isEmpty() || isModest(team))) {
-            accept(team, request, nowMillis);
-            virtualTime = Math.max(virtualTime, tag(team, request));
-            enter(team);
-            return new AdmissionAnswer(AdmissionAnswer.Verdict.ADMITTED, null, 0);
-        }
-        long waitMillis = expectedWaitMillis(team, request, nowMillis);
-        if (nowMillis + waitMillis > request.sendByMillis() || inFlightLimit <= 0) {
-            long excessMillis = nowMillis + waitMillis - request.sendByMillis();
-            return refused("overloaded", "the expected wait exceeds the deadline", excessMillis, UNAVAILABLE);
+        AdmissionAnswer answer = AdmissionRule.decide(facts(team, request, nowMillis));
+        if (answer.verdict() == AdmissionAnswer.Verdict.REFUSED) {
+            return answer;
         }
         accept(team, request, nowMillis);
-        enqueue(team, request);
-        return new AdmissionAnswer(AdmissionAnswer.Verdict.QUEUED, null, waitMillis);
+        if (answer.verdict() == AdmissionAnswer.Verdict.QUEUED) {
+            enqueue(team, request);
+            return answer;
+        }
+        virtualTime = Math.max(virtualTime, tag(team, request));
+        enter(team);
+        return answer;
+    }
+
+    private AdmissionFacts facts(TeamQueue team, AdmissionRequest request, long nowMillis) {
+        TeamShare share = team.share;
+        // A request never overtakes an earlier one of its own team.
+        boolean mayPass = backlogged.isEmpty() || team.waiting.isEmpty() && isModest(team);
+        boolean placeFree = mayEnter(team) && mayPass;
+        return new AdmissionFacts(
+                team.bucket.millisUntil(1, share.requestsPerSecond()),
+                team.inFlight + team.waiting.size(),
+                share.concurrentRequests(),
+                (long) rate.waitMillis(1, share.concurrentRequests()),
+                placeFree,
+                placeFree ? 0 : expectedWaitMillis(team, request, nowMillis),
+                request.sendByMillis(),
+                nowMillis);
     }
 
     /**
@@ -229,9 +224,7 @@
                 boolean late = waiting.request().sendByMillis() < nowMillis;
                 if (late) {
                     team.queuedCost -= waiting.request().cost();
-                    Refusal refusal = refused("overloaded", "the wait exceeded the deadline", 0, UNAVAILABLE)
-                            .refusal();
-                    refused.add(new AdmissionRelease.Refused(waiting.request(), refusal));
+                    refused.add(new AdmissionRelease.Refused(waiting.request(), AdmissionRule.waitedTooLong()));
                 }
                 return late;
             });
@@ -334,10 +327,4 @@
             backlogged.remove(team);
         }
     }
-
-    private static AdmissionAnswer refused(String code, String message, long waitMillis, int httpStatus) {
-        long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis);
-        Refusal refusal = Refusal.later(httpStatus, code, message, retryAfterMillis);
-        return new AdmissionAnswer(AdmissionAnswer.Verdict.REFUSED, refusal, waitMillis);
-    }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/admission/AdmissionTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/admission/AdmissionTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import net.jqwik.api.Example;
 import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.model.RequestId;
@@ -60,6 +61,21 @@
                 == AdmissionAnswer.Verdict.ADMITTED;
     }
 
+    /** Failure guarded against: without any capacity requests wait, or are told an absurd time to retry. */
+    @Example
+    void withoutCapacityRequestsAreRefusedAtOnce() throws Exception {
+        Admission admission = new Admission(0, 1_000);
+        AdmissionAnswer answer = admission.offer(request(GREEDY, 0, 60_000), GREEDY, 0);
+        assert answer.verdict() == AdmissionAnswer.Verdict.REFUSED : answer;
+        assert answer.refusal().retryAfterMillis() == AdmissionRule.MAX_RETRY_AFTER_MILLIS : answer;
+        AdmissionFacts facts = new AdmissionFacts(0, 1, 1, 500, true, 0, 100, 0);
+        ObjectMapper mapper = new ObjectMapper();
+        AdmissionFacts read = mapper.readValue(mapper.writeValueAsString(facts), AdmissionFacts.class);
+        AdmissionAnswer replayed = AdmissionRule.DECISION.function().apply(read);
+        assert replayed.equals(mapper.readValue(mapper.writeValueAsString(replayed), AdmissionAnswer.class));
+        assert replayed.refusal().code().equals("team_concurrency_exceeded") : replayed;
+    }
+
     /** Failure guarded against: a team whose sessions meet on one node gets only a fraction of its limit. */
     @Example
     void unusedShareIsLentAndStaleReportsAreNot() {
