--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/fleet/FleetServiceTest.java
@@ -0,0 +1,121 @@
+package org.cowslipbank.entry.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.cowslipbank.decision.entries.Duty;
+import org.cowslipbank.decision.membership.MembershipSettings;
+import org.cowslipbank.decision.membership.NodeAddress;
+import org.cowslipbank.model.DataCentreId;
+import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.UpstreamId;
+import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.UpstreamFact;
+import org.cowslipbank.peer.InMemoryPeers;
+import org.cowslipbank.peer.PeerIdentity;
+import org.cowslipbank.peer.PeerTransport;
+import reactor.core.publisher.Mono;
+
+class FleetServiceTest {
+    private static final DataCentreId DATA_CENTRE = new DataCentreId("dc");
+    private static final UpstreamId ENGINE = new UpstreamId("engine");
+
+    private final InMemoryPeers network = new InMemoryPeers();
+    private final AtomicLong clockOffsetMillis = new AtomicLong();
+    private final List<FleetService> services = new ArrayList<>();
+
+    @AfterTry
+    void stopAll() {
+        services.forEach(service -> service.stop().block());
+    }
+
+    /** Guards against callers or work that are sent to a draining node or a leaving upstream (P7). */
+    @Example
+    void drainAndLeavingUpstreamReachTheOtherNodes() {
+        startThree();
+        FleetService last = services.get(2);
+        services.get(0).drain();
+        services.get(1)
+                .publish(new Facts(
+                        List.of(),
+                        List.of(new UpstreamFact(ENGINE, true, last.nowMillis(), 60)),
+                        List.of(),
+                        List.of(),
+                        List.of()));
+        await(() -> last.snapshot().view().leavingUpstreams().contains(ENGINE));
+        await(() -> last.snapshot()
+                        .entries(new TeamId("t"), "", DATA_CENTRE, 9, 30_000, last.nowMillis())
+                        .nodes()
+                        .size()
+                == 2);
+    }
+
+    /** Guards against a traffic thread that acts on a snapshot from before a pause (section 4, expired leases). */
+    @Example
+    void snapshotFromBeforeAPauseIsNotConfirmed() {
+        startThree();
+        FleetService service = services.get(0);
+        AtomicInteger losses = new AtomicInteger();
+        service.addListener(new FleetListener() {
+            @Override
+            public void onAuthorityLost() {
+                losses.incrementAndGet();
+            }
+        });
+        FleetSnapshot before = service.snapshot();
+        clockOffsetMillis.addAndGet(60_000);
+        if (before.isConfirmed(service.nowMillis())
+                || before.duty(Duty.CLAIMS_PARTITION, "p", List.of(), service.nowMillis())
+                        .mine()) {
+            throw new AssertionError("snapshot from before the pause is confirmed");
+        }
+        await(() -> losses.get() == 1);
+        await(() -> service.snapshot().isConfirmed(service.nowMillis()));
+    }
+
+    private void startThree() {
+        List<NodeAddress> nodes = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            nodes.add(new NodeAddress(new VmId("vm-" + i), DATA_CENTRE, "10.0.0." + i + ":7400", 8080));
+        }
+        LongSupplier monotonic = FleetService.monotonicClock();
+        for (NodeAddress node : nodes) {
+            PeerTransport transport =
+                    network.join(new PeerIdentity(node.vm(), node.dataCentre(), node.address(), node.callerPort()));
+            FleetSettings settings =
+                    new FleetSettings(node, nodes, MembershipSettings.SMALL_FLEET, 20, 1_000, node.hashCode());
+            FleetService service = new FleetService(
+                    settings,
+                    transport,
+                    () -> Mono.error(new IllegalStateException("list is down")),
+                    () -> monotonic.getAsLong() + clockOffsetMillis.get());
+            services.add(service);
+            transport.start().block();
+            service.start().block();
+        }
+        await(() -> services.stream().allMatch(each -> each.snapshot().isConfirmed(each.nowMillis())));
+    }
+
+    /** Waits for a state that must come; the limit only ends a test that would hang. */
+    private static void await(BooleanSupplier condition) {
+        for (int i = 0; i < 1_500; i++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            try {
+                TimeUnit.MILLISECONDS.sleep(20);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        throw new AssertionError("state did not come");
+    }
+}
