--- a/decision/src/test/java/org/cowslipbank/decision/claims/PartitionOwnerTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/claims/PartitionOwnerTest.java
@@ -33,6 +33,23 @@
         check(ClaimKey.parse(new TeamId("a"), "29.").isEmpty());
     }
 
+    /** Guards against configuration, commands or audit that use up what claims need, and against a bucket that leaks. */
+    @Example
+    void lowerPrioritiesLeaveTokensToClaims() {
+        PlatformBudget budget = new PlatformBudget(10, 10, 0);
+        while (budget.tryTake(PlatformBudget.Priority.AUDIT, 0) == 0) {
+            continue;
+        }
+        check(budget.tryTake(PlatformBudget.Priority.CONFIGURATION, 0) == 0);
+        int claims = 0;
+        while (budget.tryTake(PlatformBudget.Priority.CLAIMS, 0) == 0) {
+            claims++;
+        }
+        check(claims >= 5 && claims <= 9);
+        check(budget.tryTake(PlatformBudget.Priority.CLAIMS, 100) == 0);
+        check(budget.tryTake(PlatformBudget.Priority.CONFIGURATION, 200) > 0);
+    }
+
     private static void check(boolean condition) {
         if (!condition) {
             throw new AssertionError();
--- a/entry/src/main/java/org/cowslipbank/entry/configuration/ConfigurationService.java
+++ b/entry/src/main/java/org/cowslipbank/entry/configuration/ConfigurationService.java
@@ -424,7 +424,7 @@
         rootBytes = target.bytes();
         shards.retain(target.root());
         if (!same) {
-            LOG.info("configuration revision {} applied", revision);
+            LOG.debug("configuration revision {} applied", revision);
         }
     }
 
