--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.capacity.CapacityBench;
 import org.cowslipbank.bench.claims.ClaimsBench;
 import org.cowslipbank.bench.config.ConfigBench;
 import org.cowslipbank.bench.limits.LimitsBench;
@@ -17,6 +18,7 @@
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
+            new CapacityBench(),
             new ClaimsBench(),
             new ConfigBench(),
             new LimitsBench(),
