Count a restarted node as one that has not answered

Change: the question carries the age of the owner's last confirmation of the log's end; a node that has not run for 10 s longer gives no answer.

--- a/bench/src/main/java/org/cowslipbank/bench/claims/ClaimFleet.java
+++ b/bench/src/main/java/org/cowslipbank/bench/claims/ClaimFleet.java
@@ -95,7 +95,7 @@
                 new ClaimPeers(
                         partition -> ownersOf(node, partition),
                         (target, request) -> forward(node, target, request),
-                        partition -> highest(node, partition)),
+                        (partition, age) -> highest(node, partition, age)),
                 schedulers[node],
                 this::now);
         service.start();
@@ -114,11 +114,11 @@
                 .delayElement(ONE_WAY, scheduler);
     }
 
-    private Mono<OptionalLong> highest(int from, int partition) {
+    private Mono<OptionalLong> highest(int from, int partition, long ageMillis) {
         return Flux.range(0, owners.length)
                 .filter(node -> node != from)
                 .flatMap(node -> link(from, node)
-                        .then(Mono.defer(() -> services.get(node).highestSequence(partition)))
+                        .then(Mono.defer(() -> services.get(node).highestSequence(partition, ageMillis)))
                         .delayElement(ONE_WAY, scheduler))
                 .reduce(0L, Math::max)
                 .map(OptionalLong::of);
--- a/bench/src/main/java/org/cowslipbank/bench/config/ConfigurationFleet.java
+++ b/bench/src/main/java/org/cowslipbank/bench/config/ConfigurationFleet.java
@@ -26,6 +26,7 @@
 import org.cowslipbank.model.DataCentreId;
 import org.cowslipbank.model.VmId;
 import org.cowslipbank.ports.KeyValueStore;
+import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 
 /**
@@ -41,6 +42,7 @@
 
     private static final Duration ONE_WAY = Duration.ofNanos(1_500_000);
     private static final double CHANGE_CALLS_PER_SECOND = 100;
+    private static final long ASK_MILLIS = 200;
     private static final long PROBE_MILLIS = 1_000;
 
     private final VirtualScheduler scheduler;
@@ -170,7 +172,14 @@
     public Mono<ChangeOutcome> change(
             int node, String changeId, long ifMatch, ConfigurationEdit edit, List<String> mayLag) {
         ChangeOrder order = new ChangeOrder(changeId, "operator-" + node, "bench", scheduler.nowMillis(), mayLag);
-        return services.get(node).change(new ChangeRequest(order, ifMatch, edit));
+        return Mono.defer(() -> {
+            // As the node does: while a change runs, one node of each data centre is asked for its revision.
+            Disposable asking = schedulers.get(node)
+                    .schedulePeriodically(() -> askAll(node), 0, ASK_MILLIS, TimeUnit.MILLISECONDS);
+            return services.get(node)
+                    .change(new ChangeRequest(order, ifMatch, edit))
+                    .doFinally(signal -> asking.dispose());
+        });
     }
 
     /**
@@ -248,6 +257,12 @@
         }
     }
 
+    private void askAll(int node) {
+        for (int dataCentre = 0; dataCentre < dataCentres; dataCentre++) {
+            ask(node, dataCentre == node % dataCentres ? otherNode(node) : randomNode(dataCentre));
+        }
+    }
+
     private int otherNode(int node) {
         int perCentre = (alive.length + dataCentres - 1) / dataCentres;
         int step = 1 + random.nextInt(Math.max(1, perCentre - 1));
--- a/bench/src/main/java/org/cowslipbank/bench/platform/PausableScheduler.java
+++ b/bench/src/main/java/org/cowslipbank/bench/platform/PausableScheduler.java
@@ -58,6 +58,25 @@
         return () -> disposed[0] = true;
     }
 
+    @Override
+    public Disposable schedulePeriodically(Runnable task, long initialDelay, long period, TimeUnit unit) {
+        boolean[] disposed = new boolean[1];
+        scheduleNext(task, initialDelay, period, unit, disposed);
+        return () -> disposed[0] = true;
+    }
+
+    private void scheduleNext(Runnable task, long delay, long period, TimeUnit unit, boolean[] disposed) {
+        schedule(
+                () -> {
+                    if (!disposed[0]) {
+                        scheduleNext(task, period, period, unit, disposed);
+                        task.run();
+                    }
+                },
+                delay,
+                unit);
+    }
+
     @Override
     public Worker createWorker() {
         return new Worker() {
--- a/decision/src/main/java/org/cowslipbank/decision/claims/PartitionEffect.java
+++ b/decision/src/main/java/org/cowslipbank/decision/claims/PartitionEffect.java
@@ -17,6 +17,11 @@
      */
     record Answer(long requestId, ClaimOutcome outcome) implements PartitionEffect {}
 
-    /** Ask every other node for the highest sequence of the partition that it has seen or tried to write. */
-    record AskFleet() implements PartitionEffect {}
+    /**
+     * Ask every other node for the highest sequence of the partition that it has seen or tried to write. A node that
+     * has run for a shorter time than the given age may have forgotten, so it counts as not answering.
+     *
+     * @param confirmedAgeMillis age of this node's last confirmation of the log's end, in milliseconds
+     */
+    record AskFleet(long confirmedAgeMillis) implements PartitionEffect {}
 }
--- a/decision/src/main/java/org/cowslipbank/decision/claims/PartitionOwner.java
+++ b/decision/src/main/java/org/cowslipbank/decision/claims/PartitionOwner.java
@@ -650,10 +650,14 @@
         if (outOfPatience) {
             fleetAsked = true;
             fleetAskedMillis = now.monotonicMillis();
-            effects.add(new PartitionEffect.AskFleet());
+            effects.add(new PartitionEffect.AskFleet(confirmedAgeMillis(now)));
         }
     }
 
+    private long confirmedAgeMillis(ClaimTime now) {
+        return endConfirmed ? now.monotonicMillis() - endConfirmedMillis : Long.MAX_VALUE;
+    }
+
     private void giveUp(Waiting waiting, boolean logIsComplete, ClaimTime now) {
         if (!(waiting.request() instanceof PartitionRequest.Claim claim)) {
             answer(waiting.requestId(), Kind.OUTCOME_UNKNOWN);
--- a/decision/src/test/java/org/cowslipbank/decision/claims/ClaimWorld.java
+++ b/decision/src/test/java/org/cowslipbank/decision/claims/ClaimWorld.java
@@ -42,6 +42,7 @@
     private final int[] incarnations = new int[2];
     private final long[] openCall = new long[2];
     private final boolean[] paused = new boolean[2];
+    private final long[] startedMillis = new long[2];
     private final Set<Integer> granted = new HashSet<>();
     private final Map<Integer, String> firstAnswers = new HashMap<>();
     private final Map<Integer, Integer> runs = new HashMap<>();
@@ -136,6 +137,7 @@
 
     private void start(int node) {
         incarnations[node]++;
+        startedMillis[node] = nowMillis;
         nodes[node] = new PartitionOwner(0, SETTINGS, "n" + node + "." + incarnations[node]);
         execute(node, nodes[node].owns(true, now()));
     }
@@ -197,10 +199,12 @@
                 inService.add(new Open(node, incarnations[node], openCall[node], call.call(), lose));
             } else if (effect instanceof PartitionEffect.Answer answer) {
                 check(calls.remove(answer.requestId()), answer.outcome());
-            } else {
+            } else if (effect instanceof PartitionEffect.AskFleet ask) {
                 int other = 1 - node;
-                OptionalLong highest =
-                        paused[other] ? OptionalLong.empty() : OptionalLong.of(nodes[other].highestSequence());
+                boolean knows = nowMillis - startedMillis[other] > ask.confirmedAgeMillis();
+                OptionalLong highest = paused[other] || !knows
+                        ? OptionalLong.empty()
+                        : OptionalLong.of(nodes[other].highestSequence());
                 execute(node, nodes[node].fleetAnswered(highest, now()));
             }
         }
--- a/entry/src/main/java/org/cowslipbank/entry/claims/ClaimService.java
+++ b/entry/src/main/java/org/cowslipbank/entry/claims/ClaimService.java
@@ -46,6 +46,8 @@
     private static final long BUSY_TICK_MILLIS = 5;
     private static final long IDLE_TICK_MILLIS = 100;
     private static final long PAUSE_MILLIS = 2_000;
+    // A create of an earlier run on the same VM may take effect this long after that run has ended.
+    private static final long FORGOTTEN_MILLIS = 10_000;
 
     private enum Delivery {
         PENDING,
@@ -67,6 +69,7 @@
     // Only the scheduler's thread uses the fields below.
     private final Map<Integer, PartitionWorker> workers = new HashMap<>();
     private final Map<Integer, Long> highestOfDiscarded = new HashMap<>();
+    private long startedMillis;
     private long lastTickMillis;
     private long nextTickMillis;
     private Disposable nextTick = () -> {};
@@ -96,7 +99,8 @@
     /** Starts to work on the partitions that this node owns. */
     public void start() {
         scheduler.schedule(() -> {
-            lastTickMillis = clock.get().monotonicMillis();
+            startedMillis = clock.get().monotonicMillis();
+            lastTickMillis = startedMillis;
             tick();
         });
     }
@@ -184,10 +188,16 @@
      * Returns what this node knows of a partition, for another node's {@link ClaimWitness}.
      *
      * @param partition the partition
-     * @return the highest sequence that this node has seen or tried to write, zero if none
+     * @param confirmedAgeMillis age of the asking node's last confirmation of the log's end, in milliseconds
+     * @return the highest sequence that this node has seen or tried to write, zero if none; {@link Long#MAX_VALUE} if
+     *     this node has not run long enough to know what an earlier run on its VM may have written
      */
-    public Mono<Long> highestSequence(int partition) {
+    public Mono<Long> highestSequence(int partition, long confirmedAgeMillis) {
         return Mono.fromCallable(() -> {
+                    long ranMillis = clock.get().monotonicMillis() - startedMillis;
+                    if (ranMillis - FORGOTTEN_MILLIS < confirmedAgeMillis) {
+                        return Long.MAX_VALUE;
+                    }
                     PartitionWorker worker = workers.get(partition);
                     long discarded = highestOfDiscarded.getOrDefault(partition, 0L);
                     return worker == null ? discarded : Math.max(discarded, worker.highestSequence());
--- a/entry/src/main/java/org/cowslipbank/entry/claims/PartitionWorker.java
+++ b/entry/src/main/java/org/cowslipbank/entry/claims/PartitionWorker.java
@@ -86,8 +86,8 @@
                 call(call.call());
             } else if (effect instanceof PartitionEffect.Answer answer) {
                 answer(answer);
-            } else {
-                askFleet();
+            } else if (effect instanceof PartitionEffect.AskFleet ask) {
+                askFleet(ask.confirmedAgeMillis());
             }
         }
     }
@@ -119,8 +119,8 @@
         }
     }
 
-    private void askFleet() {
-        witness.highestSequence(partition)
+    private void askFleet(long confirmedAgeMillis) {
+        witness.highestSequence(partition, confirmedAgeMillis)
                 .timeout(WITNESS_TIMEOUT, scheduler)
                 .onErrorReturn(OptionalLong.empty())
                 .defaultIfEmpty(OptionalLong.empty())
--- a/entry/src/main/java/org/cowslipbank/entry/node/ClaimParts.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/ClaimParts.java
@@ -54,8 +54,7 @@
                 scheduler,
                 () -> new ClaimTime(System.nanoTime() / 1_000_000, System.currentTimeMillis()));
         transport.onRequest(RequestKind.CLAIM, (from, body) -> serve(body));
-        transport.onRequest(RequestKind.CLAIM_SEQUENCE, (from, body) -> service.highestSequence(
-                        ByteBuffer.wrap(body).getInt())
+        transport.onRequest(RequestKind.CLAIM_SEQUENCE, (from, body) -> highestHere(ByteBuffer.wrap(body))
                 .map(highest -> ByteBuffer.allocate(Long.BYTES).putLong(highest).array()));
     }
 
@@ -108,12 +107,20 @@
         }
     }
 
+    private Mono<Long> highestHere(ByteBuffer question) {
+        int partition = question.getInt();
+        return service.highestSequence(partition, question.getLong());
+    }
+
     // A node that is held for dead may have written before it died, so it counts as one that has not answered.
-    private Mono<OptionalLong> highestSequence(int partition) {
+    private Mono<OptionalLong> highestSequence(int partition, long confirmedAgeMillis) {
         if (!fleet.service().snapshot().view().deadNodes().isEmpty()) {
             return Mono.just(OptionalLong.empty());
         }
-        byte[] body = ByteBuffer.allocate(Integer.BYTES).putInt(partition).array();
+        byte[] body = ByteBuffer.allocate(Integer.BYTES + Long.BYTES)
+                .putInt(partition)
+                .putLong(confirmedAgeMillis)
+                .array();
         return Flux.fromIterable(regionNodes())
                 .filter(node -> !node.node().vm().equals(self))
                 .flatMap(node -> transport.request(
