--- a/bench/src/main/java/org/cowslipbank/bench/config/ConfigurationFleet.java
+++ b/bench/src/main/java/org/cowslipbank/bench/config/ConfigurationFleet.java
@@ -174,8 +174,8 @@
         ChangeOrder order = new ChangeOrder(changeId, "operator-" + node, "bench", scheduler.nowMillis(), mayLag);
         return Mono.defer(() -> {
             // As the node does: while a change runs, one node of each data centre is asked for its revision.
-            Disposable asking = schedulers.get(node)
-                    .schedulePeriodically(() -> askAll(node), 0, ASK_MILLIS, TimeUnit.MILLISECONDS);
+            Disposable asking =
+                    schedulers.get(node).schedulePeriodically(() -> askAll(node), 0, ASK_MILLIS, TimeUnit.MILLISECONDS);
             return services.get(node)
                     .change(new ChangeRequest(order, ifMatch, edit))
                     .doFinally(signal -> asking.dispose());
