Carry copies in flight over to a new guard

The guard of a fingerprint changes when a node leaves. The new one knew neither the crash facts nor the copies in flight, so one request could cost a third upstream. Crash facts are now reported to the next guard too, nodes report their copies in flight when a guard changes, and the arbiter grants no run while the guard knows of a copy.

--- a/bench/src/main/java/org/cowslipbank/bench/streams/CrashScenario.java
+++ b/bench/src/main/java/org/cowslipbank/bench/streams/CrashScenario.java
@@ -25,6 +25,9 @@
 
     private static final int RESENDS = 40;
     private static final long RESEND_MILLIS = 200;
+    /** The guards stay. */
+    static final long NEVER = -1;
+
     private static final long CRASH_MILLIS = 20_000;
     private static final long ARRIVALS_MILLIS = 60_000;
     private static final long END_MILLIS = 300_000;
@@ -42,8 +45,11 @@
         this.crashAtToken = crashAtToken;
     }
 
-    static Outcome run(String name, long seed, int crashAtToken) {
+    static Outcome run(String name, long seed, int crashAtToken, long guardsChangeMillis) {
         CrashScenario scenario = new CrashScenario(seed, crashAtToken);
+        if (guardsChangeMillis >= 0) {
+            scenario.world.clock().after(CRASH_MILLIS + guardsChangeMillis, scenario.world::changeGuards);
+        }
         return scenario.run(name);
     }
 
--- a/bench/src/main/java/org/cowslipbank/bench/streams/StreamsBench.java
+++ b/bench/src/main/java/org/cowslipbank/bench/streams/StreamsBench.java
@@ -13,6 +13,9 @@
 public final class StreamsBench implements Bench {
     private static final int CRASH_RUNS = 5;
 
+    /** Changes of guards before the first crash, at it and before the second one, counted from the first copy. */
+    private static final List<Long> GUARDS_CHANGE_MILLIS = List.of(60L, 160L, 400L);
+
     @Override
     public String name() {
         return "streams";
@@ -37,8 +40,12 @@
         truthful.add(FaultScenarios.weightSwap("swap_aborts_runs", seed, true, 0));
         truthful.add(FaultScenarios.everything(seed));
         for (int run = 0; run < CRASH_RUNS; run++) {
-            truthful.add(CrashScenario.run("crash_in_prefill_" + run, seed * CRASH_RUNS + run, 0));
-            truthful.add(CrashScenario.run("crash_in_decode_" + run, seed * CRASH_RUNS + run, 7));
+            truthful.add(CrashScenario.run("crash_in_prefill_" + run, seed * CRASH_RUNS + run, 0, CrashScenario.NEVER));
+            truthful.add(CrashScenario.run("crash_in_decode_" + run, seed * CRASH_RUNS + run, 7, CrashScenario.NEVER));
+        }
+        for (long changeMillis : GUARDS_CHANGE_MILLIS) {
+            String name = "crash_guards_change_" + changeMillis;
+            truthful.add(CrashScenario.run(name, seed, 0, changeMillis));
         }
         return report(options, whole, truthful);
     }
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
@@ -55,7 +55,7 @@
     private static final long REPORT_ONCE_MILLIS = 3_000;
 
     final VmId id;
-    final CopyGuard guard = new CopyGuard(MAX_RUN_MILLIS);
+    CopyGuard guard = new CopyGuard(MAX_RUN_MILLIS);
     SuspectFacts facts = SuspectFacts.NONE;
     final Admission admission = new Admission(0, FIRST_RUN_ESTIMATE_MILLIS);
     private final World world;
@@ -292,9 +292,9 @@
             report.health = finished ? report.health.succeeded() : report.health;
             stream.sentTo = null;
         }
-        if (stream.guarded) {
-            world.guardOf(print).guard.ended(print, id, finished);
-            stream.guarded = false;
+        if (stream.guarded != null) {
+            world.guardOf(print).guard.ended(print, stream.guarded, finished);
+            stream.guarded = null;
         }
         if (stream.granted != null) {
             world.arbiter.ended(print, id);
@@ -358,12 +358,13 @@
         }
         long print = stream.caller.request.fingerprint();
         SimNode guardNode = world.guardOf(print);
-        CopyGuard.Answer answer = guardNode.guard.ask(print, id, preferred.get().engine.id, guardNode.facts, now());
+        CopyGuard.Answer answer =
+                guardNode.guard.ask(print, start.attempt(), id, preferred.get().engine.id, guardNode.facts, now());
         switch (answer.verdict()) {
             case REFUSE -> notSent(stream, start.attempt(), NotSentReason.SUSPECT_REFUSED, 0);
             case ASK_ARBITER -> askArbiter(stream, start, preferred.get());
             case SEND -> {
-                stream.guarded = true;
+                stream.guarded = start.attempt();
                 sendWithinBudget(stream, start, reports.get(answer.upstream()));
             }
             default -> throw new IllegalStateException("unknown verdict " + answer.verdict());
@@ -376,7 +377,12 @@
                 .filter(report -> mayRun(report, start))
                 .map(report -> new SuspectArbiter.Candidate(report.engine.id, report.load()))
                 .toList();
-        SuspectArbiter.Question question = new SuspectArbiter.Question(print, id, candidates, start.fromToken(), true);
+        SuspectArbiter.Question question = new SuspectArbiter.Question(
+                print,
+                id,
+                candidates,
+                start.fromToken(),
+                world.guardOf(print).guard.noCopyInFlight(print, now()));
         SuspectArbiter.Answer answer = world.arbiter.ask(question, world.arbiterNode().facts, now());
         switch (answer.verdict()) {
             case REFUSE -> notSent(stream, start.attempt(), NotSentReason.SUSPECT_REFUSED, 0);
@@ -498,11 +504,26 @@
 
     private void tellOwners(long print, SuspectFacts told) {
         facts = facts.merge(told.crashes(), told.clears(), now());
-        for (SimNode owner : List.of(world.guardOf(print), world.arbiterNode())) {
+        for (SimNode owner : List.of(world.guardOf(print), world.nextGuardOf(print), world.arbiterNode())) {
             owner.facts = owner.facts.merge(told.crashes(), told.clears(), now());
         }
     }
 
+    /** Loses what this node knew as a guard, as if another node had taken over. */
+    void loseGuard() {
+        guard = new CopyGuard(MAX_RUN_MILLIS);
+    }
+
+    /** Reports the copies in flight to their guards. */
+    void reportCopies() {
+        for (SimStream stream : streams) {
+            if (stream.guarded != null && stream.sentTo != null) {
+                long print = stream.caller.request.fingerprint();
+                world.guardOf(print).guard.restore(print, stream.guarded, id, stream.sentTo, now());
+            }
+        }
+    }
+
     private void renewGrants() {
         streams.stream()
                 .filter(stream -> stream.granted != null)
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimStream.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimStream.java
@@ -5,6 +5,7 @@
 
 import org.cowslipbank.decision.admission.AdmissionRequest;
 import org.cowslipbank.decision.streams.StreamState;
+import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.UpstreamId;
 
 /** One stream at a node, with what the shell keeps beside the state machine. */
@@ -18,7 +19,7 @@
     long admittedMillis;
     UpstreamId sentTo;
     UpstreamId granted;
-    boolean guarded;
+    AttemptId guarded;
     boolean reading;
     int unread;
 
--- a/bench/src/main/java/org/cowslipbank/bench/virtual/World.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/World.java
@@ -30,6 +30,9 @@
     /** Time within which all nodes know that an engine leaves. */
     private static final long ANNOUNCE_MILLIS = 2_000;
 
+    /** Time in which nodes notice a change of guards and report their copies to the new ones. */
+    private static final long GUARD_REPORT_MILLIS = 50;
+
     private static final long REPORT_MILLIS = 100;
     private static final long TICK_MILLIS = 50;
     private static final long GOSSIP_MILLIS = 1_000;
@@ -220,6 +223,16 @@
         return nodes.get(nodeIds.indexOf(CopyGuard.guardOf(fingerprint, nodeIds)));
     }
 
+    SimNode nextGuardOf(long fingerprint) {
+        return nodes.get(nodeIds.indexOf(CopyGuard.nextGuardOf(fingerprint, nodeIds)));
+    }
+
+    /** Lets all guards lose their state, as when the membership changes; the nodes report their copies a little later. */
+    public void changeGuards() {
+        nodes.forEach(SimNode::loseGuard);
+        clock.after(GUARD_REPORT_MILLIS, () -> nodes.forEach(SimNode::reportCopies));
+    }
+
     SimNode arbiterNode() {
         return nodes.get(0);
     }
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CopyGuard.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CopyGuard.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 
@@ -29,9 +30,9 @@
         this.maxRunMillis = maxRunMillis;
     }
 
-    private record Copies(UpstreamId upstream, Map<VmId, Holder> holders) {}
+    private record Copies(UpstreamId upstream, Map<AttemptId, Holder> holders) {}
 
-    private record Holder(int copies, long untilMillis) {}
+    private record Holder(VmId node, long untilMillis) {}
 
     /** What a node may do with a request. */
     public enum Verdict {
@@ -55,13 +56,15 @@
      * Asks where a request may be sent.
      *
      * @param fingerprint the request's fingerprint
+     * @param attempt the attempt that would be sent
      * @param node the node that asks
      * @param preferred the upstream that routing chose
      * @param facts what the guard knows of crashes
      * @param nowMillis the time in milliseconds
      * @return the answer; after {@link Verdict#SEND} the node reports the end of the run
      */
-    public Answer ask(long fingerprint, VmId node, UpstreamId preferred, SuspectFacts facts, long nowMillis) {
+    public Answer ask(
+            long fingerprint, AttemptId attempt, VmId node, UpstreamId preferred, SuspectFacts facts, long nowMillis) {
         SuspectVerdict verdict = facts.verdict(fingerprint);
         if (verdict == SuspectVerdict.REFUSED) {
             return new Answer(Verdict.REFUSE, null);
@@ -74,22 +77,33 @@
         }
         expire(fingerprint, nowMillis);
         Copies copies = inFlight.computeIfAbsent(fingerprint, print -> new Copies(preferred, new HashMap<>()));
-        copies.holders()
-                .merge(
-                        node,
-                        new Holder(1, nowMillis + maxRunMillis),
-                        (old, one) -> new Holder(old.copies() + 1, one.untilMillis()));
+        copies.holders().put(attempt, new Holder(node, nowMillis + maxRunMillis));
         return new Answer(Verdict.SEND, copies.upstream());
     }
 
     /**
-     * Notes that a copy has ended.
+     * Takes over a copy that was placed by an earlier guard. Nodes report the copies that they have in flight when the
+     * guard of their fingerprints changes. A copy that is known already is not counted twice.
      *
      * @param fingerprint the request's fingerprint
+     * @param attempt the attempt
      * @param node the node that sent it
+     * @param upstream where it runs
+     * @param nowMillis the time in milliseconds
+     */
+    public void restore(long fingerprint, AttemptId attempt, VmId node, UpstreamId upstream, long nowMillis) {
+        Copies copies = inFlight.computeIfAbsent(fingerprint, print -> new Copies(upstream, new HashMap<>()));
+        copies.holders().put(attempt, new Holder(node, nowMillis + maxRunMillis));
+    }
+
+    /**
+     * Notes that a copy has ended.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param attempt the attempt
      * @param finished true if it ran to its end, which proves it
      */
-    public void ended(long fingerprint, VmId node, boolean finished) {
+    public void ended(long fingerprint, AttemptId attempt, boolean finished) {
         if (finished) {
             prove(fingerprint);
         }
@@ -97,11 +111,7 @@
         if (copies == null) {
             return;
         }
-        copies.holders()
-                .computeIfPresent(
-                        node,
-                        (id, holder) ->
-                                holder.copies() > 1 ? new Holder(holder.copies() - 1, holder.untilMillis()) : null);
+        copies.holders().remove(attempt);
         if (copies.holders().isEmpty()) {
             inFlight.remove(fingerprint);
         }
@@ -113,7 +123,8 @@
      * @param node the node
      */
     public void nodeDied(VmId node) {
-        inFlight.values().forEach(copies -> copies.holders().remove(node));
+        inFlight.values().forEach(copies -> copies.holders().values().removeIf(holder -> holder.node()
+                .equals(node)));
         inFlight.values().removeIf(copies -> copies.holders().isEmpty());
     }
 
@@ -152,6 +163,20 @@
         return highest(fingerprint, nodes);
     }
 
+    /**
+     * Names the node that becomes the guard when the guard leaves. Crash facts are reported to it too, so that it knows
+     * them before it is asked.
+     *
+     * @param fingerprint the fingerprint
+     * @param nodes live nodes of the region, at least one
+     * @return the next guard; the guard itself if it is the only node
+     */
+    public static VmId nextGuardOf(long fingerprint, List<VmId> nodes) {
+        VmId guard = guardOf(fingerprint, nodes);
+        List<VmId> others = nodes.stream().filter(node -> !node.equals(guard)).toList();
+        return others.isEmpty() ? guard : highest(fingerprint, others);
+    }
+
     /** Rendezvous hashing (Thaler and Ravishankar): the member with the highest hash together with the key. */
     private static <T> T highest(long fingerprint, List<T> members) {
         T best = members.get(0);
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/package-info.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/package-info.java
@@ -26,9 +26,10 @@
  *
  * <p>With two regions, each has a guard, so copies may run at one upstream in each before any crash. The arbiter
  * therefore grants a second run only after the other region's guard has taken over the facts and confirmed that no copy
- * is in flight there; if it cannot be reached, X waits or is refused as not run. When a guard changes, copies placed by
- * the old one are unknown to the new one: both may then cost one upstream each, which is still two, since the arbiter
- * grants nothing to a fingerprint with two crashes. A new arbiter waits one lease period before its first grant. If a
+ * is in flight there; if it cannot be reached, X waits or is refused as not run. Crash facts are
+ * reported to the next guard too, which takes over when the guard leaves; the nodes then report their copies in flight
+ * to it. Copies that it places before it has heard of the old ones may cost a second upstream; the arbiter grants no run
+ * while the guard knows of a copy in flight, and none after two crashes. A new arbiter waits one lease period before its first grant. If a
  * guard does not answer, the node uses {@link org.cowslipbank.decision.suspects.CopyGuard#fallback}, which every node
  * computes alike, so that copies still meet at one upstream. The bound does not hold when the guard is unreachable
  * and nodes disagree about the upstreams at the same moment.
--- a/decision/src/test/java/org/cowslipbank/decision/suspects/SuspectsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/SuspectsTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 
@@ -76,12 +77,33 @@
     @Example
     void copiesMeetAtOneUpstreamUntilProven() {
         CopyGuard guard = new CopyGuard(60_000);
-        assert guard.ask(KILLER, NODE, A, SuspectFacts.NONE, 0).upstream().equals(A);
-        assert guard.ask(KILLER, OTHER, B, SuspectFacts.NONE, 0).upstream().equals(A);
-        guard.ended(KILLER, NODE, false);
-        assert guard.ask(KILLER, NODE, B, SuspectFacts.NONE, 0).upstream().equals(A);
-        guard.ended(KILLER, OTHER, true);
-        assert guard.ask(KILLER, OTHER, B, SuspectFacts.NONE, 0).upstream().equals(B);
+        AttemptId first = new AttemptId("r1.1");
+        AttemptId second = new AttemptId("r2.1");
+        assert send(guard, first, NODE, A).equals(A);
+        assert send(guard, second, OTHER, B).equals(A);
+        guard.ended(KILLER, first, false);
+        assert send(guard, first, NODE, B).equals(A);
+        guard.ended(KILLER, second, true);
+        assert send(guard, second, OTHER, B).equals(B);
+    }
+
+    /** Failure guarded against: a copy that is reported twice after a change of guards never counts as ended. */
+    @Example
+    void aRestoredCopyIsCountedOnce() {
+        CopyGuard guard = new CopyGuard(60_000);
+        AttemptId attempt = new AttemptId("r1.1");
+        send(guard, attempt, NODE, A);
+        guard.restore(KILLER, attempt, NODE, A, 0);
+        assert !guard.noCopyInFlight(KILLER, 0);
+        guard.ended(KILLER, attempt, false);
+        assert guard.noCopyInFlight(KILLER, 0);
+        guard.restore(KILLER, attempt, NODE, A, 0);
+        guard.nodeDied(NODE);
+        assert guard.noCopyInFlight(KILLER, 0);
+    }
+
+    private static UpstreamId send(CopyGuard guard, AttemptId attempt, VmId node, UpstreamId preferred) {
+        return guard.ask(KILLER, attempt, node, preferred, SuspectFacts.NONE, 0).upstream();
     }
 
     /** Failure guarded against: two suspects share an upstream, so that its crash blames both. */
