Keep the bytes of a fleet's start from delaying urgent facts

At 340 nodes the start announcements of all nodes filled queues and debts, so that for minutes a draining node was named by almost all others. A new process of a node that was not missed is now no urgent news; it spreads with the load digests and by fetching the table, which a starting node does at once and a node in debt refuses. A large fleet spends at most 500 B/s on facts. A test covers TLS between peers.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -42,7 +42,7 @@
         MemberFact merged = known.fact().merge(fact);
         if (!merged.equals(known.fact())) {
             step.state.putMember(new Member(merged, step.nowMillis, known.listed(), known.listedLeaving()));
-            announce(step, merged);
+            announce(step, known.fact(), merged);
         } else if (!fact.equals(merged) && (fact.incarnation() > 0 || fact.status() != MemberStatus.ALIVE)) {
             // The sender lags behind: what it lacks is sent again unless it is on its way already.
             Outbox.addIfAbsent(step, memberKey(merged));
@@ -55,15 +55,25 @@
             return;
         }
         step.state.putMember(new Member(fact, step.nowMillis, false, false));
-        announce(step, fact);
+        announce(step, fact, fact);
     }
 
-    private static void announce(Step step, MemberFact fact) {
+    /**
+     * Passes a changed member on. A new process of a node that was not missed is no urgent news; when a whole fleet
+     * starts, such facts would use up the bytes that deaths and leaving nodes need.
+     */
+    private static void announce(Step step, MemberFact before, MemberFact fact) {
         step.learned.add(fact);
         if (fact.incarnation() == 0 && fact.status() == MemberStatus.ALIVE) {
             return;
         }
-        spread(step, memberKey(fact));
+        boolean wasUsable = before.status() == MemberStatus.ALIVE && !before.leaving();
+        boolean isUsable = fact.status() == MemberStatus.ALIVE && !fact.leaving();
+        if (wasUsable && isUsable) {
+            Outbox.add(step, memberKey(fact), false);
+        } else {
+            spread(step, memberKey(fact));
+        }
     }
 
     /** Answers a false statement about this node with a greater incarnation. */
@@ -93,7 +103,7 @@
                 MemberStatus.ALIVE,
                 leaving));
         FactKey key = memberKey(self);
-        Outbox.add(step, key);
+        Outbox.add(step, key, true);
         step.urgent.add(key);
     }
 
@@ -161,7 +171,7 @@
         step.state.loads.put(fact.upstream(), new Held<>(fact, step.nowMillis - fact.ageMillis()));
         step.state.version++;
         step.learned.add(fact);
-        Outbox.add(step, new FactKey(FactKey.Kind.LOAD, fact.upstream().value()));
+        Outbox.add(step, new FactKey(FactKey.Kind.LOAD, fact.upstream().value()), false);
     }
 
     /** Raises the versions of this node's own statements above the known ones. */
@@ -233,7 +243,7 @@
     }
 
     private static void spread(Step step, FactKey key) {
-        Outbox.add(step, key);
+        Outbox.add(step, key, true);
         step.urgent.add(key);
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Membership.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Membership.java
@@ -52,7 +52,8 @@
                 MemberStatus.ALIVE,
                 false);
         MembershipState state = new MembershipState(settings, fact, nowMillis);
-        state.outbox.put(FactStore.memberKey(fact), Transmissions.NONE);
+        state.outbox.put(FactStore.memberKey(fact), Transmissions.none(false));
+        state.syncs.put(self.dataCentre(), SyncState.NEEDED);
         return state;
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipSettings.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipSettings.java
@@ -43,5 +43,5 @@
 
     /** Settings of a fleet of hundreds of nodes. */
     public static final MembershipSettings LARGE_FLEET = new MembershipSettings(
-            1_000, 300, 300, 3, 3_000, 5_000, 600_000, 2, 2_000, 800, 4, 400, 800, 3, 2_000, false);
+            1_000, 300, 300, 3, 3_000, 5_000, 600_000, 2, 2_000, 800, 4, 400, 500, 3, 2_000, false);
 }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
@@ -14,6 +14,9 @@
     /** Bytes of member states in one part of a table that a peer asked for. */
     private static final int SYNC_BYTES = 1_000;
 
+    /** Debt beyond which no table part is sent, so that the rest of the debt is left to urgent facts. */
+    private static final int SYNC_DEBT_BYTES = 2_000;
+
     private Messenger() {}
 
     /** Sends a probe and remembers it. */
@@ -40,6 +43,7 @@
         addAbout(step, facts, to);
         Optional<String> next = probe.digest()
                 .syncCursor()
+                .filter(cursor -> step.state.budgetBytes > -SYNC_DEBT_BYTES)
                 .map(cursor -> addTablePart(step, facts, cursor, step.state.isOwnDataCentre(to)));
         Outbox.fill(step, facts, to.dataCentre());
         Outbox.charge(step, facts);
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -40,13 +40,13 @@
 
     private Outbox() {}
 
-    static void add(Step step, FactKey key) {
-        step.state.outbox.put(key, Transmissions.NONE);
+    static void add(Step step, FactKey key, boolean urgent) {
+        step.state.outbox.put(key, Transmissions.none(urgent));
     }
 
     static void addIfAbsent(Step step, FactKey key) {
         if (step.state.outbox.get(key) == null) {
-            step.state.outbox.put(key, Transmissions.NONE);
+            step.state.outbox.put(key, Transmissions.none(true));
         }
     }
 
@@ -68,7 +68,7 @@
             FactKey key = entry.getKey();
             Transmissions sent = entry.getValue();
             if (isDue(step, key, sent, own)
-                    && hasBudget(step, key, builder.bytes())
+                    && hasBudget(step, sent.urgent(), builder.bytes())
                     && append(step, builder, key, own)) {
                 count(step, key, own ? sent.plusOwn() : sent.plusAcross());
             }
@@ -79,7 +79,7 @@
     static void fill(Step step, FactsBuilder builder, Collection<FactKey> keys, DataCentreId receiver) {
         boolean own = receiver.equals(step.state.dataCentre());
         for (FactKey key : keys) {
-            if (builder.bytes() < PUSH_BYTES && hasBudget(step, key, builder.bytes())) {
+            if (builder.bytes() < PUSH_BYTES && hasBudget(step, true, builder.bytes())) {
                 append(step, builder, key, own);
             }
         }
@@ -89,9 +89,9 @@
         step.state.budgetBytes -= builder.bytes();
     }
 
-    private static boolean hasBudget(Step step, FactKey key, int usedBytes) {
+    private static boolean hasBudget(Step step, boolean urgent, int usedBytes) {
         double left = step.state.budgetBytes - usedBytes;
-        return key.kind() == FactKey.Kind.LOAD ? left > 0 : left > -OVERDRAFT_BYTES;
+        return left > (urgent ? -OVERDRAFT_BYTES : 0);
     }
 
     private static void count(Step step, FactKey key, Transmissions sent) {
--- a/decision/src/main/java/org/cowslipbank/decision/membership/SyncState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/SyncState.java
@@ -9,8 +9,8 @@
  */
 record SyncState(int score, String cursor) {
     static final SyncState AGREED = new SyncState(0, "");
-    private static final int THRESHOLD = 10;
-    private static final int MAX_SCORE = 15;
+    private static final int THRESHOLD = 20;
+    private static final int MAX_SCORE = 25;
 
     static final SyncState NEEDED = new SyncState(MAX_SCORE, "");
 
--- a/peer/src/test/java/org/cowslipbank/peer/TcpPeerTransportTest.java
+++ b/peer/src/test/java/org/cowslipbank/peer/TcpPeerTransportTest.java
@@ -4,11 +4,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -28,7 +32,7 @@
     private static final byte[] SECRET = "a secret of this test only".getBytes(StandardCharsets.UTF_8);
     private static final byte[] OTHER_SECRET = "another secret of this test".getBytes(StandardCharsets.UTF_8);
 
-    private final java.util.List<TcpPeerTransport> started = new java.util.ArrayList<>();
+    private final List<TcpPeerTransport> started = new ArrayList<>();
 
     @AfterTry
     void stopAll() {
@@ -134,10 +138,38 @@
         client.request(address, RequestKind.STATUS, new byte[1], 5_000).block(PATIENCE);
     }
 
+    /** Guards against a stranger that holds the shared secret but no certificate of the fleet's authority. */
+    @Example
+    void tlsNeedsACertificateOnBothSides() throws Exception {
+        TcpPeerTransport server = create("server", SECRET, Optional.of(tls("node")));
+        server.onRequest(RequestKind.STATUS, (from, body) -> Mono.just(body));
+        PeerAddress address = listen(server, "server");
+        TcpPeerTransport client = create("client", SECRET, Optional.of(tls("node")));
+        byte[] answer =
+                client.request(address, RequestKind.STATUS, new byte[7], 5_000).block(PATIENCE);
+        require(answer.length == 7, "answer over TLS");
+        for (Optional<PeerTls> other : List.of(Optional.of(tls("stranger")), Optional.<PeerTls>empty())) {
+            TcpPeerTransport stranger = create("stranger", SECRET, other);
+            failure(stranger.request(address, RequestKind.STATUS, new byte[1], 5_000));
+        }
+    }
+
+    /** The test certificates sign themselves; the fleet's authority is the node's own certificate. */
+    private static PeerTls tls(String name) throws Exception {
+        Path folder = Path.of(
+                        TcpPeerTransportTest.class.getResource("/tls/node.pem").toURI())
+                .getParent();
+        return new PeerTls(folder.resolve(name + ".pem"), folder.resolve(name + ".key"), folder.resolve("node.pem"));
+    }
+
     private TcpPeerTransport create(String vm, byte[] secret) throws Exception {
+        return create(vm, secret, Optional.empty());
+    }
+
+    private TcpPeerTransport create(String vm, byte[] secret, Optional<PeerTls> tls) throws Exception {
         PeerIdentity self = new PeerIdentity(new VmId(vm), new DataCentreId("dc"), "127.0.0.1:1", 8080);
-        TcpPeerTransport transport = new TcpPeerTransport(
-                new PeerSettings(self, "127.0.0.1", 0, PeerSecret.of(secret), Optional.empty(), QUICK));
+        TcpPeerTransport transport =
+                new TcpPeerTransport(new PeerSettings(self, "127.0.0.1", 0, PeerSecret.of(secret), tls, QUICK));
         started.add(transport);
         return transport;
     }
@@ -170,7 +202,7 @@
         private final ServerSocket listener;
         private final int targetPort;
         private final AtomicInteger accepted = new AtomicInteger();
-        private final java.util.List<Socket> sockets = new java.util.concurrent.CopyOnWriteArrayList<>();
+        private final List<Socket> sockets = new CopyOnWriteArrayList<>();
         private volatile int silencedUpTo;
 
         SilencingRelay(int targetPort) throws Exception {
