Give the table its own budget and send new processes less often

After the start of a whole fleet, parts of the member table and the start announcements of all nodes displaced load digests for minutes. Parts of the table now have a budget of their own, six tenths of that for facts, and facts that are not urgent are sent as rarely as digests.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
@@ -40,6 +40,7 @@
     long nextCrossMillis;
     long nextSweepMillis;
     double budgetBytes;
+    double syncBudgetBytes;
     long revision;
     long confirmedAtMillis = -1;
     long lastAckMillis = -1;
@@ -96,6 +97,7 @@
         nextCrossMillis = other.nextCrossMillis;
         nextSweepMillis = other.nextSweepMillis;
         budgetBytes = other.budgetBytes;
+        syncBudgetBytes = other.syncBudgetBytes;
         revision = other.revision;
         confirmedAtMillis = other.confirmedAtMillis;
         lastAckMillis = other.lastAckMillis;
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
@@ -14,9 +14,6 @@
     /** Bytes of member states in one part of a table that a peer asked for. */
     private static final int SYNC_BYTES = 1_000;
 
-    /** Debt beyond which no table part is sent, so that the rest of the debt is left to urgent facts. */
-    private static final int SYNC_DEBT_BYTES = 2_000;
-
     private Messenger() {}
 
     /** Sends a probe and remembers it. */
@@ -41,12 +38,14 @@
     static void acknowledge(Step step, NodeAddress to, Packet probe) {
         FactsBuilder facts = new FactsBuilder();
         addAbout(step, facts, to);
+        Outbox.fill(step, facts, to.dataCentre());
+        Outbox.charge(step, facts);
+        int usedBytes = facts.bytes();
         Optional<String> next = probe.digest()
                 .syncCursor()
-                .filter(cursor -> step.state.budgetBytes > -SYNC_DEBT_BYTES)
+                .filter(cursor -> step.state.syncBudgetBytes > 0)
                 .map(cursor -> addTablePart(step, facts, cursor, step.state.isOwnDataCentre(to)));
-        Outbox.fill(step, facts, to.dataCentre());
-        Outbox.charge(step, facts);
+        step.state.syncBudgetBytes -= facts.bytes() - usedBytes;
         step.send(to, Packet.ack(probe.sequence(), step.digest(next), facts.build()));
     }
 
@@ -101,13 +100,14 @@
      * few and matter for every request.
      */
     private static String addTablePart(Step step, FactsBuilder facts, String cursor, boolean own) {
+        int limitBytes = facts.bytes() + SYNC_BYTES;
         for (FactKey key : tableKeys(step)) {
             String position = position(key);
             if (position.compareTo(cursor) <= 0) {
                 continue;
             }
             Outbox.append(step, facts, key, own);
-            if (facts.bytes() >= SYNC_BYTES) {
+            if (facts.bytes() >= limitBytes) {
                 return position;
             }
         }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -28,6 +28,12 @@
 
     private static final double BURST_SECONDS = 3;
 
+    /**
+     * Bytes for parts of the table in relation to those for facts. A budget of their own keeps the start of a fleet from
+     * displacing load digests.
+     */
+    private static final double SYNC_SHARE = 0.6;
+
     private static final int URGENT_ROUNDS = 2;
 
     /** Number of times that a gateway sends a fact to each other data centre, on average. */
@@ -54,6 +60,9 @@
         int rate = step.state.settings.factBytesPerSecond();
         double filled = step.state.budgetBytes + elapsedMillis * rate / 1_000.0;
         step.state.budgetBytes = Math.min(filled, rate * BURST_SECONDS);
+        double syncRate = rate * SYNC_SHARE;
+        double syncFilled = step.state.syncBudgetBytes + elapsedMillis * syncRate / 1_000.0;
+        step.state.syncBudgetBytes = Math.min(syncFilled, syncRate * BURST_SECONDS);
     }
 
     /** Adds queued facts for a receiver up to the limit of a message and of the budget. */
@@ -104,18 +113,22 @@
 
     private static boolean isDue(Step step, FactKey key, Transmissions sent, boolean own) {
         if (own) {
-            return !step.ownLive().isEmpty() && sent.own() < limit(step, key);
+            return !step.ownLive().isEmpty() && sent.own() < limit(step, sent.urgent());
         }
         boolean crosses = key.kind() != FactKey.Kind.REACH
                 && (key.kind() != FactKey.Kind.LOAD || step.state.settings.loadsCrossDataCentres());
-        int rounds = key.kind() == FactKey.Kind.LOAD ? 1 : ROUNDS_ACROSS;
+        int rounds = sent.urgent() ? ROUNDS_ACROSS : 1;
         return crosses && sent.across() < rounds * step.state.gatewayTo().size();
     }
 
-    /** Grows with the logarithm of the data centre's size, which is the number of rounds that a fact needs. */
-    private static int limit(Step step, FactKey key) {
+    /**
+     * Grows with the logarithm of the data centre's size, which is the number of rounds that a fact needs. Other facts
+     * than urgent ones are sent less often: a load digest is soon replaced, and a new process is also found by fetching
+     * the table.
+     */
+    private static int limit(Step step, boolean urgent) {
         int rounds = 33 - Integer.numberOfLeadingZeros(step.ownLive().size() + 1);
-        return key.kind() == FactKey.Kind.LOAD ? rounds / 2 + 1 : URGENT_ROUNDS * rounds;
+        return urgent ? URGENT_ROUNDS * rounds : rounds / 2 + 1;
     }
 
     /** Appends a fact in its current state. Returns false if it has gone or does not concern the receiver. */
