--- a/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
@@ -38,11 +38,14 @@
     static void acknowledge(Step step, NodeAddress to, Packet probe) {
         FactsBuilder facts = new FactsBuilder();
         addAbout(step, facts, to);
+        Outbox.fill(step, facts, to.dataCentre());
+        Outbox.charge(step, facts);
+        int usedBytes = facts.bytes();
         Optional<String> next = probe.digest()
                 .syncCursor()
+                .filter(cursor -> step.state.syncBudgetBytes > 0)
                 .map(cursor -> addTablePart(step, facts, cursor, step.state.isOwnDataCentre(to)));
-        Outbox.fill(step, facts, to.dataCentre());
-        Outbox.charge(step, facts);
+        step.state.syncBudgetBytes -= facts.bytes() - usedBytes;
         step.send(to, Packet.ack(probe.sequence(), step.digest(next), facts.build()));
     }
 
@@ -97,13 +100,14 @@
      * few and matter for every request.
      */
     private static String addTablePart(Step step, FactsBuilder facts, String cursor, boolean own) {
+        int limitBytes = facts.bytes() + SYNC_BYTES;
         for (FactKey key : tableKeys(step)) {
             String position = position(key);
             if (position.compareTo(cursor) <= 0) {
                 continue;
             }
             Outbox.append(step, facts, key, own);
-            if (facts.bytes() >= SYNC_BYTES) {
+            if (facts.bytes() >= limitBytes) {
                 return position;
             }
         }
