--- a/bench/src/main/java/org/cowslipbank/bench/micro/RoutingFleet.java
+++ b/bench/src/main/java/org/cowslipbank/bench/micro/RoutingFleet.java
@@ -10,7 +10,6 @@
 import org.cowslipbank.decision.routing.RoutingDecision;
 import org.cowslipbank.decision.routing.RoutingInput;
 import org.cowslipbank.decision.routing.RoutingOutcome;
-import org.cowslipbank.decision.routing.SelectionMode;
 import org.cowslipbank.decision.routing.StoreLink;
 import org.cowslipbank.model.BlockIdentity;
 import org.cowslipbank.model.BlockKey;
@@ -69,8 +68,6 @@
                 retained,
                 subset().stream().map(RoutingFleet::candidate).toList(),
                 List.of(new StoreLink(STORE, LinkState.UP, 1e9, 8e8, 2e8, 3 * BLOCK_BYTES, 2)),
-                SelectionMode.FULL_SCAN,
-                0,
                 new DecisionWeights(1, 0.2, 0.1));
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
@@ -50,7 +50,6 @@
      *
      * @param blocks the blocks in prompt order
      * @param store the store that holds them
-     * @param plannedMillis time that the fetch is expected to take
      * @param queueMillis time the prompt would wait at the engine in any case
      * @param recomputeBlockMillis time to recompute one block
      * @param promptRecomputeMillis time to compute the whole prompt without the store
@@ -59,7 +58,6 @@
     record Plan(
             List<BlockRef> blocks,
             StoreVm store,
-            double plannedMillis,
             double queueMillis,
             double recomputeBlockMillis,
             double promptRecomputeMillis,
@@ -72,7 +70,9 @@
         private Disposable transfer;
         private Disposable timer;
         private final long startedNanos = System.nanoTime();
+        private long firstBlockNanos = startedNanos;
         private long lastBlockNanos = startedNanos;
+        private double expectedBlockMillis;
         private boolean ended;
 
         Fetch(Plan plan, MonoSink<List<BlockIdentity>> sink) {
@@ -82,6 +82,7 @@
 
         synchronized void start(Engine engine) {
             stores.addQueued(plan.store(), bytesLeft());
+            expectedBlockMillis = nextBytes() * 1_000.0 / stores.bytesPerSecond(plan.store());
             sink.onDispose(this::cancel);
             transfer = engine.importBlocks(plan.blocks())
                     .subscribe(this::onReceipt, error -> onTransferEnd(true), () -> onTransferEnd(false));
@@ -101,6 +102,7 @@
             double elapsedMillis = Math.max(0.01, (nowNanos - lastBlockNanos) / 1e6);
             stores.received(plan.store(), expected.lengthBytes(), elapsedMillis);
             stores.addQueued(plan.store(), -expected.lengthBytes());
+            firstBlockNanos = verified.isEmpty() ? nowNanos : firstBlockNanos;
             lastBlockNanos = nowNanos;
             verified.add(expected.identity());
             if (verified.size() == plan.blocks().size()) {
@@ -123,8 +125,8 @@
             FetchVerdict verdict = FetchDecision.check(new FetchProgress(
                     plan.blocks().size(),
                     verified.size(),
-                    plan.plannedMillis(),
-                    elapsedMillis,
+                    expectedBlockMillis,
+                    sinceFirstBlockMillis(),
                     linkSilentMillis(),
                     Math.max(0, plan.queueMillis() - elapsedMillis),
                     nextBytes() * 1_000.0 / plan.store().linkBytesPerSecond(),
@@ -169,6 +171,10 @@
                     .lengthBytes();
         }
 
+        private double sinceFirstBlockMillis() {
+            return verified.isEmpty() ? 0 : (System.nanoTime() - firstBlockNanos) / 1e6;
+        }
+
         private double sinceLastMillis() {
             return Math.max(0.01, (System.nanoTime() - lastBlockNanos) / 1e6);
         }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
@@ -181,7 +181,6 @@
                 new BlockFetcher.Plan(
                         outcome.fetch(),
                         store.get(),
-                        outcome.fetchMillis(),
                         outcome.queueMillis(),
                         recomputeBlockMillis,
                         promptRecomputeMillis,
