--- a/bench/src/main/java/org/cowslipbank/bench/load/LoadBench.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LoadBench.java
@@ -122,6 +122,8 @@
                         "added_between_tokens_p99_millis",
                         node.betweenTokens().p99() - direct.betweenTokens().p99(),
                         MAX_ADDED_BETWEEN_TOKENS_MILLIS),
+                Figure.info("refused", node.refused()),
+                Figure.info("failed", node.failed()),
                 Figure.info("node_first_token_p50_millis", node.firstToken().p50()),
                 Figure.info("node_first_token_p99_millis", node.firstToken().p99()),
                 Figure.info("direct_first_token_p50_millis", direct.firstToken().p50()),
