Wait for the first configuration to be in force before a node listens

After the first configuration was accepted, the node waited until it may serve, which it may with the empty revision 0 as well, so it polled no engine and knew no key until revision 1 arrived. It now waits for revision 1.

--- a/entry/src/main/java/org/cowslipbank/entry/node/ConfigurationParts.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/ConfigurationParts.java
@@ -121,7 +121,7 @@
     void start() throws ConfigurationException {
         service.start();
         telling = Flux.interval(REVISION_PERIOD, scheduler).subscribe(tick -> tellRevision());
-        waitForRevision();
+        waitForRevision(0);
         if (settings.configurationFile() != null && service.current().revision() == 0) {
             applyFirst(Path.of(settings.configurationFile()));
         }
@@ -215,9 +215,9 @@
         return read(body, NAMES).flatMap(service::values).map(ConfigurationParts::write);
     }
 
-    private void waitForRevision() {
+    private void waitForRevision(long revision) {
         long untilNanos = System.nanoTime() + FIRST_CONFIGURATION.toNanos();
-        while (!mayServe() && System.nanoTime() < untilNanos) {
+        while (!(mayServe() && service.current().revision() >= revision) && System.nanoTime() < untilNanos) {
             sleep();
         }
     }
@@ -249,7 +249,8 @@
         LOG.info(LogFields.event("first configuration")
                 .step(Step.CONFIGURE)
                 .field("outcome", outcome == null ? "none" : outcome.kind()));
-        waitForRevision();
+        // The empty revision 0 may still be in force; with it the node would know no engine and refuse its first calls.
+        waitForRevision(1);
     }
 
     private static byte[] write(Object value) {
