Keep suspects away from old copies of another suspect

After a change of guards, copies of a crashing request can be in flight at a second upstream. A harmless suspect that was granted a run there was in flight at two crashes and was refused.

When a request becomes a suspect, its guard now tells the arbiter where copies of it are in flight, and the arbiter grants no other suspect that upstream for one lease period.

--- a/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
+++ b/bench/src/main/java/org/cowslipbank/bench/virtual/SimNode.java
@@ -499,7 +499,15 @@
         SimNode arbiterNode = world.arbiterNode();
         arbiterNode.facts = world.arbiter.upstreamCrashed(upstream, arbiterNode.facts, now());
         facts = facts.merge(reported.crashes(), reported.clears(), now());
-        prints.forEach(print -> tellOwners(print, reported));
+        for (long print : prints) {
+            tellOwners(print, reported);
+            SimNode guardNode = world.guardOf(print);
+            guardNode
+                    .guard
+                    .placedAt(print, now())
+                    .filter(placed -> !placed.equals(upstream))
+                    .ifPresent(placed -> world.arbiter.occupied(placed, print, guardNode.id, now()));
+        }
     }
 
     private void tellOwners(long print, SuspectFacts told) {
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CopyGuard.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CopyGuard.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.UpstreamId;
@@ -140,6 +141,19 @@
         return !inFlight.containsKey(fingerprint);
     }
 
+    /**
+     * Names the upstream at which copies of a request are in flight. When a crash makes the request a suspect, the guard
+     * tells the arbiter, which then grants no other suspect a run there.
+     *
+     * @param fingerprint the fingerprint
+     * @param nowMillis the time in milliseconds
+     * @return the upstream, or empty if no copy is in flight
+     */
+    public Optional<UpstreamId> placedAt(long fingerprint, long nowMillis) {
+        expire(fingerprint, nowMillis);
+        return Optional.ofNullable(inFlight.get(fingerprint)).map(Copies::upstream);
+    }
+
     /**
      * Names the upstream for a request whose guard does not answer. All nodes with the same upstreams name the same
      * one.
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/SuspectArbiter.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/SuspectArbiter.java
@@ -115,6 +115,19 @@
         return new Answer(Verdict.RUN, upstream, chosen.get().inFlight() == 0, 0);
     }
 
+    /**
+     * Notes that copies of a suspect, sent before it became one, are in flight at an upstream. No other suspect is
+     * granted a run there for one lease period, because a crash would be counted against both.
+     *
+     * @param upstream the upstream
+     * @param fingerprint the suspect's fingerprint
+     * @param guard the guard that reports it
+     * @param nowMillis the time in milliseconds
+     */
+    public void occupied(UpstreamId upstream, long fingerprint, VmId guard, long nowMillis) {
+        grants.putIfAbsent(upstream, new Grant(fingerprint, guard, nowMillis + LEASE_MILLIS));
+    }
+
     /**
      * Renews a grant.
      *
--- a/decision/src/test/java/org/cowslipbank/decision/suspects/SuspectsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/SuspectsTest.java
@@ -122,6 +122,18 @@
         assert ask(arbiter, HARMLESS, OTHER, after, 6_001).verdict() == SuspectArbiter.Verdict.FREE;
     }
 
+    /** Failure guarded against: a harmless suspect is sent beside old copies of a crashing one and blamed with it. */
+    @Example
+    void copiesOfASuspectOccupyTheirUpstream() {
+        SuspectFacts facts = SuspectFacts.NONE.crashed(A, List.of(KILLER, HARMLESS), 0);
+        SuspectArbiter arbiter = new SuspectArbiter(-SuspectArbiter.LEASE_MILLIS);
+        arbiter.occupied(B, KILLER, OTHER, 100);
+        SuspectArbiter.Answer harmless = ask(arbiter, HARMLESS, NODE, facts, 200);
+        assert !harmless.upstream().equals(B) : harmless;
+        SuspectFacts after = arbiter.upstreamCrashed(B, facts, 300);
+        assert after.verdict(KILLER) == SuspectVerdict.REFUSED && after.verdict(HARMLESS) == SuspectVerdict.CLEAR;
+    }
+
     private static SuspectArbiter.Answer ask(
             SuspectArbiter arbiter, long print, VmId node, SuspectFacts facts, long nowMillis) {
         List<SuspectArbiter.Candidate> candidates = List.of(
