Compare members by presence, not by incarnation

After the start of a whole fleet it takes minutes until every node knows every incarnation, and until then every probe reported different tables, which led to endless table transfers. Incarnations no longer count in the table hash, because a statement at an old incarnation is answered with the newer one. Digests go before start announcements, and parts of the table use three tenths of the bytes for facts.

--- a/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/FactStore.java
@@ -60,7 +60,8 @@
 
     /**
      * Passes a changed member on. A new process of a node that was not missed is no urgent news; when a whole fleet
-     * starts, such facts would use up the bytes that deaths and leaving nodes need.
+     * starts, such facts would use up the bytes that deaths and leaving nodes need. Those of other data centres are
+     * found by fetching the table.
      */
     private static void announce(Step step, MemberFact before, MemberFact fact) {
         step.learned.add(fact);
@@ -69,10 +70,10 @@
         }
         boolean wasUsable = before.status() == MemberStatus.ALIVE && !before.leaving();
         boolean isUsable = fact.status() == MemberStatus.ALIVE && !fact.leaving();
-        if (wasUsable && isUsable) {
-            Outbox.add(step, memberKey(fact), false);
-        } else {
+        if (!wasUsable || !isUsable) {
             spread(step, memberKey(fact));
+        } else if (fact.dataCentre().equals(step.state.dataCentre())) {
+            Outbox.add(step, memberKey(fact), false);
         }
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/MembershipState.java
@@ -301,14 +301,14 @@
 
     /**
      * Hash of one member, combined by exclusive or. Dead members count for nothing, because nodes forget them at
-     * different times; a suspicion counts as alive, because it stays within its data centre; members known only from a
-     * list have incarnation zero and count for nothing, because lists lag differently.
+     * different times; a suspicion counts as alive, because it stays within its data centre; incarnations count for
+     * nothing, because after the start of a large fleet it takes minutes until every node knows all of them, and a
+     * statement at an old incarnation is answered with the newer one.
      */
     private static int hash(MemberFact fact) {
-        if (fact.status() == MemberStatus.DEAD || fact.incarnation() == 0) {
+        if (fact.status() == MemberStatus.DEAD) {
             return 0;
         }
-        long state = fact.incarnation() * 2 + (fact.leaving() ? 1 : 0);
-        return (int) Rendezvous.weight(Rendezvous.hash(fact.vm().value()), state);
+        return (int) Rendezvous.weight(Rendezvous.hash(fact.vm().value()), fact.leaving() ? 1 : 0);
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Messenger.java
@@ -123,8 +123,7 @@
                 .view()
                 .keySet()
                 .forEach(upstream -> keys.add(new FactKey(FactKey.Kind.UPSTREAM, upstream.value())));
-        step.members(member -> member.fact().incarnation() > 0)
-                .forEach(member -> keys.add(FactStore.memberKey(member.fact())));
+        step.members(member -> true).forEach(member -> keys.add(FactStore.memberKey(member.fact())));
         keys.sort(Comparator.comparing(Messenger::position));
         return keys;
     }
--- a/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
+++ b/decision/src/main/java/org/cowslipbank/decision/membership/Outbox.java
@@ -32,7 +32,7 @@
      * Bytes for parts of the table in relation to those for facts. A budget of their own keeps the start of a fleet from
      * displacing load digests.
      */
-    private static final double SYNC_SHARE = 0.6;
+    private static final double SYNC_SHARE = 0.3;
 
     private static final int URGENT_ROUNDS = 2;
 
@@ -42,7 +42,8 @@
     private static final Comparator<Map.Entry<FactKey, Transmissions>> ORDER =
             Comparator.<Map.Entry<FactKey, Transmissions>>comparingInt(
                             entry -> entry.getKey().kind() == FactKey.Kind.LOAD ? 1 : 0)
-                    .thenComparingInt(entry -> entry.getValue().total());
+                    .thenComparingInt(entry -> entry.getValue().total())
+                    .thenComparingInt(entry -> entry.getKey().kind() == FactKey.Kind.LOAD ? 0 : 1);
 
     private Outbox() {}
 
