--- a/bench/src/main/java/org/cowslipbank/bench/Benches.java
+++ b/bench/src/main/java/org/cowslipbank/bench/Benches.java
@@ -3,13 +3,31 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cowslipbank.bench.capacity.CapacityBench;
+import org.cowslipbank.bench.claims.ClaimsBench;
+import org.cowslipbank.bench.config.ConfigBench;
+import org.cowslipbank.bench.limits.LimitsBench;
+import org.cowslipbank.bench.load.LoadBench;
 import org.cowslipbank.bench.membership.MembershipBench;
+import org.cowslipbank.bench.micro.MicroBench;
+import org.cowslipbank.bench.recovery.RecoveryBench;
+import org.cowslipbank.bench.routing.RoutingBench;
+import org.cowslipbank.bench.streams.StreamsBench;
 
 /** Dispatcher over the experiments. */
 public final class Benches {
     private static final List<Bench> ALL = List.of(
             // One experiment a line, in alphabetical order.
-            new MembershipBench());
+            new CapacityBench(),
+            new ClaimsBench(),
+            new ConfigBench(),
+            new LimitsBench(),
+            new LoadBench(),
+            new MembershipBench(),
+            new MicroBench(),
+            new RecoveryBench(),
+            new RoutingBench(),
+            new StreamsBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/DrainCommand.java
@@ -0,0 +1,49 @@
+package org.cowslipbank.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpMethod;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.cowslipbank.model.CowslipbankException;
+
+/** Drains a node: it leaves the look-up answers and goes on serving as long as callers may still come. */
+final class DrainCommand implements Command {
+    @Override
+    public String name() {
+        return "drain";
+    }
+
+    @Override
+    public String summary() {
+        return "drain a node, given by the address of its operators' listener";
+    }
+
+    @Override
+    public ExitCode run(List<String> arguments, Console console) throws CowslipbankException, UsageException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<String> node = parser.nonOptions("NODE: address of the node's operators' listener as IP:port.");
+        AdminClient.Connection connection = new AdminClient.Connection(parser);
+        Optional<OptionSet> options = new Options(parser).parse(arguments, console);
+        if (options.isEmpty()) {
+            return ExitCode.DONE;
+        }
+        List<String> nodes = options.get().valuesOf(node);
+        if (nodes.size() != 1) {
+            throw new UsageException("name one NODE by the address of its operators' listener");
+        }
+        List<String> again = new ArrayList<>(arguments);
+        again.remove(nodes.get(0));
+        again.add("--admin");
+        again.add(nodes.get(0));
+        Optional<OptionSet> resolved = new Options(parser).parse(again, console);
+        return connection
+                .client(resolved.orElseThrow())
+                .call(HttpMethod.POST, "/drain", Map.of(), "")
+                .report(console);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/Options.java
@@ -0,0 +1,35 @@
+package org.cowslipbank.cli;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Parses the arguments of one command; {@code --help} is understood by all. */
+final class Options {
+    private final OptionParser parser;
+
+    Options(OptionParser parser) {
+        this.parser = parser;
+        parser.accepts("help", "Prints this help.").forHelp();
+    }
+
+    /** Returns the parsed arguments, or empty if help was asked for and printed. */
+    Optional<OptionSet> parse(List<String> arguments, Console console) throws UsageException {
+        try {
+            OptionSet set = parser.parse(arguments.toArray(String[]::new));
+            if (set.has("help")) {
+                parser.printHelpOn(console.out());
+                return Optional.empty();
+            }
+            return Optional.of(set);
+        } catch (OptionException e) {
+            throw new UsageException(e.getMessage());
+        } catch (IOException e) {
+            throw new UsageException("help cannot be printed: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/http/Authenticator.java
@@ -0,0 +1,28 @@
+package org.cowslipbank.entry.http;
+
+import java.util.function.Supplier;
+
+import org.cowslipbank.config.Team;
+import org.cowslipbank.entry.traffic.ConfigurationIndex;
+import org.cowslipbank.model.Refusal;
+import org.cowslipbank.model.RefusedException;
+import org.cowslipbank.model.Step;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** Finds the team of a bearer key. */
+final class Authenticator {
+    private final Supplier<ConfigurationIndex> configuration;
+
+    Authenticator(Supplier<ConfigurationIndex> configuration) {
+        this.configuration = configuration;
+    }
+
+    Team authenticate(HttpServerRequest request) throws RefusedException {
+        String digest = Keys.bearerSha256(request).orElseThrow(() -> refused("a bearer key is required"));
+        return configuration.get().teamByKey(digest).orElseThrow(() -> refused("the bearer key is not known"));
+    }
+
+    private static RefusedException refused(String message) {
+        return new RefusedException(Step.AUTHENTICATE, Refusal.invalid(401, "invalid_api_key", message));
+    }
+}
