Evict a node's least valuable sessions from a full store

Cause: the eviction decision had no caller, so a full store took no block for the rest of its life. Change: a node that may not export ranks its own sessions by value and frees them in that order until enough bytes have gone; other decisions of traffic are recorded too. Memory is not yet given to disk by the nodes.

--- a/bench/src/test/java/org/cowslipbank/bench/WholePathTest.java
+++ b/bench/src/test/java/org/cowslipbank/bench/WholePathTest.java
@@ -7,7 +7,6 @@
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
-import net.jqwik.api.lifecycle.BeforeTry;
 import org.cowslipbank.adapters.HttpOutsideSystems;
 import org.cowslipbank.config.Configurations;
 import org.cowslipbank.entry.node.Node;
@@ -33,22 +32,27 @@
     private static final EngineSize ENGINE_SIZE = new EngineSize(4_000, 5, 16, 100_000, 16, 300, 100, true);
     private static final StoreSize STORE_SIZE = new StoreSize(50_000_000, 500_000_000, 100_000_000);
 
+    private static final EngineSize FAST_ENGINE = new EngineSize(20_000, 5, 16, 100_000, 64, 300, 100, true);
+    // Room for two of the sessions, each with three blocks of 64,000 bytes.
+    private static final StoreSize SMALL_STORE = new StoreSize(400_000, 400_000, 100_000_000);
+    private static final int SESSIONS = 8;
+    private static final long EXPORT_MILLIS = 300;
+
     private StandInSet standIns;
     private EngineStandIn engine;
     private StoreStandIn store;
     private HttpOutsideSystems systems;
     private Node node;
 
-    @BeforeTry
-    void start() throws Exception {
+    private void start(EngineSize engineSize, StoreSize storeSize) throws Exception {
         standIns = new StandInSet(new StandInSettings(
                 HOST,
                 0,
                 0,
                 0,
                 List.of(),
-                List.of(new StandInSettings.EngineVm("engine-1", DATA_CENTRE, 0, "review", "v1", ENGINE_SIZE)),
-                List.of(new StandInSettings.StoreVm("store-1", DATA_CENTRE, 0, STORE_SIZE)),
+                List.of(new StandInSettings.EngineVm("engine-1", DATA_CENTRE, 0, "review", "v1", engineSize)),
+                List.of(new StandInSettings.StoreVm("store-1", DATA_CENTRE, 0, storeSize)),
                 List.of()));
         engine = standIns.engines().get("engine-1");
         store = standIns.stores().get("store-1");
@@ -70,12 +74,13 @@
 
     @Example
     void returningPromptIsServedFromTheStoreAfterTheEngineHasEvictedIt() throws Exception {
+        start(ENGINE_SIZE, STORE_SIZE);
         String prompt = "Span of the pergola beam. ".repeat(800);
-        String first = complete(prompt);
+        String first = complete("s1", prompt);
         assert first.contains("cached_tokens") : first;
         waitForBlocks(5);
         engine.evictAll();
-        String second = complete(prompt);
+        String second = complete("s1", prompt);
         assert first.contains(AnswerText.answer(prompt, 8)) : first;
         assert second.contains(AnswerText.answer(prompt, 8)) : second;
         assert first.contains("\"cached_tokens\":0") : first;
@@ -83,6 +88,24 @@
         assert engine.counters().foreignBlocks() == 0;
     }
 
+    /** Guards against a full store that takes no block for the rest of its life. */
+    @Example
+    void fullStoreGivesUpOldSessionsForNewOnes() throws Exception {
+        start(FAST_ENGINE, SMALL_STORE);
+        int servedFromStore = 0;
+        for (int session = 0; session < SESSIONS; session++) {
+            String prompt = ("Session " + session + " asks for a rafter. ").repeat(500);
+            complete("s" + session, prompt);
+            Thread.sleep(EXPORT_MILLIS);
+            engine.evictAll();
+            boolean full = session >= SESSIONS / 2;
+            boolean cached = !complete("s" + session, prompt).contains("\"cached_tokens\":0");
+            servedFromStore += full && cached ? 1 : 0;
+        }
+        assert servedFromStore > 0 : "no session was kept after the store had filled up";
+        assert engine.counters().foreignBlocks() == 0;
+    }
+
     private void waitForBlocks(int blocks) throws InterruptedException {
         for (int i = 0; i < 500 && store.blockCount() < blocks; i++) {
             Thread.sleep(20);
@@ -90,9 +113,9 @@
         assert store.blockCount() == blocks : "blocks in the store: " + store.blockCount();
     }
 
-    private String complete(String prompt) {
-        String body =
-                "{\"model\":\"review\",\"max_tokens\":8,\"prompt_cache_key\":\"s1\",\"prompt\":\"" + prompt + "\"}";
+    private String complete(String session, String prompt) {
+        String body = "{\"model\":\"review\",\"max_tokens\":8,\"prompt_cache_key\":\"" + session + "\",\"prompt\":\""
+                + prompt + "\"}";
         return HttpClient.create()
                 .headers(headers -> headers.set("authorization", "Bearer " + KEY))
                 .post()
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
@@ -24,11 +24,13 @@
     private static final long EXPECTED_RUN_MILLIS = 1_000;
 
     private final MonotonicClock clock;
+    private final DecisionRecorder recorder;
     private final Map<String, Group> groups = new HashMap<>();
     private int teamSubsetSize = 1;
 
-    AdmissionGate(MonotonicClock clock) {
+    AdmissionGate(MonotonicClock clock, DecisionRecorder recorder) {
         this.clock = clock;
+        this.recorder = recorder;
     }
 
     /** Waits for admission; an error with the refusal if there is none in time. */
@@ -94,7 +96,8 @@
     }
 
     private TeamShare share(Team team) {
-        return TeamShares.share(new TeamShares.Input(team.id(), team.limits(), teamSubsetSize, 0, List.of()));
+        return recorder.decide(
+                TeamShares.DECISION, new TeamShares.Input(team.id(), team.limits(), teamSubsetSize, 0, List.of()));
     }
 
     private Group group(String model) {
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockExporter.java
@@ -36,11 +36,13 @@
     private final TrafficContext context;
     private final BlockLocator locator;
     private final SessionGaps gaps = new SessionGaps();
+    private final StoreEvictor evictor;
     private volatile long blockBytes = FIRST_BLOCK_BYTES_ESTIMATE;
 
     BlockExporter(TrafficContext context, BlockLocator locator) {
         this.context = context;
         this.locator = locator;
+        this.evictor = new StoreEvictor(context, locator, gaps);
     }
 
     /** Notes that a session has sent a prompt. */
@@ -56,7 +58,11 @@
      * @param placed where it ran
      */
     void export(PromptRequest request, AttemptId attempt, Placed placed) {
-        gaps.ended(request, context.clock().nowMillis());
+        gaps.ended(
+                request,
+                placed.chain(),
+                recomputeBlockMillis(placed),
+                context.clock().nowMillis());
         List<BlockIdentity> missing = missing(placed);
         Optional<StoreVm> store = missing.isEmpty() ? Optional.empty() : locator.storeFor(placed.chain());
         if (store.isEmpty()) {
@@ -83,6 +89,9 @@
             StoreStatus status) {
         ExportInput input = input(request, placed, missing.size(), store, status);
         ExportOutcome outcome = context.recorder().decide(RetentionDecision.EXPORT, input);
+        if (outcome.reason() == ExportOutcome.Reason.STORE_FULL) {
+            makeRoom(store, status, missing.size());
+        }
         if (outcome.blocks() == 0) {
             return Flux.empty();
         }
@@ -91,11 +100,14 @@
                 .exportBlocks(attempt, missing.subList(0, outcome.blocks()), store.id(), store.address());
     }
 
+    private void makeRoom(StoreVm store, StoreStatus status, int blocks) {
+        long aboveTarget = status.diskUsedBytes() - (long) (EVICT_TARGET_SHARE * status.diskCapacityBytes());
+        long ownPart =
+                Math.max(0, aboveTarget) / Math.max(1, context.fleet().nodes().size());
+        evictor.makeRoom(store, Math.max(ownPart, blocks * blockBytes), blockBytes, HORIZON_MILLIS);
+    }
+
     private ExportInput input(PromptRequest request, Placed placed, int blocks, StoreVm store, StoreStatus status) {
-        double recomputeMillis = context.upstreams()
-                .load(placed.upstream().id(), context.clock().nowMillis())
-                .map(load -> tokensPerBlock() * MILLIS_PER_SECOND / load.prefillTokensPerSecond())
-                .orElse(0.0);
         double transferMillis =
                 blockBytes * MILLIS_PER_SECOND / context.stores().peakBytesPerSecond(store);
         double linkUseMillis = blockBytes * MILLIS_PER_SECOND / store.linkBytesPerSecond();
@@ -110,7 +122,7 @@
                 request.hasSession(),
                 blocks,
                 blockBytes,
-                recomputeMillis,
+                recomputeBlockMillis(placed),
                 transferMillis,
                 linkUseMillis,
                 0,
@@ -120,6 +132,13 @@
                 policy);
     }
 
+    private double recomputeBlockMillis(Placed placed) {
+        return context.upstreams()
+                .load(placed.upstream().id(), context.clock().nowMillis())
+                .map(load -> tokensPerBlock() * MILLIS_PER_SECOND / load.prefillTokensPerSecond())
+                .orElse(0.0);
+    }
+
     private int tokensPerBlock() {
         return context.settings().pieceBytes() / 4;
     }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/BlockFetcher.java
@@ -24,11 +24,13 @@
  */
 final class BlockFetcher {
     private final StoreTable stores;
+    private final DecisionRecorder recorder;
     private final MonotonicClock clock;
 
-    BlockFetcher(StoreTable stores, MonotonicClock clock) {
+    BlockFetcher(StoreTable stores, MonotonicClock clock, DecisionRecorder recorder) {
         this.stores = stores;
         this.clock = clock;
+        this.recorder = recorder;
     }
 
     /**
@@ -122,17 +124,19 @@
                 return;
             }
             double elapsedMillis = (System.nanoTime() - startedNanos) / 1e6;
-            FetchVerdict verdict = FetchDecision.check(new FetchProgress(
-                    plan.blocks().size(),
-                    verified.size(),
-                    expectedBlockMillis,
-                    sinceFirstBlockMillis(),
-                    linkSilentMillis(),
-                    Math.max(0, plan.queueMillis() - elapsedMillis),
-                    nextBytes() * 1_000.0 / plan.store().linkBytesPerSecond(),
-                    plan.recomputeBlockMillis(),
-                    plan.promptRecomputeMillis(),
-                    plan.weights()));
+            FetchVerdict verdict = recorder.decide(
+                    FetchDecision.OVERTAKE,
+                    new FetchProgress(
+                            plan.blocks().size(),
+                            verified.size(),
+                            expectedBlockMillis,
+                            sinceFirstBlockMillis(),
+                            linkSilentMillis(),
+                            Math.max(0, plan.queueMillis() - elapsedMillis),
+                            nextBytes() * 1_000.0 / plan.store().linkBytesPerSecond(),
+                            plan.recomputeBlockMillis(),
+                            plan.promptRecomputeMillis(),
+                            plan.weights()));
             if (verdict.linkSilent()) {
                 stores.timedOut(plan.store(), nextBytes(), sinceLastMillis(), clock.nowMillis());
             }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
@@ -65,7 +65,7 @@
         this.recorder = context.recorder();
         this.locator = locator;
         this.hints = hints;
-        this.fetcher = new BlockFetcher(stores, clock);
+        this.fetcher = new BlockFetcher(stores, clock, recorder);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
@@ -41,8 +41,8 @@
      */
     public PromptRunner(TrafficContext context) {
         this.context = context;
-        this.admission = new AdmissionGate(context.clock());
-        this.retries = new RetryGate(context.clock());
+        this.admission = new AdmissionGate(context.clock(), context.recorder());
+        this.retries = new RetryGate(context.clock(), context.recorder());
         BlockLocator locator =
                 new BlockLocator(context.systems(), context.stores(), context.configuration(), context.clock());
         this.router = new PromptRouter(
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.entry.traffic;
 
+import org.cowslipbank.decision.retry.RetryInput;
 import org.cowslipbank.decision.retry.RetryOutcome;
 import org.cowslipbank.decision.retry.RetryPolicy;
 import org.cowslipbank.decision.retry.RetryQuestion;
@@ -8,10 +9,12 @@
 /** The node's retry budget, shared by its traffic threads. */
 final class RetryGate {
     private final MonotonicClock clock;
+    private final DecisionRecorder recorder;
     private RetryState state;
 
-    RetryGate(MonotonicClock clock) {
+    RetryGate(MonotonicClock clock, DecisionRecorder recorder) {
         this.clock = clock;
+        this.recorder = recorder;
         this.state = RetryPolicy.start(clock.nowMillis());
     }
 
@@ -20,7 +23,8 @@
     }
 
     synchronized RetryOutcome ask(RetryQuestion question) {
-        RetryOutcome outcome = RetryPolicy.decide(state, question, clock.nowMillis());
+        RetryOutcome outcome =
+                recorder.decide(RetryPolicy.DECISION, new RetryInput(state, question, clock.nowMillis()));
         state = outcome.state();
         return outcome;
     }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/SessionGaps.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/SessionGaps.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.entry.traffic;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -9,6 +10,7 @@
 import com.github.benmanes.caffeine.cache.RemovalCause;
 import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.retention.GapHistogram;
+import org.cowslipbank.model.BlockIdentity;
 import org.cowslipbank.model.TeamId;
 
 /** How long the sessions of each team stay away, as far as they return to this node. */
@@ -31,10 +33,11 @@
         }
     }
 
-    void ended(PromptRequest request, long nowMillis) {
+    void ended(PromptRequest request, List<BlockIdentity> chain, double recomputeBlockMillis, long nowMillis) {
         histories.putIfAbsent(request.team().id(), GapHistogram.empty());
         if (request.hasSession()) {
-            sessions.put(key(request), new Ended(request.team().id(), nowMillis));
+            sessions.put(
+                    key(request), new Ended(key(request), request.team().id(), nowMillis, chain, recomputeBlockMillis));
         }
     }
 
@@ -51,5 +54,26 @@
         return Rendezvous.key(request.team().id().value(), request.session().value());
     }
 
-    private record Ended(TeamId team, long atMillis) {}
+    /** Notes that a session has no blocks left at its store. */
+    void blocksFreed(Ended session) {
+        Ended without =
+                new Ended(session.key(), session.team(), session.atMillis(), List.of(), session.recomputeBlockMillis());
+        sessions.asMap().replace(session.key(), session, without);
+    }
+
+    /** Returns the sessions that are away. */
+    List<Ended> sessions() {
+        return List.copyOf(sessions.asMap().values());
+    }
+
+    /**
+     * A session that is away.
+     *
+     * @param key team and session
+     * @param team the team
+     * @param atMillis when its last run ended
+     * @param chain identities of that run's full pieces
+     * @param recomputeBlockMillis time to recompute one block
+     */
+    record Ended(String key, TeamId team, long atMillis, List<BlockIdentity> chain, double recomputeBlockMillis) {}
 }
