Stop a crashing request after its second engine

A request that crashes the engine that runs it was sent again by the node and by its caller without any memory of the crash. The decisions on suspects existed, but no node called them.

A node now notes the requests that it has in flight at each upstream. A resume that finds no engine, one that does not know the run, and an upstream given up as silent count as a crash: the requests there become suspects and the facts are pushed to all live nodes. Before an attempt a suspect asks the arbiter, which one node of the region holds, and runs on the upstream that it grants. Facts are pulled from two peers at start. A node looks at the retry budget before it asks, so that a grant is not wasted on a suspect that may not be sent again.

--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -28,6 +28,7 @@
 import org.cowslipbank.entry.settings.ListenSettings;
 import org.cowslipbank.entry.settings.NodeSettings;
 import org.cowslipbank.entry.settings.TlsSettings;
+import org.cowslipbank.entry.suspects.SuspectService;
 import org.cowslipbank.entry.trace.FileDecisionRecorder;
 import org.cowslipbank.entry.traffic.DecisionRecorder;
 import org.cowslipbank.entry.traffic.MonotonicClock;
@@ -69,6 +70,7 @@
     private final ClaimService claims;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final StoreTable stores = new StoreTable();
+    private final SuspectService suspects;
     private final DecisionRecorder recorder;
     private final PromptRunner prompts;
     private final LoadPoller loads;
@@ -96,6 +98,7 @@
         this.configuration = new ConfigurationParts(settings, fleet, platformShare.configurationStores(), control);
         BudgetedKeyValueStore claimStore = platformShare.at(PlatformBudget.Priority.CLAIMS);
         this.claims = new ClaimParts(settings, fleet, claimStore, control).service();
+        this.suspects = new SuspectParts(settings, fleet, control).service();
         this.recorder = recorder(settings);
         int pieceBytes = settings.pieceBytes() == 0 ? PromptChain.DEFAULT_PIECE_BYTES : settings.pieceBytes();
         this.prompts = new PromptRunner(new TrafficContext(
@@ -108,6 +111,7 @@
                 new TrafficSettings(pieceBytes, settings.engineCacheMillis()),
                 MonotonicClock.SYSTEM,
                 recorder,
+                suspects,
                 new TrafficMetrics(metrics)));
         this.loads = new LoadPoller(systems, configuration::index, upstreams);
         this.services = new ServiceApi(systems, configuration::index, claims, settings.region());
@@ -133,6 +137,7 @@
         platformShare.start();
         configuration.start();
         claims.start();
+        suspects.start();
         loads.start();
         prompts.start();
         CallerApi callers = new CallerApi(
@@ -227,6 +232,7 @@
         dispose(adminServer);
         prompts.stop();
         loads.stop();
+        suspects.stop();
         claims.close();
         configuration.stop();
         platformShare.stop();
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.cowslipbank.config.Configuration;
@@ -20,6 +21,8 @@
 import org.cowslipbank.decision.routing.RoutingInput;
 import org.cowslipbank.decision.routing.RoutingOutcome;
 import org.cowslipbank.decision.streams.NotSentReason;
+import org.cowslipbank.decision.suspects.SuspectArbiter;
+import org.cowslipbank.entry.suspects.SuspectService;
 import org.cowslipbank.model.BlockIdentity;
 import org.cowslipbank.model.BlockRef;
 import org.cowslipbank.model.ModelRef;
@@ -48,6 +51,7 @@
     private final TeamSecrets secrets;
     private final TrafficSettings settings;
     private final FleetView fleet;
+    private final SuspectService suspects;
     private final SessionHints hints;
     private final Prefetches prefetches = new Prefetches();
     private final MonotonicClock clock;
@@ -61,6 +65,7 @@
         this.secrets = context.secrets();
         this.settings = context.settings();
         this.fleet = context.fleet();
+        this.suspects = context.suspects();
         this.clock = context.clock();
         this.recorder = context.recorder();
         this.locator = locator;
@@ -74,9 +79,10 @@
      * @param request the request
      * @param wanted the model, weight version and adapter
      * @param avoid upstreams on which attempts failed
+     * @param granted the only upstream that may be chosen, for a suspect; otherwise empty
      * @return the placement; an error of type {@link NotPlacedException} if no upstream takes it
      */
-    Mono<Placed> place(PromptRequest request, ModelRef wanted, List<UpstreamId> avoid) {
+    Mono<Placed> place(PromptRequest request, ModelRef wanted, List<UpstreamId> avoid, Optional<UpstreamId> granted) {
         return Mono.defer(() -> {
             List<BlockIdentity> chain = chainOf(request, wanted);
             PromptOutline prompt = new PromptOutline(
@@ -86,7 +92,7 @@
                     chain,
                     request.prompt().length());
             return Mono.zip(locator.find(chain), prefetches.await(key(request.team(), request.session())))
-                    .flatMap(found -> choose(prompt, avoid, found.getT1(), found.getT2()));
+                    .flatMap(found -> choose(prompt, id -> mayTake(id, avoid, granted), found.getT1(), found.getT2()));
         });
     }
 
@@ -116,7 +122,8 @@
     }
 
     private Mono<Prefetches.Staged> stage(PromptOutline last, List<BlockRef> retained) {
-        RoutingInput expected = input(last, List.of(), retained, Prefetches.Staged.NONE);
+        RoutingInput expected =
+                input(last, id -> mayTake(id, List.of(), Optional.empty()), retained, Prefetches.Staged.NONE);
         RoutingOutcome outcome = recorder.decide(
                 PrefetchDecision.PREFETCH, new PrefetchInput(expected, REQUEST_PROBABILITY, MAX_PREFETCH_MILLIS));
         boolean useful = outcome.result() == RoutingOutcome.Result.CHOSEN
@@ -148,8 +155,8 @@
     }
 
     private Mono<Placed> choose(
-            PromptOutline prompt, List<UpstreamId> avoid, List<BlockRef> retained, Prefetches.Staged staged) {
-        RoutingInput input = input(prompt, avoid, retained, staged);
+            PromptOutline prompt, Predicate<UpstreamId> usable, List<BlockRef> retained, Prefetches.Staged staged) {
+        RoutingInput input = input(prompt, usable, retained, staged);
         RoutingOutcome outcome = recorder.decide(RoutingDecision.ROUTE, input);
         if (outcome.result() != RoutingOutcome.Result.CHOSEN) {
             NotSentReason reason = outcome.result() == RoutingOutcome.Result.NO_MATCHING_VERSION
@@ -211,7 +218,7 @@
     }
 
     private RoutingInput input(
-            PromptOutline prompt, List<UpstreamId> avoid, List<BlockRef> retained, Prefetches.Staged staged) {
+            PromptOutline prompt, Predicate<UpstreamId> usable, List<BlockRef> retained, Prefetches.Staged staged) {
         Configuration current = configuration.get().configuration();
         return new RoutingInput(
                 prompt.team().id(),
@@ -220,21 +227,18 @@
                 prompt.promptBytes() / BYTES_PER_TOKEN + 1,
                 settings.pieceBytes() / BYTES_PER_TOKEN,
                 retained,
-                candidates(prompt, avoid, staged),
+                candidates(prompt, usable, staged),
                 stores.links(current.stores(), clock.nowMillis()),
                 current.weights());
     }
 
-    private List<Candidate> candidates(PromptOutline prompt, List<UpstreamId> avoid, Prefetches.Staged staged) {
+    private List<Candidate> candidates(PromptOutline prompt, Predicate<UpstreamId> mayTake, Prefetches.Staged staged) {
         ModelRef wanted = prompt.model();
         List<BlockIdentity> chain = prompt.chain();
         String key = key(prompt.team(), prompt.session());
         ConfigurationIndex index = configuration.get();
-        List<UpstreamId> allowed = index.model(wanted.model())
-                .map(model -> allowedUpstreams(model.versions(), wanted))
-                .orElse(List.of());
         List<UpstreamId> usable =
-                allowed.stream().filter(id -> isUsable(index, id, avoid)).toList();
+                allowedUpstreams(index, wanted).stream().filter(mayTake).toList();
         List<Candidate> candidates = new ArrayList<>();
         for (UpstreamId id : RoutingDecision.subset(key, usable, RoutingDecision.SUBSET_SIZE)) {
             int local = Math.max(
@@ -244,6 +248,42 @@
         return candidates;
     }
 
+    /**
+     * Returns the upstreams on which a suspect may run.
+     *
+     * @param wanted the model, weight version and adapter
+     * @param avoid upstreams on which attempts failed
+     * @return the upstreams with the requests in flight there
+     */
+    List<SuspectArbiter.Candidate> suspectCandidates(ModelRef wanted, List<UpstreamId> avoid) {
+        List<SuspectArbiter.Candidate> candidates = new ArrayList<>();
+        for (UpstreamId id : allowedUpstreams(configuration.get(), wanted)) {
+            Optional<EngineLoad> load =
+                    isUsable(configuration.get(), id, avoid) ? upstreams.load(id, clock.nowMillis()) : Optional.empty();
+            load.filter(report -> hasVersion(report, wanted))
+                    .ifPresent(report -> candidates.add(new SuspectArbiter.Candidate(
+                            id, Math.max(report.running() + report.waiting(), upstreams.inFlight(id)))));
+        }
+        return candidates;
+    }
+
+    private static boolean hasVersion(EngineLoad load, ModelRef wanted) {
+        return !load.loading()
+                && load.loaded().model().equals(wanted.model())
+                && load.loaded().weightVersion().equals(wanted.weightVersion());
+    }
+
+    private boolean mayTake(UpstreamId id, List<UpstreamId> avoid, Optional<UpstreamId> granted) {
+        boolean free = granted.map(id::equals).orElseGet(() -> !suspects.isReserved(id));
+        return free && isUsable(configuration.get(), id, avoid);
+    }
+
+    private static List<UpstreamId> allowedUpstreams(ConfigurationIndex index, ModelRef wanted) {
+        return index.model(wanted.model())
+                .map(model -> allowedUpstreams(model.versions(), wanted))
+                .orElse(List.of());
+    }
+
     private static List<UpstreamId> allowedUpstreams(List<ModelVersion> versions, ModelRef wanted) {
         return versions.stream()
                 .filter(version -> version.weightVersion().equals(wanted.weightVersion()))
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -1,8 +1,10 @@
 package org.cowslipbank.entry.traffic;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,15 +22,20 @@
 import org.cowslipbank.decision.streams.StreamEvent;
 import org.cowslipbank.decision.streams.StreamLimits;
 import org.cowslipbank.decision.streams.StreamMachine;
+import org.cowslipbank.decision.streams.StreamPhase;
 import org.cowslipbank.decision.streams.StreamSpec;
 import org.cowslipbank.decision.streams.StreamState;
 import org.cowslipbank.decision.streams.StreamTransition;
+import org.cowslipbank.decision.suspects.Fingerprint;
+import org.cowslipbank.decision.suspects.SuspectArbiter;
 import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.suspects.SuspectService;
 import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.RefusedException;
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.Step;
+import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.ports.Engine;
 import org.cowslipbank.ports.EngineEvent;
 import org.cowslipbank.ports.GenerateCall;
@@ -39,6 +46,7 @@
 import reactor.core.publisher.BaseSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxSink;
+import reactor.core.publisher.Mono;
 
 /**
  * Drives the stream machine of one answer: feeds it events one at a time and carries out its effects. Events may come
@@ -62,14 +70,17 @@
     private final List<String> emitted = new ArrayList<>();
     private final Disposable.Swap placing = Disposables.swap();
     private final long startedNanos = System.nanoTime();
+    private final long fingerprint;
     private StreamState state;
     private FluxSink<AnswerEvent> sink;
-    private EngineReader reader;
+    private volatile EngineReader reader;
     private Placed placed;
     private int untoldTokens;
     private int unmarkedTokens;
+    private volatile UpstreamId inFlightAt;
     private volatile long nextCheckMillis = Long.MAX_VALUE;
     private volatile boolean completed;
+    private volatile boolean granted;
 
     PromptSession(
             TrafficContext context,
@@ -82,6 +93,11 @@
         this.retries = retries;
         this.exporter = exporter;
         this.request = request;
+        this.fingerprint = Fingerprint.of(
+                request.team().id(),
+                request.model().model(),
+                request.prompt().getBytes(StandardCharsets.UTF_8),
+                request.maxTokens());
     }
 
     Flux<AnswerEvent> answer() {
@@ -133,6 +149,9 @@
         int missed = first;
         while (missed != 0) {
             for (StreamEvent event = events.poll(); event != null; event = events.poll()) {
+                if (event instanceof StreamEvent.Failed failed) {
+                    noteFailure(failed);
+                }
                 apply(StreamMachine.on(state, event, context.clock().nowMillis()));
             }
             missed = pending.addAndGet(-missed);
@@ -178,6 +197,9 @@
                     .step(Step.GENERATE)
                     .peer(givenUp.upstream().value())
                     .field("silent", givenUp.silent()));
+            if (givenUp.silent()) {
+                crashed(givenUp.upstream());
+            }
             context.upstreams().markDown(givenUp.upstream(), context.clock().nowMillis());
         } else if (effect instanceof StreamEffect.Dropped) {
             context.metrics().droppedEvents().inc();
@@ -202,6 +224,7 @@
 
     private void complete(FinishedRun run) {
         completed = true;
+        context.suspects().finished(fingerprint);
         context.metrics().answered().inc();
         context.metrics().promptTokens().inc(run.promptTokens());
         context.metrics().computedPromptTokens().inc(run.promptTokens() - run.cachedTokens());
@@ -213,20 +236,115 @@
     }
 
     private void start(StreamEffect.Start start) {
+        returnGrant();
+        switch (context.suspects().verdict(fingerprint)) {
+            case REFUSED -> notSent(start, NotSentReason.SUSPECT_REFUSED, 0);
+            case SUSPECT -> askArbiter(start);
+            default -> place(start, placeWithinBudget(start, Optional.empty()));
+        }
+    }
+
+    private void askArbiter(StreamEffect.Start start) {
+        // A grant that the retry budget cannot use would keep its upstream from other suspects.
+        if (start.number() > 1 && !isAllowed(start, retries.preview(retryQuestion(start)))) {
+            return;
+        }
+        List<SuspectArbiter.Candidate> candidates = router.suspectCandidates(start.requiredModel(), start.avoid());
+        place(
+                start,
+                context.suspects()
+                        .ask(fingerprint, start.fromToken(), candidates, () -> grantLapsed(start.attempt()))
+                        .flatMap(answer -> onArbiter(start, answer)));
+    }
+
+    private Mono<Placed> onArbiter(StreamEffect.Start start, SuspectArbiter.Answer answer) {
+        granted = answer.verdict() == SuspectArbiter.Verdict.RUN;
+        return switch (answer.verdict()) {
+            case REFUSE -> Mono.error(new NotPlacedException(NotSentReason.SUSPECT_REFUSED));
+            case WAIT -> Mono.error(new NotPlacedException(NotSentReason.SUSPECT_WAITS));
+            case FREE, RUN -> placeWithinBudget(start, Optional.ofNullable(answer.upstream()));
+        };
+    }
+
+    private Mono<Placed> placeWithinBudget(StreamEffect.Start start, Optional<UpstreamId> upstream) {
         if (start.number() > 1 && !mayRetry(start)) {
+            returnGrant();
+            return Mono.empty();
+        }
+        return router.place(request, start.requiredModel(), start.avoid(), upstream);
+    }
+
+    private void place(StreamEffect.Start start, Mono<Placed> placement) {
+        placing.update(placement.subscribe(result -> send(start, result), error -> notPlaced(start, error)));
+    }
+
+    private void notSent(StreamEffect.Start start, NotSentReason reason, long retryAfterMillis) {
+        offer(new StreamEvent.NotSent(start.attempt(), reason, retryAfterMillis));
+    }
+
+    // The arbiter may grant the upstream to another suspect, so the run must not go on.
+    private void grantLapsed(AttemptId attempt) {
+        UpstreamId upstream = inFlightAt;
+        EngineReader current = reader;
+        if (upstream == null || current == null || !current.attempt.equals(attempt)) {
+            return;
+        }
+        cancel(new StreamEffect.Cancel(attempt, upstream));
+        offer(new StreamEvent.Failed(attempt, current.connection, FailureKind.RUN_ABORTED));
+    }
+
+    private void returnGrant() {
+        if (granted) {
+            granted = false;
+            context.suspects().ended(fingerprint);
+        }
+    }
+
+    /** A resume that finds no engine, or one that does not know the run, shows that the engine crashed. */
+    private void noteFailure(StreamEvent.Failed failed) {
+        boolean current = state.phase() == StreamPhase.RUNNING
+                && state.attempt().id().equals(failed.attempt())
+                && state.attempt().connection() == failed.connection();
+        if (!current) {
             return;
         }
-        placing.update(router.place(request, start.requiredModel(), start.avoid())
-                .subscribe(result -> send(start, result), error -> notPlaced(start, error)));
+        boolean crashed = failed.kind() == FailureKind.UNKNOWN_ATTEMPT
+                || failed.kind() == FailureKind.NOT_REACHED && failed.connection() > 0;
+        if (crashed) {
+            crashed(state.attempt().upstream());
+        } else if (failed.kind() == FailureKind.NOT_REACHED || failed.kind() == FailureKind.REFUSED) {
+            notInFlight();
+        }
+    }
+
+    private void crashed(UpstreamId upstream) {
+        context.upstreams().markDown(upstream, context.clock().nowMillis());
+        context.suspects().crashed(upstream);
+    }
+
+    private void notInFlight() {
+        if (inFlightAt != null) {
+            context.suspects().left(inFlightAt, this);
+            inFlightAt = null;
+        }
     }
 
     private boolean mayRetry(StreamEffect.Start start) {
-        RetryQuestion question = new RetryQuestion(start.number(), state.run(), true, start.fromToken() > 0, false);
-        RetryOutcome outcome = retries.ask(question);
-        if (outcome.verdict() == RetryVerdict.ALLOWED) {
+        if (isAllowed(start, retries.ask(retryQuestion(start)))) {
             context.metrics().furtherAttempts().inc();
             return true;
         }
+        return false;
+    }
+
+    private RetryQuestion retryQuestion(StreamEffect.Start start) {
+        return new RetryQuestion(start.number(), state.run(), true, start.fromToken() > 0, false);
+    }
+
+    private boolean isAllowed(StreamEffect.Start start, RetryOutcome outcome) {
+        if (outcome.verdict() == RetryVerdict.ALLOWED) {
+            return true;
+        }
         NotSentReason reason =
                 outcome.verdict() == RetryVerdict.WAIT ? NotSentReason.BUDGET_EMPTY : NotSentReason.NOT_REPEATABLE;
         offer(new StreamEvent.NotSent(start.attempt(), reason, outcome.waitMillis()));
@@ -243,13 +361,19 @@
                     .step(Step.ROUTE)
                     .error(error));
         }
-        offer(new StreamEvent.NotSent(start.attempt(), reason, NO_UPSTREAM_WAIT_MILLIS));
+        returnGrant();
+        notSent(
+                start,
+                reason,
+                reason == NotSentReason.SUSPECT_WAITS ? SuspectService.ASK_AGAIN_MILLIS : NO_UPSTREAM_WAIT_MILLIS);
     }
 
     private void send(StreamEffect.Start start, Placed result) {
         offer(new StreamEvent.Sent(start.attempt(), result.upstream().id(), result.model()));
         leaveUpstream();
         placed = result;
+        inFlightAt = result.upstream().id();
+        context.suspects().sent(inFlightAt, this, fingerprint);
         context.upstreams().sent(result.upstream().id(), result.computeTokens());
         GenerateCall call = new GenerateCall(
                 start.attempt(),
@@ -299,9 +423,11 @@
         placing.dispose();
         closeReader();
         leaveUpstream();
+        returnGrant();
     }
 
     private void leaveUpstream() {
+        notInFlight();
         if (placed != null) {
             context.upstreams().ended(placed.upstream().id());
             placed = null;
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
@@ -19,6 +19,11 @@
         state = RetryPolicy.onRequest(state, clock.nowMillis());
     }
 
+    /** Tells what the answer would be, without using the budget. */
+    synchronized RetryOutcome preview(RetryQuestion question) {
+        return RetryPolicy.decide(state, question, clock.nowMillis());
+    }
+
     synchronized RetryOutcome ask(RetryQuestion question) {
         RetryOutcome outcome = RetryPolicy.decide(state, question, clock.nowMillis());
         state = outcome.state();
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/TrafficContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/TrafficContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Supplier;
 
+import org.cowslipbank.entry.suspects.SuspectService;
 import org.cowslipbank.ports.OutsideSystems;
 
 /**
@@ -16,6 +17,7 @@
  * @param settings settings
  * @param clock monotonic clock
  * @param recorder records decisions
+ * @param suspects what is known of requests in flight at crashes
  * @param metrics counts
  */
 public record TrafficContext(
@@ -28,4 +30,5 @@
         TrafficSettings settings,
         MonotonicClock clock,
         DecisionRecorder recorder,
+        SuspectService suspects,
         TrafficMetrics metrics) {}
--- a/peer/src/main/java/org/cowslipbank/peer/RequestKind.java
+++ b/peer/src/main/java/org/cowslipbank/peer/RequestKind.java
@@ -13,5 +13,7 @@
     /** Asks for the highest sequence that a node knows of a claims partition. */
     CLAIM_SEQUENCE,
     /** Tells the node that a session was sent to that the session is about to return. */
-    PREFETCH
+    PREFETCH,
+    /** Tells or asks about requests that were in flight at crashes of upstreams. */
+    SUSPECTS
 }
