--- a/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/RetryGate.java
@@ -22,6 +22,11 @@
         state = RetryPolicy.onRequest(state, clock.nowMillis());
     }
 
+    /** Tells what the answer would be, without using the budget. */
+    synchronized RetryOutcome preview(RetryQuestion question) {
+        return RetryPolicy.decide(state, question, clock.nowMillis());
+    }
+
     synchronized RetryOutcome ask(RetryQuestion question) {
         RetryOutcome outcome =
                 recorder.decide(RetryPolicy.DECISION, new RetryInput(state, question, clock.nowMillis()));
