Let a team's sessions and limits meet on few nodes

Cause: the lookup ranked nodes by team and session over all nodes, while each node granted a team its limit divided by the number of nodes; a team with few sessions was refused at a fraction of its limit. Change: the first nodes of an answer are the team's own, three or more by its rate, and its limits are divided by that number. Figures (EntriesTest): 200 sessions of a team name 3 of 9 nodes first, before up to 9.

--- a/decision/src/main/java/org/cowslipbank/decision/entries/Entries.java
+++ b/decision/src/main/java/org/cowslipbank/decision/entries/Entries.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.membership.FleetNode;
 import org.cowslipbank.decision.membership.NodeAddress;
 import org.cowslipbank.decision.trace.Decision;
+import org.cowslipbank.model.VmId;
 import org.cowslipbank.model.fleet.MemberStatus;
 
 /** Answers address lookups. */
@@ -21,7 +24,8 @@
     private Entries() {}
 
     /**
-     * Answers a lookup: nodes of the caller's data centre first, each part in rendezvous order of team and session.
+     * Answers a lookup: the team's nodes first, so that its limits and sessions meet on few nodes; among them those of
+     * the caller's data centre first, each part in rendezvous order of team and session.
      * Suspect nodes come last, so that a caller does not wait for a node that is about to be declared dead. If no node
      * takes work, the nodes out of reach are named, since the caller may reach them.
      *
@@ -34,19 +38,36 @@
         if (candidates.isEmpty()) {
             candidates = query.nodes().stream().filter(node -> !node.leaving()).toList();
         }
-        String key = Rendezvous.key("entries", query.team().value(), query.session());
-        List<FleetNode> ranked = Rendezvous.top(
-                key, candidates, candidate -> candidate.node().vm().value(), candidates.size());
+        List<FleetNode> ranked =
+                ranked(candidates, Rendezvous.key("entries", query.team().value(), query.session()));
+        Set<VmId> team = teamNodes(candidates, query);
         List<NodeAddress> chosen = new ArrayList<>();
-        append(chosen, ranked, query, true, MemberStatus.ALIVE);
-        append(chosen, ranked, query, false, MemberStatus.ALIVE);
-        append(chosen, ranked, query, true, MemberStatus.SUSPECT);
-        append(chosen, ranked, query, false, MemberStatus.SUSPECT);
+        for (MemberStatus status : List.of(MemberStatus.ALIVE, MemberStatus.SUSPECT)) {
+            for (boolean ofTeam : new boolean[] {true, false}) {
+                List<FleetNode> part = ranked.stream()
+                        .filter(node -> team.contains(node.node().vm()) == ofTeam)
+                        .toList();
+                append(chosen, part, query, true, status);
+                append(chosen, part, query, false, status);
+            }
+        }
         long validMillis =
                 query.confirmed() ? query.validMillis() : Math.min(query.validMillis(), UNCONFIRMED_VALID_MILLIS);
         return new EntryAnswer(chosen, validMillis, query.nowMillis() + validMillis);
     }
 
+    private static List<FleetNode> ranked(List<FleetNode> candidates, String key) {
+        return Rendezvous.top(
+                key, candidates, candidate -> candidate.node().vm().value(), candidates.size());
+    }
+
+    private static Set<VmId> teamNodes(List<FleetNode> candidates, EntryQuery query) {
+        return ranked(candidates, Rendezvous.key("team", query.team().value())).stream()
+                .limit(query.teamNodes())
+                .map(node -> node.node().vm())
+                .collect(Collectors.toSet());
+    }
+
     private static void append(
             List<NodeAddress> chosen, List<FleetNode> ranked, EntryQuery query, boolean own, MemberStatus status) {
         ranked.stream()
--- a/decision/src/main/java/org/cowslipbank/decision/entries/EntryQuery.java
+++ b/decision/src/main/java/org/cowslipbank/decision/entries/EntryQuery.java
@@ -14,6 +14,7 @@
  * @param dataCentre the caller's data centre; its nodes come first
  * @param nodes the nodes as this node sees them
  * @param confirmed whether this node's view is confirmed
+ * @param teamNodes nodes that serve the team, see {@link TeamNodes}
  * @param limit the most nodes in the answer
  * @param validMillis how long a caller may keep the answer, in milliseconds
  * @param nowMillis the time
@@ -24,6 +25,7 @@
         DataCentreId dataCentre,
         List<FleetNode> nodes,
         boolean confirmed,
+        int teamNodes,
         int limit,
         long validMillis,
         long nowMillis) {
--- a/decision/src/test/java/org/cowslipbank/decision/entries/EntriesTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/entries/EntriesTest.java
@@ -1,9 +1,12 @@
 package org.cowslipbank.decision.entries;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import net.jqwik.api.Example;
+import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.decision.membership.FleetNode;
 import org.cowslipbank.decision.membership.NodeAddress;
 import org.cowslipbank.model.DataCentreId;
@@ -34,6 +37,24 @@
         require(answer(nodes, true, 2).nodes().equals(answer.nodes().subList(0, 2)), "limit changes the order");
     }
 
+    /** Guards against a team that is refused at a fraction of its limit because its sessions are spread over all nodes. */
+    @Example
+    void allSessionsOfATeamMeetOnItsNodes() {
+        List<FleetNode> nodes = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            nodes.add(node("n" + i, HERE, MemberStatus.ALIVE, false, true));
+        }
+        Set<String> first = new HashSet<>();
+        for (int session = 0; session < 200; session++) {
+            EntryQuery query = new EntryQuery(TEAM, "s" + session, HERE, nodes, true, 3, 2, 30_000, 1_000);
+            Entries.answer(query).nodes().forEach(node -> first.add(node.vm().value()));
+        }
+        require(first.size() == 3, "nodes of the team: " + first);
+        require(TeamNodes.count(new TeamLimits(10, 10, 10, 1), 9) == 3, "small team");
+        require(TeamNodes.count(new TeamLimits(120, 10, 10, 1), 9) == 8, "large team");
+        require(TeamNodes.count(new TeamLimits(120, 10, 10, 1), 2) == 2, "small fleet");
+    }
+
     /** Guards against a long-lived answer from a node that was paused. */
     @Example
     void unconfirmedAnswerIsValidForAShortTime() {
@@ -80,7 +101,8 @@
     }
 
     private static EntryAnswer answer(List<FleetNode> nodes, boolean confirmed, int limit) {
-        return Entries.answer(new EntryQuery(TEAM, "session", HERE, nodes, confirmed, limit, 30_000, 1_000));
+        return Entries.answer(
+                new EntryQuery(TEAM, "session", HERE, nodes, confirmed, nodes.size(), limit, 30_000, 1_000));
     }
 
     private static FleetNode node(
--- a/entry/src/main/java/org/cowslipbank/entry/fleet/FleetSnapshot.java
+++ b/entry/src/main/java/org/cowslipbank/entry/fleet/FleetSnapshot.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.cowslipbank.config.Team;
+import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.decision.entries.Duties;
 import org.cowslipbank.decision.entries.Duty;
 import org.cowslipbank.decision.entries.DutyAnswer;
@@ -9,9 +11,10 @@
 import org.cowslipbank.decision.entries.Entries;
 import org.cowslipbank.decision.entries.EntryAnswer;
 import org.cowslipbank.decision.entries.EntryQuery;
+import org.cowslipbank.decision.entries.TeamNodes;
+import org.cowslipbank.decision.membership.FleetNode;
 import org.cowslipbank.decision.membership.FleetView;
 import org.cowslipbank.model.DataCentreId;
-import org.cowslipbank.model.TeamId;
 
 /**
  * What this node knows about the fleet, published by the control thread. Immutable. Times are milliseconds on the fleet
@@ -54,9 +57,28 @@
      * @return the answer
      */
     public EntryAnswer entries(
-            TeamId team, String session, DataCentreId dataCentre, int limit, long validMillis, long nowMillis) {
+            Team team, String session, DataCentreId dataCentre, int limit, long validMillis, long nowMillis) {
         return Entries.answer(new EntryQuery(
-                team, session, dataCentre, view.nodes(), isConfirmed(nowMillis), limit, validMillis, nowMillis));
+                team.id(),
+                session,
+                dataCentre,
+                view.nodes(),
+                isConfirmed(nowMillis),
+                teamNodes(team.limits()),
+                limit,
+                validMillis,
+                nowMillis));
+    }
+
+    /**
+     * Returns the number of nodes that serve a team.
+     *
+     * @param limits the team's limits over the whole fleet
+     * @return the number, at least one
+     */
+    public int teamNodes(TeamLimits limits) {
+        int working = (int) view.nodes().stream().filter(FleetNode::takesWork).count();
+        return TeamNodes.count(limits, working);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/node/FleetParts.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/FleetParts.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.cowslipbank.config.Team;
+import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.decision.entries.DrainPlan;
 import org.cowslipbank.decision.entries.EntryAnswer;
 import org.cowslipbank.decision.membership.FleetNode;
@@ -21,7 +23,6 @@
 import org.cowslipbank.entry.traffic.FleetView;
 import org.cowslipbank.model.ConfigurationException;
 import org.cowslipbank.model.DataCentreId;
-import org.cowslipbank.model.TeamId;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 import org.cowslipbank.peer.PeerAddress;
@@ -115,7 +116,7 @@
                 .findFirst();
     }
 
-    synchronized EntryAnswer entries(TeamId team, String sessionKey) {
+    synchronized EntryAnswer entries(Team team, String sessionKey) {
         EntryAnswer answer = service.snapshot()
                 .entries(
                         team,
@@ -163,11 +164,8 @@
     }
 
     @Override
-    public int teamSubsetSize() {
-        long working = service.snapshot().view().nodes().stream()
-                .filter(FleetNode::takesWork)
-                .count();
-        return (int) Math.max(1, working);
+    public int teamNodes(TeamLimits limits) {
+        return service.snapshot().teamNodes(limits);
     }
 
     private static PeerTls peerTls(TlsSettings tls) {
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -284,7 +284,7 @@
     }
 
     private ObjectNode entries(Team team, String sessionKey) {
-        EntryAnswer answer = fleet.entries(team.id(), sessionKey);
+        EntryAnswer answer = fleet.entries(team, sessionKey);
         lookups.announce(team, sessionKey, answer);
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         answer.nodes().forEach(node -> body.withArray("entries")
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/AdmissionGate.java
@@ -24,12 +24,13 @@
     private static final long EXPECTED_RUN_MILLIS = 1_000;
 
     private final MonotonicClock clock;
+    private final FleetView fleet;
     private final DecisionRecorder recorder;
     private final Map<String, Group> groups = new HashMap<>();
-    private int teamSubsetSize = 1;
 
-    AdmissionGate(MonotonicClock clock, DecisionRecorder recorder) {
+    AdmissionGate(MonotonicClock clock, FleetView fleet, DecisionRecorder recorder) {
         this.clock = clock;
+        this.fleet = fleet;
         this.recorder = recorder;
     }
 
@@ -38,10 +39,6 @@
         return Mono.create(sink -> offer(new AdmissionRequest(request, team.id(), 1, sendByMillis), team, model, sink));
     }
 
-    synchronized void setTeamSubsetSize(int nodes) {
-        teamSubsetSize = Math.max(1, nodes);
-    }
-
     synchronized void setCapacity(String model, List<Capacity.UpstreamLoad> loads, int nodes, int ownSlots) {
         Group group = group(model);
         Capacity.Outcome capacity = Capacity.derive(
@@ -97,7 +94,8 @@
 
     private TeamShare share(Team team) {
         return recorder.decide(
-                TeamShares.DECISION, new TeamShares.Input(team.id(), team.limits(), teamSubsetSize, 0, List.of()));
+                TeamShares.DECISION,
+                new TeamShares.Input(team.id(), team.limits(), fleet.teamNodes(team.limits()), 0, List.of()));
     }
 
     private Group group(String model) {
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/FleetView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/FleetView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
 
@@ -38,9 +39,10 @@
     List<VmId> nodes();
 
     /**
-     * Returns the number of nodes that share one team's limits.
+     * Returns the number of nodes that serve a team and share its limits.
      *
+     * @param limits the team's limits
      * @return the number, at least one
      */
-    int teamSubsetSize();
+    int teamNodes(TeamLimits limits);
 }
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRunner.java
@@ -41,7 +41,7 @@
      */
     public PromptRunner(TrafficContext context) {
         this.context = context;
-        this.admission = new AdmissionGate(context.clock(), context.recorder());
+        this.admission = new AdmissionGate(context.clock(), context.fleet(), context.recorder());
         this.retries = new RetryGate(context.clock(), context.recorder());
         BlockLocator locator =
                 new BlockLocator(context.systems(), context.stores(), context.configuration(), context.clock());
@@ -116,7 +116,6 @@
         sessions.forEach(session -> session.tick(nowMillis));
         if (ticks++ % TICKS_PER_CAPACITY_UPDATE == 0) {
             context.configuration().get().configuration().models().forEach(model -> updateCapacity(model, nowMillis));
-            admission.setTeamSubsetSize(context.fleet().teamSubsetSize());
         }
         admission.tick();
     }
--- a/entry/src/test/java/org/cowslipbank/entry/fleet/FleetServiceTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/fleet/FleetServiceTest.java
@@ -10,6 +10,8 @@
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.cowslipbank.config.Team;
+import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.decision.entries.Duty;
 import org.cowslipbank.decision.membership.MembershipSettings;
 import org.cowslipbank.decision.membership.NodeAddress;
@@ -25,6 +27,8 @@
 import reactor.core.publisher.Mono;
 
 class FleetServiceTest {
+    private static final Team TEAM =
+            new Team(new TeamId("t"), List.of(), new TeamLimits(10, 20, 10, 1), List.of(), List.of(), "region");
     private static final DataCentreId DATA_CENTRE = new DataCentreId("dc");
     private static final UpstreamId ENGINE = new UpstreamId("engine");
 
@@ -52,7 +56,7 @@
                         List.of()));
         await(() -> last.snapshot().view().leavingUpstreams().contains(ENGINE));
         await(() -> last.snapshot()
-                        .entries(new TeamId("t"), "", DATA_CENTRE, 9, 30_000, last.nowMillis())
+                        .entries(TEAM, "", DATA_CENTRE, 9, 30_000, last.nowMillis())
                         .nodes()
                         .size()
                 == 2);
