Let a suspect without an upstream wait outside the arbiter

One arbiter of the region serves all models. A suspect that no upstream can take was kept among its askers, and those with more tokens waited behind it for up to the whole suspect wait, also for other models. Such a suspect now waits as no_upstream without asking.

--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -250,6 +250,11 @@
             return;
         }
         List<SuspectArbiter.Candidate> candidates = router.suspectCandidates(start.requiredModel(), start.avoid());
+        if (candidates.isEmpty()) {
+            // The arbiter would keep suspects with more tokens waiting behind one that has no upstream.
+            notSent(start, NotSentReason.NO_UPSTREAM, NO_UPSTREAM_WAIT_MILLIS);
+            return;
+        }
         place(
                 start,
                 context.suspects()
