Command engines from the node that controls a model group

Cause: a change of the active weight version reached no engine, and every new request was refused while no engine had it. Change: OrdersService runs the controllers of the groups that this node has the duty for, under a lease whose fencing token goes into each command; load reports carry the engine's role; a request without an emitted token runs on another version of its model while none has the wanted one loaded.

--- a/entry/src/main/java/org/cowslipbank/entry/node/FleetParts.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/FleetParts.java
@@ -11,6 +11,7 @@
 import org.cowslipbank.config.Team;
 import org.cowslipbank.config.TeamLimits;
 import org.cowslipbank.decision.entries.DrainPlan;
+import org.cowslipbank.decision.entries.Duty;
 import org.cowslipbank.decision.entries.EntryAnswer;
 import org.cowslipbank.decision.membership.FleetNode;
 import org.cowslipbank.decision.membership.MembershipSettings;
@@ -25,6 +26,8 @@
 import org.cowslipbank.model.DataCentreId;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.model.VmId;
+import org.cowslipbank.model.fleet.Facts;
+import org.cowslipbank.model.fleet.UpstreamFact;
 import org.cowslipbank.peer.PeerAddress;
 import org.cowslipbank.peer.PeerIdentity;
 import org.cowslipbank.peer.PeerSecret;
@@ -40,6 +43,7 @@
     private static final long VM_LIST_PERIOD_MILLIS = 5_000;
     private static final int LARGE_FLEET_NODES = 50;
     private static final int ENTRIES_IN_ANSWER = 3;
+    private static final int UPSTREAM_FACT_SECONDS = 60;
 
     private final NodeSettings settings;
     private final UpstreamPlaces upstreamPlaces;
@@ -136,6 +140,19 @@
         return drainPlan.serveUntilMillis(nowMillis, settings.entriesValidMillis()) - nowMillis;
     }
 
+    /** Tells every node whether an engine takes new work. */
+    void announceUpstream(UpstreamId upstream, boolean leaving) {
+        UpstreamFact fact = new UpstreamFact(upstream, leaving, service.nowMillis(), UPSTREAM_FACT_SECONDS);
+        service.publish(new Facts(List.of(), List.of(fact), List.of(), List.of(), List.of()));
+    }
+
+    /** Tells whether this node has the duty to control a model's group. */
+    boolean controls(String model) {
+        return service.snapshot()
+                .duty(Duty.CONTROL_MODEL_GROUP, model, List.of(), service.nowMillis())
+                .mine();
+    }
+
     @Override
     public Set<UpstreamId> leavingUpstreams() {
         return service.snapshot().view().leavingUpstreams();
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -25,6 +25,8 @@
 import org.cowslipbank.entry.http.CallerApi;
 import org.cowslipbank.entry.http.ServiceApi;
 import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.orders.OrdersContext;
+import org.cowslipbank.entry.orders.OrdersService;
 import org.cowslipbank.entry.settings.ListenSettings;
 import org.cowslipbank.entry.settings.NodeSettings;
 import org.cowslipbank.entry.settings.TlsSettings;
@@ -76,6 +78,7 @@
     private final LoadPoller loads;
     private final ServiceApi services;
     private final AdminApi admin;
+    private final OrdersService orders;
     private final LookupHints lookups;
     private final NodeStatus status;
     private DisposableServer callerServer;
@@ -115,6 +118,16 @@
                 new TrafficMetrics(metrics)));
         this.loads = new LoadPoller(systems, configuration::index, upstreams);
         this.services = new ServiceApi(systems, configuration::index, claims, settings.region());
+        this.orders = new OrdersService(
+                new OrdersContext(
+                        fleet.self(),
+                        systems,
+                        platformShare.at(PlatformBudget.Priority.COMMANDS),
+                        configuration::index,
+                        fleet::announceUpstream,
+                        control,
+                        MonotonicClock.SYSTEM),
+                fleet::controls);
         this.lookups = new LookupHints(fleet, configuration::index, prompts::prefetch);
         this.status = new NodeStatus(fleet, configuration, upstreams, stores, metrics);
         this.admin = new AdminApi(
@@ -140,6 +153,7 @@
         suspects.start();
         loads.start();
         prompts.start();
+        orders.start();
         CallerApi callers = new CallerApi(
                 configuration::index, prompts::run, this::entries, services, this::checkAccepts, Clock.systemUTC());
         callerServer = listen(settings.callers(), callers::addRoutes);
@@ -230,6 +244,7 @@
     public void close() {
         dispose(callerServer);
         dispose(adminServer);
+        orders.stop();
         prompts.stop();
         loads.stop();
         suspects.stop();
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptRouter.java
@@ -73,6 +73,41 @@
         this.fetcher = new BlockFetcher(stores, clock, recorder);
     }
 
+    /**
+     * Places a prompt of which no token has been emitted. While no upstream has the wanted version loaded, as during a
+     * version change, it runs on another version of the model.
+     *
+     * @param request the request
+     * @param wanted the model, weight version and adapter
+     * @param avoid upstreams on which attempts failed
+     * @param granted the upstream that the arbiter named for a suspect, empty for a request that is none
+     * @return the placement; an error of type {@link NotPlacedException} if no upstream takes it now
+     */
+    Mono<Placed> placeNew(
+            PromptRequest request, ModelRef wanted, List<UpstreamId> avoid, Optional<UpstreamId> granted) {
+        Mono<Placed> placement = place(request, wanted, avoid, granted);
+        for (ModelRef other : otherVersions(wanted)) {
+            placement = placement.onErrorResume(
+                    PromptRouter::isVersionMissing, error -> place(request, other, avoid, granted));
+        }
+        return placement.onErrorMap(
+                PromptRouter::isVersionMissing, error -> new NotPlacedException(NotSentReason.NO_UPSTREAM));
+    }
+
+    private static boolean isVersionMissing(Throwable error) {
+        return error instanceof NotPlacedException notPlaced && notPlaced.reason() == NotSentReason.NO_SUCH_VERSION;
+    }
+
+    private List<ModelRef> otherVersions(ModelRef wanted) {
+        return configuration.get().model(wanted.model()).stream()
+                .flatMap(model -> model.versions().stream())
+                .filter(version -> !version.weightVersion().equals(wanted.weightVersion()))
+                .filter(version ->
+                        wanted.adapter().isEmpty() || version.adapters().contains(wanted.adapter()))
+                .map(version -> new ModelRef(wanted.model(), version.weightVersion(), wanted.adapter()))
+                .toList();
+    }
+
     /**
      * Places a prompt.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -276,7 +276,9 @@
             returnGrant();
             return Mono.empty();
         }
-        return router.place(request, start.requiredModel(), start.avoid(), upstream);
+        return start.fromToken() == 0
+                ? router.placeNew(request, start.requiredModel(), start.avoid(), upstream)
+                : router.place(request, start.requiredModel(), start.avoid(), upstream);
     }
 
     private void place(StreamEffect.Start start, Mono<Placed> placement) {
--- a/ports/src/main/java/org/cowslipbank/ports/EngineLoad.java
+++ b/ports/src/main/java/org/cowslipbank/ports/EngineLoad.java
@@ -11,6 +11,7 @@
  * @param prefillTokensPerSecond rate at which prompt tokens are computed
  * @param slots the most runs in the batch
  * @param loaded the model, weight version and adapter now loaded
+ * @param role the role that it has taken
  * @param loading true while new weights load
  * @param reportAgeMillis age of the report in milliseconds when it was sent
  */
@@ -21,5 +22,6 @@
         double prefillTokensPerSecond,
         int slots,
         ModelRef loaded,
+        EngineRole role,
         boolean loading,
         long reportAgeMillis) {}
--- a/standins/src/main/java/org/cowslipbank/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/cowslipbank/standins/EngineStandIn.java
@@ -396,6 +396,7 @@
                 report.prefillTokensPerSecond(),
                 report.slots(),
                 report.loaded(),
+                report.role(),
                 report.loading(),
                 nowMillis - reportedAtMillis);
     }
@@ -412,6 +413,7 @@
                 size.prefillTokensPerSecond(),
                 size.slots(),
                 loaded,
+                role,
                 loading != null,
                 ageMillis);
     }
