--- a/bench/src/main/java/org/cowslipbank/bench/load/LoadBench.java
+++ b/bench/src/main/java/org/cowslipbank/bench/load/LoadBench.java
@@ -26,8 +26,8 @@
     private static final int TOKENS_PER_STREAM = 270;
     private static final double MAX_ADDED_FIRST_TOKEN_MILLIS = 2;
     private static final double MAX_ADDED_BETWEEN_TOKENS_MILLIS = 3;
-    // Sampling variation of Poisson arrivals over the time measured.
-    private static final double RATE_TOLERANCE = 0.05;
+    // Poisson arrivals vary over the time measured; more is offered, so that the stated rates can be reached.
+    private static final double OFFERED_STREAMS_PER_SECOND = 1.05 * STREAMS_PER_SECOND;
     private static final int WARM_UP_SECONDS = 15;
     private static final int MEASURE_SECONDS = 20;
     private static final int PROMPT_BYTES = 6_000;
@@ -38,7 +38,7 @@
 
     /** Creates the experiment at the stated rate. */
     public LoadBench() {
-        this(STREAMS_PER_SECOND);
+        this(OFFERED_STREAMS_PER_SECOND);
     }
 
     LoadBench(double streamsPerSecond) {
@@ -105,13 +105,8 @@
     private static List<Figure> figures(LoadResult node, LoadResult direct) {
         return List.of(
                 Figure.atLeast(
-                        "streams_per_second",
-                        node.measuredRequests() / node.measuredSeconds(),
-                        STREAMS_PER_SECOND * (1 - RATE_TOLERANCE)),
-                Figure.atLeast(
-                        "tokens_per_second",
-                        node.tokens() / node.measuredSeconds(),
-                        TOKENS_PER_SECOND * (1 - RATE_TOLERANCE)),
+                        "streams_per_second", node.measuredRequests() / node.measuredSeconds(), STREAMS_PER_SECOND),
+                Figure.atLeast("tokens_per_second", node.tokens() / node.measuredSeconds(), TOKENS_PER_SECOND),
                 Figure.atMost("not_answered", (double) node.requests() - node.answered(), 0),
                 Figure.atMost("wrong_answers", node.wrong(), 0),
                 Figure.atMost(
--- a/decision/src/main/java/org/cowslipbank/decision/retry/RetryPolicy.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retry/RetryPolicy.java
@@ -89,7 +89,9 @@
         if (state.newestSecond() < WINDOW_SECONDS) {
             return state.retries().get(WINDOW_SECONDS - 1) < START_RETRIES_PER_SECOND;
         }
-        return sum(state.retries()) + 1 <= BUDGET_SHARE * sum(state.requests());
+        // A quiet node keeps the starting rate; without it the death of an engine would fail the few requests it had.
+        double budget = Math.max(START_RETRIES_PER_SECOND * WINDOW_SECONDS, BUDGET_SHARE * sum(state.requests()));
+        return sum(state.retries()) + 1 <= budget;
     }
 
     private static RetryState advance(RetryState state, long nowMillis) {
--- a/entry/src/main/java/org/cowslipbank/entry/node/Node.java
+++ b/entry/src/main/java/org/cowslipbank/entry/node/Node.java
@@ -253,7 +253,8 @@
         platformShare.stop();
         fleet.stop();
         closeRecorder();
-        control.dispose();
+        // What was scheduled to close the services still runs; only then the thread ends.
+        control.disposeGracefully().timeout(STOP_WAIT).onErrorComplete().block();
     }
 
     private DecisionRecorder recorder(NodeSettings from) throws ConfigurationException {
