--- /dev/null
+++ b/config/src/main/java/org/cowslipbank/config/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON mapping of the identifiers that all modules share. */
+package org.cowslipbank.config.json;
--- a/decision/src/main/java/org/cowslipbank/decision/trace/TraceJson.java
+++ b/decision/src/main/java/org/cowslipbank/decision/trace/TraceJson.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.Optional;
-import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -11,28 +10,18 @@
 import com.fasterxml.jackson.databind.JavaType;
 import com.fasterxml.jackson.databind.JsonDeserializer;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.KeyDeserializer;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.annotation.JsonSerialize;
 import com.fasterxml.jackson.databind.deser.ContextualDeserializer;
-import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import org.cowslipbank.config.json.IdentifierModule;
 import org.cowslipbank.decision.streams.StreamEffect;
 import org.cowslipbank.decision.streams.StreamEvent;
-import org.cowslipbank.model.AttemptId;
-import org.cowslipbank.model.BlockKey;
-import org.cowslipbank.model.DataCentreId;
-import org.cowslipbank.model.RequestId;
-import org.cowslipbank.model.SessionKey;
-import org.cowslipbank.model.StoreId;
-import org.cowslipbank.model.TeamId;
-import org.cowslipbank.model.UpstreamId;
-import org.cowslipbank.model.VmId;
 
 /**
  * JSON mapping of traces: identifiers are plain strings, sealed interfaces carry the property that their annotations
@@ -54,18 +43,10 @@
 
     private static ObjectMapper newMapper() {
         SimpleModule module = new SimpleModule("trace");
-        addIdentifier(module, TeamId.class, TeamId::value, TeamId::new);
-        addIdentifier(module, UpstreamId.class, UpstreamId::value, UpstreamId::new);
-        addIdentifier(module, VmId.class, VmId::value, VmId::new);
-        addIdentifier(module, StoreId.class, StoreId::value, StoreId::new);
-        addIdentifier(module, DataCentreId.class, DataCentreId::value, DataCentreId::new);
-        addIdentifier(module, RequestId.class, RequestId::value, RequestId::new);
-        addIdentifier(module, AttemptId.class, AttemptId::value, AttemptId::new);
-        addIdentifier(module, SessionKey.class, SessionKey::value, SessionKey::new);
-        addIdentifier(module, BlockKey.class, BlockKey::hex, BlockKey::new);
         module.addSerializer(new OptionalSerializer());
         module.addDeserializer(Optional.class, new OptionalDeserializer(null));
         return JsonMapper.builder()
+                .addModule(new IdentifierModule())
                 .addModule(module)
                 .addMixIn(StreamEvent.Token.class, WithoutText.class)
                 .addMixIn(StreamEffect.Emit.class, WithoutText.class)
@@ -75,14 +56,6 @@
                 .build();
     }
 
-    private static <T> void addIdentifier(
-            SimpleModule module, Class<T> type, Function<T, String> toText, Function<String, T> fromText) {
-        module.addSerializer(type, new TextSerializer<>(type, toText, false));
-        module.addKeySerializer(type, new TextSerializer<>(type, toText, true));
-        module.addDeserializer(type, new TextDeserializer<>(type, fromText));
-        module.addKeyDeserializer(type, new TextKeyDeserializer(fromText));
-    }
-
     private interface WithoutText {
         @JsonSerialize(using = EmptyText.class)
         String text();
@@ -101,57 +74,6 @@
         }
     }
 
-    private static final class TextSerializer<T> extends StdSerializer<T> {
-        private static final long serialVersionUID = 1L;
-
-        private final transient Function<T, String> toText;
-        private final boolean asName;
-
-        TextSerializer(Class<T> type, Function<T, String> toText, boolean asName) {
-            super(type);
-            this.toText = toText;
-            this.asName = asName;
-        }
-
-        @Override
-        public void serialize(T value, JsonGenerator generator, SerializerProvider provider) throws IOException {
-            if (asName) {
-                generator.writeFieldName(toText.apply(value));
-            } else {
-                generator.writeString(toText.apply(value));
-            }
-        }
-    }
-
-    private static final class TextDeserializer<T> extends StdDeserializer<T> {
-        private static final long serialVersionUID = 1L;
-
-        private final transient Function<String, T> fromText;
-
-        TextDeserializer(Class<T> type, Function<String, T> fromText) {
-            super(type);
-            this.fromText = fromText;
-        }
-
-        @Override
-        public T deserialize(JsonParser parser, DeserializationContext context) throws IOException {
-            return fromText.apply(parser.getValueAsString());
-        }
-    }
-
-    private static final class TextKeyDeserializer extends KeyDeserializer {
-        private final Function<String, ?> fromText;
-
-        TextKeyDeserializer(Function<String, ?> fromText) {
-            this.fromText = fromText;
-        }
-
-        @Override
-        public Object deserializeKey(String key, DeserializationContext context) {
-            return fromText.apply(key);
-        }
-    }
-
     private static final class OptionalSerializer extends StdSerializer<Optional<?>> {
         private static final long serialVersionUID = 1L;
 
