--- a/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
+++ b/entry/src/main/java/org/cowslipbank/entry/traffic/PromptSession.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -31,19 +30,14 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.suspects.SuspectService;
 import org.cowslipbank.model.AttemptId;
-import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.RefusedException;
-import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.Step;
 import org.cowslipbank.model.UpstreamId;
 import org.cowslipbank.ports.Engine;
 import org.cowslipbank.ports.EngineEvent;
 import org.cowslipbank.ports.GenerateCall;
-import org.cowslipbank.ports.Usage;
-import org.reactivestreams.Subscription;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
-import reactor.core.publisher.BaseSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxSink;
 import reactor.core.publisher.Mono;
@@ -57,7 +51,6 @@
     private static final int TOKENS_PER_CALLER_NOTICE = 16;
     // A meter is shared by all streams and updates several counters at each mark.
     private static final int TOKENS_PER_METER_MARK = 32;
-    private static final int READ_AHEAD_EVENTS = 64;
     private static final long NO_UPSTREAM_WAIT_MILLIS = 200;
 
     private final TrafficContext context;
@@ -293,11 +286,11 @@
     private void grantLapsed(AttemptId attempt) {
         UpstreamId upstream = inFlightAt;
         EngineReader current = reader;
-        if (upstream == null || current == null || !current.attempt.equals(attempt)) {
+        if (upstream == null || current == null || !current.attempt().equals(attempt)) {
             return;
         }
         cancel(new StreamEffect.Cancel(attempt, upstream));
-        offer(new StreamEvent.Failed(attempt, current.connection, FailureKind.RUN_ABORTED));
+        offer(new StreamEvent.Failed(attempt, current.connection(), FailureKind.RUN_ABORTED));
     }
 
     private void returnGrant() {
@@ -415,7 +408,7 @@
 
     private void read(AttemptId attempt, int connection, Flux<EngineEvent> stream) {
         closeReader();
-        reader = new EngineReader(attempt, connection);
+        reader = new EngineReader(attempt, connection, this::offer);
         stream.subscribe(reader);
     }
 
@@ -440,102 +433,4 @@
             placed = null;
         }
     }
-
-    /** Reads one connection to an engine with bounded demand. */
-    private final class EngineReader extends BaseSubscriber<EngineEvent> {
-        private final AttemptId attempt;
-        private final int connection;
-        private boolean paused;
-        private int owedEvents;
-        private boolean finished;
-
-        EngineReader(AttemptId attempt, int connection) {
-            this.attempt = attempt;
-            this.connection = connection;
-        }
-
-        void pause() {
-            synchronized (this) {
-                paused = true;
-            }
-        }
-
-        void proceed() {
-            int owed;
-            synchronized (this) {
-                paused = false;
-                owed = owedEvents;
-                owedEvents = 0;
-            }
-            if (owed > 0) {
-                request(owed);
-            }
-        }
-
-        @Override
-        protected void hookOnSubscribe(Subscription subscription) {
-            request(READ_AHEAD_EVENTS);
-        }
-
-        @Override
-        protected void hookOnNext(EngineEvent event) {
-            offer(toStreamEvent(event));
-            boolean more;
-            synchronized (this) {
-                more = !paused;
-                owedEvents += paused ? 1 : 0;
-            }
-            if (more) {
-                request(1);
-            }
-        }
-
-        @Override
-        protected void hookOnComplete() {
-            if (!finished) {
-                offer(new StreamEvent.Failed(attempt, connection, FailureKind.BROKEN));
-            }
-        }
-
-        @Override
-        protected void hookOnError(Throwable error) {
-            offer(new StreamEvent.Failed(attempt, connection, failureKind(error)));
-        }
-
-        private FailureKind failureKind(Throwable error) {
-            boolean notRun = error instanceof PeerException peer && peer.runState() == RunState.NOT_RUN;
-            if (!notRun) {
-                return FailureKind.BROKEN;
-            }
-            if (error.getCause() != null) {
-                return FailureKind.NOT_REACHED;
-            }
-            return connection > 0 ? FailureKind.UNKNOWN_ATTEMPT : FailureKind.REFUSED;
-        }
-
-        private StreamEvent toStreamEvent(EngineEvent event) {
-            if (event instanceof EngineEvent.Token token) {
-                return new StreamEvent.Token(token.attempt(), connection, token.index(), token.text());
-            }
-            if (event instanceof EngineEvent.Started started) {
-                return new StreamEvent.Started(started.attempt(), connection, started.ran());
-            }
-            if (event instanceof EngineEvent.Finished end) {
-                finished = true;
-                return new StreamEvent.Finished(end.attempt(), connection, run(end));
-            }
-            return new StreamEvent.Heartbeat(event.attempt(), connection);
-        }
-
-        private FinishedRun run(EngineEvent.Finished end) {
-            Usage usage = end.usage();
-            return new FinishedRun(
-                    end.reason().name().toLowerCase(Locale.ROOT),
-                    usage.promptTokens(),
-                    usage.cachedTokens(),
-                    usage.importedTokens(),
-                    usage.completionTokens(),
-                    true);
-        }
-    }
 }
--- a/ports/src/main/java/org/cowslipbank/ports/EngineEvent.java
+++ b/ports/src/main/java/org/cowslipbank/ports/EngineEvent.java
@@ -3,7 +3,7 @@
 import org.cowslipbank.model.AttemptId;
 import org.cowslipbank.model.ModelRef;
 
-/** An event of a run. Every event names its attempt, so that a late or crossed answer can be dropped. */
+/** An event of a run. Every event names its attempt, so that a late or misdelivered answer can be dropped. */
 public sealed interface EngineEvent {
     /**
      * Returns the attempt that the event belongs to.
