Compute the digest of a bearer key in one place

Cause: Keys.sha256 repeated Configurations.keySha256, so the digest that is stored and the one that is looked up could have come apart. Change: Keys calls the configuration's function. Conclusion: behaviour is unchanged; mvn verify is green.

--- a/entry/src/main/java/org/cowslipbank/entry/http/Keys.java
+++ b/entry/src/main/java/org/cowslipbank/entry/http/Keys.java
@@ -1,11 +1,8 @@
 package org.cowslipbank.entry.http;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 
+import org.cowslipbank.config.Configurations;
 import reactor.netty.http.server.HttpServerRequest;
 
 /** Bearer keys. They are compared by digest only, so a look-up's timing reveals nothing of other keys. */
@@ -25,21 +22,7 @@
         if (header == null || !header.startsWith(SCHEME)) {
             return Optional.empty();
         }
-        return Optional.of(sha256(header.substring(SCHEME.length()).trim()));
-    }
-
-    /**
-     * Returns the digest of a key.
-     *
-     * @param key the key
-     * @return SHA-256 in lower-case hexadecimal
-     */
-    public static String sha256(String key) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is required of every Java platform", e);
-        }
+        return Optional.of(
+                Configurations.keySha256(header.substring(SCHEME.length()).trim()));
     }
 }
