Run on the platform through an adapter

Cause: the users' new VMs speak formats of their own; the node could not run there. Change: platform/ decodes settings, configuration, registrations, requests and calls; entry.relay relays opaque requests on one event loop; decision.relay places them by shared prompt part and keeps the revocation clock; one node leads version rollouts under a lease of the metadata store.

--- a/cli/src/main/java/org/cowslipbank/cli/Main.java
+++ b/cli/src/main/java/org/cowslipbank/cli/Main.java
@@ -19,6 +19,7 @@
             new DemoCommand(),
             new DrainCommand(),
             new NodeCommand(),
+            new RelayCommand(),
             new ReplayCommand(),
             new StandInCommand(),
             new StatusCommand());
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
@@ -0,0 +1,110 @@
+package org.cowslipbank.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+
+import com.codahale.metrics.MetricRegistry;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.apache.logging.log4j.LogManager;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.relay.Clocks;
+import org.cowslipbank.entry.relay.RelayNode;
+import org.cowslipbank.model.ConfigurationException;
+import org.cowslipbank.model.CowslipbankException;
+import org.cowslipbank.platform.EngineClient;
+import org.cowslipbank.platform.HttpRelayWire;
+import org.cowslipbank.platform.MetadataStoreClient;
+import org.cowslipbank.platform.NodeFile;
+import org.cowslipbank.platform.PlatformHttp;
+import org.cowslipbank.platform.PlatformItems;
+import org.cowslipbank.ports.relay.RelaySettings;
+import reactor.netty.resources.LoopResources;
+import sun.misc.Signal;
+
+/** Runs a node on the platform until it is told to stop. */
+final class RelayCommand implements Command {
+    // The VMs have one core; a single event loop needs no locks between connections.
+    private static final int EVENT_LOOPS = 1;
+
+    @Override
+    public String name() {
+        return "relay";
+    }
+
+    @Override
+    public String summary() {
+        return "run a node on the platform; SIGTERM shuts it down without cutting a request";
+    }
+
+    @Override
+    public ExitCode run(List<String> arguments, Console console) throws CowslipbankException, UsageException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<String> file = parser.accepts("settings", "The platform's settings file.")
+                .withRequiredArg()
+                .defaultsTo(Optional.ofNullable(System.getenv(NodeFile.PATH_VARIABLE))
+                        .orElse("/etc/cowslipbank/node.json"));
+        OptionSpec<Integer> metricsPort = parser.accepts("metrics-port", "Port for metrics; none without it.")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(0);
+        Optional<OptionSet> options = new Options(parser).parse(arguments, console);
+        if (options.isEmpty()) {
+            return ExitCode.DONE;
+        }
+        Path settingsFile = Path.of(options.get().valueOf(file));
+        int port = options.get().valueOf(metricsPort);
+        RelayNode node = start(NodeFile.read(settingsFile, port));
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(node, stopped), "shutdown"));
+        // Without a handler the virtual machine would end at this signal.
+        Signal.handle(new Signal("HUP"), signal -> reload(settingsFile, port));
+        await(stopped);
+        return ExitCode.DONE;
+    }
+
+    private static RelayNode start(RelaySettings settings) throws CowslipbankException {
+        LoopResources loops = LoopResources.create("traffic", EVENT_LOOPS, true);
+        PlatformHttp http = new PlatformHttp(loops);
+        RelayNode.Platform platform = new RelayNode.Platform(
+                new MetadataStoreClient(http, settings.storeAddress()),
+                new PlatformItems(),
+                new EngineClient(http),
+                new HttpRelayWire());
+        RelayNode node = new RelayNode(settings, platform, loops, Clocks.SYSTEM, new MetricRegistry());
+        node.start();
+        return node;
+    }
+
+    /** Addresses and bounds stay as they were at the start; a changed file is checked and takes effect at a restart. */
+    private static void reload(Path file, int metricsPort) {
+        LogFields line = LogFields.event("settings read again").field("file", file);
+        try {
+            line.field("settings", NodeFile.read(file, metricsPort));
+        } catch (ConfigurationException e) {
+            line.error(e);
+        }
+        LogManager.getLogger(RelayCommand.class).info(line);
+    }
+
+    private static void shutDown(RelayNode node, CountDownLatch stopped) {
+        try {
+            node.shutDown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LogManager.shutdown();
+        stopped.countDown();
+    }
+
+    private static void await(CountDownLatch stopped) {
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -0,0 +1,19 @@
+package org.cowslipbank.decision.relay;
+
+/** What this node has seen of one incarnation of an upstream. */
+final class UpstreamLoad {
+    static final long NEVER = Long.MIN_VALUE;
+
+    int inFlight;
+    long tokensInFlight;
+    /** Since when something is awaited and nothing was heard, {@link #NEVER} if nothing is awaited. */
+    long silentSinceMillis = NEVER;
+    /** No new requests before this time. */
+    long avoidedUntilMillis = NEVER;
+    /** True from a failure until the next sign of life: one request at a time is tried. */
+    boolean onProbation;
+    /** Moving share of requests that failed. */
+    double failedShare;
+
+    long weightVersion;
+}
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -0,0 +1,216 @@
+package org.cowslipbank.decision.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What this node has seen of each incarnation of an upstream: requests in flight, silence, failures. Owned by the
+ * traffic thread.
+ */
+public final class UpstreamLoads {
+    /** How a request ended at an upstream. */
+    public enum Outcome {
+        /** The upstream answered. */
+        ANSWERED,
+        /** The upstream answered with a server error, or with something that is no answer. */
+        FAILED,
+        /** The upstream stated that it did not run the request. */
+        REJECTED,
+        /** The connection broke. */
+        BROKEN,
+        /** No connection could be opened. */
+        UNREACHABLE,
+        /** The request was moved away because the upstream was silent. */
+        SILENT,
+        /** The client left, or its time was over. */
+        ABANDONED
+    }
+
+    /**
+     * How long an upstream may be silent on all connections while something is awaited. Engines send an event every few
+     * milliseconds; reading a long prompt into a busy engine takes up to about 400 ms.
+     */
+    public static final long SILENCE_MILLIS = 600;
+
+    /** Pause after a broken connection; a process that crashed refuses connections at once. */
+    static final long BROKEN_PAUSE_MILLIS = 250;
+
+    /** Pause after an upstream could not be reached or fell silent; a trial request follows. */
+    static final long SILENT_PAUSE_MILLIS = 1_500;
+
+    /** Pause after a rejection: an engine that loads weights or is full rejects for some hundred milliseconds. */
+    static final long REJECTED_PAUSE_MILLIS = 150;
+
+    /** Weight of the newest outcome in the moving share of failures. */
+    static final double FAILURE_WEIGHT = 0.15;
+
+    /** Share of failures above which an upstream is avoided; plain services fail about one request in seven by design. */
+    static final double FAILED_SHARE_LIMIT = 0.35;
+
+    /** Pause of an upstream that fails too many requests; then it is tried again. */
+    static final long FAILING_PAUSE_MILLIS = 1_000;
+
+    private final Map<String, UpstreamLoad> loads = new HashMap<>();
+
+    /**
+     * Counts a request that is sent.
+     *
+     * @param incarnation the upstream
+     * @param tokens tokens of its prompt
+     * @param nowMillis the time in milliseconds
+     */
+    public void onSent(String incarnation, int tokens, long nowMillis) {
+        UpstreamLoad load = load(incarnation);
+        load.inFlight++;
+        load.tokensInFlight += tokens;
+        if (load.silentSinceMillis == UpstreamLoad.NEVER) {
+            load.silentSinceMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Notes bytes of an upstream.
+     *
+     * @param incarnation the upstream
+     * @param nowMillis the time in milliseconds
+     */
+    public void onHeard(String incarnation, long nowMillis) {
+        UpstreamLoad load = load(incarnation);
+        load.silentSinceMillis = load.inFlight > 0 ? nowMillis : UpstreamLoad.NEVER;
+        load.onProbation = false;
+    }
+
+    /**
+     * Counts a request that has ended.
+     *
+     * @param incarnation the upstream
+     * @param tokens tokens of its prompt
+     * @param outcome how it ended
+     * @param nowMillis the time in milliseconds
+     */
+    public void onEnded(String incarnation, int tokens, Outcome outcome, long nowMillis) {
+        UpstreamLoad load = load(incarnation);
+        load.inFlight = Math.max(0, load.inFlight - 1);
+        load.tokensInFlight = Math.max(0, load.tokensInFlight - tokens);
+        if (load.inFlight == 0) {
+            load.silentSinceMillis = UpstreamLoad.NEVER;
+        }
+        switch (outcome) {
+            case ANSWERED -> noteFailure(load, false, nowMillis);
+            case FAILED -> noteFailure(load, true, nowMillis);
+            case REJECTED -> avoid(load, nowMillis + REJECTED_PAUSE_MILLIS);
+            case BROKEN -> {
+                noteFailure(load, true, nowMillis);
+                avoid(load, nowMillis + BROKEN_PAUSE_MILLIS);
+                load.onProbation = true;
+            }
+            case UNREACHABLE, SILENT -> {
+                avoid(load, nowMillis + SILENT_PAUSE_MILLIS);
+                load.onProbation = true;
+            }
+            default -> {
+                // A client that leaves says nothing of the upstream.
+            }
+        }
+    }
+
+    private static void noteFailure(UpstreamLoad load, boolean failed, long nowMillis) {
+        load.failedShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - load.failedShare);
+        if (load.failedShare > FAILED_SHARE_LIMIT) {
+            avoid(load, nowMillis + FAILING_PAUSE_MILLIS);
+            load.failedShare /= 2;
+        }
+    }
+
+    private static void avoid(UpstreamLoad load, long untilMillis) {
+        load.avoidedUntilMillis = Math.max(load.avoidedUntilMillis, untilMillis);
+    }
+
+    /**
+     * Notes the weight version that an upstream's answer named.
+     *
+     * @param incarnation the upstream
+     * @param version the version
+     */
+    public void onVersion(String incarnation, long version) {
+        load(incarnation).weightVersion = version;
+    }
+
+    /**
+     * Returns the newest weight version that an upstream's answers named.
+     *
+     * @param incarnation the upstream
+     * @return the version, zero if none was named
+     */
+    public long weightVersion(String incarnation) {
+        return load(incarnation).weightVersion;
+    }
+
+    /**
+     * Tells whether an upstream should get new requests.
+     *
+     * @param incarnation the upstream
+     * @param nowMillis the time in milliseconds
+     * @return false while it is silent, pauses after a failure, or already has its one request on probation
+     */
+    public boolean isAvailable(String incarnation, long nowMillis) {
+        UpstreamLoad load = loads.get(incarnation);
+        if (load == null) {
+            return true;
+        }
+        boolean triedAlready = load.onProbation && load.inFlight > 0;
+        return nowMillis >= load.avoidedUntilMillis && !triedAlready && !isSilent(load, nowMillis);
+    }
+
+    /**
+     * Tells whether an upstream has been silent for long although something is awaited from it.
+     *
+     * @param incarnation the upstream
+     * @param nowMillis the time in milliseconds
+     * @return true if it has
+     */
+    public boolean isSilent(String incarnation, long nowMillis) {
+        UpstreamLoad load = loads.get(incarnation);
+        return load != null && isSilent(load, nowMillis);
+    }
+
+    private static boolean isSilent(UpstreamLoad load, long nowMillis) {
+        return load.silentSinceMillis != UpstreamLoad.NEVER && nowMillis - load.silentSinceMillis >= SILENCE_MILLIS;
+    }
+
+    /**
+     * Returns the requests in flight at an upstream from this node.
+     *
+     * @param incarnation the upstream
+     * @return the number
+     */
+    public int inFlight(String incarnation) {
+        UpstreamLoad load = loads.get(incarnation);
+        return load == null ? 0 : load.inFlight;
+    }
+
+    /**
+     * Returns the prompt tokens in flight at an upstream from this node.
+     *
+     * @param incarnation the upstream
+     * @return the number
+     */
+    public long tokensInFlight(String incarnation) {
+        UpstreamLoad load = loads.get(incarnation);
+        return load == null ? 0 : load.tokensInFlight;
+    }
+
+    /**
+     * Forgets upstreams that are gone and idle.
+     *
+     * @param known the incarnations that still exist
+     */
+    public void retain(Set<String> known) {
+        loads.entrySet().removeIf(entry -> !known.contains(entry.getKey()) && entry.getValue().inFlight == 0);
+    }
+
+    private UpstreamLoad load(String incarnation) {
+        return loads.computeIfAbsent(incarnation, key -> new UpstreamLoad());
+    }
+}
--- a/decision/src/main/java/org/cowslipbank/decision/retry/RetryPolicy.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retry/RetryPolicy.java
@@ -15,9 +15,6 @@
     /** Seconds of the sliding window. */
     static final int WINDOW_SECONDS = 10;
 
-    /** Retries as a share of the requests in the window. */
-    static final double BUDGET_SHARE = 0.1;
-
     /** Retries a second until the window has filled after a start. */
     static final int START_RETRIES_PER_SECOND = 1;
 
@@ -65,6 +62,19 @@
      * @return the outcome with the new state
      */
     public static RetryOutcome decide(RetryState state, RetryQuestion question, long nowMillis) {
+        return decide(state, question, RetryBudget.STANDARD, nowMillis);
+    }
+
+    /**
+     * Decides under a budget of the deployment whether a further attempt may be sent, and counts it if so.
+     *
+     * @param state the state
+     * @param question the question
+     * @param budget the most retries in the window
+     * @param nowMillis the time in milliseconds
+     * @return the outcome with the new state
+     */
+    public static RetryOutcome decide(RetryState state, RetryQuestion question, RetryBudget budget, long nowMillis) {
         RetryState moved = advance(state, nowMillis);
         if (question.retriedElsewhere()) {
             return new RetryOutcome(moved, RetryVerdict.RETRIED_ELSEWHERE, 0);
@@ -76,7 +86,7 @@
         if (!harmless) {
             return new RetryOutcome(moved, RetryVerdict.NOT_REPEATABLE, 0);
         }
-        if (!withinBudget(moved)) {
+        if (!withinBudget(moved, budget)) {
             long intoSecondMillis = Math.floorMod(nowMillis - moved.startedAtMillis(), SECOND_MILLIS);
             return new RetryOutcome(moved, RetryVerdict.WAIT, SECOND_MILLIS - intoSecondMillis);
         }
@@ -85,13 +95,11 @@
         return new RetryOutcome(counted, RetryVerdict.ALLOWED, 0);
     }
 
-    private static boolean withinBudget(RetryState state) {
+    private static boolean withinBudget(RetryState state, RetryBudget budget) {
         if (state.newestSecond() < WINDOW_SECONDS) {
             return state.retries().get(WINDOW_SECONDS - 1) < START_RETRIES_PER_SECOND;
         }
-        // A quiet node keeps the starting rate; without it the death of an engine would fail the few requests it had.
-        double budget = Math.max(START_RETRIES_PER_SECOND * WINDOW_SECONDS, BUDGET_SHARE * sum(state.requests()));
-        return sum(state.retries()) + 1 <= budget;
+        return sum(state.retries()) + 1 <= budget.retriesPerWindow(sum(state.requests()));
     }
 
     private static RetryState advance(RetryState state, long nowMillis) {
--- a/entry/src/main/java/org/cowslipbank/entry/admin/MetricsText.java
+++ b/entry/src/main/java/org/cowslipbank/entry/admin/MetricsText.java
@@ -8,14 +8,20 @@
 import com.codahale.metrics.Timer;
 
 /** Writes the metrics in the text format that scrapers read. */
-final class MetricsText {
+public final class MetricsText {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final StringBuilder text = new StringBuilder();
 
     private MetricsText() {}
 
-    static String of(MetricRegistry registry) {
+    /**
+     * Writes all metrics of a registry.
+     *
+     * @param registry the registry
+     * @return the text
+     */
+    public static String of(MetricRegistry registry) {
         MetricsText writer = new MetricsText();
         registry.getCounters().forEach((name, counter) -> writer.line(name, "", counter.getCount()));
         registry.getMeters().forEach((name, meter) -> writer.line(name, "_total", meter.getCount()));
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Clocks.java
@@ -0,0 +1,35 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.function.LongSupplier;
+
+import org.cowslipbank.decision.relay.OrderTurn;
+import org.cowslipbank.entry.traffic.MonotonicClock;
+
+/**
+ * The two clocks of a VM.
+ *
+ * @param monotonic never goes back, but stands still while the VM is suspended
+ * @param wallMillis time of day in Unix milliseconds; may jump
+ */
+public record Clocks(MonotonicClock monotonic, LongSupplier wallMillis) {
+    /** The system's clocks. */
+    public static final Clocks SYSTEM = new Clocks(MonotonicClock.SYSTEM, System::currentTimeMillis);
+
+    /**
+     * Returns the monotonic time.
+     *
+     * @return milliseconds since an arbitrary point
+     */
+    public long nowMillis() {
+        return monotonic.nowMillis();
+    }
+
+    /**
+     * Returns the time on both clocks.
+     *
+     * @return the moment
+     */
+    public OrderTurn.Moment now() {
+        return new OrderTurn.Moment(monotonic.nowMillis(), wallMillis.getAsLong());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/FrontServer.java
@@ -0,0 +1,108 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.Step;
+import org.cowslipbank.model.relay.ClientLimits;
+import reactor.netty.resources.LoopResources;
+
+/** The listener for clients. Owned by the traffic thread. */
+final class FrontServer {
+    // Clients connect in bursts when another node has gone.
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+    // Used until the configuration states its limits.
+    private static final ClientLimits FIRST_LIMITS = new ClientLimits(16_384, 4L << 20, 5_000, 30_000);
+
+    private final RelayContext context;
+    private final Set<ClientConnection> connections = new HashSet<>();
+    private Channel listener;
+    private volatile boolean leaving;
+
+    FrontServer(RelayContext context) {
+        this.context = context;
+    }
+
+    void listen(String address, LoopResources loops, EventLoop loop) throws PeerException {
+        Class<? extends ServerChannel> type = loops.onChannelClass(ServerSocketChannel.class, loops.onServer(true));
+        int colon = address.lastIndexOf(':');
+        try {
+            listener = new ServerBootstrap()
+                    .group(loop)
+                    .channel(type)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            int headBytes = limits().maxHeaderBytes();
+                            channel.pipeline()
+                                    .addLast(new HttpServerCodec(headBytes, headBytes, MAX_CHUNK_BYTES))
+                                    .addLast(new ClientConnection(FrontServer.this, context));
+                        }
+                    })
+                    .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                    .sync()
+                    .channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new PeerException(Step.SETTINGS, address, RunState.NOT_RUN, "interrupted", e);
+        }
+    }
+
+    ClientLimits limits() {
+        return context.view()
+                .get()
+                .routes()
+                .map(routes -> routes.configuration().limits())
+                .orElse(FIRST_LIMITS);
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** From now on each connection is closed after its answer. */
+    void leave() {
+        leaving = true;
+    }
+
+    int busyConnections() {
+        return (int) connections.stream().filter(ClientConnection::isBusy).count();
+    }
+
+    void sweep() {
+        long nowMillis = context.clocks().nowMillis();
+        ClientLimits limits = limits();
+        List.copyOf(connections).forEach(connection -> connection.sweep(nowMillis, limits));
+    }
+
+    /** Closes the listener and the connections without a request. */
+    void closeIdle() {
+        listener.close();
+        List.copyOf(connections).stream()
+                .filter(connection -> !connection.isBusy())
+                .forEach(ClientConnection::close);
+    }
+
+    void onOpened(ClientConnection connection) {
+        connections.add(connection);
+    }
+
+    void onClosed(ClientConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
@@ -0,0 +1,115 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
+
+/** Keys and values of the items that nodes write into the metadata store. */
+final class OwnItems {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String NODES = "nodes/";
+    private static final String CRASHES = "crashes/";
+
+    private final String prefix;
+
+    OwnItems(String prefix) {
+        this.prefix = prefix;
+    }
+
+    /**
+     * Which engines are about to load weights.
+     *
+     * @param by the node that says so
+     * @param serverIds the engines
+     */
+    record Rollout(String by, Set<String> serverIds) {}
+
+    /**
+     * A request that crashed an upstream.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param incarnation the upstream
+     */
+    record CrashName(String fingerprint, String incarnation) {}
+
+    String nodeKey(String name) {
+        return prefix + NODES + name;
+    }
+
+    String leaderKey() {
+        return prefix + "leader";
+    }
+
+    String rolloutKey() {
+        return prefix + "rollout";
+    }
+
+    String crashKey(String fingerprint, String incarnation) {
+        return prefix + CRASHES + fingerprint + "/" + incarnation;
+    }
+
+    Optional<String> nodeName(String key) {
+        String start = prefix + NODES;
+        return key.startsWith(start) ? Optional.of(key.substring(start.length())) : Optional.empty();
+    }
+
+    Optional<CrashName> crash(String key) {
+        String start = prefix + CRASHES;
+        int slash = key.indexOf('/', Math.min(key.length(), start.length()));
+        return key.startsWith(start) && slash > 0
+                ? Optional.of(new CrashName(key.substring(start.length(), slash), key.substring(slash + 1)))
+                : Optional.empty();
+    }
+
+    static byte[] encodeNode(RegisteredNode node) {
+        ObjectNode value = MAPPER.createObjectNode();
+        value.put("address", node.address()).put("dataCentre", node.dataCentre());
+        return bytes(value);
+    }
+
+    static RegisteredNode decodeNode(String name, byte[] value) throws IOException {
+        JsonNode tree = MAPPER.readTree(value);
+        return new RegisteredNode(
+                name, tree.path("address").asText(), tree.path("dataCentre").asText());
+    }
+
+    static byte[] encodeRollout(Rollout rollout) {
+        ObjectNode value = MAPPER.createObjectNode();
+        value.put("by", rollout.by());
+        ArrayNode ids = value.putArray("switching");
+        rollout.serverIds().forEach(ids::add);
+        return bytes(value);
+    }
+
+    static Rollout decodeRollout(byte[] value) throws IOException {
+        JsonNode tree = MAPPER.readTree(value);
+        Set<String> ids = new HashSet<>();
+        tree.path("switching").forEach(id -> ids.add(id.asText()));
+        return new Rollout(tree.path("by").asText(), ids);
+    }
+
+    static byte[] encodeText(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    static String decodeText(byte[] value) {
+        return new String(value, StandardCharsets.UTF_8);
+    }
+
+    private static byte[] bytes(ObjectNode value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree built here cannot be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -0,0 +1,44 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.cowslipbank.decision.relay.CacheDirectory;
+import org.cowslipbank.decision.relay.Confirmation;
+import org.cowslipbank.decision.relay.UpstreamLoads;
+import org.cowslipbank.ports.relay.RelaySettings;
+import org.cowslipbank.ports.relay.RelayWire;
+
+/**
+ * What an exchange works with.
+ *
+ * @param settings the node's settings
+ * @param wire the formats
+ * @param view the newest view of the platform
+ * @param confirmation the last confirmation of the configuration, empty before the first
+ * @param clocks the clocks
+ * @param loop the traffic thread
+ * @param connections connections to upstreams
+ * @param loads what was seen of upstreams
+ * @param directory what lies in the stores
+ * @param retries the node's part of the retry budget
+ * @param crashes told of a request's fingerprint and the upstream that it seems to have crashed
+ * @param metrics counters
+ * @param log the log of decisions
+ */
+record RelayContext(
+        RelaySettings settings,
+        RelayWire wire,
+        Supplier<PlatformView> view,
+        Supplier<Optional<Confirmation>> confirmation,
+        Clocks clocks,
+        EventLoop loop,
+        UpstreamConnections connections,
+        UpstreamLoads loads,
+        CacheDirectory directory,
+        RetryBudgets retries,
+        BiConsumer<String, String> crashes,
+        RelayMetrics metrics,
+        DecisionLog log) {}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -0,0 +1,53 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+
+/** Counters and timers of relayed requests. */
+final class RelayMetrics {
+    private final MetricRegistry registry;
+    private final Counter requests;
+    private final Counter furtherAttempts;
+    private final Counter resumes;
+    private final Counter clientsGone;
+    private final Timer firstByte;
+    private final Timer whole;
+
+    RelayMetrics(MetricRegistry registry) {
+        this.registry = registry;
+        this.requests = registry.counter("relay.requests");
+        this.furtherAttempts = registry.counter("relay.furtherAttempts");
+        this.resumes = registry.counter("relay.resumes");
+        this.clientsGone = registry.counter("relay.clientsGone");
+        this.firstByte = registry.timer("relay.firstByteMillis");
+        this.whole = registry.timer("relay.wholeMillis");
+    }
+
+    void onRequest() {
+        requests.inc();
+    }
+
+    void onFurtherAttempt() {
+        furtherAttempts.inc();
+    }
+
+    void onResume() {
+        resumes.inc();
+    }
+
+    void onClientGone() {
+        clientsGone.inc();
+    }
+
+    void onFirstByte(long millis) {
+        firstByte.update(millis, TimeUnit.MILLISECONDS);
+    }
+
+    void onEnd(String outcome, long millis) {
+        registry.counter("relay.outcome." + outcome).inc();
+        whole.update(millis, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnections.java
@@ -0,0 +1,117 @@
+package org.cowslipbank.entry.relay;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.cowslipbank.entry.traffic.MonotonicClock;
+import org.cowslipbank.ports.relay.RelayWire;
+import reactor.netty.resources.LoopResources;
+
+/** Idle connections to upstreams by address. Owned by the traffic thread. */
+final class UpstreamConnections {
+    /** Longest wait for a new connection: they open in a few milliseconds; a dead VM does not answer at all. */
+    static final int CONNECT_TIMEOUT_MILLIS = 350;
+
+    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final RelayWire wire;
+    private final MonotonicClock clock;
+    private final Bootstrap bootstrap;
+    private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
+    private long opened;
+
+    UpstreamConnections(RelayWire wire, MonotonicClock clock, LoopResources loops, EventLoop loop) {
+        this.wire = wire;
+        this.clock = clock;
+        Class<? extends Channel> type = loops.onChannelClass(SocketChannel.class, loops.onClient(true));
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(type)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    long nowMillis() {
+        return clock.nowMillis();
+    }
+
+    long opened() {
+        return opened;
+    }
+
+    /**
+     * Takes a connection.
+     *
+     * @param address the upstream as {@code IP:port}
+     * @param then gets the connection, or what prevented it; called on the traffic thread
+     */
+    void take(String address, BiConsumer<UpstreamConnection, Throwable> then) {
+        Deque<UpstreamConnection> connections = idle.get(address);
+        while (connections != null && !connections.isEmpty()) {
+            // The one used last is the least likely to be closed meanwhile.
+            UpstreamConnection connection = connections.pollLast();
+            if (connection.isUsable(clock.nowMillis())) {
+                then.accept(connection, null);
+                return;
+            }
+            connection.close();
+        }
+        open(address, then);
+    }
+
+    private void open(String address, BiConsumer<UpstreamConnection, Throwable> then) {
+        opened++;
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress socket =
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        UpstreamConnection connection = new UpstreamConnection(wire, this, address);
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection);
+                    }
+                })
+                .connect(socket);
+        connecting.addListener(done -> then.accept(connection, done.cause()));
+    }
+
+    void giveBack(UpstreamConnection connection) {
+        idle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    void onClosed(UpstreamConnection connection) {
+        Deque<UpstreamConnection> connections = idle.get(connection.address());
+        if (connections != null) {
+            connections.remove(connection);
+        }
+    }
+
+    /** Closes connections that have been idle for too long; called every second or so. */
+    void sweep() {
+        long nowMillis = clock.nowMillis();
+        idle.values().forEach(connections -> {
+            while (!connections.isEmpty() && !connections.peekFirst().isUsable(nowMillis)) {
+                connections.pollFirst().close();
+            }
+        });
+        idle.values().removeIf(Deque::isEmpty);
+    }
+}
--- /dev/null
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
@@ -0,0 +1,46 @@
+package org.cowslipbank.ports.relay;
+
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * Head of an upstream's answer.
+ *
+ * @param status the HTTP status
+ * @param requestId the request that it answers, empty if it does not say
+ * @param notExecuted true if the upstream states that it did not run the request
+ * @param signed true if it carries the upstream's receipt
+ * @param serverId the incarnation that answered, empty if it does not say
+ * @param weightVersion the weight version of the model that answered
+ * @param closes true if the upstream closes the connection after it
+ * @param idleTimeoutMillis how long the upstream keeps an idle connection, in milliseconds
+ * @param encoded true if the body is not the upstream's own bytes
+ * @param contentBytes length of the body in bytes, if stated
+ * @param endToEnd the headers to be passed on
+ */
+public record AnswerHead(
+        int status,
+        String requestId,
+        boolean notExecuted,
+        boolean signed,
+        String serverId,
+        OptionalLong weightVersion,
+        boolean closes,
+        OptionalLong idleTimeoutMillis,
+        boolean encoded,
+        OptionalLong contentBytes,
+        List<Header> endToEnd) {
+    /** Copies the list. */
+    public AnswerHead {
+        endToEnd = List.copyOf(endToEnd);
+    }
+
+    /**
+     * Tells whether the status is a success.
+     *
+     * @return true for 2xx
+     */
+    public boolean isSuccess() {
+        return status >= 200 && status < 300;
+    }
+}
--- /dev/null
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
@@ -0,0 +1,118 @@
+package org.cowslipbank.ports.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.cowslipbank.model.relay.StoreItem;
+import reactor.core.publisher.Mono;
+
+/**
+ * The platform's metadata store. Every call counts against the rate of all nodes together. Errors are of type
+ * {@link org.cowslipbank.model.PeerException}; its run state is unknown where a write may still take effect.
+ */
+public interface MetadataStore {
+    /** Expected revision of a key that must not exist. */
+    long ABSENT = 0;
+
+    /**
+     * Items with a common prefix.
+     *
+     * @param items the items
+     * @param revision revision of the store at which they were read
+     */
+    record Range(List<StoreItem> items, long revision) {
+        /** Copies the list. */
+        public Range {
+            items = List.copyOf(items);
+        }
+    }
+
+    /**
+     * Changes after a revision.
+     *
+     * @param items the changed items in order; empty if nothing changed during the wait
+     * @param revision revision to go on from
+     */
+    record Changes(List<StoreItem> items, long revision) {
+        /** Copies the list. */
+        public Changes {
+            items = List.copyOf(items);
+        }
+    }
+
+    /**
+     * A value to write.
+     *
+     * @param key the key
+     * @param value the value
+     * @param lease the lease that it ends with, zero for none
+     */
+    record Write(String key, byte[] value, long lease) {}
+
+    /**
+     * A granted lease.
+     *
+     * @param id its identifier
+     * @param ttlMillis its lifetime in milliseconds, from the arrival of the call
+     */
+    record Lease(long id, long ttlMillis) {}
+
+    /**
+     * Reads all items with a prefix, page by page.
+     *
+     * @param prefix the prefix
+     * @return the items; a linearizable read
+     */
+    Mono<Range> range(String prefix);
+
+    /**
+     * Waits for changes of keys with a prefix.
+     *
+     * @param prefix the prefix
+     * @param afterRevision the revision after which changes count
+     * @param waitMillis the longest wait in milliseconds
+     * @return the changes, or empty if the store no longer has this part of its history
+     */
+    Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis);
+
+    /**
+     * Writes a value if its key has the expected revision.
+     *
+     * @param write the value
+     * @param expectedRevision the expected revision, {@link #ABSENT} if the key must not exist
+     * @return the new revision, or empty if the revision differed or the lease has ended
+     */
+    Mono<Optional<Long>> writeIf(Write write, long expectedRevision);
+
+    /**
+     * Writes a value whatever its key holds.
+     *
+     * @param write the value
+     * @return the new revision, or empty if the lease has ended
+     */
+    Mono<Optional<Long>> write(Write write);
+
+    /**
+     * Grants a lease.
+     *
+     * @param ttlMillis the wanted lifetime in milliseconds
+     * @return the lease
+     */
+    Mono<Lease> grantLease(long ttlMillis);
+
+    /**
+     * Renews a lease.
+     *
+     * @param lease its identifier
+     * @return its lifetime in milliseconds from the arrival of the call, or empty if it has ended
+     */
+    Mono<Optional<Long>> renewLease(long lease);
+
+    /**
+     * Ends a lease and removes its keys.
+     *
+     * @param lease its identifier
+     * @return completes when the store has answered
+     */
+    Mono<Void> endLease(long lease);
+}
