Share load between nodes and switch engines after their runs

Cause: orders named a wrong count of accepted orders, so engines refused them; engines waited for runs of up to 4 s; a node alone saw a seventh of the load. Change: rollouts read an engine's state first, announce the engines, give runs 0.9 s to end; nodes tell each other their work by datagrams; an engine is chosen by expected delay; the leader frees parts of versions no engine has.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheDirectory.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheDirectory.java
@@ -129,6 +129,29 @@
         return new Plan(fetchFrom, saveTo);
     }
 
+    /**
+     * Returns how many tokens at a prompt's beginning can be fetched from stores.
+     *
+     * @param scope the cache scope
+     * @param parts all parts of the prompt
+     * @param stores the configured stores
+     * @param nowMillis the time in milliseconds
+     * @return tokens of the shared parts up to the first that is not complete in its store
+     */
+    public int storedTokens(String scope, List<PromptPart> parts, Collection<CacheStore> stores, long nowMillis) {
+        int tokens = 0;
+        for (PromptPart part : parts.subList(0, Math.max(0, parts.size() - 1))) {
+            boolean complete = storeOf(scope, part.id(), stores)
+                    .filter(store -> isComplete(store.address(), scope, part, nowMillis))
+                    .isPresent();
+            if (!complete) {
+                break;
+            }
+            tokens += part.tokens();
+        }
+        return tokens;
+    }
+
     /**
      * Notes the saves of a plan that was sent.
      *
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -6,6 +6,7 @@
 
     int inFlight;
     long tokensInFlight;
+    long unreadTokens;
     /** Since when something is awaited and nothing was heard, {@link #NEVER} if nothing is awaited. */
     long silentSinceMillis = NEVER;
     /** No new requests before this time. */
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -58,17 +58,30 @@
      *
      * @param incarnation the upstream
      * @param tokens tokens of its prompt
+     * @param unreadTokens tokens that the upstream probably has to read
      * @param nowMillis the time in milliseconds
      */
-    public void onSent(String incarnation, int tokens, long nowMillis) {
+    public void onSent(String incarnation, int tokens, int unreadTokens, long nowMillis) {
         UpstreamLoad load = load(incarnation);
         load.inFlight++;
         load.tokensInFlight += tokens;
+        load.unreadTokens += unreadTokens;
         if (load.silentSinceMillis == UpstreamLoad.NEVER) {
             load.silentSinceMillis = nowMillis;
         }
     }
 
+    /**
+     * Notes that a request's prompt is read, or that the request ended before.
+     *
+     * @param incarnation the upstream
+     * @param unreadTokens what was counted when it was sent
+     */
+    public void onRead(String incarnation, int unreadTokens) {
+        UpstreamLoad load = load(incarnation);
+        load.unreadTokens = Math.max(0, load.unreadTokens - unreadTokens);
+    }
+
     /**
      * Notes bytes of an upstream.
      *
@@ -180,25 +193,16 @@
     }
 
     /**
-     * Returns the requests in flight at an upstream from this node.
-     *
-     * @param incarnation the upstream
-     * @return the number
-     */
-    public int inFlight(String incarnation) {
-        UpstreamLoad load = loads.get(incarnation);
-        return load == null ? 0 : load.inFlight;
-    }
-
-    /**
-     * Returns the prompt tokens in flight at an upstream from this node.
+     * Returns what this node has in flight at an upstream.
      *
      * @param incarnation the upstream
-     * @return the number
+     * @return the work
      */
-    public long tokensInFlight(String incarnation) {
+    public FleetLoads.Load inFlight(String incarnation) {
         UpstreamLoad load = loads.get(incarnation);
-        return load == null ? 0 : load.tokensInFlight;
+        return load == null
+                ? FleetLoads.Load.NONE
+                : new FleetLoads.Load(load.inFlight, load.tokensInFlight, load.unreadTokens);
     }
 
     /**
--- a/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
@@ -13,22 +13,28 @@
 import org.cowslipbank.model.relay.UpstreamServer;
 
 /**
- * Brings engines to a named weight version, a few at a time: first all nodes are told which engines are next and stop
- * sending to them, then each gets its order. The load pattern is a version named at full load: an order makes an engine
- * reject what has not started, so rejected requests would be sent a second time by every node that was not told.
+ * Brings engines to a named weight version, a few at a time. All nodes are told first which engines are next and stop
+ * sending to them; an engine gets its order when its runs have ended or when they have had their time.
+ *
+ * <p>The load pattern is a version named at full load. Engines that wait for their longest run would exceed the
+ * version's bound, and what has not started is rejected by an engine with an order and sent a second time by each node
+ * that was not told.
  */
 public final class VersionRollout {
-    /** Share of the engines that load at once: from the platform's sheets, loads slow down beyond about two in seven. */
-    static final double LOADING_SHARE = 2.0 / 7;
+    /** Share of the engines that are out of use at once; loads slow down beyond about two in seven. */
+    static final double SWITCHING_SHARE = 0.34;
 
-    /** The fewest engines that load at once. */
-    static final int MIN_LOADING = 2;
+    /** The fewest engines that are out of use at once. */
+    static final int MIN_SWITCHING = 2;
 
-    /** How often the state of an engine with an order is read; reports are priced and some 200 ms old. */
-    static final long REPORT_MILLIS = 300;
+    /** How long runs may take to end before their engine gets its order; most last 0.5 to 2 s and began before. */
+    static final long DRAIN_MILLIS = 900;
 
-    /** After this time an order that shows no effect is given again; late orders are voided by their expected count. */
-    static final long ORDER_AGAIN_MILLIS = 1_500;
+    /** How often an engine's state is read; reports are priced and some 200 ms old. */
+    static final long REPORT_MILLIS = 200;
+
+    /** After this time an order that shows no effect is given again; late ones are voided by their expected count. */
+    static final long ORDER_AGAIN_MILLIS = 1_200;
 
     /** After this time without any effect another engine gets the turn. */
     static final long TURN_MILLIS = 4_000;
@@ -42,8 +48,10 @@
          * @param model the model
          * @param version the version
          * @param expectedOrders orders that it must have accepted before
+         * @param keepsRuns true if the remaining runs go on under the new weights
          */
-        record Order(UpstreamServer server, String model, long version, long expectedOrders) implements Effect {}
+        record Order(UpstreamServer server, String model, long version, long expectedOrders, boolean keepsRuns)
+                implements Effect {}
 
         /**
          * Read an engine's state.
@@ -53,18 +61,27 @@
         record Read(UpstreamServer server) implements Effect {}
     }
 
+    /**
+     * State of an engine as it reported it.
+     *
+     * @param version the model's version there, negative if it does not say
+     * @param ordering true while an order is carried out
+     * @param acceptedOrders orders accepted since its start
+     * @param requests requests that run or wait
+     */
+    public record EngineState(long version, boolean ordering, long acceptedOrders, int requests) {}
+
     private static final long NEVER = Long.MIN_VALUE;
 
     /** What is known of an engine. */
     private static final class Progress {
-        private long acceptedOrders = -1;
+        private EngineState state;
         private long version = -1;
-        private boolean ordering;
+        private long turnSinceMillis = NEVER;
+        private long announcedAtMillis = NEVER;
         private long orderedAtMillis = NEVER;
         private long askedAtMillis = NEVER;
-        private long turnSinceMillis = NEVER;
         private long passedOverUntilMillis = NEVER;
-        private boolean mustRead;
     }
 
     private final Map<String, Progress> byIncarnation = new HashMap<>();
@@ -82,47 +99,53 @@
      */
     public List<Effect> tick(
             String model, long target, Collection<UpstreamServer> engines, Set<String> announced, long nowMillis) {
-        Map<String, UpstreamServer> behind = new HashMap<>();
+        List<UpstreamServer> behind = new ArrayList<>();
         for (UpstreamServer engine : engines) {
             if (versionOf(engine, model) < target) {
-                behind.put(engine.incarnation(), engine);
+                behind.add(engine);
+            } else {
+                progress(engine).turnSinceMillis = NEVER;
             }
         }
         byIncarnation.keySet().retainAll(incarnations(engines));
-        Set<UpstreamServer> turn = turn(behind, engines.size(), nowMillis);
         Set<String> ids = new TreeSet<>();
-        turn.forEach(engine -> ids.add(engine.id()));
-        wanted = ids;
         List<Effect> effects = new ArrayList<>();
-        for (UpstreamServer engine : turn) {
+        for (UpstreamServer engine : turn(behind, engines.size(), nowMillis)) {
+            ids.add(engine.id());
             if (announced.contains(engine.id())) {
                 step(engine, model, target, nowMillis, effects);
             }
         }
+        wanted = ids;
         return effects;
     }
 
     private void step(UpstreamServer engine, String model, long target, long nowMillis, List<Effect> effects) {
         Progress progress = progress(engine);
-        boolean ordered = progress.orderedAtMillis != NEVER;
-        boolean mayRead = progress.askedAtMillis == NEVER || nowMillis - progress.askedAtMillis >= REPORT_MILLIS;
-        if ((ordered || progress.mustRead) && mayRead) {
+        if (progress.announcedAtMillis == NEVER) {
+            progress.announcedAtMillis = nowMillis;
+        }
+        if (progress.askedAtMillis == NEVER || nowMillis - progress.askedAtMillis >= REPORT_MILLIS) {
             progress.askedAtMillis = nowMillis;
             effects.add(new Effect.Read(engine));
         }
-        boolean again = ordered && nowMillis - progress.orderedAtMillis >= ORDER_AGAIN_MILLIS;
-        if (progress.ordering || progress.mustRead || ordered && !again) {
+        EngineState state = progress.state;
+        boolean pending =
+                progress.orderedAtMillis != NEVER && nowMillis - progress.orderedAtMillis < ORDER_AGAIN_MILLIS;
+        if (state == null || state.ordering() || pending) {
             return;
         }
-        progress.orderedAtMillis = nowMillis;
-        long expected = progress.acceptedOrders < 0 ? engine.acceptedOrders() : progress.acceptedOrders;
-        effects.add(new Effect.Order(engine, model, target, expected));
+        boolean drained = state.requests() == 0 && nowMillis - progress.announcedAtMillis >= REPORT_MILLIS;
+        if (drained || nowMillis - progress.announcedAtMillis >= DRAIN_MILLIS) {
+            progress.orderedAtMillis = nowMillis;
+            effects.add(new Effect.Order(engine, model, target, state.acceptedOrders(), !drained));
+        }
     }
 
-    private Set<UpstreamServer> turn(Map<String, UpstreamServer> behind, int engines, long nowMillis) {
-        int most = Math.max(MIN_LOADING, (int) (engines * LOADING_SHARE));
-        List<UpstreamServer> order = new ArrayList<>(behind.values());
+    private Set<UpstreamServer> turn(List<UpstreamServer> behind, int engines, long nowMillis) {
+        int most = Math.max(MIN_SWITCHING, (int) (engines * SWITCHING_SHARE));
         // Engines that already have their turn stay in it.
+        List<UpstreamServer> order = new ArrayList<>(behind);
         order.sort(Comparator.comparing((UpstreamServer engine) -> progress(engine).turnSinceMillis == NEVER)
                 .thenComparing(UpstreamServer::id));
         Set<UpstreamServer> turn = new HashSet<>();
@@ -133,15 +156,22 @@
                 progress.passedOverUntilMillis = nowMillis + TURN_MILLIS;
             }
             if (turn.size() < most && nowMillis >= progress.passedOverUntilMillis) {
-                if (progress.turnSinceMillis == NEVER) {
-                    progress.turnSinceMillis = nowMillis;
-                }
+                beginTurn(progress, nowMillis);
                 turn.add(engine);
             }
         }
         return turn;
     }
 
+    private static void beginTurn(Progress progress, long nowMillis) {
+        if (progress.turnSinceMillis == NEVER) {
+            progress.turnSinceMillis = nowMillis;
+            progress.announcedAtMillis = NEVER;
+            progress.orderedAtMillis = NEVER;
+            progress.state = null;
+        }
+    }
+
     /**
      * Returns the engines that are next, to be announced to all nodes.
      *
@@ -152,13 +182,14 @@
     }
 
     /**
-     * An order was refused because of the number of accepted orders, or its outcome is not known.
+     * An engine did not take an order; it is given again as soon as the engine's state is read.
      *
      * @param engine the engine
      */
-    public void onUncertain(UpstreamServer engine) {
+    public void onRejected(UpstreamServer engine) {
         Progress progress = progress(engine);
-        progress.mustRead = true;
+        progress.state = null;
+        progress.orderedAtMillis = NEVER;
         progress.askedAtMillis = NEVER;
     }
 
@@ -166,17 +197,12 @@
      * An engine reported its state.
      *
      * @param engine the engine
-     * @param model the model
-     * @param version the model's version there, negative if it does not say
-     * @param ordering true while an order is carried out
-     * @param acceptedOrders orders accepted since its start
+     * @param state the state
      */
-    public void onReport(UpstreamServer engine, String model, long version, boolean ordering, long acceptedOrders) {
+    public void onReport(UpstreamServer engine, EngineState state) {
         Progress progress = progress(engine);
-        progress.version = Math.max(progress.version, version);
-        progress.ordering = ordering;
-        progress.acceptedOrders = acceptedOrders;
-        progress.mustRead = false;
+        progress.state = state;
+        progress.version = Math.max(progress.version, state.version());
     }
 
     private long versionOf(UpstreamServer engine, String model) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -6,10 +6,9 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.ports.relay.MetadataStore;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
 
 /**
- * Tells all nodes which requests an upstream was running when it broke off, through the metadata store. The reports end
+ * Tells all nodes which requests an upstream was running when it broke off, through the metadata parts.store(). The reports end
  * with a lease. Runs on the control thread.
  */
 final class CrashReports {
@@ -24,54 +23,48 @@
 
     private static final long SECOND_MILLIS = 1_000;
 
-    private final MetadataStore store;
-    private final OwnItems items;
-    private final Clocks clocks;
-    private final Scheduler control;
-    private final DecisionLog log;
+    private final ControlParts parts;
     private final Set<String> reported = new HashSet<>();
     private Mono<Long> lease = Mono.empty();
     private long leaseGrantedMillis = Long.MIN_VALUE / 2;
     private long second;
     private int reports;
 
-    CrashReports(MetadataStore store, OwnItems items, Clocks clocks, Scheduler control, DecisionLog log) {
-        this.store = store;
-        this.items = items;
-        this.clocks = clocks;
-        this.control = control;
-        this.log = log;
+    CrashReports(ControlParts parts) {
+        this.parts = parts;
     }
 
     void report(String fingerprint, String incarnation) {
-        control.schedule(() -> write(fingerprint, incarnation));
+        parts.control().schedule(() -> write(fingerprint, incarnation));
     }
 
     private void write(String fingerprint, String incarnation) {
-        long nowMillis = clocks.nowMillis();
+        long nowMillis = parts.clocks().nowMillis();
         if (nowMillis / SECOND_MILLIS != second) {
             second = nowMillis / SECOND_MILLIS;
             reports = 0;
         }
-        String key = items.crashKey(fingerprint, incarnation);
+        String key = parts.items().crashKey(fingerprint, incarnation);
         if (++reports > REPORTS_PER_SECOND || !reported.add(key)) {
             return;
         }
         if (nowMillis - leaseGrantedMillis > LEASE_USED_MILLIS) {
             leaseGrantedMillis = nowMillis;
             reported.clear();
-            lease = store.grantLease(LIFETIME_MILLIS)
+            lease = parts.store()
+                    .grantLease(LIFETIME_MILLIS)
                     .map(MetadataStore.Lease::id)
                     .cache();
         }
-        lease.flatMap(id -> store.write(new MetadataStore.Write(key, new byte[0], id)))
-                .publishOn(control)
+        lease.flatMap(id -> parts.store().write(new MetadataStore.Write(key, new byte[0], id)))
+                .publishOn(parts.control())
                 .subscribe(revision -> {}, error -> onError(key, error));
     }
 
     private void onError(String key, Throwable error) {
         reported.remove(key);
         leaseGrantedMillis = Long.MIN_VALUE / 2;
-        log.state(LogFields.event("crash not reported").field("key", key).error(error));
+        parts.log()
+                .state(LogFields.event("crash not reported").field("key", key).error(error));
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -13,7 +13,9 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import org.cowslipbank.decision.relay.CacheDirectory;
+import org.cowslipbank.decision.relay.CacheScope;
 import org.cowslipbank.decision.relay.EventSplitter;
+import org.cowslipbank.decision.relay.OldVersions;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamChoice;
 import org.cowslipbank.decision.relay.UpstreamLoads;
@@ -24,6 +26,7 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.relay.CacheStore;
 import org.cowslipbank.model.relay.EngineTraits;
 import org.cowslipbank.model.relay.NamedVersion;
 import org.cowslipbank.model.relay.PromptPart;
@@ -66,9 +69,6 @@
     /** Upstreams that one request may have crashed before it is refused everywhere; stated by the platform's rules. */
     static final int MAX_CRASHES = 3;
 
-    /** Part of a version's time after which only engines with that version are used, if there are some. */
-    static final double OLD_VERSION_SHARE = 0.6;
-
     private static final int LAST_PRIORITY = 9;
 
     private final RelayContext context;
@@ -186,36 +186,69 @@
             return;
         }
         view = context.view().get();
-        Optional<UpstreamServer> server = choose();
-        if (server.isEmpty()) {
+        Optional<UpstreamChoice.Choice> choice = choose();
+        if (choice.isEmpty()) {
             park();
             return;
         }
-        attempt = new Attempt(server.get());
+        attempt = new Attempt(choice.get());
         attempt.start();
     }
 
-    private Optional<UpstreamServer> choose() {
+    private Optional<UpstreamChoice.Choice> choose() {
         List<UpstreamServer> servers = view.serving(service);
-        UpstreamChoice.Query query = new UpstreamChoice.Query(
-                affinityKey(),
-                context.settings().dataCentre(),
-                request.prompt().map(PromptShape::promptTokens).orElse(0),
-                engine.map(EngineTraits::capacityTokens).orElse(0L),
-                Math.max(1, view.nodes().size()),
+        long nowMillis = now();
+        UpstreamChoice.Candidates candidates = new UpstreamChoice.Candidates(
                 tried,
-                this::isPreferred);
-        return engine.isPresent()
-                ? UpstreamChoice.engine(query, servers, context.loads(), now())
-                : UpstreamChoice.plain(query, servers, context.loads(), now());
+                server -> !view.switching().contains(server.id()),
+                server -> context.loads().isAvailable(server.incarnation(), nowMillis),
+                server -> context.loads()
+                        .inFlight(server.incarnation())
+                        .plus(context.fleetLoads().at(server.id(), nowMillis)),
+                server -> storedTokens(server, nowMillis),
+                server -> oldVersionMillis(server, nowMillis));
+        if (engine.isEmpty() || request.prompt().isEmpty()) {
+            return UpstreamChoice.plain(affinityKey(), context.settings().dataCentre(), servers, candidates)
+                    .map(server -> new UpstreamChoice.Choice(server, 0));
+        }
+        PromptShape shape = request.prompt().get();
+        int shared = shape.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+        UpstreamChoice.Prompt prompt = new UpstreamChoice.Prompt(
+                affinityKey(),
+                shared,
+                Math.max(0, shape.promptTokens() - shared),
+                engine.get().capacityTokens());
+        return UpstreamChoice.engine(prompt, servers, candidates);
     }
 
-    private boolean isPreferred(UpstreamServer server) {
-        if (view.switching().contains(server.id())) {
-            return false;
+    private int storedTokens(UpstreamServer server, long nowMillis) {
+        OptionalLong version = versionOf(server);
+        if (version.isEmpty()) {
+            return 0;
         }
+        PromptShape shape = request.prompt().get();
+        String scope = scope(shape, version.getAsLong());
+        return context.directory().storedTokens(scope, shape.parts(), stores(), nowMillis);
+    }
+
+    private long oldVersionMillis(UpstreamServer server, long nowMillis) {
         Optional<NamedVersion> named = namedVersion();
-        return named.isEmpty() || versionOf(server).orElse(0) >= named.get().version();
+        if (named.isEmpty() || versionOf(server).orElse(0) >= named.get().version()) {
+            return 0;
+        }
+        return OldVersions.penaltyMillis(
+                nowMillis - named.get().seenAtMillis(),
+                context.settings().bounds().versionMillis());
+    }
+
+    private List<CacheStore> stores() {
+        return view.routes().map(routes -> routes.configuration().stores()).orElse(List.of());
+    }
+
+    // Parts of another weight version are never found, nor those of another team if one of the two is isolated.
+    private String scope(PromptShape prompt, long version) {
+        String wall = team.filter(RelayTeam::isolated).map(RelayTeam::name).orElse("");
+        return CacheScope.of(prompt.model(), version, wall);
     }
 
     private Optional<NamedVersion> namedVersion() {
@@ -399,6 +432,7 @@
     /** The request at one upstream. */
     private final class Attempt implements UpstreamListener {
         private final UpstreamServer server;
+        private final int unreadTokens;
         private final CompositeByteBuf held = Unpooled.compositeBuffer();
         private final int tokens =
                 request.prompt().map(PromptShape::promptTokens).orElse(0);
@@ -410,13 +444,16 @@
         private boolean streaming;
         private Future<?> checkTimer;
 
-        Attempt(UpstreamServer server) {
-            this.server = server;
+        private boolean read;
+
+        Attempt(UpstreamChoice.Choice choice) {
+            this.server = choice.server();
+            this.unreadTokens = choice.unreadTokens();
         }
 
         void start() {
             tried.add(server.incarnation());
-            context.loads().onSent(server.incarnation(), tokens, now());
+            context.loads().onSent(server.incarnation(), tokens, unreadTokens, now());
             context.connections().take(server.address(), this::onConnection);
         }
 
@@ -447,12 +484,11 @@
             expectedVersion = versionOf(server);
             Optional<String> scope = request.prompt()
                     .filter(prompt -> expectedVersion.isPresent())
-                    .map(this::scope);
+                    .map(prompt -> scope(prompt, expectedVersion.getAsLong()));
             List<PromptPart> parts = request.prompt().map(PromptShape::parts).orElse(List.of());
             CacheDirectory.Plan cache = new CacheDirectory.Plan(List.of(), List.of());
             if (scope.isPresent() && !parts.isEmpty()) {
-                var stores = view.routes().get().configuration().stores();
-                cache = context.directory().plan(scope.get(), parts, stores, now());
+                cache = context.directory().plan(scope.get(), parts, stores(), now());
                 context.directory().onSent(scope.get(), parts, cache, now());
             }
             Optional<String> resumeAfter = splitter.lastEventId().or(request::lastEventId);
@@ -472,12 +508,6 @@
                     resumeAfter);
         }
 
-        // Parts of another weight version are never found, nor those of another team if one of the two is isolated.
-        private String scope(PromptShape prompt) {
-            String wall = team.filter(RelayTeam::isolated).map(RelayTeam::name).orElse("");
-            return prompt.model() + "." + expectedVersion.getAsLong() + "." + wall;
-        }
-
         boolean isSilent() {
             return sent && context.loads().isSilent(server.incarnation(), now());
         }
@@ -515,6 +545,7 @@
                 checkTimer.cancel(false);
             }
             held.release();
+            noteRead();
             context.loads().onEnded(server.incarnation(), tokens, outcome, now());
         }
 
@@ -568,7 +599,15 @@
             }
         }
 
+        private void noteRead() {
+            if (!read) {
+                read = true;
+                context.loads().onRead(server.incarnation(), unreadTokens);
+            }
+        }
+
         private void pass(ByteBuf bytes) {
+            noteRead();
             if (!route.resumable()) {
                 client.body(bytes.retain());
             } else {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -3,15 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.entry.log.LogFields;
-import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.ports.relay.MetadataStore;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
 
 /**
  * The node's lease in the metadata store, with its registration and, at one node, the leader's key. All end with the
@@ -27,14 +24,8 @@
     /** Nodes try to become leader one after the other, so that mostly one call is made. */
     static final long CANDIDATE_STEP_MILLIS = 120;
 
-    private final MetadataStore store;
-    private final OwnItems items;
-    private final RegisteredNode self;
+    private final ControlParts parts;
     private final PlatformState state;
-    private final Supplier<PlatformView> view;
-    private final Clocks clocks;
-    private final Scheduler control;
-    private final DecisionLog log;
     private final long ttlMillis;
     private long lease;
     private boolean registered;
@@ -42,48 +33,30 @@
     private boolean busy;
     private long leaderlessSinceMillis = -1;
     private Optional<OrderTurn.Moment> validUntil = Optional.empty();
-    private Optional<Held> held = Optional.empty();
+    private volatile Optional<Held> held = Optional.empty();
 
     /** The leader's key as this node holds it. */
     private record Held(long fencingToken, OrderTurn.Moment since, boolean afterAnother) {}
 
-    NodeLease(
-            MetadataStore store,
-            OwnItems items,
-            RegisteredNode self,
-            PlatformState state,
-            Supplier<PlatformView> view,
-            Clocks clocks,
-            Scheduler control,
-            DecisionLog log,
-            long minLeaseMillis) {
-        this.store = store;
-        this.items = items;
-        this.self = self;
+    NodeLease(ControlParts parts, PlatformState state, long minLeaseMillis) {
+        this.parts = parts;
         this.state = state;
-        this.view = view;
-        this.clocks = clocks;
-        this.control = control;
-        this.log = log;
         this.ttlMillis = Math.max(minLeaseMillis, TTL_MILLIS);
     }
 
     void start() {
-        control.schedulePeriodically(this::tick, 0, RENEW_MILLIS, TimeUnit.MILLISECONDS);
-        control.schedulePeriodically(this::lead, RENEW_MILLIS, CANDIDATE_STEP_MILLIS, TimeUnit.MILLISECONDS);
+        parts.control().schedulePeriodically(this::tick, 0, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+        parts.control().schedulePeriodically(this::lead, RENEW_MILLIS, CANDIDATE_STEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Ends the lease, so that the other nodes stop naming this one. */
     void leave() {
-        control.schedule(() -> {
+        parts.control().schedule(() -> {
             leaving = true;
             held = Optional.empty();
             if (lease != 0) {
-                store.endLease(lease)
-                        .subscribe(
-                                done -> {},
-                                error -> log.state(LogFields.event("lease not ended; it runs out")
-                                        .error(error)));
+                parts.store().endLease(lease).subscribe(done -> {}, error -> parts.log()
+                        .state(LogFields.event("lease not ended; it runs out").error(error)));
             }
         });
     }
@@ -97,6 +70,15 @@
         return held.flatMap(key -> validUntil.map(until -> new OrderTurn(key.since(), until, key.afterAnother())));
     }
 
+    /**
+     * Tells whether this node holds the leader's lease; for duties that do no harm if two nodes have them.
+     *
+     * @return true if it does
+     */
+    boolean isLeader() {
+        return held.isPresent() && parts.view().get().leader().isPresent();
+    }
+
     long fencingToken() {
         return held.map(Held::fencingToken).orElse(0L);
     }
@@ -106,17 +88,17 @@
             return;
         }
         busy = true;
-        OrderTurn.Moment sentAt = clocks.now();
+        OrderTurn.Moment sentAt = parts.clocks().now();
         Mono<Boolean> step = lease == 0 ? grant(sentAt) : renew(sentAt);
-        step.publishOn(control).doFinally(signal -> busy = false).subscribe(done -> {}, this::onError);
+        step.publishOn(parts.control()).doFinally(signal -> busy = false).subscribe(done -> {}, this::onError);
     }
 
     private void onError(Throwable error) {
-        log.state(LogFields.event("lease not renewed").error(error));
+        parts.log().state(LogFields.event("lease not renewed").error(error));
     }
 
     private Mono<Boolean> grant(OrderTurn.Moment sentAt) {
-        return store.grantLease(ttlMillis).publishOn(control).flatMap(granted -> {
+        return parts.store().grantLease(ttlMillis).publishOn(parts.control()).flatMap(granted -> {
             lease = granted.id();
             held = Optional.empty();
             validUntil = Optional.of(sentAt.plus(granted.ttlMillis()));
@@ -125,9 +107,9 @@
     }
 
     private Mono<Boolean> renew(OrderTurn.Moment sentAt) {
-        return store.renewLease(lease).publishOn(control).flatMap(ttl -> {
+        return parts.store().renewLease(lease).publishOn(parts.control()).flatMap(ttl -> {
             if (ttl.isEmpty()) {
-                log.state(LogFields.event("lease has ended").field("lease", lease));
+                parts.log().state(LogFields.event("lease has ended").field("lease", lease));
                 lease = 0;
                 registered = false;
                 held = Optional.empty();
@@ -139,18 +121,18 @@
     }
 
     private Mono<Boolean> register() {
-        MetadataStore.Write write =
-                new MetadataStore.Write(items.nodeKey(self.name()), OwnItems.encodeNode(self), lease);
-        return store.write(write).publishOn(control).map(revision -> {
+        MetadataStore.Write write = new MetadataStore.Write(
+                parts.items().nodeKey(parts.self().name()), OwnItems.encodeNode(parts.self()), lease);
+        return parts.store().write(write).publishOn(parts.control()).map(revision -> {
             registered = revision.isPresent();
             return registered;
         });
     }
 
     private void lead() {
-        PlatformView now = view.get();
+        PlatformView now = parts.view().get();
         boolean led = now.leader().isPresent();
-        long nowMillis = clocks.nowMillis();
+        long nowMillis = parts.clocks().nowMillis();
         boolean leads = now.leader().filter(leaderValue()::equals).isPresent();
         if (led && !leads) {
             held = Optional.empty();
@@ -168,30 +150,32 @@
         }
         List<String> order = Rendezvous.top(
                 "leader", now.nodes().keySet(), name -> name, now.nodes().size());
-        int rank = Math.max(0, order.indexOf(self.name()));
+        int rank = Math.max(0, order.indexOf(parts.self().name()));
         if (busy || nowMillis - leaderlessSinceMillis < rank * CANDIDATE_STEP_MILLIS) {
             return;
         }
         busy = true;
         MetadataStore.Write write =
-                new MetadataStore.Write(items.leaderKey(), OwnItems.encodeText(leaderValue()), lease);
-        store.writeIf(write, MetadataStore.ABSENT)
-                .publishOn(control)
+                new MetadataStore.Write(parts.items().leaderKey(), OwnItems.encodeText(leaderValue()), lease);
+        parts.store()
+                .writeIf(write, MetadataStore.ABSENT)
+                .publishOn(parts.control())
                 .doFinally(signal -> busy = false)
                 .subscribe(revision -> revision.ifPresent(this::hold), this::onError);
     }
 
     // Names this lifetime of the node, so that a restarted process does not take over its predecessor's key.
     private String leaderValue() {
-        return self.name() + "#" + lease;
+        return parts.self().name() + "#" + lease;
     }
 
     private void hold(long fencingToken) {
         boolean afterAnother =
-                state.rolloutBy().filter(by -> !by.equals(self.name())).isPresent();
-        held = Optional.of(new Held(fencingToken, clocks.now(), afterAnother));
-        log.state(LogFields.event("leads version rollouts")
-                .field("fencingToken", fencingToken)
-                .field("afterAnother", afterAnother));
+                state.rolloutBy().filter(by -> !by.equals(parts.self().name())).isPresent();
+        held = Optional.of(new Held(fencingToken, parts.clocks().now(), afterAnother));
+        parts.log()
+                .state(LogFields.event("leads version rollouts")
+                        .field("fencingToken", fencingToken)
+                        .field("afterAnother", afterAnother));
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
@@ -72,14 +72,19 @@
 
     static byte[] encodeNode(RegisteredNode node) {
         ObjectNode value = MAPPER.createObjectNode();
-        value.put("address", node.address()).put("dataCentre", node.dataCentre());
+        value.put("address", node.address())
+                .put("dataCentre", node.dataCentre())
+                .put("digestAddress", node.digestAddress());
         return bytes(value);
     }
 
     static RegisteredNode decodeNode(String name, byte[] value) throws IOException {
         JsonNode tree = MAPPER.readTree(value);
         return new RegisteredNode(
-                name, tree.path("address").asText(), tree.path("dataCentre").asText());
+                name,
+                tree.path("address").asText(),
+                tree.path("dataCentre").asText(),
+                tree.path("digestAddress").asText());
     }
 
     static byte[] encodeRollout(Rollout rollout) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -124,7 +124,7 @@
         } else if (decoded instanceof PlatformRecord.Unregistered unregistered) {
             onUnregistered(unregistered.serverId(), nowMillis);
         } else if (decoded instanceof PlatformRecord.Named named) {
-            onNamed(named.version());
+            onNamed(named.version().seenAt(nowMillis));
         } else if (decoded instanceof PlatformRecord.Own own) {
             onOwn(own.item(), nowMillis);
         } else if (decoded instanceof PlatformRecord.Unreadable unreadable) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -52,8 +52,9 @@
      * @param name its name
      * @param address its address for clients as {@code IP:port}
      * @param dataCentre its data centre
+     * @param digestAddress its address for digests of other nodes as {@code IP:port}
      */
-    public record RegisteredNode(String name, String address, String dataCentre) {}
+    public record RegisteredNode(String name, String address, String dataCentre, String digestAddress) {}
 
     /**
      * Returns the upstreams of a service that take new work.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import org.cowslipbank.decision.relay.CacheDirectory;
 import org.cowslipbank.decision.relay.Confirmation;
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.ports.relay.RelaySettings;
 import org.cowslipbank.ports.relay.RelayWire;
@@ -22,6 +23,7 @@
  * @param loop the traffic thread
  * @param connections connections to upstreams
  * @param loads what was seen of upstreams
+ * @param fleetLoads what other nodes have in flight at upstreams
  * @param directory what lies in the stores
  * @param retries the node's part of the retry budget
  * @param crashes told of a request's fingerprint and the upstream that it seems to have crashed
@@ -37,6 +39,7 @@
         EventLoop loop,
         UpstreamConnections connections,
         UpstreamLoads loads,
+        FleetLoads fleetLoads,
         CacheDirectory directory,
         RetryBudgets retries,
         BiConsumer<String, String> crashes,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cowslipbank.decision.relay.CacheDirectory;
 import org.cowslipbank.decision.relay.Confirmation;
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.admin.MetricsText;
@@ -56,10 +57,11 @@
     private final PlatformWatcher watcher;
     private final NodeLease lease;
     private final VersionKeeper versions;
-    private final CrashReports crashes;
     private final UpstreamLoads loads = new UpstreamLoads();
     private final UpstreamConnections connections;
     private final StoreFollower stores;
+    private final StoreCleaner cleaner;
+    private final LoadDigests digests;
     private final FrontServer front;
     private final List<DisposableServer> servers = new ArrayList<>();
     private volatile boolean leaving;
@@ -96,25 +98,22 @@
         PlatformState state = new PlatformState(platform.decoder(), items, log);
         this.watcher =
                 new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, this::onView);
-        RegisteredNode self =
-                new RegisteredNode(settings.nodeName(), settings.listeners().clients(), settings.dataCentre());
-        this.lease = new NodeLease(
-                platform.store(), items, self, state, watcher::view, clocks, control, log, settings.minLeaseMillis());
+        RegisteredNode self = new RegisteredNode(
+                settings.nodeName(),
+                settings.listeners().clients(),
+                settings.dataCentre(),
+                settings.listeners().digests());
+        ControlParts parts = new ControlParts(self, platform.store(), items, watcher::view, clocks, control, log);
+        this.lease = new NodeLease(parts, state, settings.minLeaseMillis());
         this.versions = new VersionKeeper(
-                self.name(),
-                lease,
-                watcher::view,
-                platform.engines(),
-                platform.store(),
-                items,
-                clocks,
-                control,
-                log,
-                settings.bounds().orderTurnMillis());
-        this.crashes = new CrashReports(platform.store(), items, clocks, control, log);
+                parts, lease, platform.engines(), settings.bounds().orderTurnMillis());
+        CrashReports crashes = new CrashReports(parts);
         this.connections = new UpstreamConnections(wire, clocks.monotonic(), loops, loop);
         CacheDirectory directory = new CacheDirectory();
         this.stores = new StoreFollower(platform.engines(), directory, watcher::view, self.name(), loop, clocks, log);
+        this.cleaner = new StoreCleaner(platform.engines(), directory, watcher::view, lease::isLeader, clocks, log);
+        FleetLoads fleetLoads = new FleetLoads();
+        this.digests = new LoadDigests(self, watcher::view, loads, fleetLoads, clocks, log);
         RelayContext context = new RelayContext(
                 settings,
                 wire,
@@ -124,6 +123,7 @@
                 loop,
                 connections,
                 loads,
+                fleetLoads,
                 directory,
                 new RetryBudgets(
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
@@ -142,6 +142,7 @@
     public void start() throws PeerException {
         watcher.start();
         front.listen(settings.listeners().clients(), loops, loop);
+        digests.listen(loops, loop);
         servers.add(listen(settings.listeners().readiness(), this::answerReadiness));
         servers.add(listen(settings.listeners().lookups(), this::answerLookup));
         if (!settings.listeners().metrics().isEmpty()) {
@@ -206,6 +207,7 @@
     private void sweep() {
         front.sweep();
         connections.sweep();
+        cleaner.tick();
     }
 
     private DisposableServer listen(String address, Handler handler) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/VersionKeeper.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/VersionKeeper.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.decision.relay.VersionRollout;
@@ -19,55 +18,32 @@
 import org.cowslipbank.ports.relay.EngineControl.OrderOutcome;
 import org.cowslipbank.ports.relay.EngineControl.VersionOrder;
 import org.cowslipbank.ports.relay.MetadataStore;
-import reactor.core.scheduler.Scheduler;
 
 /** Brings engines to named weight versions while this node holds the lease for orders. Runs on the control thread. */
 final class VersionKeeper {
     private static final long TICK_MILLIS = 60;
 
-    private final String self;
+    private final ControlParts parts;
     private final NodeLease lease;
-    private final Supplier<PlatformView> view;
     private final EngineControl engines;
-    private final MetadataStore store;
-    private final OwnItems items;
-    private final Clocks clocks;
-    private final Scheduler control;
-    private final DecisionLog log;
     private final long turnMillis;
     private final Map<String, VersionRollout> rollouts = new HashMap<>();
     private boolean announcing;
 
-    VersionKeeper(
-            String self,
-            NodeLease lease,
-            Supplier<PlatformView> view,
-            EngineControl engines,
-            MetadataStore store,
-            OwnItems items,
-            Clocks clocks,
-            Scheduler control,
-            DecisionLog log,
-            long turnMillis) {
-        this.self = self;
+    VersionKeeper(ControlParts parts, NodeLease lease, EngineControl engines, long turnMillis) {
+        this.parts = parts;
         this.lease = lease;
-        this.view = view;
         this.engines = engines;
-        this.store = store;
-        this.items = items;
-        this.clocks = clocks;
-        this.control = control;
-        this.log = log;
         this.turnMillis = turnMillis;
     }
 
     void start() {
-        control.schedulePeriodically(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        parts.control().schedulePeriodically(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private boolean mayOrder() {
         Optional<OrderTurn> turn = lease.turn();
-        return turn.isPresent() && turn.get().mayOrder(clocks.now(), turnMillis);
+        return turn.isPresent() && turn.get().mayOrder(parts.clocks().now(), turnMillis);
     }
 
     private void tick() {
@@ -75,13 +51,17 @@
             rollouts.clear();
             return;
         }
-        PlatformView now = view.get();
+        PlatformView now = parts.view().get();
         Set<String> wanted = new TreeSet<>();
         for (NamedVersion version : now.versions().values()) {
             VersionRollout rollout = rollouts.computeIfAbsent(version.model(), key -> new VersionRollout());
             List<UpstreamServer> serving = enginesOf(now, version.model());
-            List<VersionRollout.Effect> effects =
-                    rollout.tick(version.model(), version.version(), serving, now.switching(), clocks.nowMillis());
+            List<VersionRollout.Effect> effects = rollout.tick(
+                    version.model(),
+                    version.version(),
+                    serving,
+                    now.switching(),
+                    parts.clocks().nowMillis());
             wanted.addAll(rollout.wanted());
             effects.forEach(effect -> carryOut(effect, version, rollout));
         }
@@ -102,15 +82,14 @@
 
     private void announce(Set<String> wanted) {
         announcing = true;
-        log.state(LogFields.event("engines to switch announced").field("servers", wanted));
-        byte[] value = OwnItems.encodeRollout(new OwnItems.Rollout(self, wanted));
-        store.write(new MetadataStore.Write(items.rolloutKey(), value, 0))
-                .publishOn(control)
+        parts.log().state(LogFields.event("engines to switch announced").field("servers", wanted));
+        byte[] value = OwnItems.encodeRollout(new OwnItems.Rollout(parts.self().name(), wanted));
+        parts.store()
+                .write(new MetadataStore.Write(parts.items().rolloutKey(), value, 0))
+                .publishOn(parts.control())
                 .doFinally(signal -> announcing = false)
-                .subscribe(
-                        revision -> {},
-                        error -> log.state(
-                                LogFields.event("announcement not written").error(error)));
+                .subscribe(revision -> {}, error -> parts.log()
+                        .state(LogFields.event("announcement not written").error(error)));
     }
 
     private void carryOut(VersionRollout.Effect effect, NamedVersion version, VersionRollout rollout) {
@@ -123,19 +102,21 @@
 
     private void read(UpstreamServer server, String model, VersionRollout rollout) {
         engines.report(server.address())
-                .publishOn(control)
-                .subscribe(
-                        report -> rollout.onReport(
-                                server,
-                                model,
-                                report.versionByModel().getOrDefault(model, -1L),
-                                report.ordering(),
-                                report.acceptedOrders()),
-                        error -> log.state(LogFields.event("engine's report not read")
+                .publishOn(parts.control())
+                .subscribe(report -> rollout.onReport(server, state(report, model)), error -> parts.log()
+                        .state(LogFields.event("engine's report not read")
                                 .peer(server.address())
                                 .error(error)));
     }
 
+    private static VersionRollout.EngineState state(EngineControl.Report report, String model) {
+        return new VersionRollout.EngineState(
+                report.versionByModel().getOrDefault(model, -1L),
+                report.ordering(),
+                report.acceptedOrders(),
+                report.running() + report.queued());
+    }
+
     private void order(VersionRollout.Effect.Order order, VersionRollout rollout) {
         // The lease may have ended since this tick began; the check comes last before the order leaves.
         if (!mayOrder()) {
@@ -145,24 +126,25 @@
                 order.server().id(),
                 order.model(),
                 order.version(),
-                self,
+                parts.self().name(),
                 lease.fencingToken(),
-                order.expectedOrders());
+                order.expectedOrders(),
+                order.keepsRuns());
         engines.order(order.server().address(), sent)
-                .publishOn(control)
-                .subscribe(outcome -> onOutcome(outcome, order, rollout), error -> onOrderLost(error, order, rollout));
+                .publishOn(parts.control())
+                .subscribe(outcome -> onOutcome(outcome, order, rollout), error -> onOrderLost(error, order));
     }
 
     private void onOutcome(OrderOutcome outcome, VersionRollout.Effect.Order order, VersionRollout rollout) {
-        log.state(describe("order given", order).field("outcome", outcome));
+        parts.log().state(describe("order given", order).field("outcome", outcome));
         if (outcome != OrderOutcome.ACCEPTED) {
-            rollout.onUncertain(order.server());
+            rollout.onRejected(order.server());
         }
     }
 
-    private void onOrderLost(Throwable error, VersionRollout.Effect.Order order, VersionRollout rollout) {
-        log.state(describe("order's outcome unknown", order).error(error));
-        rollout.onUncertain(order.server());
+    // The order may still be carried out; the engine's reports tell.
+    private void onOrderLost(Throwable error, VersionRollout.Effect.Order order) {
+        parts.log().state(describe("order's outcome unknown", order).error(error));
     }
 
     private LogFields describe(String event, VersionRollout.Effect.Order order) {
@@ -172,6 +154,7 @@
                 .field("model", order.model())
                 .field("version", order.version())
                 .field("fencingToken", lease.fencingToken())
-                .field("expectedOrders", order.expectedOrders());
+                .field("expectedOrders", order.expectedOrders())
+                .field("keepsRuns", order.keepsRuns());
     }
 }
--- a/model/src/main/java/org/cowslipbank/model/relay/NamedVersion.java
+++ b/model/src/main/java/org/cowslipbank/model/relay/NamedVersion.java
@@ -6,5 +6,16 @@
  * @param model the model's name
  * @param version the version, from one
  * @param revision revision of the metadata store at which it was named
+ * @param seenAtMillis monotonic time in milliseconds at which this node learned of it
  */
-public record NamedVersion(String model, long version, long revision) {}
+public record NamedVersion(String model, long version, long revision, long seenAtMillis) {
+    /**
+     * Returns the same version with the time at which it was learned.
+     *
+     * @param millis monotonic time in milliseconds
+     * @return the version
+     */
+    public NamedVersion seenAt(long millis) {
+        return new NamedVersion(model, version, revision, millis);
+    }
+}
--- a/model/src/main/java/org/cowslipbank/model/relay/UpstreamServer.java
+++ b/model/src/main/java/org/cowslipbank/model/relay/UpstreamServer.java
@@ -13,7 +13,6 @@
  * @param draining true if it takes no new work
  * @param bornMillis Unix time of its start in milliseconds, zero if it did not say
  * @param versionByModel weight version of each model that it has loaded
- * @param acceptedOrders orders it has accepted since its start
  */
 public record UpstreamServer(
         String id,
@@ -23,8 +22,7 @@
         int slots,
         boolean draining,
         long bornMillis,
-        Map<String, Long> versionByModel,
-        long acceptedOrders) {
+        Map<String, Long> versionByModel) {
     /** Copies the map. */
     public UpstreamServer {
         versionByModel = Map.copyOf(versionByModel);
--- a/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * An order to load a weight version once the engine's runs have finished.
+     * An order to load a weight version.
      *
      * @param serverId the incarnation that must take it
      * @param model the model
@@ -35,9 +35,16 @@
      * @param holder name of the node that gives it
      * @param fencingToken number that grows with each change of the giver
      * @param expectedOrders number of orders that the engine must have accepted before
+     * @param keepsRuns true if runs go on under the new weights; false if the engine lets them finish first
      */
     record VersionOrder(
-            String serverId, String model, long version, String holder, long fencingToken, long expectedOrders) {}
+            String serverId,
+            String model,
+            long version,
+            String holder,
+            long fencingToken,
+            long expectedOrders,
+            boolean keepsRuns) {}
 
     /** Outcome of an order. */
     enum OrderOutcome {
--- a/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
@@ -27,9 +27,10 @@
      * @param clients for clients' requests
      * @param readiness for the platform's readiness checks
      * @param lookups for address lookups
+     * @param digests for digests of other nodes, over UDP
      * @param metrics for metrics; empty for none
      */
-    public record Listeners(String clients, String readiness, String lookups, String metrics) {}
+    public record Listeners(String clients, String readiness, String lookups, String digests, String metrics) {}
 
     /**
      * Figures of the rules in force.
