Let prompts wait at the node while engines have no room

Change: an engine gets a prompt only while its memory and its backlog have room for its size; the others wait in a line that puts first what can still be on time. Announcements of a node that no longer leads are void.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamChoice.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamChoice.java
@@ -14,12 +14,15 @@
 import org.cowslipbank.model.relay.UpstreamServer;
 
 /**
- * Chooses the upstream of a request.
+ * Chooses the upstream of a request, or lets it wait.
  *
- * <p>An engine's memory holds about eight long prompts at once, and a shared part that is read a second time costs more
- * of its time than everything else. So each shared part has a home engine, which all nodes compute alike, and a request
- * leaves it only when the expected delay there exceeds that of fetching or reading the part elsewhere. The load pattern
- * is a burst on few parts while one engine in four is gone.
+ * <p>An engine's memory holds about eight long prompts at once, and while it reads one, all its streams slow down to a
+ * quarter of their speed. Engines that take whatever comes therefore collapse: streams last longer, fill the memory and
+ * displace each other. So an engine gets a long prompt only while its memory and its backlog have room, and the prompt
+ * waits at the node otherwise; short prompts, which cost it little, find room for longer. Each shared part has a home
+ * engine, which all nodes compute alike, and a request leaves it only when the expected delay there exceeds that of
+ * fetching or reading the part elsewhere. The load pattern is a start with empty caches, at which every part has to be
+ * read once.
  */
 public final class UpstreamChoice {
     /** Prompt tokens that an engine reads in a millisecond; both sheets state 62 to 66. */
@@ -34,11 +37,20 @@
      */
     static final double READ_AGAIN_MILLIS_PER_TOKEN = 0.05;
 
-    /** Share of an engine's memory up to which requests do not displace each other. */
-    static final double CALM_MEMORY_SHARE = 0.65;
+    /** Share of an engine's memory that prompts may fill; answers grow by about a tenth of that. */
+    static final double MEMORY_SHARE = 0.9;
 
-    /** Delay by which a completely full memory counts; displaced requests are read again from the start. */
-    static final double FULL_MEMORY_MILLIS = 2_500;
+    /** Part of the memory that is kept free of prompts that fill a tenth of it or more. */
+    static final double SHORT_PROMPTS_SHARE = 0.15;
+
+    /** Size of a prompt that counts as long, as a share of an engine's memory. */
+    static final double LONG_PROMPT_SHARE = 0.1;
+
+    /** Tokens that an engine may have left to read when it gets a long prompt: one long prompt, 200 ms. */
+    static final long LONG_BACKLOG_TOKENS = 12_000;
+
+    /** Tokens that an engine may have left to read when it gets a short prompt. */
+    static final long SHORT_BACKLOG_TOKENS = 40_000;
 
     /** Delay that each request running at an engine adds, in milliseconds: steps take longer with more of them. */
     static final double REQUEST_MILLIS = 3;
@@ -64,8 +76,21 @@
      *
      * @param server the engine
      * @param unreadTokens tokens that it probably has to read
+     * @param rank its place in the key's order, zero for the home engine
+     * @param storedTokens shared tokens that it can fetch from a store
+     * @param expectedMillis the expected delay in milliseconds
      */
-    public record Choice(UpstreamServer server, int unreadTokens) {}
+    public record Choice(UpstreamServer server, int unreadTokens, int rank, int storedTokens, long expectedMillis) {
+        /**
+         * Returns the choice of a server of a plain service.
+         *
+         * @param server the server
+         * @return the choice
+         */
+        public static Choice plain(UpstreamServer server) {
+            return new Choice(server, 0, 0, 0, 0);
+        }
+    }
 
     /**
      * Which upstreams a request may go to.
@@ -102,7 +127,7 @@
      * @param prompt the prompt
      * @param servers the engines of the service that take new work
      * @param candidates which of them may be taken
-     * @return the engine, or empty if none should get a request now
+     * @return the engine, or empty if none has room, so that the request waits
      */
     public static Optional<Choice> engine(Prompt prompt, List<UpstreamServer> servers, Candidates candidates) {
         List<UpstreamServer> open = candidates.open(servers);
@@ -111,49 +136,66 @@
         double bestMillis = Double.MAX_VALUE;
         for (int rank = 0; rank < order.size(); rank++) {
             UpstreamServer server = order.get(rank);
+            FleetLoads.Load load = candidates.load().apply(server);
+            if (!hasRoom(prompt, load, server.slots())) {
+                continue;
+            }
             int missing = rank == 0 ? 0 : prompt.sharedTokens();
-            int stored = Math.min(missing, candidates.storedTokens().applyAsInt(server));
-            Work work = new Work(prompt.tokens(), prompt.ownTokens(), stored, missing - stored);
+            int storable = candidates.storedTokens().applyAsInt(server);
+            int stored = Math.min(missing, storable);
+            Work work = new Work(prompt.ownTokens(), stored, missing - stored);
             double millis =
-                    expectedMillis(work, candidates.load().apply(server), server.slots(), prompt.capacityTokens())
-                            + candidates.penaltyMillis().applyAsLong(server);
+                    expectedMillis(work, load) + candidates.penaltyMillis().applyAsLong(server);
             if (millis < bestMillis) {
                 bestMillis = millis;
-                best = new Choice(server, work.ownTokens() + work.readAgainTokens());
+                best = new Choice(server, work.ownTokens() + work.readAgainTokens(), rank, storable, (long) millis);
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Tells whether an engine has room for a prompt.
+     *
+     * @param prompt the prompt
+     * @param load the work in flight there
+     * @param slots requests that the engine runs at once
+     * @return true if the prompt would neither displace others nor wait long there
+     */
+    static boolean hasRoom(Prompt prompt, FleetLoads.Load load, int slots) {
+        if (load.requests() == 0) {
+            return true;
+        }
+        double size = prompt.tokens() / (LONG_PROMPT_SHARE * Math.max(1, prompt.capacityTokens()));
+        double longness = Math.min(1, size);
+        double share = MEMORY_SHARE - SHORT_PROMPTS_SHARE * longness;
+        double backlog = SHORT_BACKLOG_TOKENS + longness * (LONG_BACKLOG_TOKENS - SHORT_BACKLOG_TOKENS);
+        return load.requests() < slots
+                && load.tokens() + prompt.tokens() <= share * prompt.capacityTokens()
+                && load.unreadTokens() <= backlog;
+    }
+
     /**
      * What a prompt means for one engine.
      *
-     * @param tokens tokens of the prompt
      * @param ownTokens tokens that only this request has
      * @param fetchedTokens shared tokens that come from a store
      * @param readAgainTokens shared tokens that the engine has to read
      */
-    record Work(int tokens, int ownTokens, int fetchedTokens, int readAgainTokens) {}
+    record Work(int ownTokens, int fetchedTokens, int readAgainTokens) {}
 
     /**
      * Returns the delay that a request is expected to meet and to cause.
      *
      * @param work what the prompt means for the engine
      * @param load the work in flight there
-     * @param slots requests that the engine runs at once
-     * @param capacityTokens tokens that fit into its memory
      * @return the delay in milliseconds
      */
-    static double expectedMillis(Work work, FleetLoads.Load load, int slots, long capacityTokens) {
+    static double expectedMillis(Work work, FleetLoads.Load load) {
         double reading = (load.unreadTokens() + work.ownTokens() + work.readAgainTokens()) / READ_TOKENS_PER_MILLI;
-        double memory = (load.tokens() + work.tokens()) / (double) Math.max(1, capacityTokens);
-        double crowding = Math.max(0, memory - CALM_MEMORY_SHARE) / (1 - CALM_MEMORY_SHARE) * FULL_MEMORY_MILLIS;
-        double waiting = load.requests() >= slots ? FULL_MEMORY_MILLIS : 0;
         return reading
                 + work.fetchedTokens() / FETCH_TOKENS_PER_MILLI
                 + work.readAgainTokens() * READ_AGAIN_MILLIS_PER_TOKEN
-                + crowding
-                + waiting
                 + load.requests() * REQUEST_MILLIS;
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -15,11 +15,13 @@
 import org.cowslipbank.decision.relay.CacheDirectory;
 import org.cowslipbank.decision.relay.CacheScope;
 import org.cowslipbank.decision.relay.EventSplitter;
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.OldVersions;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamChoice;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
+import org.cowslipbank.decision.relay.WaitingLine;
 import org.cowslipbank.decision.retry.RetryQuestion;
 import org.cowslipbank.decision.retry.RetryVerdict;
 import org.cowslipbank.decision.suspects.Fingerprint;
@@ -48,11 +50,23 @@
     /** How often a waiting exchange looks whether its upstream has fallen silent. */
     static final long CHECK_MILLIS = 100;
 
-    /** How often an exchange that found no upstream looks again. */
-    static final long PARK_MILLIS = 30;
+    /** Time that a stream usually takes from its sending to its first event: a long prompt is read in 200 ms. */
+    static final long STREAM_BEGIN_MILLIS = 250;
 
-    /** Part of the latency objective that an exchange waits for an upstream; beyond it, waiting costs the client more. */
-    static final double PARK_SHARE = 0.4;
+    /** Time that a plain request usually takes at its upstream. */
+    static final long PLAIN_MILLIS = 40;
+
+    /** Clients abandon a stream without a first event after two seconds or more, stated by the platform. */
+    static final long STREAM_PATIENCE_MILLIS = 2_000;
+
+    /** Objectives after which clients abandon a stream without a first event, if that is longer. */
+    static final long STREAM_PATIENCE_OBJECTIVES = 4;
+
+    /** Objectives for which a plain request waits for an upstream; then the client does better to come back. */
+    static final long PLAIN_PATIENCE_OBJECTIVES = 2;
+
+    /** How long a broken stream waits for another upstream; clients abandon it after two seconds without an event. */
+    static final long RESUME_MILLIS = 1_500;
 
     /** Further sends after upstreams stated that they did not run the request. */
     static final int MAX_REJECTED_SENDS = 3;
@@ -85,14 +99,16 @@
     private String service = "";
     private Optional<EngineTraits> engine = Optional.empty();
     private long deadlineMillis;
+    private long firstByteMillis = -1;
     private Future<?> deadlineTimer;
-    private Future<?> waitTimer;
+    private boolean waiting;
     private Attempt attempt;
     private int runs;
     private int rejections;
     private boolean headSent;
     private boolean ended;
     private String lastFailure = "";
+    private UpstreamChoice.Choice lastChoice;
 
     Exchange(RelayContext context, ClientAnswer client, RelayRequest request, ByteBuf body, long arrivedMillis) {
         this.context = context;
@@ -182,17 +198,55 @@
     }
 
     private void tryNext() {
-        if (ended) {
-            return;
+        if (!ended && !tryStart()) {
+            waiting = true;
+            context.waiting().add(this, waitingTimes());
+        }
+    }
+
+    /**
+     * Tries a waiting exchange again.
+     *
+     * @param over true if it has waited for as long as it may
+     * @return true if it no longer waits
+     */
+    boolean tryWaiting(boolean over) {
+        if (ended || tryStart()) {
+            waiting = false;
+            return true;
+        }
+        if (over) {
+            waiting = false;
+            giveUp("no_room");
         }
+        return over;
+    }
+
+    private boolean tryStart() {
         view = context.view().get();
         Optional<UpstreamChoice.Choice> choice = choose();
         if (choice.isEmpty()) {
-            park();
-            return;
+            return false;
         }
-        attempt = new Attempt(choice.get());
+        lastChoice = choice.get();
+        attempt = new Attempt(lastChoice);
         attempt.start();
+        return true;
+    }
+
+    private WaitingLine.Times waitingTimes() {
+        long nowMillis = now();
+        if (headSent) {
+            return new WaitingLine.Times(arrivedMillis, nowMillis, Math.min(deadlineMillis, nowMillis + RESUME_MILLIS));
+        }
+        long served = route.isStream() ? STREAM_BEGIN_MILLIS : PLAIN_MILLIS;
+        long patience = route.isStream()
+                ? Math.max(STREAM_PATIENCE_MILLIS, STREAM_PATIENCE_OBJECTIVES * route.objectiveMillis())
+                : PLAIN_PATIENCE_OBJECTIVES * route.objectiveMillis();
+        return new WaitingLine.Times(
+                arrivedMillis,
+                arrivedMillis + route.objectiveMillis() - served,
+                Math.min(deadlineMillis - served, arrivedMillis + patience - served));
     }
 
     private Optional<UpstreamChoice.Choice> choose() {
@@ -202,14 +256,12 @@
                 tried,
                 server -> !view.switching().contains(server.id()),
                 server -> context.loads().isAvailable(server.incarnation(), nowMillis),
-                server -> context.loads()
-                        .inFlight(server.incarnation())
-                        .plus(context.fleetLoads().at(server.id(), nowMillis)),
+                server -> load(server, nowMillis),
                 server -> storedTokens(server, nowMillis),
                 server -> oldVersionMillis(server, nowMillis));
         if (engine.isEmpty() || request.prompt().isEmpty()) {
             return UpstreamChoice.plain(affinityKey(), context.settings().dataCentre(), servers, candidates)
-                    .map(server -> new UpstreamChoice.Choice(server, 0));
+                    .map(server -> UpstreamChoice.Choice.plain(server));
         }
         PromptShape shape = request.prompt().get();
         int shared = shape.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
@@ -221,6 +273,12 @@
         return UpstreamChoice.engine(prompt, servers, candidates);
     }
 
+    // Digests are older than a plain request lasts, so they tell nothing of plain servers.
+    private FleetLoads.Load load(UpstreamServer server, long nowMillis) {
+        FleetLoads.Load own = context.loads().inFlight(server.incarnation());
+        return engine.isEmpty() ? own : own.plus(context.fleetLoads().at(server.id(), nowMillis));
+    }
+
     private int storedTokens(UpstreamServer server, long nowMillis) {
         OptionalLong version = versionOf(server);
         if (version.isEmpty()) {
@@ -265,16 +323,6 @@
         return version == 0 ? OptionalLong.empty() : OptionalLong.of(version);
     }
 
-    private void park() {
-        long parkedMillis = now() - arrivedMillis;
-        boolean mayWait = parkedMillis < PARK_SHARE * route.objectiveMillis() || headSent;
-        if (mayWait && now() + PARK_MILLIS < deadlineMillis) {
-            waitTimer = schedule(this::tryNext, PARK_MILLIS);
-            return;
-        }
-        giveUp("no_upstream");
-    }
-
     /** Ends an exchange for which no further attempt is made. */
     private void giveUp(String reason) {
         if (headSent) {
@@ -319,8 +367,9 @@
     }
 
     private void endAttempt(Outcome outcome) {
-        if (waitTimer != null) {
-            waitTimer.cancel(false);
+        if (waiting) {
+            waiting = false;
+            context.waiting().remove(this);
         }
         if (attempt != null) {
             attempt.cancel(outcome);
@@ -391,8 +440,9 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        if (waitTimer != null) {
-            waitTimer.cancel(false);
+        if (waiting) {
+            waiting = false;
+            context.waiting().remove(this);
         }
         long millis = now() - arrivedMillis;
         context.metrics().onEnd(outcome, millis);
@@ -405,6 +455,7 @@
                 .field("outcome", outcome)
                 .field("status", status)
                 .field("millis", millis)
+                .field("firstByteMillis", firstByteMillis)
                 .field("runs", runs)
                 .field("rejections", rejections)
                 .field("storeRevision", view.revision());
@@ -412,9 +463,15 @@
             line.field("route", route.name()).field("service", service);
         }
         team.ifPresent(known -> line.field("team", known.name()));
-        if (attempt != null) {
-            line.peer(attempt.server.address()).field("server", attempt.server.id());
-        }
+        if (lastChoice != null) {
+            line.peer(lastChoice.server().address())
+                    .field("server", lastChoice.server().id())
+                    .field("rank", lastChoice.rank())
+                    .field("storedTokens", lastChoice.storedTokens())
+                    .field("expectedMillis", lastChoice.expectedMillis());
+        }
+        request.prompt().ifPresent(prompt -> line.field("prompt", prompt.affinityKey())
+                .field("promptTokens", prompt.promptTokens()));
         if (!lastFailure.isEmpty()) {
             line.field("lastFailure", lastFailure);
         }
@@ -580,7 +637,8 @@
             if (!headSent) {
                 headSent = true;
                 client.head(answer.status(), answer.endToEnd(), OptionalLong.empty());
-                context.metrics().onFirstByte(now() - arrivedMillis);
+                firstByteMillis = now() - arrivedMillis;
+                context.metrics().onFirstByte(firstByteMillis);
             }
         }
 
@@ -681,7 +739,8 @@
         }
 
         private void deliver(AnswerHead answer, ByteBuf content) {
-            context.metrics().onFirstByte(now() - arrivedMillis);
+            firstByteMillis = now() - arrivedMillis;
+            context.metrics().onFirstByte(firstByteMillis);
             client.head(answer.status(), answer.endToEnd(), OptionalLong.of(content.readableBytes()));
             client.body(content);
             client.end();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -165,13 +165,13 @@
     }
 
     // Names this lifetime of the node, so that a restarted process does not take over its predecessor's key.
-    private String leaderValue() {
+    String leaderValue() {
         return parts.self().name() + "#" + lease;
     }
 
     private void hold(long fencingToken) {
         boolean afterAnother =
-                state.rolloutBy().filter(by -> !by.equals(parts.self().name())).isPresent();
+                state.rolloutBy().filter(by -> !by.equals(leaderValue())).isPresent();
         held = Optional.of(new Held(fencingToken, parts.clocks().now(), afterAnother));
         parts.log()
                 .state(LogFields.event("leads version rollouts")
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -41,9 +41,8 @@
     private final Map<String, Long> vanishedUntilMillis = new HashMap<>();
 
     private Optional<RouteTable> routes = Optional.empty();
-    private Set<String> switching = Set.of();
+    private Optional<OwnItems.Rollout> rollout = Optional.empty();
     private Optional<String> leader = Optional.empty();
-    private Optional<String> rolloutBy = Optional.empty();
     private long leaderRevision;
     private long revision;
     private long contactBackMillis = Long.MIN_VALUE / 2;
@@ -55,11 +54,18 @@
     }
 
     PlatformView view() {
-        return new PlatformView(revision, routes, servers, versions, nodes, switching, leader, copy(crashes));
+        return new PlatformView(revision, routes, servers, versions, nodes, switching(), leader, copy(crashes));
     }
 
     Optional<String> rolloutBy() {
-        return rolloutBy;
+        return rollout.map(OwnItems.Rollout::by);
+    }
+
+    // What a node announced that no longer leads is void; the engines would stay unused until the next announcement.
+    private Set<String> switching() {
+        return rollout.filter(known -> leader.filter(known.by()::equals).isPresent())
+                .map(OwnItems.Rollout::serverIds)
+                .orElse(Set.of());
     }
 
     long leaderRevision() {
@@ -224,9 +230,7 @@
             return;
         }
         if (item.key().equals(items.rolloutKey()) && !item.isRemoved()) {
-            OwnItems.Rollout rollout = OwnItems.decodeRollout(item.value());
-            switching = rollout.serverIds();
-            rolloutBy = Optional.of(rollout.by());
+            rollout = Optional.of(OwnItems.decodeRollout(item.value()));
             return;
         }
         items.crash(item.key()).ifPresent(crash -> onCrash(crash, item.isRemoved()));
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -25,6 +25,7 @@
  * @param loads what was seen of upstreams
  * @param fleetLoads what other nodes have in flight at upstreams
  * @param directory what lies in the stores
+ * @param waiting requests that wait for an upstream
  * @param retries the node's part of the retry budget
  * @param crashes told of a request's fingerprint and the upstream that it seems to have crashed
  * @param metrics counters
@@ -41,6 +42,7 @@
         UpstreamLoads loads,
         FleetLoads fleetLoads,
         CacheDirectory directory,
+        WaitingRequests waiting,
         RetryBudgets retries,
         BiConsumer<String, String> crashes,
         RelayMetrics metrics,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -113,6 +113,7 @@
         this.stores = new StoreFollower(platform.engines(), directory, watcher::view, self.name(), loop, clocks, log);
         this.cleaner = new StoreCleaner(platform.engines(), directory, watcher::view, lease::isLeader, clocks, log);
         FleetLoads fleetLoads = new FleetLoads();
+        WaitingRequests waiting = new WaitingRequests(loop, clocks);
         this.digests = new LoadDigests(self, watcher::view, loads, fleetLoads, clocks, log);
         RelayContext context = new RelayContext(
                 settings,
@@ -125,6 +126,7 @@
                 loads,
                 fleetLoads,
                 directory,
+                waiting,
                 new RetryBudgets(
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashes::report,
@@ -132,6 +134,7 @@
                 log);
         this.front = new FrontServer(context);
         registerGauges(directory);
+        metrics.register("relay.waiting", (Gauge<Integer>) waiting::size);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/VersionKeeper.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/VersionKeeper.java
@@ -83,7 +83,7 @@
     private void announce(Set<String> wanted) {
         announcing = true;
         parts.log().state(LogFields.event("engines to switch announced").field("servers", wanted));
-        byte[] value = OwnItems.encodeRollout(new OwnItems.Rollout(parts.self().name(), wanted));
+        byte[] value = OwnItems.encodeRollout(new OwnItems.Rollout(lease.leaderValue(), wanted));
         parts.store()
                 .write(new MetadataStore.Write(parts.items().rolloutKey(), value, 0))
                 .publishOn(parts.control())
