Keep room for the largest waiting prompts

Change: a node books an engine for the one waiting prompt whose turn it is; the booking counts as work at all nodes.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamChoice.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamChoice.java
@@ -46,6 +46,9 @@
     /** Size of a prompt that counts as long, as a share of an engine's memory. */
     static final double LONG_PROMPT_SHARE = 0.1;
 
+    /** Size of a prompt for which room is kept, as a share of an engine's memory: about the largest tenth of them. */
+    static final double BOOKING_SHARE = 0.18;
+
     /** Tokens that an engine may have left to read when it gets a long prompt: one long prompt, 200 ms. */
     static final long LONG_BACKLOG_TOKENS = 12_000;
 
@@ -154,6 +157,25 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Chooses the engine at which room is kept for a prompt that waits. Without it a long prompt waits for as long as
+     * shorter ones keep taking the room that becomes free.
+     *
+     * @param prompt the prompt
+     * @param servers the engines of the service that take new work
+     * @param candidates which of them may be taken
+     * @return the engine with the least work, or empty for a prompt that is not among the largest
+     */
+    public static Optional<UpstreamServer> booking(
+            Prompt prompt, List<UpstreamServer> servers, Candidates candidates) {
+        if (prompt.tokens() < BOOKING_SHARE * prompt.capacityTokens()) {
+            return Optional.empty();
+        }
+        return candidates.open(servers).stream()
+                .min(Comparator.comparingLong(
+                        server -> candidates.load().apply(server).tokens()));
+    }
+
     /**
      * Tells whether an engine has room for a prompt.
      *
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -7,6 +7,8 @@
     int inFlight;
     long tokensInFlight;
     long unreadTokens;
+    /** Tokens of a waiting prompt for which room is kept. */
+    long bookedTokens;
     /** Since when something is awaited and nothing was heard, {@link #NEVER} if nothing is awaited. */
     long silentSinceMillis = NEVER;
     /** No new requests before this time. */
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -71,6 +71,17 @@
         }
     }
 
+    /**
+     * Keeps room for a waiting prompt: it counts as work in flight, at other nodes too.
+     *
+     * @param incarnation the upstream
+     * @param tokens tokens of the prompt; negative to give the room up
+     */
+    public void book(String incarnation, int tokens) {
+        UpstreamLoad load = load(incarnation);
+        load.bookedTokens = Math.max(0, load.bookedTokens + tokens);
+    }
+
     /**
      * Notes that a request's prompt is read, or that the request ended before.
      *
@@ -202,7 +213,8 @@
         UpstreamLoad load = loads.get(incarnation);
         return load == null
                 ? FleetLoads.Load.NONE
-                : new FleetLoads.Load(load.inFlight, load.tokensInFlight, load.unreadTokens);
+                : new FleetLoads.Load(
+                        load.inFlight, load.tokensInFlight + load.bookedTokens, load.unreadTokens);
     }
 
     /**
@@ -211,7 +223,8 @@
      * @param known the incarnations that still exist
      */
     public void retain(Set<String> known) {
-        loads.entrySet().removeIf(entry -> !known.contains(entry.getKey()) && entry.getValue().inFlight == 0);
+        loads.entrySet().removeIf(entry -> !known.contains(entry.getKey()) && entry.getValue().inFlight == 0
+                && entry.getValue().bookedTokens == 0);
     }
 
     private UpstreamLoad load(String incarnation) {
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamChoiceTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamChoiceTest.java
@@ -122,4 +122,22 @@
         Candidates busyNear = candidates(Set.of(), server -> new FleetLoads.Load(server.equals(far) ? 0 : 1, 0, 0), 0);
         assert UpstreamChoice.plain("k", "a", all, busyNear).orElseThrow().equals(far);
     }
+
+    /** Failure guarded against: the largest prompts wait for ever, because shorter ones take each room that is free. */
+    @Example
+    void roomIsKeptForTheLargest() {
+        Prompt large = new Prompt("k", 20_000, 9_000, CAPACITY);
+        UpstreamServer lightest = engines.get(3);
+        Function<UpstreamServer, FleetLoads.Load> load =
+                server -> new FleetLoads.Load(4, server.equals(lightest) ? 50_000 : 60_000, 0);
+        Candidates all = candidates(Set.of(), load, 0);
+        assert UpstreamChoice.engine(large, engines, all).isEmpty();
+        assert UpstreamChoice.booking(large, engines, all).orElseThrow().equals(lightest);
+        assert UpstreamChoice.booking(LONG, engines, all).isEmpty();
+        UpstreamLoads booked = new UpstreamLoads();
+        booked.book("e", 29_000);
+        assert booked.inFlight("e").tokens() == 29_000;
+        booked.book("e", -29_000);
+        assert booked.inFlight("e").equals(FleetLoads.Load.NONE);
+    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -251,32 +251,62 @@
 
     private Optional<UpstreamChoice.Choice> choose() {
         List<UpstreamServer> servers = view.serving(service);
-        long nowMillis = now();
-        UpstreamChoice.Candidates candidates = new UpstreamChoice.Candidates(
-                tried,
-                server -> !view.switching().contains(server.id()),
-                server -> context.loads().isAvailable(server.incarnation(), nowMillis),
-                server -> load(server, nowMillis),
-                server -> storedTokens(server, nowMillis),
-                server -> oldVersionMillis(server, nowMillis));
         if (engine.isEmpty() || request.prompt().isEmpty()) {
-            return UpstreamChoice.plain(affinityKey(), context.settings().dataCentre(), servers, candidates)
+            return UpstreamChoice.plain(affinityKey(), context.settings().dataCentre(), servers, candidates())
                     .map(server -> UpstreamChoice.Choice.plain(server));
         }
+        return UpstreamChoice.engine(prompt(), servers, candidates());
+    }
+
+    /**
+     * Returns the engine at which room is kept for this waiting exchange.
+     *
+     * @return the engine, or empty if none should be
+     */
+    Optional<UpstreamServer> booking() {
+        return engine.isEmpty() || request.prompt().isEmpty()
+                ? Optional.empty()
+                : UpstreamChoice.booking(prompt(), view.serving(service), candidates());
+    }
+
+    /**
+     * Returns the length of the prompt.
+     *
+     * @return tokens, zero without a prompt
+     */
+    int promptTokens() {
+        return request.prompt().map(PromptShape::promptTokens).orElse(0);
+    }
+
+    private UpstreamChoice.Prompt prompt() {
         PromptShape shape = request.prompt().get();
         int shared = shape.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-        UpstreamChoice.Prompt prompt = new UpstreamChoice.Prompt(
+        return new UpstreamChoice.Prompt(
                 affinityKey(),
                 shared,
                 Math.max(0, shape.promptTokens() - shared),
                 engine.get().capacityTokens());
-        return UpstreamChoice.engine(prompt, servers, candidates);
+    }
+
+    private UpstreamChoice.Candidates candidates() {
+        long nowMillis = now();
+        return new UpstreamChoice.Candidates(
+                tried,
+                server -> !view.switching().contains(server.id()),
+                server -> context.loads().isAvailable(server.incarnation(), nowMillis),
+                server -> load(server, nowMillis),
+                server -> storedTokens(server, nowMillis),
+                server -> oldVersionMillis(server, nowMillis));
     }
 
     // Digests are older than a plain request lasts, so they tell nothing of plain servers.
     private FleetLoads.Load load(UpstreamServer server, long nowMillis) {
         FleetLoads.Load own = context.loads().inFlight(server.incarnation());
-        return engine.isEmpty() ? own : own.plus(context.fleetLoads().at(server.id(), nowMillis));
+        if (engine.isEmpty()) {
+            return own;
+        }
+        FleetLoads.Load kept = new FleetLoads.Load(0, -context.waiting().booked(this, server.incarnation()), 0);
+        return own.plus(kept).plus(context.fleetLoads().at(server.id(), nowMillis));
     }
 
     private int storedTokens(UpstreamServer server, long nowMillis) {
@@ -492,7 +522,7 @@
         private final int unreadTokens;
         private final CompositeByteBuf held = Unpooled.compositeBuffer();
         private final int tokens =
-                request.prompt().map(PromptShape::promptTokens).orElse(0);
+                promptTokens();
         private UpstreamConnection connection;
         private AnswerHead head;
         private OptionalLong expectedVersion = OptionalLong.empty();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -113,7 +113,7 @@
         this.stores = new StoreFollower(platform.engines(), directory, watcher::view, self.name(), loop, clocks, log);
         this.cleaner = new StoreCleaner(platform.engines(), directory, watcher::view, lease::isLeader, clocks, log);
         FleetLoads fleetLoads = new FleetLoads();
-        WaitingRequests waiting = new WaitingRequests(loop, clocks);
+        WaitingRequests waiting = new WaitingRequests(loop, clocks, loads);
         this.digests = new LoadDigests(self, watcher::view, loads, fleetLoads, clocks, log);
         RelayContext context = new RelayContext(
                 settings,
