--- a/decision/src/main/java/org/cowslipbank/decision/relay/OrderTurn.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/OrderTurn.java
@@ -12,6 +12,9 @@
     /** Part of a lease that is not used, for an order that is under way when it ends. */
     public static final long LEASE_MARGIN_MILLIS = 600;
 
+    /** Part of that margin that a successor does not count on: clocks of two VMs differ slightly in rate. */
+    static final long RATE_MARGIN_MILLIS = 150;
+
     /**
      * A moment on both clocks.
      *
@@ -51,6 +54,8 @@
         if (!now.plus(LEASE_MARGIN_MILLIS).isBefore(validUntil)) {
             return false;
         }
-        return !afterAnother || now.monotonicMillis() - heldSince.monotonicMillis() >= turnMillis;
+        // The earlier giver stopped that long before its lease ended, and this one was taken after that end.
+        long sinceStopMillis = LEASE_MARGIN_MILLIS - RATE_MARGIN_MILLIS;
+        return !afterAnother || now.monotonicMillis() - heldSince.monotonicMillis() >= turnMillis - sinceStopMillis;
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamChoice.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamChoice.java
@@ -166,8 +166,7 @@
      * @param candidates which of them may be taken
      * @return the engine with the least work, or empty for a prompt that is not among the largest
      */
-    public static Optional<UpstreamServer> booking(
-            Prompt prompt, List<UpstreamServer> servers, Candidates candidates) {
+    public static Optional<UpstreamServer> booking(Prompt prompt, List<UpstreamServer> servers, Candidates candidates) {
         if (prompt.tokens() < BOOKING_SHARE * prompt.capacityTokens()) {
             return Optional.empty();
         }
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -213,8 +213,7 @@
         UpstreamLoad load = loads.get(incarnation);
         return load == null
                 ? FleetLoads.Load.NONE
-                : new FleetLoads.Load(
-                        load.inFlight, load.tokensInFlight + load.bookedTokens, load.unreadTokens);
+                : new FleetLoads.Load(load.inFlight, load.tokensInFlight + load.bookedTokens, load.unreadTokens);
     }
 
     /**
@@ -223,8 +222,10 @@
      * @param known the incarnations that still exist
      */
     public void retain(Set<String> known) {
-        loads.entrySet().removeIf(entry -> !known.contains(entry.getKey()) && entry.getValue().inFlight == 0
-                && entry.getValue().bookedTokens == 0);
+        loads.entrySet()
+                .removeIf(entry -> !known.contains(entry.getKey())
+                        && entry.getValue().inFlight == 0
+                        && entry.getValue().bookedTokens == 0);
     }
 
     private UpstreamLoad load(String incarnation) {
--- a/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
@@ -27,6 +27,12 @@
     /** The fewest engines that are out of use at once. */
     static final int MIN_SWITCHING = 2;
 
+    /** Time that an engine is out of use: its runs end, it reports, it loads. */
+    static final long ROUND_MILLIS = 1_450;
+
+    /** Time before the bound at which the last engine should be done. */
+    static final long SPARE_MILLIS = 500;
+
     /** How long runs may take to end before their engine gets its order; most last 0.5 to 2 s and began before. */
     static final long DRAIN_MILLIS = 900;
 
@@ -94,11 +100,17 @@
      * @param target the named version
      * @param engines the engines that serve the model, without those that leave
      * @param announced identifiers of the engines that all nodes can know to be next
+     * @param leftMillis time until the version must be in force, in milliseconds; zero or less if it is overdue
      * @param nowMillis the time in milliseconds
      * @return what to do
      */
     public List<Effect> tick(
-            String model, long target, Collection<UpstreamServer> engines, Set<String> announced, long nowMillis) {
+            String model,
+            long target,
+            Collection<UpstreamServer> engines,
+            Set<String> announced,
+            long leftMillis,
+            long nowMillis) {
         List<UpstreamServer> behind = new ArrayList<>();
         for (UpstreamServer engine : engines) {
             if (versionOf(engine, model) < target) {
@@ -110,7 +122,7 @@
         byIncarnation.keySet().retainAll(incarnations(engines));
         Set<String> ids = new TreeSet<>();
         List<Effect> effects = new ArrayList<>();
-        for (UpstreamServer engine : turn(behind, engines.size(), nowMillis)) {
+        for (UpstreamServer engine : turn(behind, most(behind.size(), engines.size(), leftMillis), nowMillis)) {
             ids.add(engine.id());
             if (announced.contains(engine.id())) {
                 step(engine, model, target, nowMillis, effects);
@@ -142,8 +154,14 @@
         }
     }
 
-    private Set<UpstreamServer> turn(List<UpstreamServer> behind, int engines, long nowMillis) {
-        int most = Math.max(MIN_SWITCHING, (int) (engines * SWITCHING_SHARE));
+    // After a change of leader little time may be left; past the bound engines with old weights are of no use anyway.
+    private static int most(int behind, int engines, long leftMillis) {
+        long rounds = Math.max(1, (leftMillis - SPARE_MILLIS) / ROUND_MILLIS);
+        int needed = (int) Math.ceil(behind / (double) rounds);
+        return Math.max(needed, Math.max(MIN_SWITCHING, (int) (engines * SWITCHING_SHARE)));
+    }
+
+    private Set<UpstreamServer> turn(List<UpstreamServer> behind, int most, long nowMillis) {
         // Engines that already have their turn stay in it.
         List<UpstreamServer> order = new ArrayList<>(behind);
         order.sort(Comparator.comparing((UpstreamServer engine) -> progress(engine).turnSinceMillis == NEVER)
--- a/decision/src/test/java/org/cowslipbank/decision/relay/OldVersionsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/OldVersionsTest.java
@@ -5,9 +5,16 @@
 final class OldVersionsTest {
     /** Failure guarded against: the first engine with a new version gets the whole load at once. */
     @Example
-    void oldEnginesAreUsedAtFirstAndLastAtTheBound() {
-        assert OldVersions.penaltyMillis(0, 6_000) == 0;
-        assert OldVersions.penaltyMillis(1_500, 6_000) == OldVersions.WORTH_LESS_PENALTY_MILLIS;
-        assert OldVersions.penaltyMillis(5_100, 6_000) == OldVersions.LAST_RESORT_MILLIS;
+    void oldEnginesAreUsedAlikeAtFirst() {
+        assert OldVersions.penaltyMillis(0) == 0;
+        assert OldVersions.penaltyMillis(1_500) == OldVersions.WORTH_LESS_PENALTY_MILLIS;
+    }
+
+    /** Failure guarded against: a request begins on old weights after the version's bound. */
+    @Example
+    void oldEnginesAreClosedBeforeTheBound() {
+        assert !OldVersions.isClosed(5_000, 6_000);
+        assert OldVersions.isClosed(6_000 - OldVersions.CLOSED_BEFORE_MILLIS, 6_000);
+        assert !OldVersions.isClosed(100_000, 0);
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/OrderTurnTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/OrderTurnTest.java
@@ -19,7 +19,9 @@
     @Example
     void newLeaderWaits() {
         OrderTurn turn = new OrderTurn(new Moment(0, 0), new Moment(10_000, 10_000), true);
-        assert !turn.mayOrder(new Moment(2_999, 2_999), TURN_MILLIS);
+        // The last moment at which the earlier leader may have given an order, counted from the end of its lease.
+        long lastOrderMillis = -OrderTurn.LEASE_MARGIN_MILLIS;
+        assert !turn.mayOrder(new Moment(lastOrderMillis + 2_999, 2_399), TURN_MILLIS);
         assert turn.mayOrder(new Moment(3_000, 3_000), TURN_MILLIS);
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/VersionRolloutTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/VersionRolloutTest.java
@@ -22,34 +22,36 @@
     /** Failure guarded against: an engine gets its order before the nodes have stopped sending to it. */
     @Example
     void ordersFollowTheAnnouncement() {
-        assert rollout.tick(MODEL, 2, engines, Set.of(), 0).isEmpty();
+        assert rollout.tick(MODEL, 2, engines, Set.of(), BOUND_MILLIS, 0).isEmpty();
         assert rollout.wanted().size() == 2;
-        List<Effect> effects = rollout.tick(MODEL, 2, engines, rollout.wanted(), 10);
+        List<Effect> effects = rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 10);
         assert effects.size() == 2 && effects.stream().allMatch(Effect.Read.class::isInstance) : effects;
     }
 
     /** Failure guarded against: orders without the engine's own count of orders are refused or carried out late. */
     @Example
     void orderNamesTheReportedCount() {
-        rollout.tick(MODEL, 2, engines, Set.of(), 0);
-        rollout.tick(MODEL, 2, engines, rollout.wanted(), 10);
+        rollout.tick(MODEL, 2, engines, Set.of(), BOUND_MILLIS, 0);
+        rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 10);
         UpstreamServer first = engines.get(0);
         rollout.onReport(first, new EngineState(1, false, 4, 0));
-        List<Effect> effects = rollout.tick(MODEL, 2, engines, rollout.wanted(), 300);
+        List<Effect> effects = rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 300);
         Effect.Order order = orders(effects).get(0);
         assert order.server().equals(first) && order.expectedOrders() == 4 && !order.keepsRuns() : order;
-        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), 400)).isEmpty();
+        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 400))
+                .isEmpty();
     }
 
     /** Failure guarded against: an engine whose longest run lasts for seconds keeps the version from its bound. */
     @Example
     void longRunsAreKeptAfterTheirTime() {
-        rollout.tick(MODEL, 2, engines, Set.of(), 0);
-        rollout.tick(MODEL, 2, engines, rollout.wanted(), 10);
+        rollout.tick(MODEL, 2, engines, Set.of(), BOUND_MILLIS, 0);
+        rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 10);
         rollout.onReport(engines.get(0), new EngineState(1, false, 0, 3));
-        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), 500)).isEmpty();
+        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 500))
+                .isEmpty();
         long later = 10 + VersionRollout.DRAIN_MILLIS;
-        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), later))
+        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, later))
                 .get(0)
                 .keepsRuns();
     }
@@ -57,15 +59,18 @@
     /** Failure guarded against: a rejected order is never given again, or at once without a new count. */
     @Example
     void rejectedOrderIsGivenAgainAfterAReport() {
-        rollout.tick(MODEL, 2, engines, Set.of(), 0);
-        rollout.tick(MODEL, 2, engines, rollout.wanted(), 10);
+        rollout.tick(MODEL, 2, engines, Set.of(), BOUND_MILLIS, 0);
+        rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 10);
         UpstreamServer first = engines.get(0);
         rollout.onReport(first, new EngineState(1, false, 0, 0));
-        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), 300)).size() == 1;
+        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 300))
+                        .size()
+                == 1;
         rollout.onRejected(first);
-        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), 310)).isEmpty();
+        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 310))
+                .isEmpty();
         rollout.onReport(first, new EngineState(1, false, 1, 0));
-        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), 320))
+        assert orders(rollout.tick(MODEL, 2, engines, rollout.wanted(), BOUND_MILLIS, 320))
                         .get(0)
                         .expectedOrders()
                 == 1;
@@ -79,7 +84,7 @@
         long nowMillis = 0;
         Set<String> announced = Set.of();
         while (versions.size() < engines.size() && nowMillis < 60_000) {
-            for (Effect effect : rollout.tick(MODEL, 2, engines, announced, nowMillis)) {
+            for (Effect effect : rollout.tick(MODEL, 2, engines, announced, BOUND_MILLIS, nowMillis)) {
                 if (effect instanceof Effect.Order order) {
                     loadedAt.put(order.server().id(), nowMillis + LOAD_MILLIS);
                 } else if (effect instanceof Effect.Read read) {
@@ -97,9 +102,9 @@
     @Example
     void deadEngineLosesItsTurn() {
         List<UpstreamServer> three = RelaySamples.engines(3, 1);
-        rollout.tick(MODEL, 2, three, Set.of(), 0);
+        rollout.tick(MODEL, 2, three, Set.of(), BOUND_MILLIS, 0);
         Set<String> first = rollout.wanted();
-        rollout.tick(MODEL, 2, three, first, VersionRollout.TURN_MILLIS);
+        rollout.tick(MODEL, 2, three, first, BOUND_MILLIS, VersionRollout.TURN_MILLIS);
         assert rollout.wanted().contains("i-2") : rollout.wanted();
     }
 
@@ -122,4 +127,14 @@
         });
         return orders;
     }
+
+    /** Failure guarded against: a leader that takes over late leaves engines behind at the version's bound. */
+    @Example
+    void littleTimeLeftSwitchesMoreAtOnce() {
+        rollout.tick(MODEL, 2, engines, Set.of(), 2 * VersionRollout.ROUND_MILLIS + VersionRollout.SPARE_MILLIS, 0);
+        assert rollout.wanted().size() == 3 : rollout.wanted();
+        VersionRollout overdue = new VersionRollout();
+        overdue.tick(MODEL, 2, engines, Set.of(), -1, 0);
+        assert overdue.wanted().size() == 6 : overdue.wanted();
+    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -293,7 +293,7 @@
         return new UpstreamChoice.Candidates(
                 tried,
                 server -> !view.switching().contains(server.id()),
-                server -> context.loads().isAvailable(server.incarnation(), nowMillis),
+                server -> isOpen(server, nowMillis),
                 server -> load(server, nowMillis),
                 server -> storedTokens(server, nowMillis),
                 server -> oldVersionMillis(server, nowMillis));
@@ -320,13 +320,26 @@
     }
 
     private long oldVersionMillis(UpstreamServer server, long nowMillis) {
+        return versionAgeIfOld(server, nowMillis).stream()
+                .map(OldVersions::penaltyMillis)
+                .findFirst()
+                .orElse(0);
+    }
+
+    private boolean isOpen(UpstreamServer server, long nowMillis) {
+        long boundMillis = context.settings().bounds().versionMillis();
+        boolean closed = versionAgeIfOld(server, nowMillis).stream()
+                .anyMatch(ageMillis -> OldVersions.isClosed(ageMillis, boundMillis));
+        return !closed && context.loads().isAvailable(server.incarnation(), nowMillis);
+    }
+
+    /** Returns the age of the named version in milliseconds if the engine does not have it. */
+    private OptionalLong versionAgeIfOld(UpstreamServer server, long nowMillis) {
         Optional<NamedVersion> named = namedVersion();
         if (named.isEmpty() || versionOf(server).orElse(0) >= named.get().version()) {
-            return 0;
+            return OptionalLong.empty();
         }
-        return OldVersions.penaltyMillis(
-                nowMillis - named.get().seenAtMillis(),
-                context.settings().bounds().versionMillis());
+        return OptionalLong.of(nowMillis - named.get().seenAtMillis());
     }
 
     private List<CacheStore> stores() {
@@ -521,8 +534,7 @@
         private final UpstreamServer server;
         private final int unreadTokens;
         private final CompositeByteBuf held = Unpooled.compositeBuffer();
-        private final int tokens =
-                promptTokens();
+        private final int tokens = promptTokens();
         private UpstreamConnection connection;
         private AnswerHead head;
         private OptionalLong expectedVersion = OptionalLong.empty();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -16,10 +16,10 @@
  */
 final class NodeLease {
     /** Lifetime of the lease: a node that is cut off leaves the look-ups, and the leader is replaced, within it. */
-    static final long TTL_MILLIS = 2_200;
+    static final long TTL_MILLIS = 1_600;
 
     /** How often it is renewed: three renewals may be lost. */
-    static final long RENEW_MILLIS = 550;
+    static final long RENEW_MILLIS = 400;
 
     /** Nodes try to become leader one after the other, so that mostly one call is made. */
     static final long CANDIDATE_STEP_MILLIS = 120;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -27,8 +27,14 @@
     /** Time after contact is back in which registrations that ran out return, from the platform's pages. */
     static final long RETURN_MILLIS = 2_000;
 
-    /** Registrations run out after three heartbeats of 1.2 s, so an outage shows up to this long after its end. */
-    static final long AFTER_OUTAGE_MILLIS = 4_000;
+    /**
+     * Registrations that ran out during an outage are missing as soon as contact is back; one that ends later than this
+     * was ended by its upstream.
+     */
+    static final long AFTER_OUTAGE_MILLIS = 1_000;
+
+    /** Age that a version found at the start of the process counts as having: when it was named is not known. */
+    static final long NAMED_BEFORE_START_MILLIS = 3_000;
 
     private final PlatformDecoder decoder;
     private final OwnItems items;
@@ -130,7 +136,7 @@
         } else if (decoded instanceof PlatformRecord.Unregistered unregistered) {
             onUnregistered(unregistered.serverId(), nowMillis);
         } else if (decoded instanceof PlatformRecord.Named named) {
-            onNamed(named.version().seenAt(nowMillis));
+            onNamed(named.version().seenAt(revision == 0 ? nowMillis - NAMED_BEFORE_START_MILLIS : nowMillis));
         } else if (decoded instanceof PlatformRecord.Own own) {
             onOwn(own.item(), nowMillis);
         } else if (decoded instanceof PlatformRecord.Unreadable unreadable) {
@@ -184,7 +190,7 @@
                 .field("server", id)
                 .field("kept", keep));
         if (keep) {
-            vanishedUntilMillis.put(id, Math.max(nowMillis, contactBackMillis) + RETURN_MILLIS);
+            vanishedUntilMillis.put(id, contactBackMillis + RETURN_MILLIS);
         } else {
             servers.remove(id);
         }
@@ -246,7 +252,7 @@
 
     private void onNodeGone(String name, long nowMillis) {
         if (nodes.containsKey(name) && isAroundOutage(nowMillis)) {
-            vanishedUntilMillis.putIfAbsent(name, Math.max(nowMillis, contactBackMillis) + RETURN_MILLIS);
+            vanishedUntilMillis.putIfAbsent(name, contactBackMillis + RETURN_MILLIS);
         } else {
             nodes.remove(name);
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -28,6 +28,9 @@
 
     static final long MAX_PAUSE_MILLIS = 400;
 
+    /** How often registrations that did not return are given up. */
+    static final long EXPIRE_MILLIS = 150;
+
     private final MetadataStore store;
     private final PlatformDecoder decoder;
     private final PlatformState state;
@@ -71,6 +74,13 @@
     void start() {
         lastAnswerMillis = clocks.nowMillis();
         control.schedule(this::readAll);
+        control.schedulePeriodically(this::expire, EXPIRE_MILLIS, EXPIRE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void expire() {
+        if (state.expire(clocks.nowMillis())) {
+            publish();
+        }
     }
 
     void stop() {
@@ -127,7 +137,6 @@
     }
 
     private void publish() {
-        state.expire(clocks.nowMillis());
         view = state.view();
         onView.accept(view);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -105,8 +105,7 @@
                 settings.listeners().digests());
         ControlParts parts = new ControlParts(self, platform.store(), items, watcher::view, clocks, control, log);
         this.lease = new NodeLease(parts, state, settings.minLeaseMillis());
-        this.versions = new VersionKeeper(
-                parts, lease, platform.engines(), settings.bounds().orderTurnMillis());
+        this.versions = new VersionKeeper(parts, lease, platform.engines(), settings.bounds());
         CrashReports crashes = new CrashReports(parts);
         this.connections = new UpstreamConnections(wire, clocks.monotonic(), loops, loop);
         CacheDirectory directory = new CacheDirectory();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/VersionKeeper.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/VersionKeeper.java
@@ -18,6 +18,7 @@
 import org.cowslipbank.ports.relay.EngineControl.OrderOutcome;
 import org.cowslipbank.ports.relay.EngineControl.VersionOrder;
 import org.cowslipbank.ports.relay.MetadataStore;
+import org.cowslipbank.ports.relay.RelaySettings;
 
 /** Brings engines to named weight versions while this node holds the lease for orders. Runs on the control thread. */
 final class VersionKeeper {
@@ -27,14 +28,16 @@
     private final NodeLease lease;
     private final EngineControl engines;
     private final long turnMillis;
+    private final long versionMillis;
     private final Map<String, VersionRollout> rollouts = new HashMap<>();
     private boolean announcing;
 
-    VersionKeeper(ControlParts parts, NodeLease lease, EngineControl engines, long turnMillis) {
+    VersionKeeper(ControlParts parts, NodeLease lease, EngineControl engines, RelaySettings.Bounds bounds) {
         this.parts = parts;
         this.lease = lease;
         this.engines = engines;
-        this.turnMillis = turnMillis;
+        this.turnMillis = bounds.orderTurnMillis();
+        this.versionMillis = bounds.versionMillis();
     }
 
     void start() {
@@ -61,6 +64,7 @@
                     version.version(),
                     serving,
                     now.switching(),
+                    version.seenAtMillis() + versionMillis - parts.clocks().nowMillis(),
                     parts.clocks().nowMillis());
             wanted.addAll(rollout.wanted());
             effects.forEach(effect -> carryOut(effect, version, rollout));
