--- a/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
@@ -51,10 +51,15 @@
                 .withRequiredArg()
                 .ofType(Integer.class)
                 .defaultsTo(0);
+        OptionSpec<Void> rehearse =
+                parser.accepts("rehearse", "Start on a platform within the process, answer a few requests and stop.");
         Optional<OptionSet> options = new Options(parser).parse(arguments, console);
         if (options.isEmpty()) {
             return ExitCode.DONE;
         }
+        if (options.get().has(rehearse)) {
+            return RelayRehearsal.run() ? ExitCode.DONE : ExitCode.OUTCOME_MISSED;
+        }
         Path settingsFile = Path.of(options.get().valueOf(file));
         int port = options.get().valueOf(metricsPort);
         RelayNode node = start(NodeFile.read(settingsFile, port));
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
@@ -0,0 +1,109 @@
+package org.cowslipbank.cli;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cowslipbank.entry.relay.Clocks;
+import org.cowslipbank.entry.relay.RelayNode;
+import org.cowslipbank.model.CowslipbankException;
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.Step;
+import org.cowslipbank.platform.EngineClient;
+import org.cowslipbank.platform.HttpRelayWire;
+import org.cowslipbank.platform.LoopbackPlatform;
+import org.cowslipbank.platform.MetadataStoreClient;
+import org.cowslipbank.platform.PlatformHttp;
+import org.cowslipbank.platform.PlatformItems;
+import org.cowslipbank.ports.relay.RelaySettings;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Starts a node on a platform of its own, sends it a few requests and stops it. A build runs it with
+ * {@code -XX:ArchiveClassesAtExit}: with the recorded classes a node starts in less than half of the time.
+ */
+final class RelayRehearsal {
+    // Time for the first look at the metadata store, which the requests need.
+    private static final long START_MILLIS = 700;
+    private static final int PORTS = 4;
+    private static final int ANSWER_MILLIS = 3_000;
+    private static final int EXPECTED_ANSWERS = 3;
+
+    private RelayRehearsal() {}
+
+    /**
+     * Runs the rehearsal.
+     *
+     * @return true if the node gave the expected number of answers
+     * @throws CowslipbankException if the node cannot start or does not answer
+     */
+    static boolean run() throws CowslipbankException {
+        LoopResources loops = LoopResources.create("rehearsal", 1, true);
+        LoopbackPlatform platform = new LoopbackPlatform(loops);
+        PlatformHttp http = new PlatformHttp(loops);
+        try {
+            RelaySettings settings = platform.settings(freePorts());
+            RelayNode node = new RelayNode(
+                    settings,
+                    new RelayNode.Platform(
+                            new MetadataStoreClient(http, settings.storeAddress()),
+                            new PlatformItems(),
+                            new EngineClient(http),
+                            new HttpRelayWire()),
+                    loops,
+                    Clocks.SYSTEM,
+                    new MetricRegistry());
+            node.start();
+            Thread.sleep(START_MILLIS);
+            boolean answered = request(settings.listeners().clients());
+            node.shutDown();
+            return answered;
+        } catch (IOException e) {
+            throw new PeerException(Step.SETTINGS, "rehearsal", RunState.UNKNOWN, e.toString(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } finally {
+            platform.stop();
+        }
+    }
+
+    private static boolean request(String address) throws IOException {
+        int colon = address.lastIndexOf(':');
+        try (Socket socket = new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+            socket.setSoTimeout(ANSWER_MILLIS);
+            OutputStream out = socket.getOutputStream();
+            out.write(LoopbackPlatform.requests().getBytes(StandardCharsets.UTF_8));
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            return answers.split("HTTP/1.1 ", -1).length - 1 == EXPECTED_ANSWERS;
+        }
+    }
+
+    /** Finds the first of some neighbouring free ports. */
+    private static int freePorts() throws IOException {
+        while (true) {
+            try (ServerSocket first = new ServerSocket(0)) {
+                int port = first.getLocalPort();
+                if (areFree(port + 1, PORTS - 1)) {
+                    return port;
+                }
+            }
+        }
+    }
+
+    private static boolean areFree(int from, int count) {
+        for (int port = from; port < from + count; port++) {
+            try (ServerSocket socket = new ServerSocket(port)) {
+                socket.setReuseAddress(true);
+            } catch (IOException | IllegalArgumentException e) {
+                // Taken, or beyond the last port.
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheDirectory.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -26,6 +27,9 @@
     /** A part that is being saved is not saved again for this time; events come up to 100 ms late, and few are lost. */
     static final long SAVE_PAUSE_MILLIS = 2_500;
 
+    /** How long an engine may take to fetch parts: reading a long prompt takes 150 to 200 ms. */
+    public static final long FETCH_MILLIS = 500;
+
     /** Name of a part under a cache scope. */
     private record Named(String scope, String partId) {}
 
@@ -51,6 +55,7 @@
     }
 
     private final Map<String, Contents> byAddress = new HashMap<>();
+    private OptionalLong clockAheadMillis = OptionalLong.empty();
 
     /**
      * Notes that a store has answered.
@@ -70,6 +75,28 @@
         contents.confirmedAtMillis = nowMillis;
     }
 
+    /**
+     * Notes the upstreams' clock.
+     *
+     * @param clockMillis the clock as an answer gave it, in milliseconds
+     * @param nowMillis the time in milliseconds at which the answer came
+     */
+    public void onClock(long clockMillis, long nowMillis) {
+        clockAheadMillis = OptionalLong.of(clockMillis - nowMillis);
+    }
+
+    /**
+     * Returns when a fetch that begins now is to be thrown away if it has not ended.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return the time on the upstreams' clock in milliseconds, or empty if that clock is not known
+     */
+    public OptionalLong fetchUntilMillis(long nowMillis) {
+        return clockAheadMillis.isPresent()
+                ? OptionalLong.of(nowMillis + clockAheadMillis.getAsLong() + FETCH_MILLIS)
+                : OptionalLong.empty();
+    }
+
     /**
      * Forgets a store that no longer answers.
      *
@@ -117,7 +144,9 @@
             boolean shared = index < parts.size() - 1;
             PromptPart part = parts.get(index);
             Optional<CacheStore> store = shared ? storeOf(scope, part.id(), stores) : Optional.empty();
-            String source = store.filter(found -> isComplete(found.address(), scope, part, nowMillis))
+            // A fetch without an end could meet the freeing of its part.
+            String source = store.filter(found -> clockAheadMillis.isPresent())
+                    .filter(found -> isComplete(found.address(), scope, part, nowMillis))
                     .map(CacheStore::address)
                     .orElse("");
             fetchFrom.add(source);
--- a/decision/src/main/java/org/cowslipbank/decision/relay/FleetLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/FleetLoads.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.cowslipbank.decision.hashing.Rendezvous;
+
 /**
  * What other nodes have in flight at each upstream, from their digests. A node alone sees a small and noisy part of an
  * engine's work. Owned by the traffic thread.
@@ -33,18 +35,29 @@
         }
     }
 
-    private record Digest(Map<String, Load> byServer, long atMillis) {}
+    private record Digest(Map<Integer, Load> byServer, long atMillis) {}
 
-    private final Map<String, Digest> byNode = new HashMap<>();
+    private final Map<Integer, Digest> byNode = new HashMap<>();
+
+    /**
+     * Returns the short name under which digests carry a node or an upstream. Two that share one add up to a load that
+     * is too high for a moment, which does no harm.
+     *
+     * @param name the name
+     * @return its hash
+     */
+    public static int shortHash(String name) {
+        return (int) Rendezvous.hash(name);
+    }
 
     /**
      * Takes a node's digest.
      *
-     * @param node the node
-     * @param byServer its work by identifier of the upstream
+     * @param node short hash of the node's name
+     * @param byServer its work by short hash of the upstream's identifier
      * @param nowMillis the time in milliseconds
      */
-    public void onDigest(String node, Map<String, Load> byServer, long nowMillis) {
+    public void onDigest(int node, Map<Integer, Load> byServer, long nowMillis) {
         byNode.put(node, new Digest(Map.copyOf(byServer), nowMillis));
     }
 
@@ -52,25 +65,25 @@
      * Returns the work of other nodes at an upstream.
      *
      * @param serverId the upstream's identifier
-     * @param nowMillis the time in milliseconds
-     * @return the sum over the nodes whose digest is fresh
+     * @return the sum over the nodes whose digest has not expired
      */
-    public Load at(String serverId, long nowMillis) {
+    public Load at(String serverId) {
+        int hash = shortHash(serverId);
         Load sum = Load.NONE;
         for (Digest digest : byNode.values()) {
-            if (nowMillis - digest.atMillis() < VALID_MILLIS) {
-                sum = sum.plus(digest.byServer().getOrDefault(serverId, Load.NONE));
-            }
+            sum = sum.plus(digest.byServer().getOrDefault(hash, Load.NONE));
         }
         return sum;
     }
 
     /**
-     * Forgets old digests.
+     * Forgets old digests; called every round.
      *
      * @param nowMillis the time in milliseconds
+     * @param cycleMillis time in which a node tells all others once, in milliseconds
      */
-    public void expire(long nowMillis) {
-        byNode.values().removeIf(digest -> nowMillis - digest.atMillis() >= VALID_MILLIS);
+    public void expire(long nowMillis, long cycleMillis) {
+        long validMillis = Math.max(VALID_MILLIS, 2 * cycleMillis);
+        byNode.values().removeIf(digest -> nowMillis - digest.atMillis() >= validMillis);
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -15,6 +15,8 @@
     long avoidedUntilMillis = NEVER;
     /** True from a failure until the next sign of life: one request at a time is tried. */
     boolean onProbation;
+
+    int brokenInARow;
     /** Moving share of requests that failed. */
     double failedShare;
 
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -36,6 +36,9 @@
     /** Pause after a broken connection; a process that crashed refuses connections at once. */
     static final long BROKEN_PAUSE_MILLIS = 250;
 
+    /** Connections that break in a row before an upstream is avoided; one alone may be a lost answer. */
+    static final int BROKEN_LIMIT = 2;
+
     /** Pause after an upstream could not be reached or fell silent; a trial request follows. */
     static final long SILENT_PAUSE_MILLIS = 1_500;
 
@@ -121,13 +124,18 @@
             load.silentSinceMillis = UpstreamLoad.NEVER;
         }
         switch (outcome) {
-            case ANSWERED -> noteFailure(load, false, nowMillis);
+            case ANSWERED -> {
+                load.brokenInARow = 0;
+                noteFailure(load, false, nowMillis);
+            }
             case FAILED -> noteFailure(load, true, nowMillis);
             case REJECTED -> avoid(load, nowMillis + REJECTED_PAUSE_MILLIS);
             case BROKEN -> {
                 noteFailure(load, true, nowMillis);
-                avoid(load, nowMillis + BROKEN_PAUSE_MILLIS);
-                load.onProbation = true;
+                if (++load.brokenInARow >= BROKEN_LIMIT) {
+                    avoid(load, nowMillis + BROKEN_PAUSE_MILLIS);
+                    load.onProbation = true;
+                }
             }
             case UNREACHABLE, SILENT -> {
                 avoid(load, nowMillis + SILENT_PAUSE_MILLIS);
--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheDirectoryTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheDirectoryTest.java
@@ -19,6 +19,7 @@
     private final CacheDirectory directory = new CacheDirectory();
 
     private void allAnswer(long epoch, long nowMillis) {
+        directory.onClock(nowMillis, nowMillis);
         STORES.forEach(store -> directory.onAnswer(store.address(), epoch, false, nowMillis));
     }
 
@@ -109,4 +110,15 @@
                 new ArrayList<>(directory.unused(address, scope -> !scope.equals(SCOPE), 10));
         assert unused.equals(List.of(Map.entry(SCOPE, "a"))) : unused;
     }
+
+    /** Failure guarded against: an engine waits for a slow fetch for longer than it would read. */
+    @Example
+    void fetchesEndOnTheUpstreamsClock() {
+        assert directory.fetchUntilMillis(100).isEmpty();
+        STORES.forEach(store -> directory.onAnswer(store.address(), 1, false, 0));
+        directory.onPart(storeOf(SECOND), SCOPE, "p2", 8_000);
+        assert directory.plan(SCOPE, PARTS, STORES, 10).fetchFrom().equals(List.of("", "", ""));
+        directory.onClock(70_000, 100);
+        assert directory.fetchUntilMillis(300).getAsLong() == 70_200 + CacheDirectory.FETCH_MILLIS;
+    }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamLoadsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamLoadsTest.java
@@ -80,4 +80,18 @@
         loads.onEnded("u", 100, Outcome.BROKEN, 10);
         assert loads.inFlight("u").equals(FleetLoads.Load.NONE);
     }
+
+    /**
+     * Failure guarded against: lost answers of single requests keep all three servers of a service from use, and orders
+     * are refused with free places (serra-corte trouble-2).
+     */
+    @Example
+    void oneBrokenConnectionIsNoCrash() {
+        loads.onSent("u", 0, 0, 0);
+        loads.onEnded("u", 0, Outcome.BROKEN, 10);
+        assert loads.isAvailable("u", 11);
+        loads.onSent("u", 0, 0, 20);
+        loads.onEnded("u", 0, Outcome.BROKEN, 30);
+        assert !loads.isAvailable("u", 31);
+    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -294,19 +294,19 @@
                 tried,
                 server -> !view.switching().contains(server.id()),
                 server -> isOpen(server, nowMillis),
-                server -> load(server, nowMillis),
+                this::load,
                 server -> storedTokens(server, nowMillis),
                 server -> oldVersionMillis(server, nowMillis));
     }
 
     // Digests are older than a plain request lasts, so they tell nothing of plain servers.
-    private FleetLoads.Load load(UpstreamServer server, long nowMillis) {
+    private FleetLoads.Load load(UpstreamServer server) {
         FleetLoads.Load own = context.loads().inFlight(server.incarnation());
         if (engine.isEmpty()) {
             return own;
         }
         FleetLoads.Load kept = new FleetLoads.Load(0, -context.waiting().booked(this, server.incarnation()), 0);
-        return own.plus(kept).plus(context.fleetLoads().at(server.id(), nowMillis));
+        return own.plus(kept).plus(context.fleetLoads().at(server.id()));
     }
 
     private int storedTokens(UpstreamServer server, long nowMillis) {
@@ -603,6 +603,7 @@
                     expectedVersion,
                     scope,
                     cache.fetchFrom(),
+                    context.directory().fetchUntilMillis(now()),
                     cache.saveTo(),
                     resumeAfter);
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -37,8 +39,8 @@
  * thread.
  */
 final class LoadDigests {
-    /** Time between two rounds; a long prompt is read within 50 to 200 ms. */
-    static final long ROUND_MILLIS = 150;
+    /** Time between two rounds; a long prompt is read within 50 to 200 ms, and control may take 2 KB a second. */
+    static final long ROUND_MILLIS = 180;
 
     /** Nodes told in a round: all of them in a fleet of today's size. */
     static final int NODES_PER_ROUND = 8;
@@ -55,11 +57,15 @@
     private int turn;
     private boolean wasIdle;
 
-    /** A digest on the wire. */
-    record Message(String node, List<Entry> work) {}
+    /** A digest on the wire: an array, with a hash of the node's name. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"node", "work"})
+    record Message(int node, List<Entry> work) {}
 
-    /** Work at one upstream on the wire. */
-    record Entry(String server, int requests, long tokens, long unreadTokens) {}
+    /** Work at one upstream on the wire: an array, with a hash of the upstream's identifier. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"server", "requests", "tokens", "unreadTokens"})
+    record Entry(int server, int requests, long tokens, long unreadTokens) {}
 
     LoadDigests(
             RegisteredNode self,
@@ -105,7 +111,8 @@
     }
 
     private void round() {
-        others.expire(clocks.nowMillis());
+        long rounds = Math.max(1, view.get().nodes().size() / NODES_PER_ROUND);
+        others.expire(clocks.nowMillis(), rounds * ROUND_MILLIS);
         PlatformView now = view.get();
         List<Entry> work = work(now);
         boolean idle = work.isEmpty();
@@ -120,7 +127,7 @@
         if (nodes.isEmpty()) {
             return;
         }
-        byte[] message = encode(new Message(self.name(), work));
+        byte[] message = encode(new Message(FleetLoads.shortHash(self.name()), work));
         for (int sent = 0; sent < Math.min(NODES_PER_ROUND, nodes.size()); sent++) {
             RegisteredNode node = nodes.get(Math.floorMod(turn++, nodes.size()));
             ByteBuf content = Unpooled.wrappedBuffer(message);
@@ -134,7 +141,8 @@
         for (UpstreamServer server : now.servers().values()) {
             FleetLoads.Load load = own.inFlight(server.incarnation());
             if (load.requests() > 0) {
-                work.add(new Entry(server.id(), load.requests(), load.tokens(), load.unreadTokens()));
+                work.add(new Entry(
+                        FleetLoads.shortHash(server.id()), load.requests(), load.tokens(), load.unreadTokens()));
             }
         }
         return work;
@@ -143,7 +151,7 @@
     private void onPacket(DatagramPacket packet) {
         try {
             Message message = MAPPER.readValue(ByteBufUtil.getBytes(packet.content()), Message.class);
-            Map<String, FleetLoads.Load> byServer = new HashMap<>();
+            Map<Integer, FleetLoads.Load> byServer = new HashMap<>();
             message.work()
                     .forEach(entry -> byServer.put(
                             entry.server(),
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -21,7 +21,16 @@
  */
 final class PlatformWatcher {
     /** Longest wait of a watch: a lost one is noticed and repeated well within the revocation bound of 5 s. */
-    static final long WATCH_MILLIS = 1_500;
+    static final long WATCH_MILLIS = 1_100;
+
+    /**
+     * Pause after a watch that told of changes, for each registered node: a start of the whole fleet changes something
+     * for every node, and without it each change would cost a call of each node.
+     */
+    static final long PAUSE_MILLIS_PER_NODE = 4;
+
+    /** Longest such pause; changes must be in force within two seconds. */
+    static final long MAX_CHANGE_PAUSE_MILLIS = 350;
 
     /** Pause after a failed call; doubles up to the longest pause. */
     static final long MIN_PAUSE_MILLIS = 60;
@@ -125,7 +134,12 @@
         long waitedMillis = Math.min(WATCH_MILLIS, clocks.nowMillis() - sentAt.monotonicMillis());
         confirm(quiet ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt);
         publish();
-        watch();
+        if (quiet) {
+            watch();
+        } else {
+            long pause = PAUSE_MILLIS_PER_NODE * view.nodes().size();
+            control.schedule(this::watch, Math.min(MAX_CHANGE_PAUSE_MILLIS, pause), TimeUnit.MILLISECONDS);
+        }
     }
 
     private void confirm(OrderTurn.Moment at) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreCleaner.java
@@ -21,10 +21,10 @@
  */
 final class StoreCleaner {
     /**
-     * How long a version must be out of use: a fetch that began before is over by then, as engines do not begin one that
-     * would wait for two seconds.
+     * How long a version must be out of use: a fetch that began before is over or thrown away by then, see
+     * {@link CacheDirectory#FETCH_MILLIS}.
      */
-    static final long UNUSED_MILLIS = 2_500;
+    static final long UNUSED_MILLIS = 2 * CacheDirectory.FETCH_MILLIS;
 
     /** Parts freed with one call. */
     static final int BATCH = 250;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
@@ -107,6 +107,7 @@
     }
 
     private void onChanges(String address, Follow follow, CacheChanges changes, long sentAtMillis) {
+        changes.clockMillis().ifPresent(clock -> directory.onClock(clock, clocks.nowMillis()));
         boolean newEpoch = directory
                 .epoch(address)
                 .filter(epoch -> epoch == changes.epoch())
--- a/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import reactor.core.publisher.Mono;
 
@@ -72,9 +73,10 @@
      * @param epoch number of its lifetime
      * @param next where to go on
      * @param lost true if changes before these are no longer known
+     * @param clockMillis the upstreams' clock when it answered, in milliseconds; empty if it did not say
      * @param changes the changes in order
      */
-    record CacheChanges(long epoch, long next, boolean lost, List<CacheChange> changes) {
+    record CacheChanges(long epoch, long next, boolean lost, OptionalLong clockMillis, List<CacheChange> changes) {
         /** Copies the list. */
         public CacheChanges {
             changes = List.copyOf(changes);
--- a/ports/src/main/java/org/cowslipbank/ports/relay/SendPlan.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/SendPlan.java
@@ -14,6 +14,7 @@
  * @param weightVersion version that the upstream must have loaded
  * @param cacheScope name under which the engine caches and finds the prompt's parts
  * @param fetchFrom address to fetch each part of the prompt from, an empty text for none; empty without any
+ * @param fetchUntilMillis when a fetch that has not ended is thrown away, on the upstreams' clock in milliseconds
  * @param saveTo address of the store to save each part to, an empty text for none; empty without any
  * @param resumeAfter identifier of the last event that the client has
  */
@@ -25,6 +26,7 @@
         OptionalLong weightVersion,
         Optional<String> cacheScope,
         List<String> fetchFrom,
+        OptionalLong fetchUntilMillis,
         List<String> saveTo,
         Optional<String> resumeAfter) {
     /** Copies the lists. */
