--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheDirectory.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheDirectory.java
@@ -27,8 +27,11 @@
     /** A part that is being saved is not saved again for this time; events come up to 100 ms late, and few are lost. */
     static final long SAVE_PAUSE_MILLIS = 2_500;
 
-    /** How long an engine may take to fetch parts: reading a long prompt takes 150 to 200 ms. */
-    public static final long FETCH_MILLIS = 500;
+    /**
+     * How long an engine may take to fetch parts. Reading a long prompt takes 200 ms, but reading a shared part again
+     * costs the other requests more than a slow link costs this one.
+     */
+    public static final long FETCH_MILLIS = 1_500;
 
     /** Name of a part under a cache scope. */
     private record Named(String scope, String partId) {}
--- a/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
@@ -30,8 +30,8 @@
     /** Time that an engine is out of use: its runs end, it reports, it loads. */
     static final long ROUND_MILLIS = 1_450;
 
-    /** Time before the bound at which the last engine should be done. */
-    static final long SPARE_MILLIS = 500;
+    /** Time after the bound at which the last engine may be done; engines that are behind are closed by then. */
+    static final long LATE_MILLIS = 500;
 
     /** How long runs may take to end before their engine gets its order; most last 0.5 to 2 s and began before. */
     static final long DRAIN_MILLIS = 900;
@@ -156,7 +156,7 @@
 
     // After a change of leader little time may be left; past the bound engines with old weights are of no use anyway.
     private static int most(int behind, int engines, long leftMillis) {
-        long rounds = Math.max(1, (leftMillis - SPARE_MILLIS) / ROUND_MILLIS);
+        long rounds = Math.max(1, (leftMillis + LATE_MILLIS) / ROUND_MILLIS);
         int needed = (int) Math.ceil(behind / (double) rounds);
         return Math.max(needed, Math.max(MIN_SWITCHING, (int) (engines * SWITCHING_SHARE)));
     }
--- a/decision/src/main/java/org/cowslipbank/decision/retry/RetryBudget.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retry/RetryBudget.java
@@ -10,8 +10,18 @@
      * A tenth of the requests. A quiet node keeps the starting rate; without it the death of an engine would fail the
      * few requests it had.
      */
-    RetryBudget STANDARD = requests ->
-            Math.max(RetryPolicy.START_RETRIES_PER_SECOND * RetryPolicy.WINDOW_SECONDS, STANDARD_SHARE * requests);
+    RetryBudget STANDARD = new RetryBudget() {
+        @Override
+        public double retriesPerWindow(int requests) {
+            return Math.max(
+                    RetryPolicy.START_RETRIES_PER_SECOND * RetryPolicy.WINDOW_SECONDS, STANDARD_SHARE * requests);
+        }
+
+        @Override
+        public boolean limitsStart() {
+            return true;
+        }
+    };
 
     /** Part of a deployment's limit that the nodes use, so that a change of their number does not exceed it. */
     double USED_PART = 0.7;
@@ -24,6 +34,15 @@
      */
     double retriesPerWindow(int requests);
 
+    /**
+     * Tells whether retries are limited to a few a second until the window has filled after a start.
+     *
+     * @return true if they are; false where the budget has a part that does not depend on requests
+     */
+    default boolean limitsStart() {
+        return false;
+    }
+
     /**
      * Returns one node's part of a limit that holds for all nodes together.
      *
--- a/decision/src/main/java/org/cowslipbank/decision/retry/RetryPolicy.java
+++ b/decision/src/main/java/org/cowslipbank/decision/retry/RetryPolicy.java
@@ -96,7 +96,7 @@
     }
 
     private static boolean withinBudget(RetryState state, RetryBudget budget) {
-        if (state.newestSecond() < WINDOW_SECONDS) {
+        if (budget.limitsStart() && state.newestSecond() < WINDOW_SECONDS) {
             return state.retries().get(WINDOW_SECONDS - 1) < START_RETRIES_PER_SECOND;
         }
         return sum(state.retries()) + 1 <= budget.retriesPerWindow(sum(state.requests()));
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -68,8 +68,16 @@
     /** How long a broken stream waits for another upstream; clients abandon it after two seconds without an event. */
     static final long RESUME_MILLIS = 1_500;
 
+    /** How long a request waits for the first configuration of a node that has just started. */
+    static final long START_HOLD_MILLIS = 700;
+
+    /** How long a request waits for a confirmation while the node reaches the metadata store. */
+    static final long WAKE_HOLD_MILLIS = 250;
+
+    private static final long HOLD_STEP_MILLIS = 15;
+
     /** Further sends after upstreams stated that they did not run the request. */
-    static final int MAX_REJECTED_SENDS = 3;
+    static final int MAX_REJECTED_SENDS = 6;
 
     /** When a client may come back after a refusal: upstreams that load weights or restart are back by then. */
     static final long RETRY_AFTER_MILLIS = 300;
@@ -121,9 +129,16 @@
     /** Begins the exchange; the answer may be given before this returns. */
     void begin() {
         context.metrics().onRequest();
+        resolve();
+    }
+
+    private void resolve() {
+        if (ended) {
+            return;
+        }
         view = context.view().get();
         if (view.routes().isEmpty()) {
-            refuse("no_configuration", ELSEWHERE_AFTER_MILLIS);
+            holdOrRefuse("no_configuration", START_HOLD_MILLIS);
             return;
         }
         RouteTable routes = view.routes().get();
@@ -168,8 +183,9 @@
         boolean fresh = confirmation.isPresent()
                 && confirmation.get().allowsKeys(revokeMillis, moment.monotonicMillis(), moment.wallMillis());
         if (!fresh) {
-            // A key that was revoked meanwhile could not be told from a valid one.
-            refuse("configuration_unconfirmed", ELSEWHERE_AFTER_MILLIS);
+            // A key that was revoked meanwhile could not be told from a valid one. A VM that was suspended has its
+            // confirmation within milliseconds; one that lost the store does not know when.
+            holdOrRefuse("configuration_unconfirmed", context.reachesStore().getAsBoolean() ? WAKE_HOLD_MILLIS : 0);
             return false;
         }
         team = request.bearerKey().flatMap(routes::team);
@@ -180,6 +196,14 @@
         return true;
     }
 
+    private void holdOrRefuse(String reason, long holdMillis) {
+        if (now() - arrivedMillis < holdMillis) {
+            deadlineTimer = schedule(this::resolve, HOLD_STEP_MILLIS);
+        } else {
+            refuse(reason, ELSEWHERE_AFTER_MILLIS);
+        }
+    }
+
     private String affinityKey() {
         String key = request.prompt().map(PromptShape::affinityKey).orElse("");
         return key.isEmpty() ? request.id() : key;
@@ -743,21 +767,21 @@
             if (head.status() == 421 && sameServer && expectedVersion.isPresent()) {
                 noteOtherVersion();
             }
+            if (engine.isPresent()) {
+                // It pauses for a moment and may be tried again: an engine rejects while it loads weights.
+                tried.remove(server.incarnation());
+            }
             onAttemptFailed(Outcome.REJECTED, false, "status " + head.status());
         }
 
         // The engine loaded other weights than known here; its registration follows within a second.
         private void noteOtherVersion() {
             if (head.weightVersion().isPresent()) {
-                tried.remove(server.incarnation());
                 return;
             }
             namedVersion()
                     .filter(named -> named.version() != expectedVersion.getAsLong())
-                    .ifPresent(named -> {
-                        context.loads().onVersion(server.incarnation(), named.version());
-                        tried.remove(server.incarnation());
-                    });
+                    .ifPresent(named -> context.loads().onVersion(server.incarnation(), named.version()));
         }
 
         private void onPlainAnswer() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -50,7 +50,7 @@
     private volatile PlatformView view = PlatformView.EMPTY;
     private volatile Optional<Confirmation> confirmation = Optional.empty();
     private Disposable call;
-    private boolean connected;
+    private volatile boolean connected;
     private boolean stopped;
     private long pauseMillis = MIN_PAUSE_MILLIS;
     private long lastAnswerMillis;
@@ -76,6 +76,10 @@
         return view;
     }
 
+    boolean isConnected() {
+        return connected;
+    }
+
     Optional<Confirmation> confirmation() {
         return confirmation;
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
@@ -19,6 +20,7 @@
  * @param wire the formats
  * @param view the newest view of the platform
  * @param confirmation the last confirmation of the configuration, empty before the first
+ * @param reachesStore tells whether the metadata store answered the last call
  * @param clocks the clocks
  * @param loop the traffic thread
  * @param connections connections to upstreams
@@ -36,6 +38,7 @@
         RelayWire wire,
         Supplier<PlatformView> view,
         Supplier<Optional<Confirmation>> confirmation,
+        BooleanSupplier reachesStore,
         Clocks clocks,
         EventLoop loop,
         UpstreamConnections connections,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -119,6 +119,7 @@
                 wire,
                 watcher::view,
                 watcher::confirmation,
+                watcher::isConnected,
                 clocks,
                 loop,
                 connections,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreCleaner.java
@@ -24,7 +24,7 @@
      * How long a version must be out of use: a fetch that began before is over or thrown away by then, see
      * {@link CacheDirectory#FETCH_MILLIS}.
      */
-    static final long UNUSED_MILLIS = 2 * CacheDirectory.FETCH_MILLIS;
+    static final long UNUSED_MILLIS = CacheDirectory.FETCH_MILLIS + 500;
 
     /** Parts freed with one call. */
     static final int BATCH = 250;
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelayNodeTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelayNodeTest.java
@@ -387,4 +387,32 @@
         });
         assert runs.get() <= 8 : runs;
     }
+
+    /** Failure guarded against: a node that starts refuses what comes before its first configuration. */
+    @Example
+    void firstRequestsWaitForTheConfiguration() throws Exception {
+        system.upstream("app", "i-1", ScriptedUpstream.ok("hello"));
+        system.store.setDown(true);
+        system.node().start();
+        Socket client = system.connect();
+        ScriptedUpstream.write(client, system.request("/order/", "r1", "Content-Length: 0\r\n\r\n"));
+        system.store.setDown(false);
+        assert RelaySystem.body(RelaySystem.readAnswer(client)).equals("hello");
+    }
+
+    /** Failure guarded against: prompts are refused because all engines reject for the moment of a load. */
+    @Example
+    void rejectedPromptWaitsForItsEngine() throws Exception {
+        AtomicInteger rejected = new AtomicInteger();
+        system.upstream("llm", "i-1", (request, socket) -> {
+            if (rejected.getAndIncrement() < 2) {
+                ScriptedUpstream.status(503, "X-Not-Executed: 1\r\n").answer(request, socket);
+            } else {
+                ScriptedUpstream.beginStream(request, socket, "id: 1\ndata: a\n\n");
+                ScriptedUpstream.endStream(socket);
+            }
+        });
+        system.start();
+        assert RelaySystem.joined(system.send("/once/", "r1", "", "")).equals("id: 1\ndata: a\n\n");
+    }
 }
