--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -12,11 +11,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import org.cowslipbank.decision.relay.CacheDirectory;
-import org.cowslipbank.decision.relay.CacheScope;
 import org.cowslipbank.decision.relay.EventSplitter;
-import org.cowslipbank.decision.relay.FleetLoads;
-import org.cowslipbank.decision.relay.OldVersions;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamChoice;
 import org.cowslipbank.decision.relay.UpstreamLoads;
@@ -28,11 +23,8 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.TeamId;
-import org.cowslipbank.model.relay.CacheStore;
-import org.cowslipbank.model.relay.EngineTraits;
-import org.cowslipbank.model.relay.NamedVersion;
-import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
+import org.cowslipbank.model.relay.RelayService;
 import org.cowslipbank.model.relay.RelayTeam;
 import org.cowslipbank.model.relay.Route;
 import org.cowslipbank.model.relay.UpstreamServer;
@@ -91,8 +83,6 @@
     /** Upstreams that one request may have crashed before it is refused everywhere; stated by the platform's rules. */
     static final int MAX_CRASHES = 3;
 
-    private static final int LAST_PRIORITY = 9;
-
     private final RelayContext context;
     private final ClientAnswer client;
     private final RelayRequest request;
@@ -105,7 +95,7 @@
     private Route route;
     private Optional<RelayTeam> team = Optional.empty();
     private String service = "";
-    private Optional<EngineTraits> engine = Optional.empty();
+    private RequestPlacement placement;
     private long deadlineMillis;
     private long firstByteMillis = -1;
     private Future<?> deadlineTimer;
@@ -155,13 +145,17 @@
             fail(400, "no_request_id");
             return;
         }
-        Optional<String> chosen = RouteTable.serviceOf(route, affinityKey());
+        Optional<String> chosen = RouteTable.serviceOf(route, RequestPlacement.affinityKey(request));
         if (chosen.isEmpty()) {
             refuse("no_service", RETRY_AFTER_MILLIS);
             return;
         }
         service = chosen.get();
-        engine = routes.service(service).flatMap(known -> known.engine());
+        placement = new RequestPlacement(
+                context,
+                request,
+                new RequestPlacement.Target(service, routes.service(service).flatMap(RelayService::engine), team),
+                server -> context.waiting().booked(this, server));
         if (crashesUpstreams()) {
             refuse("crashed_upstreams", 0);
             return;
@@ -204,11 +198,6 @@
         }
     }
 
-    private String affinityKey() {
-        String key = request.prompt().map(PromptShape::affinityKey).orElse("");
-        return key.isEmpty() ? request.id() : key;
-    }
-
     private boolean crashesUpstreams() {
         if (view.crashes().isEmpty()) {
             return false;
@@ -274,12 +263,7 @@
     }
 
     private Optional<UpstreamChoice.Choice> choose() {
-        List<UpstreamServer> servers = view.serving(service);
-        if (engine.isEmpty() || request.prompt().isEmpty()) {
-            return UpstreamChoice.plain(affinityKey(), context.settings().dataCentre(), servers, candidates())
-                    .map(server -> UpstreamChoice.Choice.plain(server));
-        }
-        return UpstreamChoice.engine(prompt(), servers, candidates());
+        return placement.choose(view, tried);
     }
 
     /**
@@ -288,9 +272,7 @@
      * @return the engine, or empty if none should be
      */
     Optional<UpstreamServer> booking() {
-        return engine.isEmpty() || request.prompt().isEmpty()
-                ? Optional.empty()
-                : UpstreamChoice.booking(prompt(), view.serving(service), candidates());
+        return placement.booking(view, tried);
     }
 
     /**
@@ -302,94 +284,6 @@
         return request.prompt().map(PromptShape::promptTokens).orElse(0);
     }
 
-    private UpstreamChoice.Prompt prompt() {
-        PromptShape shape = request.prompt().get();
-        int shared = shape.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-        return new UpstreamChoice.Prompt(
-                affinityKey(),
-                shared,
-                Math.max(0, shape.promptTokens() - shared),
-                engine.get().capacityTokens());
-    }
-
-    private UpstreamChoice.Candidates candidates() {
-        long nowMillis = now();
-        return new UpstreamChoice.Candidates(
-                tried,
-                server -> !view.switching().contains(server.id()),
-                server -> isOpen(server, nowMillis),
-                this::load,
-                server -> storedTokens(server, nowMillis),
-                server -> oldVersionMillis(server, nowMillis));
-    }
-
-    // Digests are older than a plain request lasts, so they tell nothing of plain servers.
-    private FleetLoads.Load load(UpstreamServer server) {
-        FleetLoads.Load own = context.loads().inFlight(server.incarnation());
-        if (engine.isEmpty()) {
-            return own;
-        }
-        FleetLoads.Load kept = new FleetLoads.Load(0, -context.waiting().booked(this, server.incarnation()), 0);
-        return own.plus(kept).plus(context.fleetLoads().at(server.id()));
-    }
-
-    private int storedTokens(UpstreamServer server, long nowMillis) {
-        OptionalLong version = versionOf(server);
-        if (version.isEmpty()) {
-            return 0;
-        }
-        PromptShape shape = request.prompt().get();
-        String scope = scope(shape, version.getAsLong());
-        return context.directory().storedTokens(scope, shape.parts(), stores(), nowMillis);
-    }
-
-    private long oldVersionMillis(UpstreamServer server, long nowMillis) {
-        return versionAgeIfOld(server, nowMillis).stream()
-                .map(OldVersions::penaltyMillis)
-                .findFirst()
-                .orElse(0);
-    }
-
-    private boolean isOpen(UpstreamServer server, long nowMillis) {
-        long boundMillis = context.settings().bounds().versionMillis();
-        boolean closed = versionAgeIfOld(server, nowMillis).stream()
-                .anyMatch(ageMillis -> OldVersions.isClosed(ageMillis, boundMillis));
-        return !closed && context.loads().isAvailable(server.incarnation(), nowMillis);
-    }
-
-    /** Returns the age of the named version in milliseconds if the engine does not have it. */
-    private OptionalLong versionAgeIfOld(UpstreamServer server, long nowMillis) {
-        Optional<NamedVersion> named = namedVersion();
-        if (named.isEmpty() || versionOf(server).orElse(0) >= named.get().version()) {
-            return OptionalLong.empty();
-        }
-        return OptionalLong.of(nowMillis - named.get().seenAtMillis());
-    }
-
-    private List<CacheStore> stores() {
-        return view.routes().map(routes -> routes.configuration().stores()).orElse(List.of());
-    }
-
-    // Parts of another weight version are never found, nor those of another team if one of the two is isolated.
-    private String scope(PromptShape prompt, long version) {
-        String wall = team.filter(RelayTeam::isolated).map(RelayTeam::name).orElse("");
-        return CacheScope.of(prompt.model(), version, wall);
-    }
-
-    private Optional<NamedVersion> namedVersion() {
-        return request.prompt().map(prompt -> view.versions().get(prompt.model()));
-    }
-
-    private OptionalLong versionOf(UpstreamServer server) {
-        if (engine.isEmpty() || request.prompt().isEmpty()) {
-            return OptionalLong.empty();
-        }
-        long seen = context.loads().weightVersion(server.incarnation());
-        Long registered = server.versionByModel().get(request.prompt().get().model());
-        long version = Math.max(seen, registered == null ? 0 : registered);
-        return version == 0 ? OptionalLong.empty() : OptionalLong.of(version);
-    }
-
     /** Ends an exchange for which no further attempt is made. */
     private void giveUp(String reason) {
         if (headSent) {
@@ -454,7 +348,7 @@
         } else {
             rejections++;
         }
-        if (outcome == Outcome.BROKEN && engine.isPresent()) {
+        if (outcome == Outcome.BROKEN && placement.isAtEngines()) {
             context.crashes().accept(fingerprint(), server.incarnation());
         }
         splitter.discardRest();
@@ -604,32 +498,9 @@
         }
 
         private SendPlan plan(long leftMillis) {
-            expectedVersion = versionOf(server);
-            Optional<String> scope = request.prompt()
-                    .filter(prompt -> expectedVersion.isPresent())
-                    .map(prompt -> scope(prompt, expectedVersion.getAsLong()));
-            List<PromptPart> parts = request.prompt().map(PromptShape::parts).orElse(List.of());
-            CacheDirectory.Plan cache = new CacheDirectory.Plan(List.of(), List.of());
-            if (scope.isPresent() && !parts.isEmpty()) {
-                cache = context.directory().plan(scope.get(), parts, stores(), now());
-                context.directory().onSent(scope.get(), parts, cache, now());
-            }
+            expectedVersion = placement.versionOf(server);
             Optional<String> resumeAfter = splitter.lastEventId().or(request::lastEventId);
-            int priority = team.flatMap(known -> known.priority().isPresent()
-                            ? Optional.of(known.priority().getAsInt())
-                            : Optional.<Integer>empty())
-                    .orElse(route.priority());
-            return new SendPlan(
-                    server.id(),
-                    leftMillis,
-                    team.map(RelayTeam::name),
-                    Math.min(LAST_PRIORITY, Math.max(0, priority)),
-                    expectedVersion,
-                    scope,
-                    cache.fetchFrom(),
-                    context.directory().fetchUntilMillis(now()),
-                    cache.saveTo(),
-                    resumeAfter);
+            return placement.plan(view, server, leftMillis, route.priority(), resumeAfter);
         }
 
         boolean isSilent() {
@@ -767,7 +638,7 @@
             if (head.status() == 421 && sameServer && expectedVersion.isPresent()) {
                 noteOtherVersion();
             }
-            if (engine.isPresent()) {
+            if (placement.isAtEngines()) {
                 // It pauses for a moment and may be tried again: an engine rejects while it loads weights.
                 tried.remove(server.incarnation());
             }
@@ -779,7 +650,8 @@
             if (head.weightVersion().isPresent()) {
                 return;
             }
-            namedVersion()
+            placement
+                    .namedVersion(view)
                     .filter(named -> named.version() != expectedVersion.getAsLong())
                     .ifPresent(named -> context.loads().onVersion(server.incarnation(), named.version()));
         }
