Let nodes of a large fleet follow cache stores through each other

Cause: a store holds twelve waiting calls; of 72 or 86 nodes only eleven could know what it keeps, and the others would read every shared part again. Change: eleven nodes ask the store, the others ask one of these in the store's own format; a relay that loses its store says so at once.

--- a/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
@@ -16,6 +16,7 @@
 import org.cowslipbank.model.ConfigurationException;
 import org.cowslipbank.model.CowslipbankException;
 import org.cowslipbank.platform.EngineClient;
+import org.cowslipbank.platform.HttpCacheWire;
 import org.cowslipbank.platform.HttpRelayWire;
 import org.cowslipbank.platform.MetadataStoreClient;
 import org.cowslipbank.platform.NodeFile;
@@ -78,7 +79,8 @@
                 new MetadataStoreClient(http, settings.storeAddress()),
                 new PlatformItems(),
                 new EngineClient(http),
-                new HttpRelayWire());
+                new HttpRelayWire(),
+                new HttpCacheWire());
         RelayNode node = new RelayNode(settings, platform, loops, Clocks.SYSTEM, new MetricRegistry());
         node.start();
         return node;
--- a/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
@@ -14,6 +14,7 @@
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.Step;
 import org.cowslipbank.platform.EngineClient;
+import org.cowslipbank.platform.HttpCacheWire;
 import org.cowslipbank.platform.HttpRelayWire;
 import org.cowslipbank.platform.LoopbackPlatform;
 import org.cowslipbank.platform.MetadataStoreClient;
@@ -29,7 +30,7 @@
 final class RelayRehearsal {
     // Time for the first look at the metadata store, which the requests need.
     private static final long START_MILLIS = 700;
-    private static final int PORTS = 4;
+    private static final int PORTS = 5;
     private static final int ANSWER_MILLIS = 3_000;
     private static final int EXPECTED_ANSWERS = 3;
 
@@ -53,7 +54,8 @@
                             new MetadataStoreClient(http, settings.storeAddress()),
                             new PlatformItems(),
                             new EngineClient(http),
-                            new HttpRelayWire()),
+                            new HttpRelayWire(),
+                            new HttpCacheWire()),
                     loops,
                     Clocks.SYSTEM,
                     new MetricRegistry());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
@@ -74,7 +74,8 @@
         ObjectNode value = MAPPER.createObjectNode();
         value.put("address", node.address())
                 .put("dataCentre", node.dataCentre())
-                .put("digestAddress", node.digestAddress());
+                .put("digestAddress", node.digestAddress())
+                .put("cacheAddress", node.cacheAddress());
         return bytes(value);
     }
 
@@ -84,7 +85,8 @@
                 name,
                 tree.path("address").asText(),
                 tree.path("dataCentre").asText(),
-                tree.path("digestAddress").asText());
+                tree.path("digestAddress").asText(),
+                tree.path("cacheAddress").asText());
     }
 
     static byte[] encodeRollout(Rollout rollout) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -53,8 +53,10 @@
      * @param address its address for clients as {@code IP:port}
      * @param dataCentre its data centre
      * @param digestAddress its address for digests of other nodes as {@code IP:port}
+     * @param cacheAddress its address for questions about cache stores as {@code IP:port}
      */
-    public record RegisteredNode(String name, String address, String dataCentre, String digestAddress) {}
+    public record RegisteredNode(
+            String name, String address, String dataCentre, String digestAddress, String cacheAddress) {}
 
     /**
      * Returns the upstreams of a service that take new work.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -19,6 +19,7 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.PeerException;
+import org.cowslipbank.ports.relay.CacheWire;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.MetadataStore;
 import org.cowslipbank.ports.relay.PlatformDecoder;
@@ -60,6 +61,8 @@
     private final UpstreamLoads loads = new UpstreamLoads();
     private final UpstreamConnections connections;
     private final StoreFollower stores;
+    private final CacheWire cacheWire;
+    private final CacheRelay cacheRelay;
     private final StoreCleaner cleaner;
     private final LoadDigests digests;
     private final FrontServer front;
@@ -73,8 +76,10 @@
      * @param decoder names and decodes its items
      * @param engines calls to engines and cache stores
      * @param wire formats of requests and answers
+     * @param cacheWire format of changes of cache stores between nodes
      */
-    public record Platform(MetadataStore store, PlatformDecoder decoder, EngineControl engines, RelayWire wire) {}
+    public record Platform(
+            MetadataStore store, PlatformDecoder decoder, EngineControl engines, RelayWire wire, CacheWire cacheWire) {}
 
     /**
      * Puts a node together; nothing is started yet.
@@ -89,6 +94,7 @@
             RelaySettings settings, Platform platform, LoopResources loops, Clocks clocks, MetricRegistry metrics) {
         this.settings = settings;
         this.wire = platform.wire();
+        this.cacheWire = platform.cacheWire();
         this.clocks = clocks;
         this.loops = loops;
         this.loop = (EventLoop) loops.onServer(true).next();
@@ -102,14 +108,17 @@
                 settings.nodeName(),
                 settings.listeners().clients(),
                 settings.dataCentre(),
-                settings.listeners().digests());
+                settings.listeners().digests(),
+                settings.listeners().cache());
         ControlParts parts = new ControlParts(self, platform.store(), items, watcher::view, clocks, control, log);
         this.lease = new NodeLease(parts, state, settings.minLeaseMillis());
         this.versions = new VersionKeeper(parts, lease, platform.engines(), settings.bounds());
         CrashReports crashes = new CrashReports(parts);
         this.connections = new UpstreamConnections(wire, clocks.monotonic(), loops, loop);
         CacheDirectory directory = new CacheDirectory();
-        this.stores = new StoreFollower(platform.engines(), directory, watcher::view, self.name(), loop, clocks, log);
+        this.cacheRelay = new CacheRelay(loop, clocks);
+        StoreFollower.Sources sources = new StoreFollower.Sources(platform.engines(), platform.cacheWire(), cacheRelay);
+        this.stores = new StoreFollower(sources, directory, watcher::view, self.name(), loop, clocks, log);
         this.cleaner = new StoreCleaner(platform.engines(), directory, watcher::view, lease::isLeader, clocks, log);
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, loads);
@@ -148,6 +157,7 @@
         digests.listen(loops, loop);
         servers.add(listen(settings.listeners().readiness(), this::answerReadiness));
         servers.add(listen(settings.listeners().lookups(), this::answerLookup));
+        servers.add(listen(settings.listeners().cache(), this::answerCacheQuery));
         if (!settings.listeners().metrics().isEmpty()) {
             servers.add(listen(settings.listeners().metrics(), this::answerMetrics));
         }
@@ -237,6 +247,21 @@
                 .send();
     }
 
+    private Mono<Void> answerCacheQuery(HttpServerRequest request, HttpServerResponse response) {
+        Optional<CacheWire.Query> query = cacheWire.decode(request.uri());
+        if (query.isEmpty()) {
+            return response.status(HttpResponseStatus.NOT_FOUND).send();
+        }
+        return cacheRelay
+                .ask(query.get())
+                .flatMap(changes -> changes.isEmpty()
+                        ? response.status(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                                .send()
+                        : response.header("Content-Type", "application/json")
+                                .sendByteArray(Mono.just(cacheWire.encode(changes.get())))
+                                .then());
+    }
+
     private Mono<Void> answerMetrics(HttpServerRequest request, HttpServerResponse response) {
         return response.sendString(Mono.fromSupplier(() -> MetricsText.of(metrics)))
                 .then();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,13 +11,18 @@
 import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.relay.CacheDirectory;
 import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.relay.CacheStore;
+import org.cowslipbank.ports.relay.CacheWire;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.EngineControl.CacheChanges;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 
-/** Keeps the directory of each store up to date from the store's own events. Runs on the traffic thread. */
+/**
+ * Keeps the directory of each store up to date from the store's own events. A store holds a limited number of waiting
+ * calls: in a larger fleet some nodes ask the store, and the others ask one of these. Runs on the traffic thread.
+ */
 final class StoreFollower {
     /** Longest wait of a call for events, the most that stores allow. */
     static final long WAIT_MILLIS = 1_000;
@@ -30,6 +34,8 @@
     static final long FAILED_PAUSE_MILLIS = 400;
 
     private final EngineControl engines;
+    private final CacheWire wire;
+    private final CacheRelay relay;
     private final CacheDirectory directory;
     private final Supplier<PlatformView> view;
     private final String self;
@@ -39,20 +45,38 @@
     private final Map<String, Follow> follows = new HashMap<>();
 
     private static final class Follow {
+        private final String storeName;
+        private String source;
         private long since;
         private boolean lost = true;
         private Disposable call;
+
+        Follow(String storeName, String source) {
+            this.storeName = storeName;
+            this.source = source;
+        }
     }
 
+    /**
+     * How stores are asked and their answers passed on.
+     *
+     * @param engines calls to stores and other nodes
+     * @param wire format between nodes
+     * @param relay passes changes on to other nodes
+     */
+    record Sources(EngineControl engines, CacheWire wire, CacheRelay relay) {}
+
     StoreFollower(
-            EngineControl engines,
+            Sources sources,
             CacheDirectory directory,
             Supplier<PlatformView> view,
             String self,
             EventLoop loop,
             Clocks clocks,
             DecisionLog log) {
-        this.engines = engines;
+        this.engines = sources.engines();
+        this.wire = sources.wire();
+        this.relay = sources.relay();
         this.directory = directory;
         this.view = view;
         this.self = self;
@@ -61,32 +85,42 @@
         this.log = log;
     }
 
-    /** Starts following stores that are new and forgets those that are gone. */
+    /** Starts following stores that are new, forgets those that are gone, and changes sources with the fleet. */
     void refresh() {
-        Set<String> wanted = new HashSet<>();
-        view.get().routes().ifPresent(routes -> routes.configuration().stores().stream()
-                .filter(this::follows)
-                .forEach(store -> wanted.add(store.address())));
+        Map<String, CacheStore> wanted = new HashMap<>();
+        view.get().routes().ifPresent(routes -> routes.configuration()
+                .stores()
+                .forEach(store -> wanted.put(store.address(), store)));
         for (String address : Set.copyOf(follows.keySet())) {
-            if (!wanted.contains(address)) {
+            if (!wanted.containsKey(address)) {
                 stop(follows.remove(address));
             }
         }
-        directory.retain(wanted);
-        for (String address : wanted) {
-            if (!follows.containsKey(address)) {
-                Follow follow = new Follow();
-                follows.put(address, follow);
-                ask(address, follow);
+        directory.retain(wanted.keySet());
+        wanted.forEach((address, store) -> {
+            Follow follow = follows.get(address);
+            if (follow == null) {
+                Follow added = new Follow(store.name(), source(store));
+                follows.put(address, added);
+                ask(address, added);
+            } else if (!follow.source.equals(source(store))) {
+                // Numbers of another source mean nothing; the next call asks for everything.
+                follow.source = source(store);
+                follow.since = 0;
+                follow.lost = true;
             }
-        }
+        });
     }
 
-    // A store holds a limited number of waiting calls; with more nodes than that, some nodes do without it.
-    private boolean follows(CacheStore store) {
-        List<String> followers = Rendezvous.top(
-                store.name(), view.get().nodes().keySet(), name -> name, Math.max(1, store.maxWaitingCalls() - 1));
-        return followers.contains(self);
+    private String source(CacheStore store) {
+        Map<String, RegisteredNode> nodes = view.get().nodes();
+        List<String> askers =
+                Rendezvous.top(store.name(), nodes.keySet(), name -> name, Math.max(1, store.maxWaitingCalls() - 1));
+        if (nodes.size() <= askers.size() || askers.contains(self)) {
+            return store.address();
+        }
+        int index = Math.floorMod((int) Rendezvous.hash(self), askers.size());
+        return wire.address(nodes.get(askers.get(index)).cacheAddress(), store.name());
     }
 
     private static void stop(Follow follow) {
@@ -100,7 +134,7 @@
             return;
         }
         long sentAtMillis = clocks.nowMillis();
-        Mono<CacheChanges> answer = engines.cacheChanges(address, follow.since, WAIT_MILLIS);
+        Mono<CacheChanges> answer = engines.cacheChanges(follow.source, follow.since, WAIT_MILLIS);
         follow.call = answer.subscribe(
                 changes -> loop.execute(() -> onChanges(address, follow, changes, sentAtMillis)),
                 error -> loop.execute(() -> onFailed(address, follow, error)));
@@ -125,7 +159,11 @@
             again(address, follow, PAUSE_MILLIS);
             return;
         }
-        directory.onAnswer(address, changes.epoch(), changes.lost(), clocks.nowMillis());
+        boolean restart = changes.lost() || follow.lost;
+        directory.onAnswer(address, changes.epoch(), restart, clocks.nowMillis());
+        if (follow.source.equals(address)) {
+            relay.onChanges(follow.storeName, changes, newEpoch || restart);
+        }
         changes.changes()
                 .forEach(change -> directory.onPart(
                         address, change.scope(), change.partId(), change.added() ? change.tokens() : 0));
@@ -141,6 +179,7 @@
         follow.lost = true;
         follow.since = 0;
         directory.onLost(address);
+        relay.onLost(follow.storeName);
         again(address, follow, FAILED_PAUSE_MILLIS);
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -17,6 +17,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.model.PeerException;
+import org.cowslipbank.platform.HttpCacheWire;
 import org.cowslipbank.platform.HttpRelayWire;
 import org.cowslipbank.platform.PlatformItems;
 import org.cowslipbank.ports.relay.RelaySettings;
@@ -56,7 +57,7 @@
         settings = new RelaySettings(
                 "n1",
                 "a",
-                new RelaySettings.Listeners(freeTcp(), freeTcp(), freeTcp(), freeUdp(), ""),
+                new RelaySettings.Listeners(freeTcp(), freeTcp(), freeTcp(), freeUdp(), freeTcp(), ""),
                 "unused:1",
                 1_000,
                 new RelaySettings.Bounds(5_000, true, 3_000, 0.2, 500, 3_000, 6_000),
@@ -65,7 +66,7 @@
         Clocks clocks = new Clocks(MonotonicClock.SYSTEM, () -> System.currentTimeMillis() + suspendedMillis.get());
         node = new RelayNode(
                 settings,
-                new RelayNode.Platform(store, new PlatformItems(), engines, new HttpRelayWire()),
+                new RelayNode.Platform(store, new PlatformItems(), engines, new HttpRelayWire(), new HttpCacheWire()),
                 loops,
                 clocks,
                 new MetricRegistry());
--- a/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
@@ -28,9 +28,11 @@
      * @param readiness for the platform's readiness checks
      * @param lookups for address lookups
      * @param digests for digests of other nodes, over UDP
+     * @param cache for questions of other nodes about cache stores
      * @param metrics for metrics; empty for none
      */
-    public record Listeners(String clients, String readiness, String lookups, String digests, String metrics) {}
+    public record Listeners(
+            String clients, String readiness, String lookups, String digests, String cache, String metrics) {}
 
     /**
      * Figures of the rules in force.
