Take a silent plain server for dead sooner

Cause: a plain server had 0.6 s to be silent, as long as an order may take, so a dead one kept its requests until their time was over. Change: plain servers may be silent for two objectives, at least 0.2 s.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -11,6 +11,8 @@
     long bookedTokens;
     /** Since when something is awaited and nothing was heard, {@link #NEVER} if nothing is awaited. */
     long silentSinceMillis = NEVER;
+
+    long silenceMillis;
     /** No new requests before this time. */
     long avoidedUntilMillis = NEVER;
     /** True from a failure until the next sign of life: one request at a time is tried. */
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -33,6 +33,12 @@
      */
     public static final long SILENCE_MILLIS = 600;
 
+    /** The shortest silence that tells something of a plain server: the slowest of its answers take about 110 ms. */
+    static final long MIN_PLAIN_SILENCE_MILLIS = 200;
+
+    /** Objectives of a plain route after which a silent server is taken for dead. */
+    static final long PLAIN_SILENCE_OBJECTIVES = 2;
+
     /** Pause after a broken connection; a process that crashed refuses connections at once. */
     static final long BROKEN_PAUSE_MILLIS = 250;
 
@@ -56,16 +62,28 @@
 
     private final Map<String, UpstreamLoad> loads = new HashMap<>();
 
+    /**
+     * Returns how long a plain server may be silent while something is awaited from it.
+     *
+     * @param objectiveMillis the route's latency objective in milliseconds
+     * @return the time in milliseconds
+     */
+    public static long plainSilenceMillis(long objectiveMillis) {
+        return Math.min(SILENCE_MILLIS, Math.max(MIN_PLAIN_SILENCE_MILLIS, PLAIN_SILENCE_OBJECTIVES * objectiveMillis));
+    }
+
     /**
      * Counts a request that is sent.
      *
      * @param incarnation the upstream
      * @param tokens tokens of its prompt
      * @param unreadTokens tokens that the upstream probably has to read
+     * @param silenceMillis how long the upstream may be silent, in milliseconds
      * @param nowMillis the time in milliseconds
      */
-    public void onSent(String incarnation, int tokens, int unreadTokens, long nowMillis) {
+    public void onSent(String incarnation, int tokens, int unreadTokens, long silenceMillis, long nowMillis) {
         UpstreamLoad load = load(incarnation);
+        load.silenceMillis = silenceMillis;
         load.inFlight++;
         load.tokensInFlight += tokens;
         load.unreadTokens += unreadTokens;
@@ -208,7 +226,7 @@
     }
 
     private static boolean isSilent(UpstreamLoad load, long nowMillis) {
-        return load.silentSinceMillis != UpstreamLoad.NEVER && nowMillis - load.silentSinceMillis >= SILENCE_MILLIS;
+        return load.silentSinceMillis != UpstreamLoad.NEVER && nowMillis - load.silentSinceMillis >= load.silenceMillis;
     }
 
     /**
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamLoadsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamLoadsTest.java
@@ -11,7 +11,7 @@
     /** Failure guarded against: requests pile up at an upstream that went silent without a reset. */
     @Example
     void silentUpstreamGetsNothingNew() {
-        loads.onSent("u", 100, 50, 0);
+        loads.onSent("u", 100, 50, UpstreamLoads.SILENCE_MILLIS, 0);
         assert loads.isAvailable("u", UpstreamLoads.SILENCE_MILLIS - 1);
         assert !loads.isAvailable("u", UpstreamLoads.SILENCE_MILLIS);
         loads.onHeard("u", 700);
@@ -21,22 +21,22 @@
     /** Failure guarded against: an idle upstream counts as silent. */
     @Example
     void idleUpstreamIsNotSilent() {
-        loads.onSent("u", 100, 50, 0);
+        loads.onSent("u", 100, 50, UpstreamLoads.SILENCE_MILLIS, 0);
         loads.onEnded("u", 100, Outcome.ANSWERED, 10);
         assert !loads.isSilent("u", 60_000);
-        loads.onSent("u", 100, 50, 60_000);
+        loads.onSent("u", 100, 50, UpstreamLoads.SILENCE_MILLIS, 60_000);
         assert !loads.isSilent("u", 60_100);
     }
 
     /** Failure guarded against: after the pause all nodes send all requests to a server that is still dead. */
     @Example
     void oneTrialAfterASilence() {
-        loads.onSent("u", 0, 0, 0);
+        loads.onSent("u", 0, 0, UpstreamLoads.SILENCE_MILLIS, 0);
         loads.onEnded("u", 0, Outcome.SILENT, 1_000);
         long later = 1_000 + UpstreamLoads.SILENT_PAUSE_MILLIS;
         assert !loads.isAvailable("u", later - 1);
         assert loads.isAvailable("u", later);
-        loads.onSent("u", 0, 0, later);
+        loads.onSent("u", 0, 0, UpstreamLoads.SILENCE_MILLIS, later);
         assert !loads.isAvailable("u", later + 1);
         loads.onHeard("u", later + 5);
         assert loads.isAvailable("u", later + 6);
@@ -50,7 +50,7 @@
         for (long millis = 0; millis < 6_000; millis += 30) {
             if (loads.isAvailable("grey", millis)) {
                 sent++;
-                loads.onSent("grey", 0, 0, millis);
+                loads.onSent("grey", 0, 0, UpstreamLoads.SILENCE_MILLIS, millis);
                 loads.onHeard("grey", millis + 20);
                 loads.onEnded("grey", 0, random.nextDouble() < 0.45 ? Outcome.FAILED : Outcome.ANSWERED, millis + 20);
             }
@@ -65,7 +65,7 @@
         int avoided = 0;
         for (long millis = 0; millis < 60_000; millis += 30) {
             avoided += loads.isAvailable("app", millis) ? 0 : 1;
-            loads.onSent("app", 0, 0, millis);
+            loads.onSent("app", 0, 0, UpstreamLoads.SILENCE_MILLIS, millis);
             loads.onHeard("app", millis + 20);
             loads.onEnded("app", 0, random.nextDouble() < 0.14 ? Outcome.FAILED : Outcome.ANSWERED, millis + 20);
         }
@@ -75,7 +75,7 @@
     /** Failure guarded against: counts drift when a request ends before its first event. */
     @Example
     void countsReturnToZero() {
-        loads.onSent("u", 100, 50, 0);
+        loads.onSent("u", 100, 50, UpstreamLoads.SILENCE_MILLIS, 0);
         loads.onRead("u", 50);
         loads.onEnded("u", 100, Outcome.BROKEN, 10);
         assert loads.inFlight("u").equals(FleetLoads.Load.NONE);
@@ -87,11 +87,21 @@
      */
     @Example
     void oneBrokenConnectionIsNoCrash() {
-        loads.onSent("u", 0, 0, 0);
+        loads.onSent("u", 0, 0, UpstreamLoads.SILENCE_MILLIS, 0);
         loads.onEnded("u", 0, Outcome.BROKEN, 10);
         assert loads.isAvailable("u", 11);
-        loads.onSent("u", 0, 0, 20);
+        loads.onSent("u", 0, 0, UpstreamLoads.SILENCE_MILLIS, 20);
         loads.onEnded("u", 0, Outcome.BROKEN, 30);
         assert !loads.isAvailable("u", 31);
     }
+
+    /** Failure guarded against: a dead plain server keeps its orders until their whole time is over. */
+    @Example
+    void plainServersAreSilentSooner() {
+        long silenceMillis = UpstreamLoads.plainSilenceMillis(121);
+        assert silenceMillis == 242 : silenceMillis;
+        assert UpstreamLoads.plainSilenceMillis(20) == UpstreamLoads.MIN_PLAIN_SILENCE_MILLIS;
+        loads.onSent("app", 0, 0, silenceMillis, 0);
+        assert !loads.isAvailable("app", silenceMillis);
+    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -470,7 +470,10 @@
 
         void start() {
             tried.add(server.incarnation());
-            context.loads().onSent(server.incarnation(), tokens, unreadTokens, now());
+            long silenceMillis = placement.isAtEngines()
+                    ? UpstreamLoads.SILENCE_MILLIS
+                    : UpstreamLoads.plainSilenceMillis(route.objectiveMillis());
+            context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
             context.connections().take(server.address(), this::onConnection);
         }
 
@@ -516,7 +519,7 @@
             if (movable && isSilent() && runs + 1 < route.maxAttempts() && choose().isPresent()) {
                 // The upstream must have stopped before another one starts: its connection is closed first.
                 connection.cancel();
-                onAttemptFailed(Outcome.SILENT, true, "no bytes for " + UpstreamLoads.SILENCE_MILLIS + " ms");
+                onAttemptFailed(Outcome.SILENT, true, "no bytes while an answer was awaited");
                 return;
             }
             checkTimer = schedule(this::check, CHECK_MILLIS);
