Begin a relayed store with a number that its readers can name

Cause: without a restart told first, a reader's number equalled the log's first one and every answer was a full list. Change: a store that is new to the relay begins with a reset. Figures: CacheRelayTest failed before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheRelay.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheRelay.java
@@ -46,9 +46,10 @@
 
     void onChanges(String store, CacheChanges changes, boolean restart) {
         // Numbers begin with the time of day, so that they differ from those of an earlier start.
+        boolean first = !byStore.containsKey(store);
         Passed passed = byStore.computeIfAbsent(
                 store, key -> new Passed(clocks.wallMillis().getAsLong()));
-        if (restart) {
+        if (restart || first) {
             passed.changes.reset(changes.epoch());
         }
         changes.changes().forEach(passed.changes::add);
