--- a/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
@@ -66,7 +66,7 @@
         RelayNode node = start(NodeFile.read(settingsFile, port));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(node, stopped), "shutdown"));
-        // Without a handler the virtual machine would end at this signal.
+        // Without a handler the JVM would end at this signal.
         Signal.handle(new Signal("HUP"), signal -> reload(settingsFile, port));
         await(stopped);
         return ExitCode.DONE;
