--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -11,7 +11,9 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import org.cowslipbank.decision.relay.Confirmation;
 import org.cowslipbank.decision.relay.EventSplitter;
+import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamChoice;
 import org.cowslipbank.decision.relay.UpstreamLoads;
@@ -171,8 +173,8 @@
         if (route.anonymous() || !routes.hasTeams()) {
             return true;
         }
-        var confirmation = context.confirmation().get();
-        var moment = context.clocks().now();
+        Optional<Confirmation> confirmation = context.confirmation().get();
+        OrderTurn.Moment moment = context.clocks().now();
         long revokeMillis = context.settings().bounds().revokeMillis();
         boolean fresh = confirmation.isPresent()
                 && confirmation.get().allowsKeys(revokeMillis, moment.monotonicMillis(), moment.wallMillis());
@@ -419,7 +421,8 @@
                 .field("firstByteMillis", firstByteMillis)
                 .field("runs", runs)
                 .field("rejections", rejections)
-                .field("storeRevision", view.revision());
+                .field("storeRevision", view.revision())
+                .field("confirmationAgeMillis", confirmationAgeMillis());
         if (route != null) {
             line.field("route", route.name()).field("service", service);
         }
@@ -439,6 +442,14 @@
         return line;
     }
 
+    private long confirmationAgeMillis() {
+        OrderTurn.Moment moment = context.clocks().now();
+        return context.confirmation()
+                .get()
+                .map(known -> known.ageMillis(moment.monotonicMillis(), moment.wallMillis()))
+                .orElse(-1L);
+    }
+
     private Future<?> schedule(Runnable task, long delayMillis) {
         return context.loop().schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
