--- a/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ThreadLocalRandom;
 
 import com.codahale.metrics.MetricRegistry;
 import org.cowslipbank.entry.relay.Clocks;
@@ -31,6 +32,9 @@
     // Time for the first look at the metadata store, which the requests need.
     private static final long START_MILLIS = 700;
     private static final int PORTS = 5;
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 30_000;
+    private static final int MAX_TRIES = 200;
     private static final int ANSWER_MILLIS = 3_000;
     private static final int EXPECTED_ANSWERS = 3;
 
@@ -85,16 +89,18 @@
         }
     }
 
-    /** Finds the first of some neighbouring free ports. */
+    /**
+     * Finds the first of some neighbouring free ports, below the range from which the system takes those of outgoing
+     * connections: the rehearsal's own connections could take one before the node listens on it.
+     */
     private static int freePorts() throws IOException {
-        while (true) {
-            try (ServerSocket first = new ServerSocket(0)) {
-                int port = first.getLocalPort();
-                if (areFree(port + 1, PORTS - 1)) {
-                    return port;
-                }
+        for (int tries = 0; tries < MAX_TRIES; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (areFree(port, PORTS)) {
+                return port;
             }
         }
+        throw new IOException("no free ports");
     }
 
     private static boolean areFree(int from, int count) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -11,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 
@@ -26,6 +28,10 @@
 /** One node with fakes of everything around it. */
 final class RelaySystem implements Closeable {
     private static final long WAIT_MILLIS = 10_000;
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORTS = 15_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 97));
     private static final String CONFIGURATION =
             """
             {"Version":%d,"Routes":[
@@ -203,16 +209,33 @@
         }
     }
 
+    // Ports below the range from which the system takes those of outgoing connections: a port that was found free there
+    // could be taken by a connection of the test itself before the node listens on it.
     private static String freeTcp() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        }
+        return free(port -> new ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close());
     }
 
     private static String freeUdp() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
+        return free(port -> new DatagramSocket(port, InetAddress.getLoopbackAddress()).close());
+    }
+
+    private static String free(Probe probe) throws IOException {
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            try {
+                probe.open(port);
+                return "127.0.0.1:" + port;
+            } catch (BindException e) {
+                // Taken; the next one is tried.
+                continue;
+            }
         }
+        throw new IOException("no free port");
+    }
+
+    /** Opens a port for a moment. */
+    private interface Probe {
+        void open(int port) throws IOException;
     }
 
     @Override
