--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -11,9 +11,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import org.cowslipbank.decision.relay.Confirmation;
 import org.cowslipbank.decision.relay.EventSplitter;
-import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamChoice;
 import org.cowslipbank.decision.relay.UpstreamLoads;
@@ -173,12 +171,7 @@
         if (route.anonymous() || !routes.hasTeams()) {
             return true;
         }
-        Optional<Confirmation> confirmation = context.confirmation().get();
-        OrderTurn.Moment moment = context.clocks().now();
-        long revokeMillis = context.settings().bounds().revokeMillis();
-        boolean fresh = confirmation.isPresent()
-                && confirmation.get().allowsKeys(revokeMillis, moment.monotonicMillis(), moment.wallMillis());
-        if (!fresh) {
+        if (!context.isConfirmed()) {
             // A key that was revoked meanwhile could not be told from a valid one. A VM that was suspended has its
             // confirmation within milliseconds; one that lost the store does not know when.
             holdOrRefuse("configuration_unconfirmed", context.reachesStore().getAsBoolean() ? WAKE_HOLD_MILLIS : 0);
@@ -330,10 +323,6 @@
     }
 
     private void endAttempt(Outcome outcome) {
-        if (waiting) {
-            waiting = false;
-            context.waiting().remove(this);
-        }
         if (attempt != null) {
             attempt.cancel(outcome);
             attempt = null;
@@ -422,7 +411,7 @@
                 .field("runs", runs)
                 .field("rejections", rejections)
                 .field("storeRevision", view.revision())
-                .field("confirmationAgeMillis", confirmationAgeMillis());
+                .field("confirmationAgeMillis", context.confirmationAgeMillis());
         if (route != null) {
             line.field("route", route.name()).field("service", service);
         }
@@ -442,14 +431,6 @@
         return line;
     }
 
-    private long confirmationAgeMillis() {
-        OrderTurn.Moment moment = context.clocks().now();
-        return context.confirmation()
-                .get()
-                .map(known -> known.ageMillis(moment.monotonicMillis(), moment.wallMillis()))
-                .orElse(-1L);
-    }
-
     private Future<?> schedule(Runnable task, long delayMillis) {
         return context.loop().schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/FrontServer.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/FrontServer.java
@@ -37,7 +37,6 @@
 
     void listen(String address, LoopResources loops, EventLoop loop) throws PeerException {
         Class<? extends ServerChannel> type = loops.onChannelClass(ServerSocketChannel.class, loops.onServer(true));
-        int colon = address.lastIndexOf(':');
         try {
             listener = new ServerBootstrap()
                     .group(loop)
@@ -55,7 +54,7 @@
                                     .addLast(new ClientConnection(FrontServer.this, context));
                         }
                     })
-                    .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                    .bind(SocketAddresses.of(address))
                     .sync()
                     .channel();
         } catch (InterruptedException e) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.entry.relay;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -100,7 +99,7 @@
                             log.request(LogFields.event("digest not sent").error(cause));
                         }
                     })
-                    .bind(address(self.digestAddress()))
+                    .bind(SocketAddresses.of(self.digestAddress()))
                     .sync()
                     .channel();
         } catch (InterruptedException e) {
@@ -131,7 +130,7 @@
         for (int sent = 0; sent < Math.min(NODES_PER_ROUND, nodes.size()); sent++) {
             RegisteredNode node = nodes.get(Math.floorMod(turn++, nodes.size()));
             ByteBuf content = Unpooled.wrappedBuffer(message);
-            channel.write(new DatagramPacket(content, address(node.digestAddress())), channel.voidPromise());
+            channel.write(new DatagramPacket(content, SocketAddresses.of(node.digestAddress())), channel.voidPromise());
         }
         channel.flush();
     }
@@ -171,9 +170,4 @@
             throw new IllegalStateException("a digest cannot be written", e);
         }
     }
-
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.cowslipbank.decision.relay.CacheDirectory;
 import org.cowslipbank.decision.relay.Confirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
+import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.ports.relay.RelaySettings;
 import org.cowslipbank.ports.relay.RelayWire;
@@ -49,4 +50,31 @@
         RetryBudgets retries,
         BiConsumer<String, String> crashes,
         RelayMetrics metrics,
-        DecisionLog log) {}
+        DecisionLog log) {
+    /**
+     * Tells whether keys may be accepted: no newer configuration existed shortly before.
+     *
+     * @return false before the first confirmation and once the last one is too old
+     */
+    boolean isConfirmed() {
+        OrderTurn.Moment now = clocks.now();
+        long revokeMillis = settings.bounds().revokeMillis();
+        return confirmation
+                .get()
+                .filter(known -> known.allowsKeys(revokeMillis, now.monotonicMillis(), now.wallMillis()))
+                .isPresent();
+    }
+
+    /**
+     * Returns the age of the last confirmation.
+     *
+     * @return the age in milliseconds, -1 before the first
+     */
+    long confirmationAgeMillis() {
+        OrderTurn.Moment now = clocks.now();
+        return confirmation
+                .get()
+                .map(known -> known.ageMillis(now.monotonicMillis(), now.wallMillis()))
+                .orElse(-1L);
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -11,9 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cowslipbank.decision.relay.CacheDirectory;
-import org.cowslipbank.decision.relay.Confirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
-import org.cowslipbank.decision.relay.OrderTurn;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.admin.MetricsText;
 import org.cowslipbank.entry.log.LogFields;
@@ -65,6 +63,7 @@
     private final CacheRelay cacheRelay;
     private final StoreCleaner cleaner;
     private final LoadDigests digests;
+    private final RelayContext context;
     private final FrontServer front;
     private final List<DisposableServer> servers = new ArrayList<>();
     private volatile boolean leaving;
@@ -123,7 +122,7 @@
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, loads);
         this.digests = new LoadDigests(self, watcher::view, loads, fleetLoads, clocks, log);
-        RelayContext context = new RelayContext(
+        this.context = new RelayContext(
                 settings,
                 wire,
                 watcher::view,
@@ -198,16 +197,7 @@
     }
 
     private boolean isReady() {
-        return !leaving && watcher.view().routes().isPresent() && isConfirmed();
-    }
-
-    private boolean isConfirmed() {
-        Optional<Confirmation> confirmation = watcher.confirmation();
-        OrderTurn.Moment now = clocks.now();
-        return confirmation.isPresent()
-                && confirmation
-                        .get()
-                        .allowsKeys(settings.bounds().revokeMillis(), now.monotonicMillis(), now.wallMillis());
+        return !leaving && watcher.view().routes().isPresent() && context.isConfirmed();
     }
 
     private void onView(PlatformView view) {
@@ -224,11 +214,9 @@
     }
 
     private DisposableServer listen(String address, Handler handler) {
-        int colon = address.lastIndexOf(':');
         return HttpServer.create()
                 .runOn(loops)
-                .host(address.substring(0, colon))
-                .port(Integer.parseInt(address.substring(colon + 1)))
+                .bindAddress(() -> SocketAddresses.of(address))
                 .handle(handler::answer)
                 .bindNow(Duration.ofSeconds(5));
     }
@@ -297,7 +285,7 @@
 
     private void registerGauges(CacheDirectory directory) {
         metrics.register("platform.revision", (Gauge<Long>) () -> watcher.view().revision());
-        metrics.register("platform.confirmed", (Gauge<Integer>) () -> isConfirmed() ? 1 : 0);
+        metrics.register("platform.confirmed", (Gauge<Integer>) () -> context.isConfirmed() ? 1 : 0);
         metrics.register(
                 "platform.nodes", (Gauge<Integer>) () -> watcher.view().nodes().size());
         metrics.register("platform.upstreams", (Gauge<Integer>)
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
@@ -99,13 +99,14 @@
         directory.retain(wanted.keySet());
         wanted.forEach((address, store) -> {
             Follow follow = follows.get(address);
+            String source = source(store);
             if (follow == null) {
-                Follow added = new Follow(store.name(), source(store));
+                Follow added = new Follow(store.name(), source);
                 follows.put(address, added);
                 ask(address, added);
-            } else if (!follow.source.equals(source(store))) {
+            } else if (!follow.source.equals(source)) {
                 // Numbers of another source mean nothing; the next call asks for everything.
-                follow.source = source(store);
+                follow.source = source;
                 follow.since = 0;
                 follow.lost = true;
             }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.entry.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -90,12 +89,6 @@
         channel.close();
     }
 
-    @Override
-    public void channelActive(ChannelHandlerContext context) {
-        channel = context.channel();
-        context.fireChannelActive();
-    }
-
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -206,8 +199,4 @@
         pool.onClosed(this);
         fail(UpstreamListener.Failure.BROKEN, error == null ? "closed" : String.valueOf(error.getMessage()));
     }
-
-    static ByteBuf copyOf(byte[] body) {
-        return Unpooled.wrappedBuffer(body);
-    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnections.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnections.java
@@ -1,6 +1,5 @@
 package org.cowslipbank.entry.relay;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -75,9 +74,6 @@
 
     private void open(String address, BiConsumer<UpstreamConnection, Throwable> then) {
         opened++;
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress socket =
-                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
         UpstreamConnection connection = new UpstreamConnection(wire, this, address);
         ChannelFuture connecting = bootstrap
                 .clone()
@@ -89,7 +85,7 @@
                                 .addLast(connection);
                     }
                 })
-                .connect(socket);
+                .connect(SocketAddresses.of(address));
         connecting.addListener(done -> then.accept(connection, done.cause()));
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeEngines.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeEngines.java
@@ -29,11 +29,6 @@
         return Mono.never();
     }
 
-    @Override
-    public Mono<CacheChanges> cacheContents(String address) {
-        return Mono.never();
-    }
-
     @Override
     public Mono<Boolean> free(String address, long epoch, List<CachedPart> parts) {
         return Mono.just(true);
--- a/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
@@ -118,14 +118,6 @@
      */
     Mono<CacheChanges> cacheChanges(String address, long since, long waitMillis);
 
-    /**
-     * Lists the complete parts of a store. The call stalls the store for a moment.
-     *
-     * @param address the store
-     * @return all parts as additions, with the place to go on from
-     */
-    Mono<CacheChanges> cacheContents(String address);
-
     /**
      * Frees parts of a store at once.
      *
