Pass changes of the stores on by hubs in fleets of ten nodes or more

Each of 86 nodes watched the metadata store by itself, asked each of 17 cache stores, or a node that did, one by one, and knew the load at the others up to 1.9 s late. A node used 2.9 s of processor time within 5 s of its start and a tenth of a core when idle. Change: FleetTree makes the nodes with the fastest links hubs, about as many as the square root of the fleet. Hubs ask the stores; members ask their hub one question for everything and fall back to the stores when it has no answer. A hub tells how old its confirmation is, so revoked keys end as before. Loads go up and down the same tree.

--- a/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
@@ -16,7 +16,6 @@
 import org.cowslipbank.model.ConfigurationException;
 import org.cowslipbank.model.CowslipbankException;
 import org.cowslipbank.platform.EngineClient;
-import org.cowslipbank.platform.HttpCacheWire;
 import org.cowslipbank.platform.HttpRelayWire;
 import org.cowslipbank.platform.MetadataStoreClient;
 import org.cowslipbank.platform.NodeFile;
@@ -79,8 +78,7 @@
                 new MetadataStoreClient(http, settings.storeAddress()),
                 new PlatformItems(),
                 new EngineClient(http),
-                new HttpRelayWire(),
-                new HttpCacheWire());
+                new HttpRelayWire());
         RelayNode node = new RelayNode(settings, platform, loops, Clocks.SYSTEM, new MetricRegistry());
         node.start();
         return node;
--- a/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
@@ -15,7 +15,6 @@
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.Step;
 import org.cowslipbank.platform.EngineClient;
-import org.cowslipbank.platform.HttpCacheWire;
 import org.cowslipbank.platform.HttpRelayWire;
 import org.cowslipbank.platform.LoopbackPlatform;
 import org.cowslipbank.platform.MetadataStoreClient;
@@ -58,8 +57,7 @@
                             new MetadataStoreClient(http, settings.storeAddress()),
                             new PlatformItems(),
                             new EngineClient(http),
-                            new HttpRelayWire(),
-                            new HttpCacheWire()),
+                            new HttpRelayWire()),
                     loops,
                     Clocks.SYSTEM,
                     new MetricRegistry());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -22,6 +22,7 @@
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
 import org.cowslipbank.decision.relay.FleetLoads;
+import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -33,16 +34,15 @@
 import reactor.netty.resources.LoopResources;
 
 /**
- * Tells other nodes what this one has in flight at engines, in small datagrams; a lost one is replaced by the next. Each
- * round goes to a few nodes in turn, so that the cost of a node does not grow with the fleet. Runs on the traffic
- * thread.
+ * Tells other nodes what this one has in flight at engines, in small datagrams along a {@link FleetTree}; a lost one is
+ * replaced by the next. Runs on the traffic thread.
  */
 final class LoadDigests {
     /** Time between two rounds; a long prompt is read within 50 to 200 ms, and control may take 2 KB a second. */
     static final long ROUND_MILLIS = 180;
 
-    /** Nodes told in a round: all of them in a fleet of today's size. */
-    static final int NODES_PER_ROUND = 8;
+    /** Upstreams in a datagram; an entry takes 17 bytes at most, and a datagram is not split below 1,400. */
+    static final int MAX_ENTRIES = 80;
 
     private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
@@ -53,13 +53,12 @@
     private final Clocks clocks;
     private final DecisionLog log;
     private Channel channel;
-    private int turn;
     private boolean wasIdle;
 
-    /** A digest on the wire: an array, with a hash of the node's name. */
+    /** A digest on the wire: an array, with a hash of the sender's name. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"node", "work"})
-    record Message(int node, List<Entry> work) {}
+    @JsonPropertyOrder({"scope", "node", "part", "work"})
+    record Message(FleetLoads.Scope scope, int node, int part, List<Entry> work) {}
 
     /** Work at one upstream on the wire: an array, with a hash of the upstream's identifier. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -110,52 +109,76 @@
     }
 
     private void round() {
-        long rounds = Math.max(1, view.get().nodes().size() / NODES_PER_ROUND);
-        others.expire(clocks.nowMillis(), rounds * ROUND_MILLIS);
+        others.expire(clocks.nowMillis());
         PlatformView now = view.get();
-        List<Entry> work = work(now);
-        boolean idle = work.isEmpty();
+        Map<Integer, FleetLoads.Load> work = work(now);
+        FleetTree current = now.tree();
+        boolean hub = current.isHub(self.name());
+        Map<Integer, FleetLoads.Load> group = hub ? others.group(work) : work;
+        boolean idle = hub ? others.total(work).isEmpty() : work.isEmpty();
         // An idle node says so once; its last digest then runs out.
         if (idle && wasIdle) {
             return;
         }
         wasIdle = idle;
-        List<RegisteredNode> nodes = new ArrayList<>(now.nodes().values());
-        nodes.removeIf(
-                node -> node.name().equals(self.name()) || node.digestAddress().isEmpty());
-        if (nodes.isEmpty()) {
-            return;
-        }
-        byte[] message = encode(new Message(FleetLoads.shortHash(self.name()), work));
-        for (int sent = 0; sent < Math.min(NODES_PER_ROUND, nodes.size()); sent++) {
-            RegisteredNode node = nodes.get(Math.floorMod(turn++, nodes.size()));
-            ByteBuf content = Unpooled.wrappedBuffer(message);
-            channel.write(new DatagramPacket(content, SocketAddresses.of(node.digestAddress())), channel.voidPromise());
+        if (hub) {
+            current.otherHubs(self.name()).forEach(name -> send(now, name, FleetLoads.Scope.GROUP, group));
+            current.members(self.name()).forEach(name -> {
+                Map<Integer, FleetLoads.Load> told = others.othersOf(work, FleetLoads.shortHash(name));
+                send(now, name, FleetLoads.Scope.OTHERS, told);
+            });
+        } else {
+            send(now, current.hubOf(self.name()), FleetLoads.Scope.NODE, work);
         }
         channel.flush();
     }
 
-    private List<Entry> work(PlatformView now) {
-        List<Entry> work = new ArrayList<>();
+    private Map<Integer, FleetLoads.Load> work(PlatformView now) {
+        Map<Integer, FleetLoads.Load> work = new HashMap<>();
         for (UpstreamServer server : now.servers().values()) {
             FleetLoads.Load load = own.inFlight(server.incarnation());
             if (load.requests() > 0) {
-                work.add(new Entry(
-                        FleetLoads.shortHash(server.id()), load.requests(), load.tokens(), load.unreadTokens()));
+                work.merge(FleetLoads.shortHash(server.id()), load, FleetLoads.Load::plus);
             }
         }
         return work;
     }
 
+    private void send(PlatformView now, String name, FleetLoads.Scope scope, Map<Integer, FleetLoads.Load> work) {
+        RegisteredNode node = now.nodes().get(name);
+        if (node == null || name.equals(self.name()) || node.digestAddress().isEmpty()) {
+            return;
+        }
+        // The number of parts follows the number of known upstreams, so that an upstream mostly stays in its part.
+        int parts = 1 + now.servers().size() / MAX_ENTRIES;
+        List<List<Entry>> entries = new ArrayList<>();
+        for (int part = 0; part < parts; part++) {
+            entries.add(new ArrayList<>());
+        }
+        work.forEach((server, load) -> entries.get(Math.floorMod(server, parts))
+                .add(new Entry(server, load.requests(), load.tokens(), load.unreadTokens())));
+        for (int part = 0; part < parts; part++) {
+            Message message = new Message(scope, FleetLoads.shortHash(self.name()), part, entries.get(part));
+            ByteBuf content = Unpooled.wrappedBuffer(encode(message));
+            channel.write(new DatagramPacket(content, SocketAddresses.of(node.digestAddress())), channel.voidPromise());
+        }
+    }
+
     private void onPacket(DatagramPacket packet) {
         try {
             Message message = MAPPER.readValue(ByteBufUtil.getBytes(packet.content()), Message.class);
+            if (message == null || message.scope() == null || message.work() == null) {
+                throw new IOException("scope or work is missing");
+            }
             Map<Integer, FleetLoads.Load> byServer = new HashMap<>();
             message.work()
                     .forEach(entry -> byServer.put(
                             entry.server(),
                             new FleetLoads.Load(entry.requests(), entry.tokens(), entry.unreadTokens())));
-            others.onDigest(message.node(), byServer, clocks.nowMillis());
+            others.onDigest(
+                    new FleetLoads.Source(message.scope(), message.node(), message.part()),
+                    byServer,
+                    clocks.nowMillis());
         } catch (IOException e) {
             log.request(LogFields.event("digest not readable")
                     .peer(String.valueOf(packet.sender()))
--- a/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/OwnItems.java
@@ -75,7 +75,8 @@
         value.put("address", node.address())
                 .put("dataCentre", node.dataCentre())
                 .put("digestAddress", node.digestAddress())
-                .put("cacheAddress", node.cacheAddress());
+                .put("feedAddress", node.feedAddress())
+                .put("linkBytesPerSecond", node.linkBytesPerSecond());
         return bytes(value);
     }
 
@@ -86,7 +87,8 @@
                 tree.path("address").asText(),
                 tree.path("dataCentre").asText(),
                 tree.path("digestAddress").asText(),
-                tree.path("cacheAddress").asText());
+                tree.path("feedAddress").asText(),
+                tree.path("linkBytesPerSecond").asLong());
     }
 
     static byte[] encodeRollout(Rollout rollout) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -49,6 +50,9 @@
     private Optional<RouteTable> routes = Optional.empty();
     private Optional<OwnItems.Rollout> rollout = Optional.empty();
     private Optional<String> leader = Optional.empty();
+    private FleetTree tree = FleetTree.EMPTY;
+    private Map<String, RegisteredNode> treeNodes = Map.of();
+    private int treeHubs;
     private long leaderRevision;
     private long revision;
     private long contactBackMillis = Long.MIN_VALUE / 2;
@@ -60,7 +64,29 @@
     }
 
     PlatformView view() {
-        return new PlatformView(revision, routes, servers, versions, nodes, switching(), leader, copy(crashes));
+        return new PlatformView(revision, routes, servers, versions, nodes, switching(), leader, copy(crashes), tree());
+    }
+
+    private FleetTree tree() {
+        // A cache store holds so many calls at once; one place stays free for the call of a hub that is being replaced.
+        int mostHubs = routes.map(table -> table.configuration().stores()).orElse(List.of()).stream()
+                .mapToInt(store -> store.maxWaitingCalls() - 1)
+                .min()
+                .orElse(Integer.MAX_VALUE);
+        if (!nodes.equals(treeNodes) || mostHubs != treeHubs) {
+            treeNodes = Map.copyOf(nodes);
+            treeHubs = mostHubs;
+            tree = FleetTree.of(
+                    nodes.values().stream()
+                            .map(node -> new FleetTree.Node(node.name(), node.dataCentre(), node.linkBytesPerSecond()))
+                            .toList(),
+                    mostHubs);
+        }
+        return tree;
+    }
+
+    long contactBackMillis() {
+        return contactBackMillis;
     }
 
     Optional<String> rolloutBy() {
@@ -78,12 +104,16 @@
         return leaderRevision;
     }
 
-    void onContactBack(long nowMillis) {
-        contactBackMillis = nowMillis;
+    void onContactBack(long atMillis) {
+        contactBackMillis = Math.max(contactBackMillis, atMillis);
     }
 
     /** Takes a complete reading; what is not in it has vanished. */
     void onRange(List<StoreItem> all, long atRevision, long nowMillis) {
+        if (atRevision < revision) {
+            // A hub has told of later changes meanwhile.
+            return;
+        }
         Set<String> present = new HashSet<>();
         for (StoreItem item : all) {
             present.add(item.key());
@@ -107,8 +137,10 @@
         }
     }
 
+    /** Takes changes; those that are known already, from the store or from a hub, are left out. */
     void onChanges(List<StoreItem> changed, long atRevision, long nowMillis) {
-        changed.forEach(item -> apply(item, nowMillis));
+        long known = revision;
+        changed.stream().filter(item -> item.revision() > known).forEach(item -> apply(item, nowMillis));
         revision = Math.max(revision, atRevision);
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.model.relay.NamedVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
@@ -23,6 +24,7 @@
  * @param switching engines that are about to load weights
  * @param leader the node that holds the lease for orders, empty if none does
  * @param crashes fingerprints of requests with the incarnations that they crashed
+ * @param tree which nodes ask the stores for others
  */
 public record PlatformView(
         long revision,
@@ -32,10 +34,11 @@
         Map<String, RegisteredNode> nodes,
         Set<String> switching,
         Optional<String> leader,
-        Map<String, Set<String>> crashes) {
+        Map<String, Set<String>> crashes,
+        FleetTree tree) {
     /** A view before anything is known. */
-    static final PlatformView EMPTY =
-            new PlatformView(0, Optional.empty(), Map.of(), Map.of(), Map.of(), Set.of(), Optional.empty(), Map.of());
+    static final PlatformView EMPTY = new PlatformView(
+            0, Optional.empty(), Map.of(), Map.of(), Map.of(), Set.of(), Optional.empty(), Map.of(), FleetTree.EMPTY);
 
     /** Copies the collections. */
     public PlatformView {
@@ -53,10 +56,16 @@
      * @param address its address for clients as {@code IP:port}
      * @param dataCentre its data centre
      * @param digestAddress its address for digests of other nodes as {@code IP:port}
-     * @param cacheAddress its address for questions about cache stores as {@code IP:port}
+     * @param feedAddress its address for the questions of its group's members as {@code IP:port}
+     * @param linkBytesPerSecond rate of its link in bytes a second
      */
     public record RegisteredNode(
-            String name, String address, String dataCentre, String digestAddress, String cacheAddress) {}
+            String name,
+            String address,
+            String dataCentre,
+            String digestAddress,
+            String feedAddress,
+            long linkBytesPerSecond) {}
 
     /**
      * Returns the upstreams of a service that take new work.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -37,6 +37,9 @@
 
     static final long MAX_PAUSE_MILLIS = 400;
 
+    /** How often a member of a group looks whether it has to ask the store itself. */
+    static final long FED_CHECK_MILLIS = 100;
+
     /** How often registrations that did not return are given up. */
     static final long EXPIRE_MILLIS = 150;
 
@@ -46,7 +49,7 @@
     private final Clocks clocks;
     private final Scheduler control;
     private final DecisionLog log;
-    private final Consumer<PlatformView> onView;
+    private final Listener listener;
     private volatile PlatformView view = PlatformView.EMPTY;
     private volatile Optional<Confirmation> confirmation = Optional.empty();
     private Disposable call;
@@ -62,14 +65,44 @@
             Clocks clocks,
             Scheduler control,
             DecisionLog log,
-            Consumer<PlatformView> onView) {
+            Listener listener) {
         this.store = store;
         this.decoder = decoder;
         this.state = state;
         this.clocks = clocks;
         this.control = control;
         this.log = log;
-        this.onView = onView;
+        this.listener = listener;
+    }
+
+    /** What uses the platform's state, and passes changes on between nodes. */
+    interface Listener {
+        /**
+         * The state has changed.
+         *
+         * @param view the new state
+         */
+        void onView(PlatformView view);
+
+        /**
+         * Tells whether a hub tells of changes.
+         *
+         * @return true if the store need not be asked
+         */
+        boolean isFed();
+
+        /**
+         * The store told of changes.
+         *
+         * @param fromRevision revision after which they begin
+         * @param changes the changes
+         * @param confirmed when nothing newer existed
+         * @param backMillis when the store came back into reach, in milliseconds
+         */
+        void onChanges(long fromRevision, Changes changes, Confirmation confirmed, long backMillis);
+
+        /** This node no longer knows each change from the store. */
+        void onLost();
     }
 
     PlatformView view() {
@@ -118,7 +151,26 @@
         watch();
     }
 
+    /** Takes what a hub told. */
+    void onFed(FeedMessages.Answer answer, OrderTurn.Moment askedAt) {
+        control.schedule(() -> {
+            onAnswer();
+            state.onContactBack(clocks.nowMillis() - answer.contactBackAgeMillis());
+            state.onChanges(
+                    answer.items().stream().map(FeedMessages.Item::decode).toList(),
+                    answer.revision(),
+                    clocks.nowMillis());
+            confirm(askedAt.plus(answer.heldMillis() - answer.confirmedAgeMillis()));
+            publish();
+        });
+    }
+
     private void watch() {
+        if (listener.isFed()) {
+            listener.onLost();
+            control.schedule(this::watch, FED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         OrderTurn.Moment sentAt = clocks.now();
         Mono<Optional<Changes>> watch = store.watch(decoder.followedPrefix(), view.revision(), WATCH_MILLIS);
         run(watch, changes -> onWatched(changes, sentAt), this::watch);
@@ -129,15 +181,18 @@
         if (changes.isEmpty()) {
             log.state(LogFields.event("history of the metadata store is gone; reading everything")
                     .field("revision", view.revision()));
+            listener.onLost();
             readAll();
             return;
         }
         boolean quiet = changes.get().items().isEmpty();
+        long fromRevision = view.revision();
         state.onChanges(changes.get().items(), changes.get().revision(), clocks.nowMillis());
         // A watch that saw no change was answered at the end of its wait, not before.
         long waitedMillis = Math.min(WATCH_MILLIS, clocks.nowMillis() - sentAt.monotonicMillis());
-        confirm(quiet ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt);
+        Confirmation confirmed = confirm(quiet ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt);
         publish();
+        listener.onChanges(fromRevision, changes.get(), confirmed, state.contactBackMillis());
         if (quiet) {
             watch();
         } else {
@@ -146,17 +201,18 @@
         }
     }
 
-    private void confirm(OrderTurn.Moment at) {
+    private Confirmation confirm(OrderTurn.Moment at) {
         Confirmation next = new Confirmation(at.monotonicMillis(), at.wallMillis());
         long known = confirmation.map(Confirmation::monotonicMillis).orElse(Long.MIN_VALUE);
         if (next.monotonicMillis() >= known) {
             confirmation = Optional.of(next);
         }
+        return next;
     }
 
     private void publish() {
         view = state.view();
-        onView.accept(view);
+        listener.onView(view);
     }
 
     private void onAnswer() {
@@ -184,6 +240,7 @@
             log.state(LogFields.event("metadata store lost").error(error));
         }
         connected = false;
+        listener.onLost();
         control.schedule(again, pauseMillis, TimeUnit.MILLISECONDS);
         pauseMillis = Math.min(MAX_PAUSE_MILLIS, pauseMillis * 2);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.entry.relay;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,13 +12,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cowslipbank.decision.relay.CacheDirectory;
+import org.cowslipbank.decision.relay.Confirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.admin.MetricsText;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.PeerException;
-import org.cowslipbank.ports.relay.CacheWire;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.MetadataStore;
 import org.cowslipbank.ports.relay.PlatformDecoder;
@@ -39,6 +40,7 @@
 
     private static final long LOOKUP_KEPT_TIMES = 3;
     private static final long SWEEP_MILLIS = 500;
+    private static final int UNAVAILABLE = HttpResponseStatus.SERVICE_UNAVAILABLE.code();
     private static final long DRAIN_CHECK_MILLIS = 50;
     /** Part of the grace period that is not used, so that the process has ended before it is killed. */
     private static final long GRACE_MARGIN_MILLIS = 900;
@@ -59,8 +61,8 @@
     private final UpstreamLoads loads = new UpstreamLoads();
     private final UpstreamConnections connections;
     private final StoreFollower stores;
-    private final CacheWire cacheWire;
-    private final CacheRelay cacheRelay;
+    private final FleetFeed feed;
+    private final FeedFollower follower;
     private final StoreCleaner cleaner;
     private final LoadDigests digests;
     private final RelayContext context;
@@ -75,10 +77,8 @@
      * @param decoder names and decodes its items
      * @param engines calls to engines and cache stores
      * @param wire formats of requests and answers
-     * @param cacheWire format of changes of cache stores between nodes
      */
-    public record Platform(
-            MetadataStore store, PlatformDecoder decoder, EngineControl engines, RelayWire wire, CacheWire cacheWire) {}
+    public record Platform(MetadataStore store, PlatformDecoder decoder, EngineControl engines, RelayWire wire) {}
 
     /**
      * Puts a node together; nothing is started yet.
@@ -93,7 +93,6 @@
             RelaySettings settings, Platform platform, LoopResources loops, Clocks clocks, MetricRegistry metrics) {
         this.settings = settings;
         this.wire = platform.wire();
-        this.cacheWire = platform.cacheWire();
         this.clocks = clocks;
         this.loops = loops;
         this.loop = (EventLoop) loops.onServer(true).next();
@@ -101,23 +100,26 @@
         this.log = new DecisionLog(clocks.monotonic(), DecisionLog.LINES_PER_SECOND);
         OwnItems items = new OwnItems(platform.decoder().ownPrefix());
         PlatformState state = new PlatformState(platform.decoder(), items, log);
+        this.feed = new FleetFeed(loop, clocks);
         this.watcher =
-                new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, this::onView);
+                new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, watchListener());
         RegisteredNode self = new RegisteredNode(
                 settings.nodeName(),
                 settings.listeners().clients(),
                 settings.dataCentre(),
                 settings.listeners().digests(),
-                settings.listeners().cache());
+                settings.listeners().cache(),
+                settings.linkBytesPerSecond());
         ControlParts parts = new ControlParts(self, platform.store(), items, watcher::view, clocks, control, log);
         this.lease = new NodeLease(parts, state, settings.minLeaseMillis());
         this.versions = new VersionKeeper(parts, lease, platform.engines(), settings.bounds());
         CrashReports crashes = new CrashReports(parts);
         this.connections = new UpstreamConnections(wire, clocks.monotonic(), loops, loop);
         CacheDirectory directory = new CacheDirectory();
-        this.cacheRelay = new CacheRelay(loop, clocks);
-        StoreFollower.Sources sources = new StoreFollower.Sources(platform.engines(), platform.cacheWire(), cacheRelay);
-        this.stores = new StoreFollower(sources, directory, watcher::view, self.name(), loop, clocks, log);
+        StoreFollower.Sources sources = new StoreFollower.Sources(platform.engines(), feed, this::isFed);
+        this.stores = new StoreFollower(sources, directory, watcher::view, loop, clocks, log);
+        FeedFollower.Handlers handlers = new FeedFollower.Handlers(stores::numbers, watcher::onFed, stores::onFed);
+        this.follower = new FeedFollower(watcher::view, self.name(), loops, loop, clocks, log, handlers);
         this.cleaner = new StoreCleaner(platform.engines(), directory, watcher::view, lease::isLeader, clocks, log);
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, loads);
@@ -156,11 +158,12 @@
         digests.listen(loops, loop);
         servers.add(listen(settings.listeners().readiness(), this::answerReadiness));
         servers.add(listen(settings.listeners().lookups(), this::answerLookup));
-        servers.add(listen(settings.listeners().cache(), this::answerCacheQuery));
+        servers.add(listen(settings.listeners().cache(), this::answerFeedQuestion));
         if (!settings.listeners().metrics().isEmpty()) {
             servers.add(listen(settings.listeners().metrics(), this::answerMetrics));
         }
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        follower.start();
         lease.start();
         versions.start();
         log.state(LogFields.event("node started")
@@ -200,11 +203,9 @@
         return !leaving && watcher.view().routes().isPresent() && context.isConfirmed();
     }
 
-    private void onView(PlatformView view) {
-        loop.execute(() -> {
-            stores.refresh();
-            loads.retain(view.incarnations());
-        });
+    private void use(PlatformView view) {
+        stores.refresh();
+        loads.retain(view.incarnations());
     }
 
     private void sweep() {
@@ -235,19 +236,55 @@
                 .send();
     }
 
-    private Mono<Void> answerCacheQuery(HttpServerRequest request, HttpServerResponse response) {
-        Optional<CacheWire.Query> query = cacheWire.decode(request.uri());
-        if (query.isEmpty()) {
+    private Mono<Void> answerFeedQuestion(HttpServerRequest request, HttpServerResponse response) {
+        if (!request.uri().equals(FeedFollower.PATH)) {
             return response.status(HttpResponseStatus.NOT_FOUND).send();
         }
-        return cacheRelay
-                .ask(query.get())
-                .flatMap(changes -> changes.isEmpty()
-                        ? response.status(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                                .send()
-                        : response.header("Content-Type", "application/json")
-                                .sendByteArray(Mono.just(cacheWire.encode(changes.get())))
-                                .then());
+        return request.receive()
+                .aggregate()
+                .asByteArray()
+                .flatMap(bytes -> Mono.fromCallable(() -> FeedMessages.decodeQuestion(bytes)))
+                .flatMap(feed::ask)
+                .flatMap(answer -> answer.isPresent()
+                        ? response.sendByteArray(Mono.just(FeedMessages.encode(answer.get())))
+                                .then()
+                        : response.status(feed.reachesStore() ? FeedFollower.GONE : UNAVAILABLE)
+                                .send())
+                .onErrorResume(IOException.class, error -> {
+                    log.request(
+                            LogFields.event("question of a member not readable").error(error));
+                    return response.status(HttpResponseStatus.BAD_REQUEST).send();
+                });
+    }
+
+    private boolean isFed() {
+        return follower.isFed();
+    }
+
+    private PlatformWatcher.Listener watchListener() {
+        return new PlatformWatcher.Listener() {
+            @Override
+            public void onView(PlatformView view) {
+                loop.execute(() -> use(view));
+            }
+
+            @Override
+            public boolean isFed() {
+                return follower.isFed();
+            }
+
+            @Override
+            public void onChanges(
+                    long fromRevision, MetadataStore.Changes changes, Confirmation confirmed, long backMillis) {
+                loop.execute(() ->
+                        feed.onPlatform(fromRevision, changes.items(), changes.revision(), confirmed, backMillis));
+            }
+
+            @Override
+            public void onLost() {
+                loop.execute(feed::onPlatformLost);
+            }
+        };
     }
 
     private Mono<Void> answerMetrics(HttpServerRequest request, HttpServerResponse response) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
@@ -1,27 +1,26 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
-import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.decision.relay.CacheDirectory;
 import org.cowslipbank.entry.log.LogFields;
-import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
+import org.cowslipbank.entry.relay.FeedMessages.Answer;
+import org.cowslipbank.entry.relay.FeedMessages.Parts;
+import org.cowslipbank.entry.relay.FeedMessages.Question;
 import org.cowslipbank.model.relay.CacheStore;
-import org.cowslipbank.ports.relay.CacheWire;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.EngineControl.CacheChanges;
 import reactor.core.Disposable;
-import reactor.core.publisher.Mono;
 
 /**
- * Keeps the directory of each store up to date from the store's own events. A store holds a limited number of waiting
- * calls: in a larger fleet some nodes ask the store, and the others ask one of these. Runs on the traffic thread.
+ * Keeps the directory of each store up to date from the store's own events, or from what the node's hub tells of them.
+ * Runs on the traffic thread.
  */
 final class StoreFollower {
     /** Longest wait of a call for events, the most that stores allow. */
@@ -30,15 +29,17 @@
     /** Pause between calls, so that a store with many changes is not asked for each one. */
     static final long PAUSE_MILLIS = 250;
 
+    /** How often a node with a hub looks whether it has to ask the stores itself. */
+    static final long FED_CHECK_MILLIS = 200;
+
     /** Pause after a failed call. */
     static final long FAILED_PAUSE_MILLIS = 400;
 
     private final EngineControl engines;
-    private final CacheWire wire;
-    private final CacheRelay relay;
+    private final FleetFeed feed;
+    private final BooleanSupplier fed;
     private final CacheDirectory directory;
     private final Supplier<PlatformView> view;
-    private final String self;
     private final EventLoop loop;
     private final Clocks clocks;
     private final DecisionLog log;
@@ -46,40 +47,52 @@
 
     private static final class Follow {
         private final String storeName;
-        private String source;
+        /** The hub that told of the store last, empty if the store itself did. */
+        private String source = "";
+
         private long since;
         private boolean lost = true;
+        /** True if the hub said that it does not reach the store. */
+        private boolean toldLost;
+
         private Disposable call;
 
-        Follow(String storeName, String source) {
+        Follow(String storeName) {
             this.storeName = storeName;
-            this.source = source;
+        }
+
+        /** Numbers of another source mean nothing; the next call asks for everything. */
+        void from(String next) {
+            if (!source.equals(next)) {
+                source = next;
+                since = 0;
+                lost = true;
+                toldLost = false;
+            }
         }
     }
 
     /**
      * How stores are asked and their answers passed on.
      *
-     * @param engines calls to stores and other nodes
-     * @param wire format between nodes
-     * @param relay passes changes on to other nodes
+     * @param engines calls to stores
+     * @param feed passes changes on to other nodes
+     * @param fed tells whether this node's hub tells of changes, so that stores need not be asked
      */
-    record Sources(EngineControl engines, CacheWire wire, CacheRelay relay) {}
+    record Sources(EngineControl engines, FleetFeed feed, BooleanSupplier fed) {}
 
     StoreFollower(
             Sources sources,
             CacheDirectory directory,
             Supplier<PlatformView> view,
-            String self,
             EventLoop loop,
             Clocks clocks,
             DecisionLog log) {
         this.engines = sources.engines();
-        this.wire = sources.wire();
-        this.relay = sources.relay();
+        this.feed = sources.feed();
+        this.fed = sources.fed();
         this.directory = directory;
         this.view = view;
-        this.self = self;
         this.loop = loop;
         this.clocks = clocks;
         this.log = log;
@@ -98,30 +111,44 @@
         }
         directory.retain(wanted.keySet());
         wanted.forEach((address, store) -> {
-            Follow follow = follows.get(address);
-            String source = source(store);
-            if (follow == null) {
-                Follow added = new Follow(store.name(), source);
+            if (!follows.containsKey(address)) {
+                Follow added = new Follow(store.name());
                 follows.put(address, added);
                 ask(address, added);
-            } else if (!follow.source.equals(source)) {
-                // Numbers of another source mean nothing; the next call asks for everything.
-                follow.source = source;
-                follow.since = 0;
-                follow.lost = true;
             }
         });
     }
 
-    private String source(CacheStore store) {
-        Map<String, RegisteredNode> nodes = view.get().nodes();
-        List<String> askers =
-                Rendezvous.top(store.name(), nodes.keySet(), name -> name, Math.max(1, store.maxWaitingCalls() - 1));
-        if (nodes.size() <= askers.size() || askers.contains(self)) {
-            return store.address();
+    /**
+     * Returns where a hub's answers go on.
+     *
+     * @param hub the hub
+     * @return its numbers by name of the store
+     */
+    Map<String, Long> numbers(String hub) {
+        Map<String, Long> numbers = new HashMap<>();
+        for (Follow follow : follows.values()) {
+            follow.from(hub);
+            numbers.put(follow.storeName, follow.toldLost ? Question.LOST : follow.since);
         }
-        int index = Math.floorMod((int) Rendezvous.hash(self), askers.size());
-        return wire.address(nodes.get(askers.get(index)).cacheAddress(), store.name());
+        return numbers;
+    }
+
+    /** Takes what a hub told. */
+    void onFed(String hub, Question question, Answer answer) {
+        Map.copyOf(follows).forEach((address, follow) -> {
+            if (!follow.source.equals(hub) || !question.stores().containsKey(follow.storeName)) {
+                return;
+            }
+            Parts parts = answer.stores().get(follow.storeName);
+            if (parts == null) {
+                onLost(address, follow, "the hub does not reach it");
+                follow.toldLost = true;
+            } else {
+                follow.toldLost = false;
+                take(address, follow, parts.decode());
+            }
+        });
     }
 
     private static void stop(Follow follow) {
@@ -134,54 +161,78 @@
         if (follows.get(address) != follow) {
             return;
         }
+        if (fed.getAsBoolean()) {
+            again(address, follow, FED_CHECK_MILLIS);
+            return;
+        }
+        follow.from("");
         long sentAtMillis = clocks.nowMillis();
-        Mono<CacheChanges> answer = engines.cacheChanges(follow.source, follow.since, WAIT_MILLIS);
-        follow.call = answer.subscribe(
-                changes -> loop.execute(() -> onChanges(address, follow, changes, sentAtMillis)),
-                error -> loop.execute(() -> onFailed(address, follow, error)));
+        follow.call = engines.cacheChanges(address, follow.since, WAIT_MILLIS)
+                .subscribe(
+                        changes -> loop.execute(() -> onChanges(address, follow, changes, sentAtMillis)),
+                        error -> loop.execute(() -> onFailed(address, follow, error)));
     }
 
     private void onChanges(String address, Follow follow, CacheChanges changes, long sentAtMillis) {
-        changes.clockMillis().ifPresent(clock -> directory.onClock(clock, clocks.nowMillis()));
-        boolean newEpoch = directory
+        // A hub may have told of the store meanwhile.
+        if (follow.source.isEmpty() && isLaterLifetime(address, follow, changes)) {
+            // Numbers of an earlier lifetime mean nothing in this one; the next call asks for everything.
+            follow.since = 0;
+            follow.lost = true;
+            directory.onAnswer(address, changes.epoch(), true, sentAtMillis);
+        } else if (follow.source.isEmpty()) {
+            boolean restart = take(address, follow, changes);
+            feed.onStore(follow.storeName, changes, restart);
+        }
+        again(address, follow, PAUSE_MILLIS);
+    }
+
+    private boolean isLaterLifetime(String address, Follow follow, CacheChanges changes) {
+        return follow.since > 0 && isOtherEpoch(address, changes);
+    }
+
+    private boolean isOtherEpoch(String address, CacheChanges changes) {
+        return directory
                 .epoch(address)
                 .filter(epoch -> epoch == changes.epoch())
                 .isEmpty();
-        if (newEpoch) {
+    }
+
+    /** Applies changes and tells whether the directory of the store began anew. */
+    private boolean take(String address, Follow follow, CacheChanges changes) {
+        changes.clockMillis().ifPresent(clock -> directory.onClock(clock, clocks.nowMillis()));
+        boolean otherEpoch = isOtherEpoch(address, changes);
+        if (otherEpoch) {
             log.state(LogFields.event("cache store followed")
                     .peer(address)
                     .field("epoch", changes.epoch())
                     .field("changes", changes.changes().size()));
         }
-        if (newEpoch && follow.since > 0) {
-            // Numbers of an earlier lifetime mean nothing in this one.
-            follow.since = 0;
-            directory.onAnswer(address, changes.epoch(), true, sentAtMillis);
-            again(address, follow, PAUSE_MILLIS);
-            return;
-        }
-        boolean restart = changes.lost() || follow.lost;
+        boolean restart = otherEpoch || changes.lost() || follow.lost;
         directory.onAnswer(address, changes.epoch(), restart, clocks.nowMillis());
-        if (follow.source.equals(address)) {
-            relay.onChanges(follow.storeName, changes, newEpoch || restart);
-        }
         changes.changes()
                 .forEach(change -> directory.onPart(
                         address, change.scope(), change.partId(), change.added() ? change.tokens() : 0));
         follow.since = changes.next();
         follow.lost = false;
-        again(address, follow, PAUSE_MILLIS);
+        return restart;
     }
 
     private void onFailed(String address, Follow follow, Throwable error) {
+        if (follow.source.isEmpty()) {
+            onLost(address, follow, error.getMessage());
+            feed.onStoreLost(follow.storeName);
+        }
+        again(address, follow, FAILED_PAUSE_MILLIS);
+    }
+
+    private void onLost(String address, Follow follow, String reason) {
         if (!follow.lost) {
-            log.state(LogFields.event("cache store lost").peer(address).error(error));
+            log.state(LogFields.event("cache store lost").peer(address).field("reason", reason));
         }
         follow.lost = true;
         follow.since = 0;
         directory.onLost(address);
-        relay.onLost(follow.storeName);
-        again(address, follow, FAILED_PAUSE_MILLIS);
     }
 
     private void again(String address, Follow follow, long pauseMillis) {
