Add a fault soak with nodes as processes

Change: bin/cowslipbank soak starts nodes as processes on loopback before stand-ins of the metadata store, servers and engines (platform/, with the other names of the wire), disturbs them by signals and a proxy as a seed says, and checks the promises from what clients and upstreams see.

--- a/cli/src/main/java/org/cowslipbank/cli/Main.java
+++ b/cli/src/main/java/org/cowslipbank/cli/Main.java
@@ -21,11 +21,12 @@
             new NodeCommand(),
             new RelayCommand(),
             new ReplayCommand(),
+            new SoakCommand(),
             new StandInCommand(),
             new StatusCommand());
 
     // These run nodes and stand-ins in this process and print results for a person.
-    private static final Set<String> QUIET_COMMANDS = Set.of("demo", "bench");
+    private static final Set<String> QUIET_COMMANDS = Set.of("demo", "bench", "soak");
 
     private Main() {}
 
--- /dev/null
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -0,0 +1,91 @@
+package org.cowslipbank.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.cowslipbank.soak.SoakRun;
+
+/** Runs nodes as processes on loopback, disturbs them from outside and checks the promises meanwhile. */
+final class SoakCommand implements Command {
+    private static final long SECONDS_PER_MINUTE = 60;
+
+    @Override
+    public String name() {
+        return "soak";
+    }
+
+    @Override
+    public String summary() {
+        return "run nodes as processes, inject faults from outside and check the promises";
+    }
+
+    @Override
+    public ExitCode run(List<String> arguments, Console console) throws UsageException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<Long> seed = parser.accepts("seed", "Decides about faults and requests; random without it.")
+                .withRequiredArg()
+                .ofType(Long.class);
+        OptionSpec<Double> minutes = parser.accepts("minutes", "Time with faults, in minutes.")
+                .withRequiredArg()
+                .ofType(Double.class)
+                .defaultsTo(1.0);
+        OptionSpec<Integer> nodes = parser.accepts("nodes", "Number of nodes.")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(3);
+        Optional<OptionSet> options = new Options(parser).parse(arguments, console);
+        if (options.isEmpty()) {
+            return ExitCode.DONE;
+        }
+        OptionSet given = options.get();
+        long chosen = given.has(seed)
+                ? given.valueOf(seed)
+                : ThreadLocalRandom.current().nextLong(Integer.MAX_VALUE);
+        long seconds = (long) (given.valueOf(minutes) * SECONDS_PER_MINUTE);
+        if (seconds <= 0 || given.valueOf(nodes) < 1) {
+            throw new UsageException("minutes and nodes must be above zero");
+        }
+        return play(chosen, seconds, given.valueOf(nodes), console);
+    }
+
+    private static ExitCode play(long seed, long seconds, int nodes, Console console) throws UsageException {
+        try {
+            Path directory = Files.createTempDirectory("cowslipbank-soak-" + seed + "-");
+            String jar = Path.of(SoakCommand.class
+                            .getProtectionDomain()
+                            .getCodeSource()
+                            .getLocation()
+                            .getPath())
+                    .toString();
+            console.out().println("seed " + seed + ", logs in " + directory);
+            SoakRun.Outcome outcome = new SoakRun(
+                            new SoakRun.Plan(seed, seconds, nodes, List.of("-jar", jar), directory),
+                            console.err()::println)
+                    .play();
+            console.out()
+                    .printf(
+                            "seed %d: %d faults, %d requests, %d served, %d rejected, %.2f served at the end, %d broken%n",
+                            seed,
+                            outcome.faults().size(),
+                            outcome.asked(),
+                            outcome.served(),
+                            outcome.refused(),
+                            outcome.servedAtEnd(),
+                            outcome.violations().size());
+            outcome.violations().forEach(console.out()::println);
+            return outcome.held() ? ExitCode.DONE : ExitCode.OUTCOME_MISSED;
+        } catch (IOException e) {
+            throw new UsageException("the soak could not be started: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.OUTCOME_MISSED;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
@@ -0,0 +1,26 @@
+package org.cowslipbank.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.soak.SoakRun;
+
+/** A short soak with a fixed seed; the long ones are run by hand, see docs/soak.md. */
+final class SoakTest {
+    private static final long SEED = 1;
+    private static final long SECONDS = 12;
+    private static final int NODES = 3;
+
+    /** Failure guarded against: a promise is broken while nodes and their connections fail. */
+    @Example
+    void promisesHoldUnderFaults() throws Exception {
+        Path directory = Files.createTempDirectory("soak-test-");
+        List<String> program = List.of("-cp", System.getProperty("java.class.path"), Main.class.getName());
+        SoakRun.Plan plan = new SoakRun.Plan(SEED, SECONDS, NODES, program, directory);
+        SoakRun.Outcome outcome = new SoakRun(plan, line -> {}).play();
+        assert outcome.held() : "logs in " + directory + ": " + outcome.violations();
+        assert !outcome.faults().isEmpty() && outcome.served() > 0 : outcome;
+    }
+}
