Let members of a group ask no cache store themselves

A member also looked five times a second whether to ask each of 17 stores. Change: a node with a hub asks no cache store; it begins when the tree makes it a hub. Errors of questions to a hub carry step and peer.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/FeedFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/FeedFollower.java
@@ -24,7 +24,7 @@
 
 /**
  * Asks this node's hub what changed, in place of the metadata store and the cache stores. While the hub has no answer
- * the node asks the stores itself. Runs on the traffic thread.
+ * the node asks the metadata store itself. Runs on the traffic thread.
  */
 final class FeedFollower {
     /** Path of questions on a hub's feed address. */
@@ -33,13 +33,13 @@
     /** Pause between questions, so that a hub with many changes is not asked for each one. */
     static final long PAUSE_MILLIS = 250;
 
-    /** How long a node asks the stores itself after its hub had no answer: a dead hub's registration ends by then. */
+    /** How long a node asks the store itself after its hub had no answer: a dead hub's registration ends by then. */
     static final long DIRECT_MILLIS = 2_000;
 
     /** How long it does so after its hub did not know the changes since its revision: one answer tells them. */
     static final long GAP_MILLIS = 300;
 
-    /** How often a node that asks the stores itself looks whether it has a hub. */
+    /** How often a node that asks the store itself looks whether it has a hub. */
     static final long CHECK_MILLIS = 200;
 
     /** How long an answer may take beyond the time for which the hub holds the question. */
@@ -110,9 +110,9 @@
     }
 
     /**
-     * Tells whether a hub is asked in place of the stores.
+     * Tells whether a hub is asked in place of the metadata store.
      *
-     * @return false if this node has to ask the stores itself
+     * @return false if this node has to ask the store itself
      */
     boolean isFed() {
         return !hub.isEmpty();
@@ -132,10 +132,19 @@
         }
     }
 
+    /**
+     * Tells whether this node is a member of another one's group.
+     *
+     * @return true if it is, even while the hub has no answer
+     */
+    boolean hasHub() {
+        return !view.get().tree().hubOf(self).equals(self);
+    }
+
     private Optional<RegisteredNode> hubToAsk() {
         PlatformView now = view.get();
         String name = now.tree().hubOf(self);
-        if (now.revision() == 0 || name.equals(self) || clocks.nowMillis() < directUntilMillis) {
+        if (now.revision() == 0 || !hasHub() || clocks.nowMillis() < directUntilMillis) {
             return Optional.empty();
         }
         return Optional.ofNullable(now.nodes().get(name))
@@ -159,7 +168,10 @@
                 .responseSingle((response, body) -> body.asByteArray()
                         .defaultIfEmpty(new byte[0])
                         .flatMap(bytes -> decode(address, response.status().code(), bytes)))
-                .timeout(TIMEOUT);
+                .timeout(TIMEOUT)
+                .onErrorMap(
+                        error -> !(error instanceof PeerException),
+                        error -> new PeerException(Step.PEER, address, RunState.UNKNOWN, String.valueOf(error), error));
     }
 
     /** Returns an empty answer if the hub does not know the changes that were asked for. */
@@ -181,7 +193,7 @@
 
     private void onAnswer(String from, Question question, Optional<Answer> answer, OrderTurn.Moment askedAt) {
         if (answer.isEmpty()) {
-            askStores(GAP_MILLIS);
+            askStore(GAP_MILLIS);
             return;
         }
         handlers.onPlatform().accept(answer.get(), askedAt);
@@ -190,13 +202,13 @@
     }
 
     private void onFailed(Throwable error) {
-        log.state(LogFields.event("hub has no answer; asking the stores")
+        log.state(LogFields.event("hub has no answer; asking the metadata store")
                 .field("hub", hub)
                 .error(error));
-        askStores(DIRECT_MILLIS);
+        askStore(DIRECT_MILLIS);
     }
 
-    private void askStores(long forMillis) {
+    private void askStore(long forMillis) {
         directUntilMillis = clocks.nowMillis() + forMillis;
         next();
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -16,8 +16,9 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Follows the metadata store with one watch over everything. Each answer also confirms that no newer configuration
- * exists, so the watch returns often enough for the revocation bound even if nothing changes.
+ * Follows the metadata store with one watch over everything, or takes what the node's hub tells of it. Each answer also
+ * confirms that no newer configuration exists, so the watch returns often enough for the revocation bound even if nothing
+ * changes.
  */
 final class PlatformWatcher {
     /** Longest wait of a watch: a lost one is noticed and repeated well within the revocation bound of 5 s. */
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -116,7 +116,7 @@
         CrashReports crashes = new CrashReports(parts);
         this.connections = new UpstreamConnections(wire, clocks.monotonic(), loops, loop);
         CacheDirectory directory = new CacheDirectory();
-        StoreFollower.Sources sources = new StoreFollower.Sources(platform.engines(), feed, this::isFed);
+        StoreFollower.Sources sources = new StoreFollower.Sources(platform.engines(), feed, this::hasHub);
         this.stores = new StoreFollower(sources, directory, watcher::view, loop, clocks, log);
         FeedFollower.Handlers handlers = new FeedFollower.Handlers(stores::numbers, watcher::onFed, stores::onFed);
         this.follower = new FeedFollower(watcher::view, self.name(), loops, loop, clocks, log, handlers);
@@ -257,8 +257,8 @@
                 });
     }
 
-    private boolean isFed() {
-        return follower.isFed();
+    private boolean hasHub() {
+        return follower.hasHub();
     }
 
     private PlatformWatcher.Listener watchListener() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StoreFollower.java
@@ -29,15 +29,12 @@
     /** Pause between calls, so that a store with many changes is not asked for each one. */
     static final long PAUSE_MILLIS = 250;
 
-    /** How often a node with a hub looks whether it has to ask the stores itself. */
-    static final long FED_CHECK_MILLIS = 200;
-
     /** Pause after a failed call. */
     static final long FAILED_PAUSE_MILLIS = 400;
 
     private final EngineControl engines;
     private final FleetFeed feed;
-    private final BooleanSupplier fed;
+    private final BooleanSupplier hasHub;
     private final CacheDirectory directory;
     private final Supplier<PlatformView> view;
     private final EventLoop loop;
@@ -55,6 +52,9 @@
         /** True if the hub said that it does not reach the store. */
         private boolean toldLost;
 
+        /** True while the store is not asked because the node has a hub. */
+        private boolean rests;
+
         private Disposable call;
 
         Follow(String storeName) {
@@ -77,9 +77,10 @@
      *
      * @param engines calls to stores
      * @param feed passes changes on to other nodes
-     * @param fed tells whether this node's hub tells of changes, so that stores need not be asked
+     * @param hasHub tells whether this node has a hub; it asks no store then, even while the hub has no answer, because
+     *     the members' calls would take the places of the hubs' calls at the stores
      */
-    record Sources(EngineControl engines, FleetFeed feed, BooleanSupplier fed) {}
+    record Sources(EngineControl engines, FleetFeed feed, BooleanSupplier hasHub) {}
 
     StoreFollower(
             Sources sources,
@@ -90,7 +91,7 @@
             DecisionLog log) {
         this.engines = sources.engines();
         this.feed = sources.feed();
-        this.fed = sources.fed();
+        this.hasHub = sources.hasHub();
         this.directory = directory;
         this.view = view;
         this.loop = loop;
@@ -117,6 +118,11 @@
                 ask(address, added);
             }
         });
+        Map.copyOf(follows).forEach((address, follow) -> {
+            if (follow.rests && !hasHub.getAsBoolean()) {
+                ask(address, follow);
+            }
+        });
     }
 
     /**
@@ -161,8 +167,8 @@
         if (follows.get(address) != follow) {
             return;
         }
-        if (fed.getAsBoolean()) {
-            again(address, follow, FED_CHECK_MILLIS);
+        follow.rests = hasHub.getAsBoolean();
+        if (follow.rests) {
             return;
         }
         follow.from("");
