Test a member of a group with a hub played by the test

Cause: FleetFeedTest covers the hub's side only; the member's side was covered by the soak with twelve nodes. Conclusion: both sides run in the tests.

--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubMemberTest.java
@@ -0,0 +1,76 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
+import org.cowslipbank.model.relay.StoreItem;
+
+/** A node in a fleet of eleven, whose hub is played by the test. */
+final class HubMemberTest {
+    private static final long LATER_REVISION = 1_000;
+    private static final long NEVER_AWAY_MILLIS = 1_000_000;
+    private static final int OTHER_NODES = 10;
+
+    private final RelaySystem system;
+    private final ScriptedUpstream hub;
+    private volatile FeedMessages.Answer told = answer(0, List.of());
+
+    HubMemberTest() throws Exception {
+        system = new RelaySystem();
+        hub = new ScriptedUpstream((request, socket) -> {
+            byte[] body = FeedMessages.encode(told);
+            ScriptedUpstream.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
+            socket.getOutputStream().write(body);
+        });
+        for (int index = 0; index < OTHER_NODES; index++) {
+            RegisteredNode node =
+                    new RegisteredNode("h" + index, "127.0.0.1:9", "a", "", hub.address(), 1_000_000_000L + index);
+            String value = new String(OwnItems.encodeNode(node), StandardCharsets.UTF_8);
+            system.store.put("cowslipbank/nodes/h" + index, value);
+        }
+        system.upstream("app", "i-1", ScriptedUpstream.ok("done"));
+        system.start();
+        RelaySystem.await("the hub is asked", () -> !hub.received.isEmpty());
+    }
+
+    private static FeedMessages.Answer answer(long revision, List<FeedMessages.Item> items) {
+        return new FeedMessages.Answer(revision, items, 0, 0, NEVER_AWAY_MILLIS, Map.of());
+    }
+
+    @AfterTry
+    void stop() throws IOException {
+        hub.close();
+        system.close();
+    }
+
+    private boolean isAnswered(String status) {
+        return system.send("/read/1", "r1", "", "").startsWith("HTTP/1.1 " + status);
+    }
+
+    /** Failure guarded against: a member goes on with a key after its hub told of a configuration without it. */
+    @Example
+    void configurationOfTheHubIsInForce() {
+        assert isAnswered("200");
+        StoreItem known = system.store.item("op/config").orElseThrow();
+        String value = new String(known.value(), StandardCharsets.UTF_8)
+                .replace("\"Version\":1,", "\"Version\":2,")
+                .replace("\"key\"", "\"other\"");
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        told = answer(
+                LATER_REVISION, List.of(FeedMessages.Item.of(new StoreItem("op/config", bytes, LATER_REVISION, 1, 0))));
+        RelaySystem.await("the key is refused", () -> isAnswered("401"));
+    }
+
+    /** Failure guarded against: a member whose hub is gone hears of no configuration. */
+    @Example
+    void memberWithoutAnAnsweringHubAsksTheStore() throws IOException {
+        hub.close();
+        system.configure(2, "\"other\"");
+        RelaySystem.await("the key is refused", () -> isAnswered("401"));
+    }
+}
