--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -41,6 +42,13 @@
     /** Faults that may be waiting for a node to end at a time. */
     private static final int TIMERS = 16;
 
+    /** Share of the requests that upstreams reject, fail or break off. */
+    private static final double FAILING_SHARE = 0.06;
+
+    /** Requests, on average, after which a client looks for its team's present key. */
+    private static final int REQUESTS_PER_KEY = 40;
+
+    private static final int PORT_TRIES = 200;
     private static final int UPSTREAMS_PER_SERVICE = 3;
     private static final int MIN_GAP_MILLIS = 150;
     private static final int MAX_GAP_MILLIS = 1_800;
@@ -170,11 +178,13 @@
     }
 
     private StandInUpstream.Fate fate() {
-        double draw = Math.random();
-        if (calm || draw >= 0.06) {
+        // Not from the seed: the order in which requests arrive differs in each run.
+        ThreadLocalRandom draw = ThreadLocalRandom.current();
+        if (calm || draw.nextDouble() >= FAILING_SHARE) {
             return StandInUpstream.Fate.ANSWERED;
         }
-        return StandInUpstream.Fate.values()[1 + (int) (draw / 0.06 * 4)];
+        StandInUpstream.Fate[] fates = StandInUpstream.Fate.values();
+        return fates[1 + draw.nextInt(fates.length - 1)];
     }
 
     /**
@@ -259,7 +269,7 @@
                     own,
                     () -> {
                         // A client learns of a new key a while later, and goes on with the old one until then.
-                        if (own.nextInt(40) == 0) {
+                        if (own.nextInt(REQUESTS_PER_KEY) == 0) {
                             kept[0] = callers[own.nextInt(callers.length)];
                         }
                         return kept[0];
@@ -426,7 +436,7 @@
 
     /** Finds neighbouring free ports, below the range from which the system takes those of outgoing connections. */
     private int freePorts(int count) throws IOException {
-        for (int tries = 0; tries < 200; tries++) {
+        for (int tries = 0; tries < PORT_TRIES; tries++) {
             int first = FIRST_PORT + new Random().nextInt(LAST_PORT - FIRST_PORT - count);
             if (areFree(first, count)) {
                 return first;
