Count crashes of upstreams for prompt parts, not only for whole requests

Caches were lost and sound requests waited and failed.

Cause: a crash was counted for the hash of team, path and body. Requests that have only a part in common never reached the limit, while requests that were broken off by chance did. Reports were also limited to 12 a second and node, so that the one that mattered could be dropped.

Change: a node writes one report for each crash with all suspects, which are the requests and their shared parts whose answers had not gone on for a second. The causes are those that explain the crashes with the fewest suspects. An answer that goes on well clears its suspects on all nodes. A waiting or sent request is ended when one of its suspects is refused.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashVerdicts.java
@@ -0,0 +1,21 @@
+package org.cowslipbank.decision.suspects;
+
+import java.util.Set;
+
+/**
+ * What follows from the crashes that are known.
+ *
+ * @param refused identifiers of the suspects that are taken as causes; requests that contain one are refused
+ * @param watched identifiers of the suspects that further crashes would make causes; an answer that goes on well clears
+ *     them, and refused ones too
+ */
+public record CrashVerdicts(Set<String> refused, Set<String> watched) {
+    /** Nothing is suspected. */
+    public static final CrashVerdicts NONE = new CrashVerdicts(Set.of(), Set.of());
+
+    /** Makes unmodifiable copies of the sets; null elements are rejected with NullPointerException. */
+    public CrashVerdicts {
+        refused = Set.copyOf(refused);
+        watched = Set.copyOf(watched);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
@@ -0,0 +1,81 @@
+package org.cowslipbank.decision.suspects;
+
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
+
+/** Tests the verdicts that follow from the reports of several nodes. */
+final class CrashEvidenceTest {
+    private static final Suspect POPULAR = new Suspect("popular", 0);
+    private static final Suspect DEADLY = new Suspect("deadly", 1);
+
+    private final CrashEvidence evidence = new CrashEvidence();
+
+    /** Failure guarded against: the reports of several nodes on one crash count as several crashes. */
+    @Example
+    void reportsOfOneCrashCountOnce() {
+        evidence.addReport("n1", "i-1@1", Set.of(DEADLY), 1, 0);
+        evidence.addReport("n2", "i-1@1", Set.of(DEADLY), 2, 0);
+        evidence.addReport("n3", "i-1@1", Set.of(DEADLY), 3, 0);
+        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+        evidence.addReport("n1", "i-1@2", Set.of(DEADLY), 4, 0);
+        assert evidence.verdicts().watched().equals(Set.of("deadly")) : evidence.verdicts();
+        evidence.addReport("n2", "i-2@1", Set.of(DEADLY), 5, 0);
+        assert evidence.verdicts().refused().equals(Set.of("deadly")) : evidence.verdicts();
+    }
+
+    /** Failure guarded against: sound requests that share a popular part with crashing ones are refused. */
+    @Example
+    void partOfSoundAnswersIsCleared() {
+        evidence.addReport("n1", "i-1@1", Set.of(DEADLY, POPULAR), 1, 0);
+        evidence.addReport("n1", "i-2@1", Set.of(DEADLY, POPULAR), 2, 0);
+        evidence.addSound(Map.of("popular", 2L));
+        evidence.addReport("n1", "i-3@1", Set.of(DEADLY, POPULAR), 3, 0);
+        assert evidence.verdicts().refused().equals(Set.of("deadly")) : evidence.verdicts();
+        assert evidence.verdicts().watched().equals(Set.of("deadly")) : evidence.verdicts();
+    }
+
+    /** Failure guarded against: a part that was refused by mistake stays refused although an answer with it went on. */
+    @Example
+    void refusedPartIsClearedByLaterAnswer() {
+        for (int crash = 1; crash <= 3; crash++) {
+            evidence.addReport("n1", "i-" + crash + "@1", Set.of(POPULAR), crash, 0);
+        }
+        assert evidence.verdicts().refused().equals(Set.of("popular"));
+        evidence.addSound(Map.of("popular", 3L));
+        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+    }
+
+    /** Failure guarded against: an answer that was seen before a crash clears the cause of that crash. */
+    @Example
+    void earlierAnswerDoesNotClearLaterCrash() {
+        evidence.addSound(Map.of("deadly", 1L));
+        for (int crash = 2; crash <= 4; crash++) {
+            evidence.addReport("n1", "i-" + crash + "@1", Set.of(DEADLY), crash, 0);
+        }
+        assert evidence.verdicts().refused().equals(Set.of("deadly")) : evidence.verdicts();
+    }
+
+    /** Failure guarded against: a late addition to a report counts as a new crash after a sound answer. */
+    @Example
+    void laterReportOnTheSameCrashIsNoNewCrash() {
+        for (int crash = 1; crash <= 3; crash++) {
+            evidence.addReport("n1", "i-" + crash + "@1", Set.of(POPULAR), crash, 0);
+        }
+        evidence.addSound(Map.of("popular", 3L));
+        evidence.addReport("n1", "i-3@1", Set.of(POPULAR, DEADLY), 4, 0);
+        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+    }
+
+    /** Failure guarded against: a request is refused for ever because of crashes long ago. */
+    @Example
+    void oldReportsExpire() {
+        for (int crash = 1; crash <= 3; crash++) {
+            evidence.addReport("n1", "i-" + crash + "@1", Set.of(DEADLY), crash, 0);
+        }
+        evidence.addReport("n1", "i-9@1", Set.of(POPULAR), 9, CrashEvidence.REPORT_TTL_MILLIS + 1);
+        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -1,72 +1,195 @@
 package org.cowslipbank.entry.relay;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
+import org.cowslipbank.decision.suspects.CrashCauses;
+import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
+import org.cowslipbank.decision.suspects.CrashEvidence;
+import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.ports.relay.MetadataStore;
 import reactor.core.publisher.Mono;
 
 /**
- * Reports to all nodes, through the metadata store, which requests an upstream was running when its connection broke.
- * Reports are attached to a lease and expire with it. Runs on the control thread.
+ * Reports to all nodes, through the metadata store, what an upstream was running when its connections broke, and which
+ * suspects were in answers that went on well. A node writes one item for each crash and one for all sound suspects, so
+ * that nothing is left out however many requests a crash breaks. The items are attached to a lease and expire with it.
+ * State is confined to the control thread.
  */
 final class CrashReports {
-    /** Lifetime of a report; clients repeat a request that crashes upstreams within seconds. */
-    static final long REPORT_TTL_MILLIS = 60_000;
-
     /** Time for which new reports share one lease; each report then lives for at least half of its lifetime. */
-    static final long LEASE_REUSE_MILLIS = 30_000;
+    static final long LEASE_REUSE_MILLIS = CrashEvidence.REPORT_TTL_MILLIS / 2;
+
+    /** Delay of later writes on the same crash; the connections to a crashed upstream break within this time. */
+    static final long WRITE_DELAY_MILLIS = 25;
+
+    /** Time within which connections to several upstreams break if they have the same cause. */
+    static final long OWN_FAULT_WINDOW_MILLIS = 100;
+
+    /** Delay before a failed write is repeated. */
+    static final long RETRY_DELAY_MILLIS = 1_000;
 
-    /** Limit on reports per second; a crash breaks about as many requests as the engine runs for one node. */
-    static final int MAX_REPORTS_PER_SECOND = 12;
+    /**
+     * Number of upstreams from which on connections that break within this window are rather due to this node's own network
+     * or to a pause of its VM. Then only suspects that were in progress at all of these upstreams are reported.
+     */
+    static final int OWN_FAULT_UPSTREAMS = 3;
 
-    private static final long SECOND_MILLIS = 1_000;
+    /** Limit on crashes that wait to be reported; further ones are dropped while the metadata store is unreachable. */
+    static final int MAX_PENDING = 64;
 
     private final ControlContext context;
-    private final Set<String> reported = new HashSet<>();
+    private final Map<String, Broken> recentlyBroken = new HashMap<>();
+    private final Map<String, Set<Suspect>> pending = new HashMap<>();
+    private final Map<String, Set<Suspect>> reported = new HashMap<>();
+    private final Map<String, Long> sound = new HashMap<>();
+    private boolean soundChanged;
+    private boolean writeScheduled;
     private Mono<Long> lease = Mono.empty();
     private long leaseGrantedMillis = Long.MIN_VALUE / 2;
-    private long currentSecond;
-    private int reportsThisSecond;
+
+    /** Requests at one upstream whose answers broke off since a moment. */
+    private record Broken(long firstMillis, Set<Suspect> suspects) {}
 
     CrashReports(ControlContext context) {
         this.context = context;
     }
 
-    void report(String fingerprint, String incarnation) {
-        context.control().schedule(() -> write(fingerprint, incarnation));
+    /**
+     * Reports a request whose answer broke off. May be called by any thread.
+     *
+     * @param incarnation the upstream's incarnation
+     * @param suspects what the request consists of
+     */
+    void reportBroken(String incarnation, Set<Suspect> suspects) {
+        context.control().schedule(() -> addBroken(incarnation, suspects));
+    }
+
+    private void addBroken(String incarnation, Set<Suspect> suspects) {
+        long nowMillis = context.clocks().nowMillis();
+        recentlyBroken.values().removeIf(broken -> nowMillis - broken.firstMillis() > OWN_FAULT_WINDOW_MILLIS);
+        recentlyBroken
+                .computeIfAbsent(incarnation, key -> new Broken(nowMillis, new HashSet<>()))
+                .suspects()
+                .addAll(suspects);
+        if (pending.size() >= MAX_PENDING && !pending.containsKey(incarnation)) {
+            context.log()
+                    .logState(LogFields.event("crash report dropped")
+                            .field("incarnation", incarnation)
+                            .field("pending", pending.size()));
+            return;
+        }
+        pending.computeIfAbsent(incarnation, key -> new HashSet<>()).addAll(suspects);
+        scheduleWrite(reported.containsKey(incarnation) ? WRITE_DELAY_MILLIS : 0);
+    }
+
+    /**
+     * Reports suspects that were in an answer that went on well. May be called by any thread.
+     *
+     * @param suspects identifiers of the suspects
+     * @param revision the store's revision that this node knew at that time
+     */
+    void reportSound(Set<String> suspects, long revision) {
+        context.control().schedule(() -> {
+            suspects.forEach(suspect -> sound.merge(suspect, revision, Math::max));
+            soundChanged = true;
+            scheduleWrite(WRITE_DELAY_MILLIS);
+        });
+    }
+
+    private void scheduleWrite(long delayMillis) {
+        if (!writeScheduled || delayMillis == 0) {
+            writeScheduled = true;
+            context.control().schedule(this::writePending, delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void writePending() {
+        writeScheduled = false;
+        renewLease();
+        Map<String, Set<Suspect>> broken = new HashMap<>(pending);
+        pending.clear();
+        if (recentlyBroken.size() >= OWN_FAULT_UPSTREAMS) {
+            Set<Suspect> common = CrashCauses.inAll(
+                    recentlyBroken.values().stream().map(Broken::suspects).toList());
+            context.log()
+                    .logState(LogFields.event("connections to many upstreams broke at once")
+                            .field("incarnations", recentlyBroken.keySet())
+                            .field("commonSuspects", common.size()));
+            broken.values().forEach(suspects -> suspects.retainAll(common));
+        }
+        broken.forEach(this::writeCrash);
+        if (soundChanged) {
+            writeSound();
+        }
     }
 
-    private void write(String fingerprint, String incarnation) {
+    private void renewLease() {
         long nowMillis = context.clocks().nowMillis();
-        if (nowMillis / SECOND_MILLIS != currentSecond) {
-            currentSecond = nowMillis / SECOND_MILLIS;
-            reportsThisSecond = 0;
+        if (nowMillis - leaseGrantedMillis <= LEASE_REUSE_MILLIS) {
+            return;
         }
-        String key = context.items().crashKey(fingerprint, incarnation);
-        if (++reportsThisSecond > MAX_REPORTS_PER_SECOND || !reported.add(key)) {
+        leaseGrantedMillis = nowMillis;
+        reported.clear();
+        lease = context.store()
+                .grantLease(CrashEvidence.REPORT_TTL_MILLIS)
+                .map(MetadataStore.Lease::id)
+                .cache();
+    }
+
+    private void writeCrash(String incarnation, Set<Suspect> suspects) {
+        if (suspects.isEmpty()) {
             return;
         }
-        if (nowMillis - leaseGrantedMillis > LEASE_REUSE_MILLIS) {
-            leaseGrantedMillis = nowMillis;
-            reported.clear();
-            lease = context.store()
-                    .grantLease(REPORT_TTL_MILLIS)
-                    .map(MetadataStore.Lease::id)
-                    .cache();
+        Set<Suspect> all = reported.computeIfAbsent(incarnation, key -> new HashSet<>());
+        if (!all.addAll(suspects)) {
+            return;
         }
-        lease.flatMap(id -> context.store().write(new MetadataStore.Write(key, new byte[0], id)))
+        String key = context.items().crashKey(context.self().name(), incarnation);
+        context.log()
+                .logState(LogFields.event("crash reported").field("key", key).field("suspects", all.size()));
+        write(key, NodeItems.encodeSuspects(all), () -> {
+            all.removeAll(suspects);
+            pending.computeIfAbsent(incarnation, again -> new HashSet<>()).addAll(suspects);
+        });
+    }
+
+    private void writeSound() {
+        soundChanged = false;
+        CrashVerdicts verdicts = context.view().get().crashes();
+        sound.keySet().removeIf(suspect -> !verdicts.watched().contains(suspect));
+        if (!sound.isEmpty()) {
+            write(
+                    context.items().soundKey(context.self().name()),
+                    NodeItems.encodeSound(sound),
+                    () -> soundChanged = true);
+        }
+    }
+
+    private void write(String key, byte[] value, Runnable onFailed) {
+        lease.flatMap(id -> context.store().write(new MetadataStore.Write(key, value, id)))
                 .publishOn(context.control())
-                .subscribe(revision -> {}, error -> onError(key, error));
+                .subscribe(
+                        revision -> {
+                            if (revision.isEmpty()) {
+                                repeat(LogFields.event("lease of crash reports has ended; writing again"), onFailed);
+                            }
+                        },
+                        error -> repeat(
+                                LogFields.event("crash report not written; writing again")
+                                        .field("key", key)
+                                        .error(error),
+                                onFailed));
     }
 
-    private void onError(String key, Throwable error) {
-        reported.remove(key);
+    private void repeat(LogFields line, Runnable onFailed) {
+        context.log().logState(line);
         leaseGrantedMillis = Long.MIN_VALUE / 2;
-        context.log()
-                .logState(LogFields.event("crash report not written; other nodes do not count this crash")
-                        .field("key", key)
-                        .error(error));
+        onFailed.run();
+        scheduleWrite(RETRY_DELAY_MILLIS);
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -20,10 +21,10 @@
 import org.cowslipbank.decision.relay.WaitingQueue;
 import org.cowslipbank.decision.retry.RetryQuestion;
 import org.cowslipbank.decision.retry.RetryVerdict;
-import org.cowslipbank.decision.suspects.Fingerprint;
+import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.RunState;
-import org.cowslipbank.model.TeamId;
+import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
 import org.cowslipbank.model.relay.RelayService;
 import org.cowslipbank.model.relay.RelayTeam;
@@ -93,8 +94,11 @@
      */
     static final long STALL_LIMIT_MILLIS = 1_500;
 
-    /** Upstream incarnations that a request may crash before all nodes refuse it; stated by the platform's rules. */
-    static final int MAX_CRASHES = 3;
+    /** Time from an answer's first event after which the request is no longer suspected of crashing the upstream. */
+    static final long ESTABLISHED_ANSWER_MILLIS = 1_000;
+
+    private static final String CRASHED_UPSTREAMS = "crashed_upstreams";
+    private static final String ANONYMOUS_TEAM = "anonymous";
 
     private final RelayContext context;
     private final ResponseWriter client;
@@ -106,6 +110,7 @@
     private final EventSplitter splitter = new EventSplitter();
 
     private PlatformView view;
+    private Set<Suspect> suspects;
     private Route route;
     private Optional<RelayTeam> team = Optional.empty();
     private String service = "";
@@ -172,7 +177,7 @@
                 new RequestPlacement.Target(service, routes.service(service).flatMap(RelayService::engine), team),
                 server -> context.waiting().reservedTokens(this, server));
         if (isRefusedForCrashes()) {
-            refuse("crashed_upstreams", 0);
+            refuse(CRASHED_UPSTREAMS, 0);
             return;
         }
         long waitMillis = Math.min(request.timeoutMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
@@ -211,15 +216,30 @@
     }
 
     private boolean isRefusedForCrashes() {
-        if (view.crashes().isEmpty()) {
-            return false;
+        Set<String> refused = context.view().get().crashes().refused();
+        return !refused.isEmpty() && suspects().stream().anyMatch(suspect -> refused.contains(suspect.id()));
+    }
+
+    private Set<Suspect> suspects() {
+        if (suspects == null) {
+            String teamName = team.map(RelayTeam::name).orElse(ANONYMOUS_TEAM);
+            suspects = RequestSuspects.of(request, teamName, ByteBufUtil.getBytes(body));
         }
-        return view.crashes().getOrDefault(fingerprint(), Set.of()).size() >= MAX_CRASHES;
+        return suspects;
     }
 
-    private String fingerprint() {
-        TeamId caller = new TeamId(team.map(RelayTeam::name).orElse("anonymous"));
-        return Long.toHexString(Fingerprint.of(caller, request.path(), ByteBufUtil.getBytes(body), 0));
+    /** Clears this request's suspects, since an answer to it went on well. */
+    private void reportSound() {
+        PlatformView newest = context.view().get();
+        Set<String> watched = newest.crashes().watched();
+        if (watched.isEmpty() || !placement.targetsEngines()) {
+            return;
+        }
+        Set<String> sound =
+                suspects().stream().map(Suspect::id).filter(watched::contains).collect(Collectors.toSet());
+        if (!sound.isEmpty()) {
+            context.crashReports().reportSound(sound, newest.revision());
+        }
     }
 
     /** Lets the request be started at an upstream after the sockets have been read, or refuses it at once. */
@@ -245,6 +265,8 @@
         }
         if (now() >= deadlineMillis) {
             onDeadline();
+        } else if (isRefusedForCrashes()) {
+            giveUp(CRASHED_UPSTREAMS, 0);
         } else if (expired) {
             giveUp("overloaded", RETRY_AFTER_MILLIS);
         } else if (!tryStartAttempt()) {
@@ -260,6 +282,11 @@
      * @return true if it leaves the queue
      */
     boolean retryQueued(boolean expired) {
+        if (!ended && isRefusedForCrashes()) {
+            queued = false;
+            giveUp(CRASHED_UPSTREAMS, 0);
+            return true;
+        }
         if (ended || tryStartAttempt()) {
             queued = false;
             return true;
@@ -398,17 +425,19 @@
     }
 
     private void onAttemptFailed(Outcome outcome, boolean mayHaveRun, String message) {
-        UpstreamServer server = attempt.server;
+        Attempt failed = attempt;
+        UpstreamServer server = failed.server;
         lastFailure = outcome + " at " + server.address() + ": " + message;
-        attempt.settle(outcome);
+        context.log().logRequest(failed.failureLine(outcome, message));
+        failed.settle(outcome);
         attempt = null;
         if (mayHaveRun) {
             possibleRuns++;
         } else {
             rejections++;
         }
-        if (outcome == Outcome.BROKEN && placement.targetsEngines()) {
-            context.crashReporter().accept(fingerprint(), server.incarnation());
+        if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
+            context.crashReports().reportBroken(server.incarnation(), suspects());
         }
         splitter.discardIncompleteEvent();
         if (mayRetry()) {
@@ -526,6 +555,9 @@
         private Future<?> checkTimer;
 
         private boolean promptRead;
+        private long sentMillis;
+        private long answerBeganMillis = -1;
+        private boolean reportedSound;
         private long progressMillis;
         private int rejectionBytes;
 
@@ -569,7 +601,8 @@
             }
             connection = opened;
             sent = true;
-            progressMillis = now();
+            sentMillis = now();
+            progressMillis = sentMillis;
             connection.send(
                     request, context.codec().encodeRequest(request, plan(leftMillis)), body.retainedDuplicate(), this);
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
@@ -591,6 +624,17 @@
             if (settled) {
                 return;
             }
+            if (!isEstablished() && isRefusedForCrashes()) {
+                // Ends it before the upstream begins to answer, which would crash it.
+                endAttempt(Outcome.ABANDONED);
+                possibleRuns++;
+                giveUp(CRASHED_UPSTREAMS);
+                return;
+            }
+            if (isEstablished() && !reportedSound) {
+                reportedSound = true;
+                reportSound();
+            }
             boolean canMove = route.isRepeatable() && (!headSent || route.resumable());
             boolean silent = isSilent();
             // Without another upstream to move to, keep waiting for the silent one.
@@ -608,6 +652,10 @@
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
         }
 
+        private boolean isEstablished() {
+            return answerBeganMillis >= 0 && now() - answerBeganMillis >= ESTABLISHED_ANSWER_MILLIS;
+        }
+
         // An engine that has sent nothing yet may still be reading the prompt.
         private boolean isStalled() {
             return promptRead
@@ -695,6 +743,23 @@
             }
         }
 
+        private LogFields failureLine(Outcome outcome, String message) {
+            LogFields line = LogFields.event("attempt failed")
+                    .field("request", request.id())
+                    .peer(server.address())
+                    .field("server", server.id())
+                    .field("outcome", outcome)
+                    .field("reason", message)
+                    .field("sentAgoMillis", sent ? now() - sentMillis : -1)
+                    .field("answerBeganAgoMillis", answerBeganMillis < 0 ? -1 : now() - answerBeganMillis)
+                    .field("headReceived", head != null);
+            request.prompt()
+                    .ifPresent(prompt -> line.field(
+                            "sharedParts",
+                            prompt.sharedParts().stream().map(PromptPart::id).toList()));
+            return line;
+        }
+
         private void markPromptRead() {
             if (!promptRead) {
                 promptRead = true;
@@ -703,6 +768,9 @@
         }
 
         private void forward(ByteBuf bytes) {
+            if (answerBeganMillis < 0) {
+                answerBeganMillis = now();
+            }
             markPromptRead();
             if (!route.resumable()) {
                 progressMillis = now();
@@ -735,6 +803,7 @@
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
             } else if (streaming) {
                 settle(Outcome.ANSWERED);
+                reportSound();
                 client.end();
                 finish("answered", head.status());
             } else {
@@ -784,6 +853,9 @@
             }
             ByteBuf content = bufferedBody.copy();
             settle(failed ? Outcome.FAILED : Outcome.ANSWERED);
+            if (!failed) {
+                reportSound();
+            }
             deliver(head, content);
         }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -11,6 +13,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 
 /** Keys and encoding of the items that nodes themselves write into the metadata store. */
@@ -18,6 +21,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String NODES = "nodes/";
     private static final String CRASHES = "crashes/";
+    private static final String SOUND = "sound/";
 
     private final String prefix;
 
@@ -34,12 +38,12 @@
     record RolloutAnnouncement(String by, Set<String> serverIds) {}
 
     /**
-     * Key of the report that a request may have crashed an upstream.
+     * Key of a node's report on the crash of an upstream.
      *
-     * @param fingerprint the request's fingerprint
+     * @param node the node's name
      * @param incarnation the upstream's incarnation
      */
-    record CrashKey(String fingerprint, String incarnation) {}
+    record CrashKey(String node, String incarnation) {}
 
     String nodeKey(String name) {
         return prefix + NODES + name;
@@ -53,8 +57,16 @@
         return prefix + "rollout";
     }
 
-    String crashKey(String fingerprint, String incarnation) {
-        return prefix + CRASHES + fingerprint + "/" + incarnation;
+    String crashKey(String node, String incarnation) {
+        return prefix + CRASHES + node + "/" + incarnation;
+    }
+
+    String soundKey(String node) {
+        return prefix + SOUND + node;
+    }
+
+    boolean isSoundKey(String key) {
+        return key.startsWith(prefix + SOUND);
     }
 
     Optional<String> parseNodeName(String key) {
@@ -108,6 +120,36 @@
         return new RolloutAnnouncement(tree.path("by").asText(), ids);
     }
 
+    static byte[] encodeSuspects(Set<Suspect> suspects) {
+        ObjectNode value = MAPPER.createObjectNode();
+        suspects.forEach(suspect -> value.put(suspect.id(), suspect.depth()));
+        return encodeJson(value);
+    }
+
+    static Set<Suspect> decodeSuspects(byte[] value) throws IOException {
+        Set<Suspect> suspects = new HashSet<>();
+        MAPPER.readTree(value)
+                .fields()
+                .forEachRemaining(field -> suspects.add(
+                        new Suspect(field.getKey(), field.getValue().asInt())));
+        return suspects;
+    }
+
+    static byte[] encodeSound(Map<String, Long> revisionBySuspect) {
+        ObjectNode value = MAPPER.createObjectNode();
+        revisionBySuspect.forEach(value::put);
+        return encodeJson(value);
+    }
+
+    static Map<String, Long> decodeSound(byte[] value) throws IOException {
+        Map<String, Long> revisionBySuspect = new HashMap<>();
+        MAPPER.readTree(value)
+                .fields()
+                .forEachRemaining(field ->
+                        revisionBySuspect.put(field.getKey(), field.getValue().asLong()));
+        return revisionBySuspect;
+    }
+
     static byte[] encodeText(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -11,6 +11,7 @@
 
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.RouteTable;
+import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.relay.PlatformRecord;
@@ -45,7 +46,7 @@
     private final Map<String, UpstreamServer> servers = new HashMap<>();
     private final Map<String, TargetVersion> versions = new HashMap<>();
     private final Map<String, RegisteredNode> nodes = new HashMap<>();
-    private final Map<String, Set<String>> crashes = new HashMap<>();
+    private final CrashEvidence crashes = new CrashEvidence();
     /** Time in milliseconds at which a vanished registration is dropped, by name of the upstream or node. */
     private final Map<String, Long> dropVanishedAtMillis = new HashMap<>();
 
@@ -85,7 +86,7 @@
                     nodes,
                     switchingEngines(),
                     leader,
-                    deepCopy(crashes),
+                    crashes.verdicts(),
                     tree());
         } else if (lastView.revision() != revision) {
             lastView = lastView.withRevision(revision);
@@ -319,14 +320,30 @@
             rollout = Optional.of(NodeItems.decodeRollout(item.value()));
             return;
         }
-        items.parseCrashKey(item.key()).ifPresent(crash -> onCrash(crash, item.isRemoved()));
+        // Reports count for a fixed time from when they were read; their leases may expire early in an outage.
+        if (!item.isRemoved()) {
+            applyCrashItem(item, nowMillis);
+        }
     }
 
-    private void onCrash(NodeItems.CrashKey crash, boolean removed) {
-        if (removed) {
-            crashes.remove(crash.fingerprint());
-        } else {
-            crashes.computeIfAbsent(crash.fingerprint(), key -> new HashSet<>()).add(crash.incarnation());
+    private void applyCrashItem(StoreItem item, long nowMillis) throws IOException {
+        Set<String> refusedBefore = crashes.verdicts().refused();
+        Optional<NodeItems.CrashKey> crash = items.parseCrashKey(item.key());
+        if (crash.isPresent()) {
+            crashes.addReport(
+                    crash.get().node(),
+                    crash.get().incarnation(),
+                    NodeItems.decodeSuspects(item.value()),
+                    item.revision(),
+                    nowMillis);
+        } else if (items.isSoundKey(item.key())) {
+            crashes.addSound(NodeItems.decodeSound(item.value()));
+        }
+        if (!crashes.verdicts().refused().equals(refusedBefore)) {
+            log.logState(LogFields.event("causes of upstream crashes changed")
+                    .field("refused", crashes.verdicts().refused())
+                    .field("before", refusedBefore)
+                    .field("key", item.key()));
         }
     }
 
@@ -337,10 +354,4 @@
             nodes.remove(name);
         }
     }
-
-    private static Map<String, Set<String>> deepCopy(Map<String, Set<String>> source) {
-        Map<String, Set<String>> copy = new HashMap<>();
-        source.forEach((key, value) -> copy.put(key, Set.copyOf(value)));
-        return copy;
-    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -11,6 +11,7 @@
 
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.RouteTable;
+import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.model.relay.TargetVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
 
@@ -25,7 +26,7 @@
  * @param nodes registered nodes by name
  * @param switchingEngines identifiers of the engines that are about to load weights
  * @param leader value of the leader key, empty without a leader
- * @param crashes incarnations that a request may have crashed, by the request's fingerprint
+ * @param crashes what is suspected of crashing upstreams
  * @param tree hubs of the fleet and the members of their groups
  */
 public record PlatformView(
@@ -37,7 +38,7 @@
         Map<String, RegisteredNode> nodes,
         Set<String> switchingEngines,
         Optional<String> leader,
-        Map<String, Set<String>> crashes,
+        CrashVerdicts crashes,
         FleetTree tree) {
     /** The view before the first answer of the metadata store. */
     static final PlatformView EMPTY = new PlatformView(
@@ -49,7 +50,7 @@
             Map.of(),
             Set.of(),
             Optional.empty(),
-            Map.of(),
+            CrashVerdicts.NONE,
             FleetTree.EMPTY);
 
     /**
@@ -62,7 +63,6 @@
         versions = Map.copyOf(versions);
         nodes = Map.copyOf(nodes);
         switchingEngines = Set.copyOf(switchingEngines);
-        crashes = Map.copyOf(crashes);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -1,7 +1,6 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.Optional;
-import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -32,7 +31,7 @@
  * @param starter queue of requests that have been read and not yet started
  * @param waiting queue of requests without an upstream
  * @param retries this node's share of the retry budgets
- * @param crashReporter receives a request's fingerprint and the incarnation of the upstream that it may have crashed
+ * @param crashReports reports crashes of upstreams, and answers that went on well, to all nodes
  * @param metrics counters and timers of requests
  * @param log the structured log
  */
@@ -52,7 +51,7 @@
         RequestStarter starter,
         WaitingRequests waiting,
         RetryBudgets retries,
-        BiConsumer<String, String> crashReporter,
+        CrashReports crashReports,
         RelayMetrics metrics,
         DecisionLog log) {
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -149,7 +149,7 @@
                 waiting,
                 new RetryBudgets(
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
-                crashReports::report,
+                crashReports,
                 new RelayMetrics(metrics),
                 log);
         this.clientServer = new ClientHttpServer(context);
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -0,0 +1,107 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.cowslipbank.model.PeerException;
+
+/** Tests a node whose engines crash when they begin to answer requests with a certain prompt part. */
+final class CrashingPromptPartTest {
+    private static final int ENGINES = 4;
+    private static final long REQUEST_INTERVAL_MILLIS = 200;
+
+    /** Crashes after which no request with the part may reach an engine; stated by the platform's rules. */
+    private static final int MAX_CRASHES = 5;
+
+    /** Time after the last of these crashes in which requests with the part may still reach engines. */
+    private static final long CONTACT_MILLIS = 3_000;
+
+    private final AtomicLong restarts = new AtomicLong(1);
+    private RelaySystem system;
+    private final List<ScriptedUpstream> engines = new ArrayList<>();
+
+    @BeforeTry
+    void setUp() throws IOException, PeerException {
+        system = new RelaySystem();
+        for (int engine = 0; engine < ENGINES; engine++) {
+            engines.add(system.upstream("llm", "i-" + engine, this::answerOrCrash));
+        }
+        system.start();
+    }
+
+    @AfterTry
+    void tearDown() throws IOException {
+        system.close();
+    }
+
+    private void answerOrCrash(ScriptedUpstream.Received request, Socket socket) throws IOException {
+        if (request.header("X-Prefix-Hash").contains("dead:")) {
+            ScriptedUpstream.reset(socket);
+            String address = "127.0.0.1:" + socket.getLocalPort();
+            system.register("llm", request.header("X-Expect-Instance"), address, "ready", restarts.incrementAndGet());
+            return;
+        }
+        ScriptedUpstream.beginStream(request, socket, "id: 1\ndata: a\n\n");
+        ScriptedUpstream.endStream(socket);
+    }
+
+    private String sendPrompt(String id, String parts) {
+        return system.send(
+                "/once/",
+                id,
+                "X-Model: m\r\nX-Token-Usage: 300,20\r\nX-Prefix-Hash: " + parts + "\r\n",
+                "prompt " + id);
+    }
+
+    private long crashes() {
+        return engines.stream()
+                .flatMap(engine -> engine.received.stream())
+                .filter(request -> request.header("X-Prefix-Hash").contains("dead:"))
+                .count();
+    }
+
+    private String sendDeadly(int number) {
+        return sendPrompt("d" + number, "aa:100,dead:100,d" + number + ":100");
+    }
+
+    private String sendSound(int number) {
+        return sendPrompt("s" + number, "aa:100,bb:100,e" + number + ":100");
+    }
+
+    /** Failure guarded against: requests that have only a crashing prompt part in common crash one engine each. */
+    @Example
+    void requestsWithCrashingPartAreRefused() throws Exception {
+        for (int number = 0; number < MAX_CRASHES; number++) {
+            sendDeadly(number);
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        RelaySystem.await("the part is refused", () -> sendDeadly(100).startsWith("HTTP/1.1 503"));
+        Thread.sleep(CONTACT_MILLIS);
+        long before = crashes();
+        assert before <= MAX_CRASHES : before;
+        for (int number = 200; number < 210; number++) {
+            assert sendDeadly(number).startsWith("HTTP/1.1 503") : number;
+        }
+        assert crashes() == before : crashes();
+    }
+
+    /** Failure guarded against: sound requests that share the first part with crashing ones are refused. */
+    @Example
+    void soundRequestsWithTheSameFirstPartAreAnswered() throws Exception {
+        for (int number = 0; number < MAX_CRASHES; number++) {
+            sendDeadly(number);
+            assert sendSound(number).startsWith("HTTP/1.1 200") : number;
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        RelaySystem.await("the part is refused", () -> sendDeadly(100).startsWith("HTTP/1.1 503"));
+        for (int number = 200; number < 220; number++) {
+            assert sendSound(number).startsWith("HTTP/1.1 200") : number;
+        }
+    }
+}
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -107,11 +107,16 @@
     }
 
     void register(String service, String id, String address, String state) {
+        register(service, id, address, state, 1);
+    }
+
+    /** Registers an upstream that started at a stated time; a later time stands for a restart. */
+    void register(String service, String id, String address, String state, long startedAtMillis) {
         store.put(
                 "servers/" + id,
-                ("{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"a\",\"Slots\":16,\"State\":\"%s\",\"born\":1,"
+                ("{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"a\",\"Slots\":16,\"State\":\"%s\",\"born\":%d,"
                                 + "\"Models\":[{\"Name\":\"m\",\"Version\":1}]}")
-                        .formatted(service, address, state));
+                        .formatted(service, address, state, startedAtMillis));
     }
 
     /**
