Keep the fleet's requests within the rate that an upstream names

Seen by callers: none. Upstreams in need that named a limit of 4 to 6 requests a second got 10 to 14 a second from all nodes together.

Cause: the limit was not decoded and was passed on to clients as any other header. Counting it at each node for itself would not be enough: of 47 requests to one engine in 4 s, seven nodes had sent 1 to 16 each.

Change: a node reads the limit from every answer and sends an equal share of it, evenly shifted against the other nodes; what it does not send lapses after 1.5 s. Nodes tell each other in their load digests what they last saw, so that a restarted node knows the limit and its end. Clients no longer get the header.

Test: UpstreamLimitTest failed before (43 requests in 4 s, 17 allowed; the header was passed on); UpstreamLimitsTest replays fleets of up to 100 nodes.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -572,6 +572,7 @@
                     ? UpstreamLoads.SILENCE_LIMIT_MILLIS
                     : UpstreamLoads.plainSilenceLimitMillis(route.latencyObjectiveMillis());
             context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
+            context.limits().onSent(server.incarnation(), now());
             Optional<UpstreamConnection> idle = context.connections().takeIdle(server.address());
             if (idle.isPresent()) {
                 onConnection(idle.get(), null);
@@ -694,6 +695,7 @@
         @Override
         public void onHead(AnswerHead answer) {
             head = answer;
+            recordLimit(answer);
             answer.weightVersion().ifPresent(version -> context.loads().onVersion(server.incarnation(), version));
             if (answer.notExecuted()) {
                 // The rejection is read to its end, so that the connection stays usable.
@@ -713,6 +715,24 @@
             }
         }
 
+        private void recordLimit(AnswerHead answer) {
+            boolean changed =
+                    context.limits().onAnswer(server.incarnation(), answer.requestsPerSecond(), sentMillis, now());
+            if (changed) {
+                context.log()
+                        .logState(LogFields.event(
+                                        answer.requestsPerSecond().isPresent()
+                                                ? "upstream names a request limit"
+                                                : "upstream no longer names a request limit")
+                                .peer(server.address())
+                                .field("server", server.id())
+                                .field(
+                                        "requestsPerSecond",
+                                        answer.requestsPerSecond().orElse(-1))
+                                .field("nodes", view.nodes().size()));
+            }
+        }
+
         private void startStream(AnswerHead answer) {
             if (!headSent) {
                 headSent = true;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -5,10 +5,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
@@ -23,6 +25,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.FleetTree;
+import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -50,6 +53,7 @@
     private final Supplier<PlatformView> view;
     private final UpstreamLoads ownLoads;
     private final FleetLoads fleetLoads;
+    private final UpstreamLimits limits;
     private final Clocks clocks;
     private final LoopTurnTracker turns;
     private final DecisionLog log;
@@ -57,10 +61,37 @@
     private boolean wasIdle;
     private long round;
 
+    /**
+     * What nodes tell each other about upstreams.
+     *
+     * @param ownLoads this node's load
+     * @param fleetLoads load of the other nodes
+     * @param limits limits that upstreams name
+     */
+    record Exchanged(UpstreamLoads ownLoads, FleetLoads fleetLoads, UpstreamLimits limits) {}
+
     /** A digest, encoded as an array; {@code node} is a hash of the sender's name. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"scope", "node", "part", "work"})
-    record LoadDigest(FleetLoads.Scope scope, int node, int part, List<Entry> work) {}
+    @JsonPropertyOrder({"scope", "node", "part", "work", "limits"})
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    record LoadDigest(FleetLoads.Scope scope, int node, int part, List<Entry> work, List<LimitEntry> limits) {}
+
+    /** Limit of one upstream, encoded as an array; a rate below zero says that it no longer names one. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"upstream", "requestsPerSecond", "ageMillis"})
+    record LimitEntry(int upstream, double requestsPerSecond, long ageMillis) {
+        private static final double NONE = -1;
+
+        static LimitEntry of(UpstreamLimits.Observation observation) {
+            return new LimitEntry(
+                    observation.upstream(), observation.requestsPerSecond().orElse(NONE), observation.ageMillis());
+        }
+
+        UpstreamLimits.Observation decode() {
+            OptionalDouble rate = requestsPerSecond < 0 ? OptionalDouble.empty() : OptionalDouble.of(requestsPerSecond);
+            return new UpstreamLimits.Observation(upstream, rate, ageMillis);
+        }
+    }
 
     /** Load at one upstream, encoded as an array; {@code server} is a hash of the upstream's identifier. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -70,15 +101,15 @@
     LoadDigests(
             RegisteredNode self,
             Supplier<PlatformView> view,
-            UpstreamLoads ownLoads,
-            FleetLoads fleetLoads,
+            Exchanged exchanged,
             Clocks clocks,
             LoopTurnTracker turns,
             DecisionLog log) {
         this.self = self;
         this.view = view;
-        this.ownLoads = ownLoads;
-        this.fleetLoads = fleetLoads;
+        this.ownLoads = exchanged.ownLoads();
+        this.fleetLoads = exchanged.fleetLoads();
+        this.limits = exchanged.limits();
         this.clocks = clocks;
         this.turns = turns;
         this.log = log;
@@ -171,14 +202,27 @@
         }
         work.forEach((server, load) -> entries.get(Math.floorMod(server, datagrams))
                 .add(new Entry(server, load.requests(), load.tokens(), load.unreadTokens())));
+        List<List<LimitEntry>> limitEntries = limitEntries(datagrams);
         for (int part = 0; part < datagrams; part++) {
-            LoadDigest digest = new LoadDigest(scope, FleetLoads.shortHash(self.name()), part, entries.get(part));
+            LoadDigest digest = new LoadDigest(
+                    scope, FleetLoads.shortHash(self.name()), part, entries.get(part), limitEntries.get(part));
             ByteBuf content = Unpooled.wrappedBuffer(encode(digest));
             channel.write(
                     new DatagramPacket(content, SocketAddresses.parse(node.digestAddress())), channel.voidPromise());
         }
     }
 
+    private List<List<LimitEntry>> limitEntries(int datagrams) {
+        List<List<LimitEntry>> byPart = new ArrayList<>();
+        for (int part = 0; part < datagrams; part++) {
+            byPart.add(new ArrayList<>());
+        }
+        limits.observations(clocks.nowMillis())
+                .forEach(observation -> byPart.get(Math.floorMod(observation.upstream(), datagrams))
+                        .add(LimitEntry.of(observation)));
+        return byPart;
+    }
+
     private void onPacket(DatagramPacket packet) {
         turns.onEvent();
         try {
@@ -193,6 +237,9 @@
                             new FleetLoads.Load(entry.requests(), entry.tokens(), entry.unreadTokens())));
             fleetLoads.onDigest(
                     new FleetLoads.Source(digest.scope(), digest.node(), digest.part()), byServer, clocks.nowMillis());
+            // Nodes of an earlier release send no limits.
+            List<LimitEntry> named = digest.limits() == null ? List.of() : digest.limits();
+            named.forEach(entry -> limits.onObservation(entry.decode(), clocks.nowMillis()));
         } catch (IOException e) {
             log.logRequest(LogFields.event("cannot decode load digest; ignored")
                     .peer(String.valueOf(packet.sender()))
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Gauge;
@@ -15,6 +16,7 @@
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LookupNodes;
+import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.admin.PrometheusText;
 import org.cowslipbank.entry.log.LogFields;
@@ -66,10 +68,12 @@
     private final HubFeed hubFeed;
     private final HubFeedClient hubClient;
     private final CacheStoreCleaner cleaner;
+    private final UpstreamLimits limits;
     private final LoadDigests digests;
     private final RelayContext context;
     private final ClientHttpServer clientServer;
     private final List<DisposableServer> servers = new ArrayList<>();
+    private Set<String> sharingNodes = Set.of();
     private volatile boolean shuttingDown;
 
     /**
@@ -130,8 +134,10 @@
         this.cleaner =
                 new CacheStoreCleaner(platform.engines(), cacheIndex, watcher::view, lease::isLeader, clocks, log);
         FleetLoads fleetLoads = new FleetLoads();
+        this.limits = new UpstreamLimits();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, turns, loads);
-        this.digests = new LoadDigests(self, watcher::view, loads, fleetLoads, clocks, turns, log);
+        this.digests = new LoadDigests(
+                self, watcher::view, new LoadDigests.Exchanged(loads, fleetLoads, limits), clocks, turns, log);
         this.context = new RelayContext(
                 settings,
                 codec,
@@ -142,6 +148,7 @@
                 loop,
                 connections,
                 loads,
+                limits,
                 fleetLoads,
                 cacheIndex,
                 turns,
@@ -223,6 +230,12 @@
         context.turns().onEvent();
         cacheStores.refresh();
         loads.retain(view.incarnations());
+        limits.retain(view.incarnations());
+        if (!view.nodes().keySet().equals(sharingNodes)) {
+            sharingNodes = view.nodes().keySet();
+            List<String> names = sharingNodes.stream().sorted().toList();
+            limits.setShare(names.size(), Math.max(0, names.indexOf(settings.nodeName())));
+        }
     }
 
     private void sweep() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -167,6 +167,7 @@
         boolean closed = versionAgeIfOld(view, server).stream()
                 .anyMatch(ageMillis -> OldWeightsPolicy.isExcluded(ageMillis, boundMillis));
         return !closed
+                && context.limits().maySend(server.incarnation(), now())
                 && context.loads()
                         .isAvailable(server.incarnation(), context.turns().lastReadMillis());
     }
--- a/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.ports.relay;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -16,6 +17,7 @@
  * @param idleTimeoutMillis how long the upstream keeps an idle connection, in milliseconds
  * @param contentEncoded true if the body has a content encoding and so is not what the upstream itself wrote
  * @param contentBytes length of the body in bytes, if stated
+ * @param requestsPerSecond requests a second that the upstream takes from all nodes together, empty if it names no limit
  * @param endToEndHeaders the end-to-end headers, to be forwarded to the client
  */
 public record AnswerHead(
@@ -29,6 +31,7 @@
         OptionalLong idleTimeoutMillis,
         boolean contentEncoded,
         OptionalLong contentBytes,
+        OptionalDouble requestsPerSecond,
         List<Header> endToEndHeaders) {
     /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
     public AnswerHead {
