Leave the requests that a limited engine takes to long prompts

Cause: a limit counts requests, not tokens. Short prompts used up most of it at their home engines (20 requests a second at four engines, 7 of them long), while long prompts crowded the two engines without a limit.

Change: an engine that names a limit gets a delay of up to 150 ms in the estimate, none for prompts that count as long.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamSelector.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamSelector.java
@@ -61,6 +61,12 @@
     /** Delay that each request running at an engine adds, in milliseconds; a larger batch lengthens each step. */
     static final double MILLIS_PER_RUNNING_REQUEST = 3;
 
+    /**
+     * Delay added for the shortest prompts at an engine that limits its requests per second. The limit counts requests and
+     * not tokens, so the few requests that it takes should be long ones; those relieve the other engines most.
+     */
+    static final long LIMITED_PENALTY_MILLIS = 150;
+
     private UpstreamSelector() {}
 
     /**
@@ -168,6 +174,22 @@
         return Optional.of(new Choice(server, prompt.ownTokens(), 0, fetchableTokens, (long) millis));
     }
 
+    /**
+     * Returns the delay added to the estimate of an engine that limits its requests per second.
+     *
+     * @param promptTokens length of the prompt in tokens
+     * @param capacityTokens tokens that fit into an engine's memory
+     * @return the delay in milliseconds, zero for a long prompt
+     */
+    public static long limitedPenaltyMillis(int promptTokens, long capacityTokens) {
+        return Math.round(LIMITED_PENALTY_MILLIS * (1 - longPromptWeight(promptTokens, capacityTokens)));
+    }
+
+    /** Returns how long a prompt is for an engine, from zero for an empty one to one from the size of a long one. */
+    private static double longPromptWeight(int promptTokens, long capacityTokens) {
+        return Math.min(1, promptTokens / (LONG_PROMPT_SHARE * Math.max(1, capacityTokens)));
+    }
+
     static Optional<Choice> chooseAmongAll(Prompt prompt, List<UpstreamServer> servers, Candidates candidates) {
         List<UpstreamServer> eligible = candidates.eligible(servers);
         List<UpstreamServer> order = Rendezvous.top(prompt.key(), eligible, UpstreamServer::address, eligible.size());
@@ -225,8 +247,7 @@
         if (load.requests() == 0) {
             return true;
         }
-        double relativeSize = prompt.tokens() / (LONG_PROMPT_SHARE * Math.max(1, prompt.capacityTokens()));
-        double longPromptWeight = Math.min(1, relativeSize);
+        double longPromptWeight = longPromptWeight(prompt.tokens(), prompt.capacityTokens());
         double memoryShare = PROMPT_MEMORY_SHARE - SHORT_PROMPT_MEMORY_SHARE * longPromptWeight;
         double backlogLimit = SHORT_BACKLOG_TOKENS + longPromptWeight * (LONG_BACKLOG_TOKENS - SHORT_BACKLOG_TOKENS);
         return load.requests() < slots
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamSelectorTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamSelectorTest.java
@@ -56,6 +56,25 @@
         assert choice.rank() > 0 && choice.unreadTokens() == 2_900 : choice;
     }
 
+    /** Failure guarded against: short prompts use up the few requests that a limited engine takes, and long ones wait. */
+    @Example
+    void shortPromptsLeaveALimitedEngineToLongOnes() {
+        UpstreamServer home = choose(LONG, UpstreamSelectorTest::idle, 0).server();
+        for (Prompt prompt : List.of(LONG, SHORT)) {
+            Candidates limitedHome = new Candidates(
+                    Set.of(),
+                    server -> true,
+                    server -> true,
+                    UpstreamSelectorTest::idle,
+                    server -> 0,
+                    server ->
+                            server.equals(home) ? UpstreamSelector.limitedPenaltyMillis(prompt.tokens(), CAPACITY) : 0);
+            Choice choice =
+                    UpstreamSelector.chooseEngine(prompt, engines, limitedHome).orElseThrow();
+            assert choice.server().equals(home) == prompt.equals(LONG) : choice;
+        }
+    }
+
     /** Failure guarded against: long prompts fill an engine's memory until its runs evict each other. */
     @Example
     void fullEnginesLetLongPromptsWait() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -133,7 +133,7 @@
                 server -> isEligible(view, server),
                 this::load,
                 server -> storedByVersion.computeIfAbsent(versionOf(server), version -> storedTokens(view, version)),
-                server -> oldVersionPenaltyMillis(view, server));
+                server -> oldVersionPenaltyMillis(view, server) + limitPenaltyMillis(server));
     }
 
     // Digests are older than the duration of a plain request, so they are useless for plain services.
@@ -162,6 +162,17 @@
                 .orElse(0);
     }
 
+    private long limitPenaltyMillis(UpstreamServer server) {
+        return context.limits().isLimited(server.incarnation())
+                ? UpstreamSelector.limitedPenaltyMillis(
+                        promptTokens(), target.engine().get().capacityTokens())
+                : 0;
+    }
+
+    private int promptTokens() {
+        return request.prompt().map(PromptShape::promptTokens).orElse(0);
+    }
+
     private boolean isEligible(PlatformView view, UpstreamServer server) {
         long boundMillis = context.settings().bounds().versionMillis();
         boolean closed = versionAgeIfOld(view, server).stream()
