Bound the work that crash reports cause on large fleets

Cause: each report derived the verdicts anew from all suspects, and each node that saw a sound answer wrote at once. On a site of 86 nodes with flapping engines that would be hundreds of derivations and writes a second.

Change: suspects are indexed by crash, verdicts are derived once a view and only from suspects of two crashes or more. Nodes delay reports on sound suspects by different times and skip them if another node was faster. The first report on a crash tells when it happened, whoever sent it. Refused requests are told when to come back, in case the refusal is lifted.

--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
@@ -1,6 +1,5 @@
 package org.cowslipbank.decision.suspects;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,41 +23,49 @@
     /** How long a report counts; clients go on sending requests with the same prompt parts for minutes. */
     public static final long REPORT_TTL_MILLIS = 600_000;
 
-    private final Map<ReportKey, Report> reports = new HashMap<>();
+    private final Map<String, Crash> crashes = new HashMap<>();
+    private final Map<Suspect, Set<String>> incarnationsBySuspect = new HashMap<>();
+    private final Set<Suspect> repeated = new HashSet<>();
     private final Map<String, Long> soundAtRevision = new HashMap<>();
     private CrashVerdicts verdicts = CrashVerdicts.NONE;
+    private boolean outdated;
 
-    private record ReportKey(String node, String incarnation) {}
-
-    private record Report(Set<Suspect> suspects, long revision, long receivedMillis) {}
+    /** A crash; it happened before the first report on it. */
+    private record Crash(long firstRevision, long receivedMillis) {}
 
     /**
-     * Adds a node's report on a crash. A later report of the node on the same crash replaces it.
+     * Adds a node's report on a crash.
      *
-     * @param node the reporting node
      * @param incarnation the incarnation of the upstream that crashed
      * @param suspects what was in progress there and had not been answered for long
      * @param revision the store's revision of the report
      * @param nowMillis the monotonic time in milliseconds
      */
-    public void addReport(String node, String incarnation, Set<Suspect> suspects, long revision, long nowMillis) {
+    public void addReport(String incarnation, Set<Suspect> suspects, long revision, long nowMillis) {
         dropExpired(nowMillis);
-        ReportKey key = new ReportKey(node, incarnation);
-        Report known = reports.get(key);
-        if (known != null && known.revision() >= revision) {
-            return;
+        crashes.merge(
+                incarnation,
+                new Crash(revision, nowMillis),
+                (known, added) -> new Crash(Math.min(known.firstRevision(), revision), known.receivedMillis()));
+        for (Suspect suspect : suspects) {
+            Set<String> incarnations = incarnationsBySuspect.computeIfAbsent(suspect, key -> new HashSet<>());
+            incarnations.add(incarnation);
+            if (incarnations.size() >= MIN_WATCHED_CRASHES) {
+                repeated.add(suspect);
+                outdated = true;
+            }
         }
-        // The crash happened before the first report on it.
-        long crashRevision = known == null ? revision : known.revision();
-        reports.put(key, new Report(Set.copyOf(suspects), crashRevision, nowMillis));
-        deriveVerdicts();
     }
 
     private void dropExpired(long nowMillis) {
-        if (reports.values().removeIf(report -> nowMillis - report.receivedMillis() > REPORT_TTL_MILLIS)) {
+        if (crashes.values().removeIf(crash -> nowMillis - crash.receivedMillis() > REPORT_TTL_MILLIS)) {
+            incarnationsBySuspect.values().forEach(incarnations -> incarnations.retainAll(crashes.keySet()));
+            incarnationsBySuspect.values().removeIf(Set::isEmpty);
+            repeated.retainAll(incarnationsBySuspect.keySet());
             Set<String> reported = new HashSet<>();
-            reports.values().forEach(report -> report.suspects().forEach(suspect -> reported.add(suspect.id())));
+            incarnationsBySuspect.keySet().forEach(suspect -> reported.add(suspect.id()));
             soundAtRevision.keySet().retainAll(reported);
+            outdated = true;
         }
     }
 
@@ -69,7 +76,7 @@
      */
     public void addSound(Map<String, Long> revisionBySuspect) {
         revisionBySuspect.forEach((id, revision) -> soundAtRevision.merge(id, revision, Math::max));
-        deriveVerdicts();
+        outdated = true;
     }
 
     /**
@@ -78,21 +85,36 @@
      * @return the verdicts on all suspects
      */
     public CrashVerdicts verdicts() {
+        if (outdated) {
+            outdated = false;
+            verdicts = deriveVerdicts();
+        }
         return verdicts;
     }
 
-    private void deriveVerdicts() {
-        Map<String, Set<Suspect>> byCrash = new HashMap<>();
-        reports.forEach((key, report) -> report.suspects().stream()
-                .filter(suspect -> soundAtRevision.getOrDefault(suspect.id(), -1L) < report.revision())
-                .forEach(suspect -> byCrash.computeIfAbsent(key.incarnation(), crash -> new HashSet<>())
-                        .add(suspect)));
-        List<Set<Suspect>> crashes = new ArrayList<>(byCrash.values());
-        Map<String, Integer> counts = new HashMap<>();
-        crashes.forEach(crash -> crash.forEach(suspect -> counts.merge(suspect.id(), 1, Integer::sum)));
-        counts.values().removeIf(count -> count < MIN_WATCHED_CRASHES);
+    private CrashVerdicts deriveVerdicts() {
+        Set<String> watched = new HashSet<>();
+        Map<String, Set<Suspect>> suspectsByCrash = new HashMap<>();
+        for (Suspect suspect : repeated) {
+            List<String> uncleared = unclearedCrashes(suspect);
+            if (uncleared.size() >= MIN_WATCHED_CRASHES) {
+                watched.add(suspect.id());
+            }
+            if (uncleared.size() >= MIN_CRASHES) {
+                uncleared.forEach(crash -> suspectsByCrash
+                        .computeIfAbsent(crash, key -> new HashSet<>())
+                        .add(suspect));
+            }
+        }
         Set<String> refused = new HashSet<>();
-        CrashCauses.find(crashes, MIN_CRASHES).forEach(cause -> refused.add(cause.id()));
-        verdicts = new CrashVerdicts(refused, counts.keySet());
+        CrashCauses.find(suspectsByCrash.values(), MIN_CRASHES).forEach(cause -> refused.add(cause.id()));
+        return new CrashVerdicts(refused, watched);
+    }
+
+    private List<String> unclearedCrashes(Suspect suspect) {
+        long clearedUpTo = soundAtRevision.getOrDefault(suspect.id(), -1L);
+        return incarnationsBySuspect.getOrDefault(suspect, Set.of()).stream()
+                .filter(incarnation -> crashes.get(incarnation).firstRevision() > clearedUpTo)
+                .toList();
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
@@ -16,23 +16,23 @@
     /** Failure guarded against: the reports of several nodes on one crash count as several crashes. */
     @Example
     void reportsOfOneCrashCountOnce() {
-        evidence.addReport("n1", "i-1@1", Set.of(DEADLY), 1, 0);
-        evidence.addReport("n2", "i-1@1", Set.of(DEADLY), 2, 0);
-        evidence.addReport("n3", "i-1@1", Set.of(DEADLY), 3, 0);
+        evidence.addReport("i-1@1", Set.of(DEADLY), 1, 0);
+        evidence.addReport("i-1@1", Set.of(DEADLY), 2, 0);
+        evidence.addReport("i-1@1", Set.of(DEADLY), 3, 0);
         assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
-        evidence.addReport("n1", "i-1@2", Set.of(DEADLY), 4, 0);
+        evidence.addReport("i-1@2", Set.of(DEADLY), 4, 0);
         assert evidence.verdicts().watched().equals(Set.of("deadly")) : evidence.verdicts();
-        evidence.addReport("n2", "i-2@1", Set.of(DEADLY), 5, 0);
+        evidence.addReport("i-2@1", Set.of(DEADLY), 5, 0);
         assert evidence.verdicts().refused().equals(Set.of("deadly")) : evidence.verdicts();
     }
 
     /** Failure guarded against: sound requests that share a popular part with crashing ones are refused. */
     @Example
     void partOfSoundAnswersIsCleared() {
-        evidence.addReport("n1", "i-1@1", Set.of(DEADLY, POPULAR), 1, 0);
-        evidence.addReport("n1", "i-2@1", Set.of(DEADLY, POPULAR), 2, 0);
+        evidence.addReport("i-1@1", Set.of(DEADLY, POPULAR), 1, 0);
+        evidence.addReport("i-2@1", Set.of(DEADLY, POPULAR), 2, 0);
         evidence.addSound(Map.of("popular", 2L));
-        evidence.addReport("n1", "i-3@1", Set.of(DEADLY, POPULAR), 3, 0);
+        evidence.addReport("i-3@1", Set.of(DEADLY, POPULAR), 3, 0);
         assert evidence.verdicts().refused().equals(Set.of("deadly")) : evidence.verdicts();
         assert evidence.verdicts().watched().equals(Set.of("deadly")) : evidence.verdicts();
     }
@@ -41,7 +41,7 @@
     @Example
     void refusedPartIsClearedByLaterAnswer() {
         for (int crash = 1; crash <= 3; crash++) {
-            evidence.addReport("n1", "i-" + crash + "@1", Set.of(POPULAR), crash, 0);
+            evidence.addReport("i-" + crash + "@1", Set.of(POPULAR), crash, 0);
         }
         assert evidence.verdicts().refused().equals(Set.of("popular"));
         evidence.addSound(Map.of("popular", 3L));
@@ -53,7 +53,7 @@
     void earlierAnswerDoesNotClearLaterCrash() {
         evidence.addSound(Map.of("deadly", 1L));
         for (int crash = 2; crash <= 4; crash++) {
-            evidence.addReport("n1", "i-" + crash + "@1", Set.of(DEADLY), crash, 0);
+            evidence.addReport("i-" + crash + "@1", Set.of(DEADLY), crash, 0);
         }
         assert evidence.verdicts().refused().equals(Set.of("deadly")) : evidence.verdicts();
     }
@@ -62,10 +62,10 @@
     @Example
     void laterReportOnTheSameCrashIsNoNewCrash() {
         for (int crash = 1; crash <= 3; crash++) {
-            evidence.addReport("n1", "i-" + crash + "@1", Set.of(POPULAR), crash, 0);
+            evidence.addReport("i-" + crash + "@1", Set.of(POPULAR), crash, 0);
         }
         evidence.addSound(Map.of("popular", 3L));
-        evidence.addReport("n1", "i-3@1", Set.of(POPULAR, DEADLY), 4, 0);
+        evidence.addReport("i-3@1", Set.of(POPULAR, DEADLY), 4, 0);
         assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
     }
 
@@ -73,9 +73,9 @@
     @Example
     void oldReportsExpire() {
         for (int crash = 1; crash <= 3; crash++) {
-            evidence.addReport("n1", "i-" + crash + "@1", Set.of(DEADLY), crash, 0);
+            evidence.addReport("i-" + crash + "@1", Set.of(DEADLY), crash, 0);
         }
-        evidence.addReport("n1", "i-9@1", Set.of(POPULAR), 9, CrashEvidence.REPORT_TTL_MILLIS + 1);
+        evidence.addReport("i-9@1", Set.of(POPULAR), 9, CrashEvidence.REPORT_TTL_MILLIS + 1);
         assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.suspects.CrashCauses;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.decision.suspects.CrashEvidence;
@@ -27,6 +28,12 @@
     /** Delay of later writes on the same crash; the connections to a crashed upstream break within this time. */
     static final long WRITE_DELAY_MILLIS = 25;
 
+    /**
+     * Longest delay of a report on sound suspects. The delays of nodes differ, so that the first report spares the others
+     * theirs.
+     */
+    static final int MAX_SOUND_DELAY_MILLIS = 500;
+
     /** Time within which connections to several upstreams break if they have the same cause. */
     static final long OWN_FAULT_WINDOW_MILLIS = 100;
 
@@ -47,7 +54,8 @@
     private final Map<String, Set<Suspect>> pending = new HashMap<>();
     private final Map<String, Set<Suspect>> reported = new HashMap<>();
     private final Map<String, Long> sound = new HashMap<>();
-    private boolean soundChanged;
+    private final long soundDelayMillis;
+    private boolean soundScheduled;
     private boolean writeScheduled;
     private Mono<Long> lease = Mono.empty();
     private long leaseGrantedMillis = Long.MIN_VALUE / 2;
@@ -57,6 +65,8 @@
 
     CrashReports(ControlContext context) {
         this.context = context;
+        this.soundDelayMillis =
+                Math.floorMod(FleetLoads.shortHash(context.self().name()), MAX_SOUND_DELAY_MILLIS);
     }
 
     /**
@@ -96,8 +106,10 @@
     void reportSound(Set<String> suspects, long revision) {
         context.control().schedule(() -> {
             suspects.forEach(suspect -> sound.merge(suspect, revision, Math::max));
-            soundChanged = true;
-            scheduleWrite(WRITE_DELAY_MILLIS);
+            if (!soundScheduled) {
+                soundScheduled = true;
+                context.control().schedule(this::writeSound, soundDelayMillis, TimeUnit.MILLISECONDS);
+            }
         });
     }
 
@@ -123,9 +135,6 @@
             broken.values().forEach(suspects -> suspects.retainAll(common));
         }
         broken.forEach(this::writeCrash);
-        if (soundChanged) {
-            writeSound();
-        }
     }
 
     private void renewLease() {
@@ -159,14 +168,12 @@
     }
 
     private void writeSound() {
-        soundChanged = false;
+        soundScheduled = false;
+        renewLease();
         CrashVerdicts verdicts = context.view().get().crashes();
         sound.keySet().removeIf(suspect -> !verdicts.watched().contains(suspect));
         if (!sound.isEmpty()) {
-            write(
-                    context.items().soundKey(context.self().name()),
-                    NodeItems.encodeSound(sound),
-                    () -> soundChanged = true);
+            write(context.items().soundKey(context.self().name()), NodeItems.encodeSound(sound), () -> {});
         }
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -177,7 +177,7 @@
                 new RequestPlacement.Target(service, routes.service(service).flatMap(RelayService::engine), team),
                 server -> context.waiting().reservedTokens(this, server));
         if (isRefusedForCrashes()) {
-            refuse(CRASHED_UPSTREAMS, 0);
+            refuse(CRASHED_UPSTREAMS, RETRY_AFTER_MILLIS);
             return;
         }
         long waitMillis = Math.min(request.timeoutMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
@@ -266,7 +266,7 @@
         if (now() >= deadlineMillis) {
             onDeadline();
         } else if (isRefusedForCrashes()) {
-            giveUp(CRASHED_UPSTREAMS, 0);
+            giveUp(CRASHED_UPSTREAMS);
         } else if (expired) {
             giveUp("overloaded", RETRY_AFTER_MILLIS);
         } else if (!tryStartAttempt()) {
@@ -284,7 +284,7 @@
     boolean retryQueued(boolean expired) {
         if (!ended && isRefusedForCrashes()) {
             queued = false;
-            giveUp(CRASHED_UPSTREAMS, 0);
+            giveUp(CRASHED_UPSTREAMS);
             return true;
         }
         if (ended || tryStartAttempt()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -12,6 +12,7 @@
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.suspects.CrashEvidence;
+import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.relay.PlatformRecord;
@@ -86,7 +87,7 @@
                     nodes,
                     switchingEngines(),
                     leader,
-                    crashes.verdicts(),
+                    crashVerdicts(),
                     tree());
         } else if (lastView.revision() != revision) {
             lastView = lastView.withRevision(revision);
@@ -327,24 +328,25 @@
     }
 
     private void applyCrashItem(StoreItem item, long nowMillis) throws IOException {
-        Set<String> refusedBefore = crashes.verdicts().refused();
         Optional<NodeItems.CrashKey> crash = items.parseCrashKey(item.key());
         if (crash.isPresent()) {
             crashes.addReport(
-                    crash.get().node(),
-                    crash.get().incarnation(),
-                    NodeItems.decodeSuspects(item.value()),
-                    item.revision(),
-                    nowMillis);
+                    crash.get().incarnation(), NodeItems.decodeSuspects(item.value()), item.revision(), nowMillis);
         } else if (items.isSoundKey(item.key())) {
             crashes.addSound(NodeItems.decodeSound(item.value()));
         }
-        if (!crashes.verdicts().refused().equals(refusedBefore)) {
+    }
+
+    private CrashVerdicts crashVerdicts() {
+        CrashVerdicts verdicts = crashes.verdicts();
+        Set<String> refusedBefore = lastView.crashes().refused();
+        if (!verdicts.refused().equals(refusedBefore)) {
             log.logState(LogFields.event("causes of upstream crashes changed")
-                    .field("refused", crashes.verdicts().refused())
+                    .field("refused", verdicts.refused())
                     .field("before", refusedBefore)
-                    .field("key", item.key()));
+                    .field("storeRevision", revision));
         }
+        return verdicts;
     }
 
     private void onNodeUnregistered(String name, long nowMillis) {
