Move a request's suspects out of the exchange

Cause: the exchange held the derivation of suspects beside its state. Change: RequestSuspects derives, checks and reports them; behaviour is as before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -21,9 +20,9 @@
 import org.cowslipbank.decision.relay.WaitingQueue;
 import org.cowslipbank.decision.retry.RetryQuestion;
 import org.cowslipbank.decision.retry.RetryVerdict;
-import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.TeamId;
 import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
 import org.cowslipbank.model.relay.RelayService;
@@ -110,7 +109,7 @@
     private final EventSplitter splitter = new EventSplitter();
 
     private PlatformView view;
-    private Set<Suspect> suspects;
+    private RequestSuspects suspects;
     private Route route;
     private Optional<RelayTeam> team = Optional.empty();
     private String service = "";
@@ -176,7 +175,9 @@
                 request,
                 new RequestPlacement.Target(service, routes.service(service).flatMap(RelayService::engine), team),
                 server -> context.waiting().reservedTokens(this, server));
-        if (isRefusedForCrashes()) {
+        suspects = new RequestSuspects(
+                context, request, new TeamId(team.map(RelayTeam::name).orElse(ANONYMOUS_TEAM)), body);
+        if (suspects.areRefused()) {
             refuse(CRASHED_UPSTREAMS, RETRY_AFTER_MILLIS);
             return;
         }
@@ -215,33 +216,6 @@
         }
     }
 
-    private boolean isRefusedForCrashes() {
-        Set<String> refused = context.view().get().crashes().refused();
-        return !refused.isEmpty() && suspects().stream().anyMatch(suspect -> refused.contains(suspect.id()));
-    }
-
-    private Set<Suspect> suspects() {
-        if (suspects == null) {
-            String teamName = team.map(RelayTeam::name).orElse(ANONYMOUS_TEAM);
-            suspects = RequestSuspects.of(request, teamName, ByteBufUtil.getBytes(body));
-        }
-        return suspects;
-    }
-
-    /** Clears this request's suspects, since an answer to it went on well. */
-    private void reportSound() {
-        PlatformView newest = context.view().get();
-        Set<String> watched = newest.crashes().watched();
-        if (watched.isEmpty() || !placement.targetsEngines()) {
-            return;
-        }
-        Set<String> sound =
-                suspects().stream().map(Suspect::id).filter(watched::contains).collect(Collectors.toSet());
-        if (!sound.isEmpty()) {
-            context.crashReports().reportSound(sound, newest.revision());
-        }
-    }
-
     /** Lets the request be started at an upstream after the sockets have been read, or refuses it at once. */
     private void submitStart() {
         if (ended) {
@@ -265,7 +239,7 @@
         }
         if (now() >= deadlineMillis) {
             onDeadline();
-        } else if (isRefusedForCrashes()) {
+        } else if (suspects.areRefused()) {
             giveUp(CRASHED_UPSTREAMS);
         } else if (expired) {
             giveUp("overloaded", RETRY_AFTER_MILLIS);
@@ -282,7 +256,7 @@
      * @return true if it leaves the queue
      */
     boolean retryQueued(boolean expired) {
-        if (!ended && isRefusedForCrashes()) {
+        if (!ended && suspects.areRefused()) {
             queued = false;
             giveUp(CRASHED_UPSTREAMS);
             return true;
@@ -437,7 +411,7 @@
             rejections++;
         }
         if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
-            context.crashReports().reportBroken(server.incarnation(), suspects());
+            suspects.reportBroken(server.incarnation());
         }
         splitter.discardIncompleteEvent();
         if (mayRetry()) {
@@ -625,7 +599,7 @@
             if (settled) {
                 return;
             }
-            if (!isEstablished() && isRefusedForCrashes()) {
+            if (!isEstablished() && suspects.areRefused()) {
                 // Ends it before the upstream begins to answer, which would crash it.
                 endAttempt(Outcome.ABANDONED);
                 possibleRuns++;
@@ -653,6 +627,12 @@
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
         }
 
+        private void reportSound() {
+            if (placement.targetsEngines()) {
+                suspects.reportSound();
+            }
+        }
+
         private boolean isEstablished() {
             return answerBeganMillis >= 0 && now() - answerBeganMillis >= ESTABLISHED_ANSWER_MILLIS;
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -3,7 +3,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.decision.suspects.Fingerprint;
 import org.cowslipbank.model.TeamId;
@@ -11,29 +14,83 @@
 import org.cowslipbank.model.relay.PromptShape;
 import org.cowslipbank.ports.relay.RelayRequest;
 
-/** Derives what a request consists of that may crash an upstream: the request as a whole and its shared parts. */
+/**
+ * What one request consists of that may crash an engine: the request as a whole, identified by team, path and body, and
+ * the parts of its prompt that other requests may share.
+ */
 final class RequestSuspects {
     private static final String REQUEST = "request:";
     private static final String PART = "part:";
 
-    private RequestSuspects() {}
+    private final RelayContext context;
+    private final RelayRequest request;
+    private final TeamId team;
+    private final ByteBuf body;
+    private Set<Suspect> suspects;
 
     /**
-     * Returns the suspects of a request.
+     * Creates the suspects of a request; they are derived when they are first needed.
      *
+     * @param context the node's shared state
      * @param request the request
-     * @param team the name of the client's team
-     * @param body the request's body
-     * @return the request itself, identified by team, path and body, and the parts that other requests may share
+     * @param team the client's team
+     * @param body the request's body; must not be released before the last call
      */
-    static Set<Suspect> of(RelayRequest request, String team, byte[] body) {
+    RequestSuspects(RelayContext context, RelayRequest request, TeamId team, ByteBuf body) {
+        this.context = context;
+        this.request = request;
+        this.team = team;
+        this.body = body;
+    }
+
+    /**
+     * Returns whether the request is refused because it, or one of its parts, is taken as the cause of crashes.
+     *
+     * @return true if it must not be sent
+     */
+    boolean areRefused() {
+        Set<String> refused = context.view().get().crashes().refused();
+        return !refused.isEmpty() && suspects().stream().anyMatch(suspect -> refused.contains(suspect.id()));
+    }
+
+    /**
+     * Reports that an answer to the request broke off.
+     *
+     * @param incarnation the upstream's incarnation
+     */
+    void reportBroken(String incarnation) {
+        context.crashReports().reportBroken(incarnation, suspects());
+    }
+
+    /** Clears the suspects, since an answer to the request went on well. */
+    void reportSound() {
+        PlatformView newest = context.view().get();
+        Set<String> watched = newest.crashes().watched();
+        if (watched.isEmpty()) {
+            return;
+        }
+        Set<String> sound =
+                suspects().stream().map(Suspect::id).filter(watched::contains).collect(Collectors.toSet());
+        if (!sound.isEmpty()) {
+            context.crashReports().reportSound(sound, newest.revision());
+        }
+    }
+
+    private Set<Suspect> suspects() {
+        if (suspects == null) {
+            suspects = derive();
+        }
+        return suspects;
+    }
+
+    private Set<Suspect> derive() {
         List<PromptPart> parts = request.prompt().map(PromptShape::sharedParts).orElse(List.of());
-        Set<Suspect> suspects = new HashSet<>();
+        Set<Suspect> derived = new HashSet<>();
         for (int depth = 0; depth < parts.size(); depth++) {
-            suspects.add(new Suspect(PART + parts.get(depth).id(), depth));
+            derived.add(new Suspect(PART + parts.get(depth).id(), depth));
         }
-        long fingerprint = Fingerprint.of(new TeamId(team), request.path(), body, 0);
-        suspects.add(new Suspect(REQUEST + Long.toHexString(fingerprint), parts.size()));
-        return suspects;
+        long fingerprint = Fingerprint.of(team, request.path(), ByteBufUtil.getBytes(body), 0);
+        derived.add(new Suspect(REQUEST + Long.toHexString(fingerprint), parts.size()));
+        return derived;
     }
 }
