Count data from the start of the turn before an overdue one

Seen by callers: requests that lay unread for 1.5 s on a busy machine were sent on after their deadline of 0.7 s.

Cause: if the thread lost the processor after a long turn until a timer was overdue, data was taken to have arrived after the end of that turn. What arrived within the turn is read only now as well.

Test: arrivalsInALongTurnBeforeAnOverdueOneCountFromItsStart failed before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/LoopTurns.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/LoopTurns.java
@@ -43,11 +43,8 @@
         boolean waited = endedMillis == NEVER || nowMillis - endedMillis >= minIdleMillis();
         boolean overdue = endedMillis != NEVER && nowMillis > expectedMillis + OVERDUE_MILLIS;
         overdueMillis = overdue && waited ? nowMillis - expectedMillis : 0;
-        if (!waited) {
-            earliestArrivalMillis = startedMillis;
-        } else {
-            earliestArrivalMillis = overdue ? endedMillis : nowMillis;
-        }
+        // Without an idle wait, what arrived since the sockets were last read may be read only now.
+        earliestArrivalMillis = waited && !overdue ? nowMillis : startedMillis;
         startedMillis = nowMillis;
         inTurn = true;
         turn++;
