Forget earlier broken connections before a crash report is written

Cause: connections that had broken were forgotten only when another one broke, so a repeated write counted old ones as breaking at once. Change: they are forgotten before each write too.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -81,7 +81,7 @@
 
     private void addBroken(String incarnation, Set<Suspect> suspects) {
         long nowMillis = context.clocks().nowMillis();
-        recentlyBroken.values().removeIf(broken -> nowMillis - broken.firstMillis() > OWN_FAULT_WINDOW_MILLIS);
+        forgetOldBreaks(nowMillis);
         recentlyBroken
                 .computeIfAbsent(incarnation, key -> new Broken(nowMillis, new HashSet<>()))
                 .suspects()
@@ -97,6 +97,10 @@
         scheduleWrite(reported.containsKey(incarnation) ? WRITE_DELAY_MILLIS : 0);
     }
 
+    private void forgetOldBreaks(long nowMillis) {
+        recentlyBroken.values().removeIf(broken -> nowMillis - broken.firstMillis() > OWN_FAULT_WINDOW_MILLIS);
+    }
+
     /**
      * Reports suspects that were in an answer that went on well. May be called by any thread.
      *
@@ -125,6 +129,7 @@
         renewLease();
         Map<String, Set<Suspect>> broken = new HashMap<>(pending);
         pending.clear();
+        forgetOldBreaks(context.clocks().nowMillis());
         if (recentlyBroken.size() >= OWN_FAULT_UPSTREAMS) {
             Set<Suspect> common = CrashCauses.inAll(
                     recentlyBroken.values().stream().map(Broken::suspects).toList());
