Report requests that broke together, not all of the last minutes

Cause: a report on an upstream was rewritten with all requests that had broken there since the lease began. An engine that loses answers now and then got reports that grew for five minutes.

Change: requests are reported together within 5 s; later ones begin a new report.

Test: reportsOnOneEngineDoNotGrow failed before (2,179 bytes after 40 requests, 1,500 allowed for those of 5 s).

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -34,6 +34,9 @@
      */
     static final int MAX_SOUND_DELAY_MILLIS = 500;
 
+    /** Time for which the requests that break at an upstream are reported together, as one crash. */
+    static final long CRASH_SPAN_MILLIS = 5_000;
+
     /** Time within which connections to several upstreams break if they have the same cause. */
     static final long OWN_FAULT_WINDOW_MILLIS = 100;
 
@@ -52,7 +55,7 @@
     private final ControlContext context;
     private final Map<String, Broken> recentlyBroken = new HashMap<>();
     private final Map<String, Set<Suspect>> pending = new HashMap<>();
-    private final Map<String, Set<Suspect>> reported = new HashMap<>();
+    private final Map<String, Broken> reported = new HashMap<>();
     private final Map<String, Long> sound = new HashMap<>();
     private final long soundDelayMillis;
     private boolean soundScheduled;
@@ -159,7 +162,10 @@
         if (suspects.isEmpty()) {
             return;
         }
-        Set<Suspect> all = reported.computeIfAbsent(incarnation, key -> new HashSet<>());
+        long nowMillis = context.clocks().nowMillis();
+        reported.values().removeIf(crash -> nowMillis - crash.firstMillis() > CRASH_SPAN_MILLIS);
+        Set<Suspect> all = reported.computeIfAbsent(incarnation, key -> new Broken(nowMillis, new HashSet<>()))
+                .suspects();
         if (!all.addAll(suspects)) {
             return;
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -16,6 +16,12 @@
     private static final int ENGINES = 4;
     private static final long REQUEST_INTERVAL_MILLIS = 200;
 
+    /** Time for which the requests that break at an engine may be reported together. */
+    private static final long CRASH_SPAN_MILLIS = 5_000;
+
+    /** Two parts and a hash with their depths, as JSON. */
+    private static final int MAX_BYTES_PER_REQUEST = 60;
+
     /** Crashes after which no request with the part may reach an engine; stated by the platform's rules. */
     private static final int MAX_CRASHES = 5;
 
@@ -104,4 +110,31 @@
             assert sendSound(number).startsWith("HTTP/1.1 200") : number;
         }
     }
+
+    /** Failure guarded against: reports on an engine that breaks off answers now and then grow with each of them. */
+    @Example
+    void reportsOnOneEngineDoNotGrow() throws Exception {
+        for (int engine = 1; engine < ENGINES; engine++) {
+            system.store.remove("servers/i-" + engine);
+        }
+        engines.get(0).setScript((request, socket) -> ScriptedUpstream.reset(socket));
+        system.awaitStoreApplied();
+        int longest = 0;
+        for (int number = 0; number < 40; number++) {
+            sendPrompt("b" + number, "p" + number + ":100,q" + number + ":100,r" + number + ":100");
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+            longest = Math.max(longest, longestReportBytes());
+        }
+        long within = CRASH_SPAN_MILLIS / REQUEST_INTERVAL_MILLIS;
+        assert longest > 0 && longest <= within * MAX_BYTES_PER_REQUEST : longest;
+    }
+
+    private int longestReportBytes() {
+        return system.store.keys().stream()
+                .filter(key -> key.contains("/crashes/"))
+                .flatMap(key -> system.store.item(key).stream())
+                .mapToInt(item -> item.value().length)
+                .max()
+                .orElse(0);
+    }
 }
