Follow a metadata store that was restored from a copy

Cause: state was derived from the store's revision, which was taken to rise for ever. After the restore each reading had a lower revision and was ignored; the nodes read everything again and again until the revision was given out again, and then went on without the changes in between. Evidence: 1,273 such readings in 4.4 s, all with the revision from before, and no line of an older configuration or an ended lease.

Revisions now carry the era that the store names in its answers, so they never fall; leases, expected revisions and watches of an earlier era count as ended. That covers fencing tokens, the order of crash reports and hubs as well. Heartbeats tell which registration is the newer one. A reading confirms the configuration only when lost writes have been written again; a mark in the store tells this to nodes that start. A store without eras whose revisions fall is followed again, too.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -49,6 +49,9 @@
      */
     static final int OWN_FAULT_UPSTREAMS = 3;
 
+    /** Age up to which reports are written again after a restore of the store, whose copy is some seconds old. */
+    static final long WRITE_AGAIN_MILLIS = 60_000;
+
     /** Limit on crashes that wait to be reported; further ones are dropped while the metadata store is unreachable. */
     static final int MAX_PENDING = 64;
 
@@ -56,6 +59,7 @@
     private final Map<String, Broken> recentlyBroken = new HashMap<>();
     private final Map<String, Set<Suspect>> pending = new HashMap<>();
     private final Map<String, Broken> reported = new HashMap<>();
+    private final Map<String, WrittenReport> written = new HashMap<>();
     private final Map<String, Long> sound = new HashMap<>();
     private final long soundDelayMillis;
     private boolean soundScheduled;
@@ -66,6 +70,9 @@
     /** Requests at one upstream whose answers broke off since a moment. */
     private record Broken(long firstMillis, Set<Suspect> suspects) {}
 
+    /** A report in the store. */
+    private record WrittenReport(byte[] value, long writtenMillis) {}
+
     CrashReports(ControlContext context) {
         this.context = context;
         this.soundDelayMillis =
@@ -120,6 +127,20 @@
         });
     }
 
+    /** Writes recent reports again, because the store has lost them. May be called by any thread. */
+    void writeAgain() {
+        context.control().schedule(() -> {
+            leaseGrantedMillis = Long.MIN_VALUE / 2;
+            long nowMillis = context.clocks().nowMillis();
+            written.values().removeIf(report -> nowMillis - report.writtenMillis() > WRITE_AGAIN_MILLIS);
+            if (written.isEmpty()) {
+                return;
+            }
+            renewLease();
+            written.forEach((key, report) -> write(key, report.value(), () -> {}));
+        });
+    }
+
     private void scheduleWrite(long delayMillis) {
         if (!writeScheduled || delayMillis == 0) {
             writeScheduled = true;
@@ -172,7 +193,10 @@
         String key = context.items().crashKey(context.self().name(), incarnation);
         context.log()
                 .logState(LogFields.event("crash reported").field("key", key).field("suspects", all.size()));
-        write(key, NodeItems.encodeSuspects(all), () -> {
+        byte[] value = NodeItems.encodeSuspects(all);
+        written.values().removeIf(report -> nowMillis - report.writtenMillis() > WRITE_AGAIN_MILLIS);
+        written.put(key, new WrittenReport(value, nowMillis));
+        write(key, value, () -> {
             all.removeAll(suspects);
             pending.computeIfAbsent(incarnation, again -> new HashSet<>()).addAll(suspects);
         });
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -152,6 +152,11 @@
         }
         RouteTable routes = view.routes().get();
         Optional<Route> found = routes.route(request.host(), request.path());
+        if (found.isEmpty() && !context.isConfirmed()) {
+            // A newer configuration may have the route.
+            waitForConfirmation();
+            return;
+        }
         if (found.isEmpty()) {
             fail(404, "no_route");
             return;
@@ -193,11 +198,8 @@
             return true;
         }
         if (!context.isConfirmed()) {
-            // An unconfirmed configuration may still contain revoked keys. After a suspension of the VM the
-            // confirmation comes within milliseconds; without contact to the metadata store it may not come at all.
-            waitOrRefuse(
-                    "configuration_unconfirmed",
-                    context.metadataStoreReachable().getAsBoolean() ? CONFIRMATION_WAIT_MILLIS : 0);
+            // An unconfirmed configuration may still contain revoked keys.
+            waitForConfirmation();
             return false;
         }
         team = request.bearerKey().flatMap(routes::team);
@@ -208,6 +210,13 @@
         return true;
     }
 
+    // After a suspension of the VM the confirmation comes within milliseconds; without contact to the metadata store it
+    // may
+    // not come at all.
+    private void waitForConfirmation() {
+        waitOrRefuse("configuration_unconfirmed", context.canConfirm().getAsBoolean() ? CONFIRMATION_WAIT_MILLIS : 0);
+    }
+
     private void waitOrRefuse(String reason, long waitMillis) {
         if (now() - arrivedMillis < waitMillis) {
             deadlineTimer = schedule(this::resolveRoute, RESOLVE_RETRY_MILLIS);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
@@ -88,6 +88,12 @@
             long atRevision,
             ConfigurationConfirmation confirmed,
             long reconnectedAtMillis) {
+        if (atRevision < revision) {
+            // The store has lost changes.
+            items.clear();
+            oldestRevision = Long.MAX_VALUE;
+            revision = fromRevision;
+        }
         if (oldestRevision == Long.MAX_VALUE) {
             oldestRevision = fromRevision;
         }
@@ -199,7 +205,7 @@
     }
 
     private boolean canAnswer(PollRequest poll) {
-        return confirmation.isPresent() && poll.revision() >= oldestRevision;
+        return confirmation.isPresent() && poll.revision() >= oldestRevision && poll.revision() <= revision;
     }
 
     private boolean hasChanges(PollRequest poll) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -53,6 +54,11 @@
         return prefix + "leader";
     }
 
+    /** Key of the mark that names the era of the store up to which no writes are missing. */
+    String completeEraKey() {
+        return prefix + "complete-era";
+    }
+
     String rolloutKey() {
         return prefix + "rollout";
     }
@@ -150,6 +156,15 @@
         return revisionBySuspect;
     }
 
+    static byte[] encodeEra(long era) {
+        return encodeText(Long.toString(era));
+    }
+
+    static OptionalLong decodeEra(byte[] value) {
+        String text = decodeText(value);
+        return text.matches("[0-9]{1,18}") ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+    }
+
     static byte[] encodeText(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -1,7 +1,9 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.cowslipbank.decision.hashing.Rendezvous;
@@ -29,8 +31,10 @@
     private final long ttlMillis;
     private long lease;
     private boolean registered;
+    private long registeredRevision;
     private boolean released;
     private boolean callInFlight;
+    private boolean marking;
     private long leaderlessSinceMillis = -1;
     private Optional<LeaderLease.ClockReading> validUntil = Optional.empty();
     private volatile Optional<Leadership> leadership = Optional.empty();
@@ -150,11 +154,29 @@
                 context.items().nodeKey(context.self().name()), NodeItems.encodeNode(context.self()), lease);
         return context.store().write(write).publishOn(context.control()).map(revision -> {
             registered = revision.isPresent();
+            registeredRevision = revision.orElse(0L);
             return registered;
         });
     }
 
+    private void markCompleteEra() {
+        OptionalLong era = state.eraToMark(context.clocks().nowMillis());
+        if (leadership.isEmpty() || marking || era.isEmpty()) {
+            return;
+        }
+        marking = true;
+        context.store()
+                .write(new MetadataStore.Write(
+                        context.items().completeEraKey(), NodeItems.encodeEra(era.getAsLong()), 0))
+                .publishOn(context.control())
+                .doFinally(signal -> marking = false)
+                .subscribe(revision -> state.onEraMarked(era.getAsLong()), error -> context.log()
+                        .logState(LogFields.event("era of the metadata store not marked; the next turn repeats it")
+                                .error(error)));
+    }
+
     private void runElection() {
+        markCompleteEra();
         PlatformView platform = context.view().get();
         boolean hasLeader = platform.leader().isPresent();
         long nowMillis = context.clocks().nowMillis();
@@ -185,8 +207,14 @@
         callInFlight = true;
         MetadataStore.Write write =
                 new MetadataStore.Write(context.items().leaderKey(), NodeItems.encodeText(leaderId()), lease);
+        // The registration tells that the lease is still this node's, also if the store was restored meanwhile.
+        Map<String, Long> expected = Map.of(
+                context.items().leaderKey(),
+                MetadataStore.ABSENT,
+                context.items().nodeKey(context.self().name()),
+                registeredRevision);
         context.store()
-                .writeIf(write, MetadataStore.ABSENT)
+                .writeIf(write, expected)
                 .publishOn(context.control())
                 .doFinally(signal -> callInFlight = false)
                 .subscribe(revision -> revision.ifPresent(this::becomeLeader), this::onError);
@@ -198,8 +226,8 @@
     }
 
     private void becomeLeader(long fencingToken) {
-        boolean hasPredecessor =
-                state.rolloutAnnouncer().filter(by -> !by.equals(leaderId())).isPresent();
+        boolean hasPredecessor = state.isRestored()
+                || state.rolloutAnnouncer().filter(by -> !by.equals(leaderId())).isPresent();
         leadership = Optional.of(new Leadership(fencingToken, context.clocks().now(), hasPredecessor));
         context.log()
                 .logState(LogFields.event("leads version rollouts")
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.cowslipbank.decision.relay.FleetTree;
+import org.cowslipbank.decision.relay.RestoreSettling;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.decision.suspects.CrashVerdicts;
@@ -19,6 +21,7 @@
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.model.relay.TargetVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
+import org.cowslipbank.ports.relay.MetadataStore;
 import org.cowslipbank.ports.relay.PlatformDecoder;
 
 /**
@@ -48,6 +51,8 @@
     private final Map<String, TargetVersion> versions = new HashMap<>();
     private final Map<String, RegisteredNode> nodes = new HashMap<>();
     private final CrashEvidence crashes = new CrashEvidence();
+    private final RegistrationHistory registrations = new RegistrationHistory();
+    private final RestoreSettling settling = new RestoreSettling();
     /** Time in milliseconds at which a vanished registration is dropped, by name of the upstream or node. */
     private final Map<String, Long> dropVanishedAtMillis = new HashMap<>();
 
@@ -59,6 +64,9 @@
     private int treeMaxHubs;
     private long leaderRevision;
     private long revision;
+    private long configurationRevision;
+    private long restoredAtRevision;
+    private boolean configurationKnownBeforeRestore;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private PlatformView lastView = PlatformView.EMPTY;
     private boolean viewOutdated = true;
@@ -136,11 +144,36 @@
         reconnectedMillis = Math.max(reconnectedMillis, atMillis);
     }
 
-    /** Applies a complete reading of the store; registrations that are not in it have vanished. */
-    void applySnapshot(List<StoreItem> all, long atRevision, long nowMillis) {
-        if (atRevision < revision) {
+    /**
+     * Applies a complete reading of the store; registrations that are not in it have vanished.
+     *
+     * @param range the reading
+     * @param revisionAtSend revision up to which changes had been applied when the store was asked
+     * @param nowMillis the time in milliseconds
+     * @return true if the store was restored from a copy since the last reading
+     */
+    boolean applySnapshot(MetadataStore.Range range, long revisionAtSend, long nowMillis) {
+        long atRevision = range.revision();
+        if (atRevision < revision && atRevision >= revisionAtSend) {
             // A hub has already delivered later changes.
-            return;
+            return false;
+        }
+        List<StoreItem> all = range.items();
+        boolean restored = settling.onRead(range.era(), markedEra(all), nowMillis);
+        if (restored) {
+            // What is missing now is written again, as after an outage.
+            onReconnected(nowMillis);
+            restoredAtRevision = atRevision;
+            configurationKnownBeforeRestore = routes.isPresent();
+            log.logState(LogFields.event("metadata store was restored from a copy")
+                    .field("era", range.era())
+                    .field("storeRevision", atRevision)
+                    .field("revisionBefore", revision));
+        } else if (atRevision < revision) {
+            onReconnected(nowMillis);
+            log.logState(LogFields.event("metadata store has lost changes")
+                    .field("storeRevision", atRevision)
+                    .field("revisionBefore", revision));
         }
         viewOutdated = true;
         Set<String> present = new HashSet<>();
@@ -148,7 +181,7 @@
             present.add(item.key());
             apply(item, nowMillis);
         }
-        revision = Math.max(revision, atRevision);
+        revision = atRevision;
         for (UpstreamServer server : List.copyOf(servers.values())) {
             boolean listed = all.stream().anyMatch(item -> item.key().endsWith("/" + server.id()));
             if (!listed) {
@@ -164,6 +197,54 @@
             leader = Optional.empty();
             leaderRevision = 0;
         }
+        return restored;
+    }
+
+    private OptionalLong markedEra(List<StoreItem> all) {
+        for (StoreItem item : all) {
+            if (item.key().equals(items.completeEraKey())) {
+                return NodeItems.decodeEra(item.value());
+            }
+        }
+        return OptionalLong.empty();
+    }
+
+    /**
+     * Returns whether the readings tell the newest state.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return false while writes that a restore of the store has lost may be missing
+     */
+    boolean isSettled(long nowMillis) {
+        return settling.isSettled(nowMillis);
+    }
+
+    /**
+     * Returns the era of the store that should be marked as complete.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return the era, or empty if there is nothing to mark
+     */
+    OptionalLong eraToMark(long nowMillis) {
+        return settling.eraToMark(nowMillis);
+    }
+
+    /**
+     * Records that the era of the store was marked as complete.
+     *
+     * @param era the era
+     */
+    void onEraMarked(long era) {
+        settling.onMarked(era);
+    }
+
+    /**
+     * Returns whether an earlier leader may be missing in the store, because it was restored.
+     *
+     * @return true if a restore is known
+     */
+    boolean isRestored() {
+        return settling.isRestored();
     }
 
     /**
@@ -178,6 +259,9 @@
                 different.add(item);
             }
         }
+        if (configurationKnownBeforeRestore && configurationRevision > restoredAtRevision) {
+            settling.onConfigurationWritten(nowMillis);
+        }
         revision = Math.max(revision, atRevision);
         viewOutdated |= !different.isEmpty();
         return different;
@@ -203,7 +287,9 @@
     private boolean apply(StoreItem item, long nowMillis) {
         PlatformRecord decoded = decoder.decode(item);
         if (decoded instanceof PlatformRecord.Registered registered) {
-            return onRegistered(registered.server());
+            return registrations.isNew(
+                            registered, servers.containsKey(registered.server().id()))
+                    && onRegistered(registered.server());
         }
         if (decoded instanceof PlatformRecord.Configured configured) {
             onConfigured(configured, item);
@@ -225,7 +311,12 @@
     private void onConfigured(PlatformRecord.Configured configured, StoreItem item) {
         long version = configured.configuration().version();
         long known = routes.map(table -> table.configuration().version()).orElse(Long.MIN_VALUE);
-        if (version <= known) {
+        if (version < known) {
+            // Only a store that was restored from a copy has an older one; it is written again.
+            return;
+        }
+        configurationRevision = item.revision();
+        if (version == known) {
             return;
         }
         routes = Optional.of(new RouteTable(configured.configuration()));
@@ -317,6 +408,12 @@
             leaderRevision = item.isRemoved() ? 0 : item.revision();
             return;
         }
+        if (item.key().equals(items.completeEraKey())) {
+            if (!item.isRemoved()) {
+                NodeItems.decodeEra(item.value()).ifPresent(settling::onMarked);
+            }
+            return;
+        }
         if (item.key().equals(items.rolloutKey()) && !item.isRemoved()) {
             rollout = Optional.of(NodeItems.decodeRollout(item.value()));
             return;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -58,6 +58,7 @@
     private volatile Optional<ConfigurationConfirmation> confirmation = Optional.empty();
     private Disposable call;
     private volatile boolean connected;
+    private volatile boolean settled;
     private boolean stopped;
     private long retryPauseMillis = MIN_RETRY_PAUSE_MILLIS;
     private long lastAnswerMillis;
@@ -107,14 +108,22 @@
 
         /** Called when this node may have missed changes of the store, or no longer follows it. */
         void onChangesMissed();
+
+        /** Called when the store was restored from a copy, so that it lacks the last writes of this node. */
+        void onStoreRestored();
     }
 
     PlatformView view() {
         return view;
     }
 
-    boolean isConnected() {
-        return connected;
+    /**
+     * Returns whether a confirmation of the configuration is to be expected with the next answer of the store.
+     *
+     * @return false if the store does not answer, or lacks writes because it was restored from a copy
+     */
+    boolean canConfirm() {
+        return connected && settled;
     }
 
     Optional<ConfigurationConfirmation> confirmation() {
@@ -148,12 +157,18 @@
 
     private void readAll() {
         LeaderLease.ClockReading sentAt = clocks.now();
-        callStore(store.range(decoder.watchedPrefix()), range -> onSnapshot(range, sentAt), this::readAll);
+        long revisionAtSend = view.revision();
+        callStore(
+                store.range(decoder.watchedPrefix()),
+                range -> onSnapshot(range, revisionAtSend, sentAt),
+                this::readAll);
     }
 
-    private void onSnapshot(Range range, LeaderLease.ClockReading sentAt) {
+    private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt) {
         onContact();
-        state.applySnapshot(range.items(), range.revision(), clocks.nowMillis());
+        if (state.applySnapshot(range, revisionAtSend, clocks.nowMillis())) {
+            listener.onStoreRestored();
+        }
         confirm(sentAt);
         publish();
         watch();
@@ -189,7 +204,7 @@
     private void onWatched(Optional<Changes> changes, LeaderLease.ClockReading sentAt) {
         onContact();
         if (changes.isEmpty()) {
-            log.logState(LogFields.event("metadata store no longer has the changes since revision; reading all items")
+            log.logState(LogFields.event("metadata store does not have the changes since revision; reading all items")
                     .field("revision", view.revision()));
             listener.onChangesMissed();
             readAll();
@@ -201,11 +216,12 @@
                 state.applyChanges(changes.get().items(), changes.get().revision(), clocks.nowMillis());
         // A watch without changes confirms the state at the end of its wait, less a margin of a tenth of the wait.
         long waitedMillis = Math.min(MAX_WATCH_MILLIS, clocks.nowMillis() - sentAt.monotonicMillis());
-        ConfigurationConfirmation confirmed =
-                confirm(unchanged ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt);
+        confirm(unchanged ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt);
         publish();
         Changes passedOn = new Changes(different, changes.get().revision());
-        listener.onChanges(fromRevision, passedOn, confirmed, state.reconnectedMillis());
+        confirmation.ifPresentOrElse(
+                confirmed -> listener.onChanges(fromRevision, passedOn, confirmed, state.reconnectedMillis()),
+                listener::onChangesMissed);
         if (unchanged) {
             watch();
         } else {
@@ -214,14 +230,18 @@
         }
     }
 
-    private ConfigurationConfirmation confirm(LeaderLease.ClockReading at) {
+    private void confirm(LeaderLease.ClockReading at) {
         ConfigurationConfirmation next = new ConfigurationConfirmation(at.monotonicMillis(), at.wallMillis());
+        settled = state.isSettled(clocks.nowMillis());
+        if (!settled) {
+            // The store may lack its newest configuration, so its answer confirms nothing.
+            return;
+        }
         long known =
                 confirmation.map(ConfigurationConfirmation::monotonicMillis).orElse(Long.MIN_VALUE);
         if (next.monotonicMillis() >= known) {
             confirmation = Optional.of(next);
         }
-        return next;
     }
 
     private void publish() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -21,7 +21,7 @@
  * @param codec encoding of requests and answers
  * @param view the newest view of the platform
  * @param confirmation the last confirmation of the configuration, empty before the first
- * @param metadataStoreReachable returns whether the last call of the metadata store was answered
+ * @param canConfirm returns whether the metadata store can confirm the configuration with its next answer
  * @param clocks the clocks
  * @param loop the traffic thread
  * @param connections connections to upstreams
@@ -42,7 +42,7 @@
         RelayCodec codec,
         Supplier<PlatformView> view,
         Supplier<Optional<ConfigurationConfirmation>> confirmation,
-        BooleanSupplier metadataStoreReachable,
+        BooleanSupplier canConfirm,
         Clocks clocks,
         EventLoop loop,
         UpstreamConnectionPool connections,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -143,7 +143,7 @@
                 codec,
                 watcher::view,
                 watcher::confirmation,
-                watcher::isConnected,
+                watcher::canConfirm,
                 clocks,
                 loop,
                 connections,
@@ -329,6 +329,11 @@
             public void onChangesMissed() {
                 loop.execute(hubFeed::onMetadataLost);
             }
+
+            @Override
+            public void onStoreRestored() {
+                context.crashReports().writeAgain();
+            }
         };
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -21,6 +21,7 @@
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.EngineControl.CacheChange;
 import org.cowslipbank.ports.relay.EngineControl.CacheChanges;
+import org.cowslipbank.ports.relay.MetadataStore;
 import reactor.core.publisher.Mono;
 
 final class CacheStoreFollowerTest {
@@ -41,7 +42,7 @@
         DecisionLog log = new DecisionLog(Clocks.SYSTEM.monotonic(), DecisionLog.LINES_PER_SECOND);
         PlatformState state = new PlatformState(new MetadataItemDecoder(), new NodeItems("cowslipbank/"), log);
         byte[] value = CONFIGURATION.getBytes(StandardCharsets.UTF_8);
-        state.applySnapshot(List.of(new StoreItem("op/config", value, 2, 2, 0)), 2, 0);
+        state.applySnapshot(new MetadataStore.Range(List.of(new StoreItem("op/config", value, 2, 2, 0)), 2, 0), 0, 0);
         PlatformView view = state.view();
         EngineControl engines = new SilentStores();
         CacheStoreFollower.Sources sources =
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -79,7 +80,7 @@
 
     @Override
     public Mono<Range> range(String prefix) {
-        return call(() -> new Range(List.copyOf(items.tailMap(prefix).values()), revision));
+        return call(() -> new Range(List.copyOf(items.tailMap(prefix).values()), revision, 0));
     }
 
     @Override
@@ -102,10 +103,11 @@
     }
 
     @Override
-    public Mono<Optional<Long>> writeIf(Write write, long expectedRevision) {
+    public Mono<Optional<Long>> writeIf(Write write, Map<String, Long> expectedRevisions) {
         return call(() -> {
-            long known = items.containsKey(write.key()) ? items.get(write.key()).revision() : ABSENT;
-            if (known != expectedRevision) {
+            boolean asExpected = expectedRevisions.entrySet().stream()
+                    .allMatch(expected -> expected.getValue() == revisionOf(expected.getKey()));
+            if (!asExpected) {
                 return Optional.<Long>empty();
             }
             put(write.key(), write.value(), write.lease());
@@ -113,6 +115,10 @@
         });
     }
 
+    private long revisionOf(String key) {
+        return items.containsKey(key) ? items.get(key).revision() : ABSENT;
+    }
+
     @Override
     public Mono<Optional<Long>> write(Write write) {
         return call(() -> {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
@@ -8,6 +8,7 @@
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.platform.MetadataItemDecoder;
+import org.cowslipbank.ports.relay.MetadataStore;
 
 final class PlatformStateTest {
     private final NodeItems items = new NodeItems("cowslipbank/");
@@ -21,6 +22,10 @@
         return new StoreItem("servers/" + id, value.getBytes(StandardCharsets.UTF_8), revision, revision, 0);
     }
 
+    private void applySnapshot(List<StoreItem> all, long revision, long nowMillis) {
+        state.applySnapshot(new MetadataStore.Range(all, revision, 0), 0, nowMillis);
+    }
+
     private static StoreItem removed(String key, long revision) {
         return new StoreItem(key, null, revision, 0, 0);
     }
@@ -28,7 +33,7 @@
     /** Failure guarded against: all upstreams are dropped because their registrations expired during an outage. */
     @Example
     void registrationsExpiredInAnOutageAreKept() {
-        state.applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
+        applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
         state.onReconnected(60_000);
         state.applyChanges(List.of(removed("servers/i-1", 6)), 6, 60_010);
         assert state.view().activeServers("app").size() == 1;
@@ -43,7 +48,7 @@
      */
     @Example
     void heartbeatsAreNoDifference() {
-        state.applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
+        applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
         PlatformView before = state.view();
         assert state.applyChanges(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 6)), 6, 100)
                 .isEmpty();
@@ -64,9 +69,9 @@
     /** Failure guarded against: an upstream that registered again after an outage is still dropped. */
     @Example
     void returnedRegistrationStays() {
-        state.applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
+        applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
         state.onReconnected(60_000);
-        state.applySnapshot(List.of(), 6, 60_010);
+        applySnapshot(List.of(), 6, 60_010);
         state.applyChanges(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 7)), 7, 61_000);
         assert !state.dropVanished(70_000);
         assert state.view().activeServers("app").size() == 1;
@@ -78,7 +83,7 @@
      */
     @Example
     void upstreamThatLeavesAfterAnOutageIsDroppedAtOnce() {
-        state.applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
+        applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5)), 5, 0);
         state.onReconnected(60_000);
         state.applyChanges(List.of(removed("servers/i-1", 6)), 6, 63_400);
         assert state.view().activeServers("app").isEmpty();
@@ -87,7 +92,7 @@
     /** Failure guarded against: an upstream that was draining is kept because of an outage. */
     @Example
     void drainingUpstreamIsNotKept() {
-        state.applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "draining", 5)), 5, 0);
+        applySnapshot(List.of(server("i-1", "10.0.0.1:80", 1, "draining", 5)), 5, 0);
         state.onReconnected(60_000);
         state.applyChanges(List.of(removed("servers/i-1", 6)), 6, 60_010);
         assert state.view().servers().isEmpty();
@@ -96,7 +101,7 @@
     /** Failure guarded against: a late write of an older incarnation replaces the newer one. */
     @Example
     void olderIncarnationDoesNotReturn() {
-        state.applySnapshot(List.of(server("i-1", "10.0.0.1:80", 9, "ready", 5)), 5, 0);
+        applySnapshot(List.of(server("i-1", "10.0.0.1:80", 9, "ready", 5)), 5, 0);
         state.applyChanges(List.of(server("i-1", "10.0.0.1:80", 4, "draining", 6)), 6, 10);
         assert state.view().activeServers("app").get(0).startedAtMillis() == 9;
     }
@@ -104,7 +109,7 @@
     /** Failure guarded against: requests are sent for an upstream whose address now belongs to a newer one. */
     @Example
     void newestUpstreamAtAnAddressIsUsed() {
-        state.applySnapshot(
+        applySnapshot(
                 List.of(server("i-1", "10.0.0.1:80", 1, "ready", 5), server("i-2", "10.0.0.1:80", 2, "ready", 6)),
                 6,
                 0);
@@ -118,7 +123,7 @@
         byte[] rollout = NodeItems.encodeRollout(new NodeItems.RolloutAnnouncement("n1#7", java.util.Set.of("i-1")));
         StoreItem announced = new StoreItem(items.rolloutKey(), rollout, 6, 6, 0);
         StoreItem leader = new StoreItem(items.leaderKey(), NodeItems.encodeText("n1#7"), 5, 5, 7);
-        state.applySnapshot(List.of(leader, announced), 6, 0);
+        applySnapshot(List.of(leader, announced), 6, 0);
         assert state.view().switchingEngines().size() == 1;
         state.applyChanges(List.of(removed(items.leaderKey(), 7)), 7, 10);
         assert state.view().switchingEngines().isEmpty();
@@ -128,7 +133,46 @@
     /** Failure guarded against: an undecodable item written by a node stops this node. */
     @Example
     void undecodableNodeItemIsIgnored() {
-        state.applySnapshot(List.of(new StoreItem(items.rolloutKey(), new byte[] {1, 2}, 5, 5, 0)), 5, 0);
+        applySnapshot(List.of(new StoreItem(items.rolloutKey(), new byte[] {1, 2}, 5, 5, 0)), 5, 0);
         assert state.view().switchingEngines().isEmpty();
     }
+
+    private static StoreItem heartbeat(String serverState, long born, long sequence, long revision) {
+        String value =
+                "{\"Service\":\"app\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"%s\",\"born\":%d,\"Sequence\":%d}"
+                        .formatted(serverState, born, sequence);
+        return new StoreItem("servers/i-1", value.getBytes(StandardCharsets.UTF_8), revision, revision, 0);
+    }
+
+    private boolean isActive() {
+        return !state.view().activeServers("app").isEmpty();
+    }
+
+    /** Failure guarded against: a late write, or one of a restored copy, makes an upstream ready that drains. */
+    @Example
+    void olderHeartbeatDoesNotEndDraining() {
+        applySnapshot(List.of(heartbeat("ready", 1, 3, 5)), 5, 0);
+        state.applyChanges(List.of(heartbeat("draining", 1, 9, 6)), 6, 1_000);
+        state.applyChanges(List.of(heartbeat("ready", 1, 3, 7)), 7, 2_000);
+        assert !isActive();
+    }
+
+    /** Failure guarded against: an upstream whose registration was removed is used again from a restored copy. */
+    @Example
+    void lastHeartbeatOfADepartedUpstreamDoesNotBringItBack() {
+        applySnapshot(List.of(heartbeat("ready", 1, 3, 5)), 5, 0);
+        state.applyChanges(List.of(removed("servers/i-1", 6)), 6, 60_000);
+        state.applyChanges(List.of(heartbeat("ready", 1, 3, 7)), 7, 61_000);
+        assert !isActive();
+        state.applyChanges(List.of(heartbeat("ready", 1, 4, 8)), 8, 62_000);
+        assert isActive();
+    }
+
+    /** Failure guarded against: a restarted upstream counts as departed, because its heartbeats start anew. */
+    @Example
+    void heartbeatsOfANewIncarnationStartAnew() {
+        applySnapshot(List.of(heartbeat("draining", 1, 30, 5)), 5, 0);
+        state.applyChanges(List.of(heartbeat("ready", 2, 1, 6)), 6, 1_000);
+        assert isActive();
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -12,12 +12,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
@@ -27,6 +29,10 @@
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.platform.HttpRelayCodec;
 import org.cowslipbank.platform.MetadataItemDecoder;
+import org.cowslipbank.platform.MetadataStoreClient;
+import org.cowslipbank.platform.PlatformHttp;
+import org.cowslipbank.platform.StandInStore;
+import org.cowslipbank.ports.relay.MetadataStore;
 import org.cowslipbank.ports.relay.RelaySettings;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
@@ -81,6 +87,15 @@
     }
 
     RelaySystem(Transport transport) throws IOException, PeerException {
+        this(transport, Optional.empty());
+    }
+
+    /** Creates a node that follows a metadata store over HTTP instead of {@link #store}. */
+    RelaySystem(StandInStore remoteStore) throws IOException, PeerException {
+        this(Transport.PREFERRED, Optional.of("127.0.0.1:" + remoteStore.port()));
+    }
+
+    private RelaySystem(Transport transport, Optional<String> remoteStore) throws IOException, PeerException {
         LoopResources preferred = LoopResources.create("relay-test", 1, true);
         loops = transport == Transport.PORTABLE ? new PortableLoops(preferred) : preferred;
         eventLoop = (EventLoop) loops.onServer(true).next();
@@ -100,7 +115,13 @@
         node = new RelayNode(
                 settings,
                 new RelayNode.Platform(
-                        store, new MetadataItemDecoder(), engines, new FailingCodec(new HttpRelayCodec())),
+                        remoteStore
+                                .<MetadataStore>map(
+                                        address -> new MetadataStoreClient(new PlatformHttp(loops), address))
+                                .orElse(store),
+                        new MetadataItemDecoder(),
+                        engines,
+                        new FailingCodec(new HttpRelayCodec())),
                 loops,
                 clocks,
                 metrics);
@@ -117,14 +138,24 @@
     /** Waits until the node has applied all changes that are in the metadata store now. */
     void awaitStoreApplied() {
         long revision = store.revision();
+        awaitRevision(applied -> applied >= revision);
+    }
+
+    /** Waits until the revision that the node has applied is as expected. */
+    void awaitRevision(LongPredicate expected) {
         await("the node has applied the store's changes", () -> {
             Object applied = metrics.getGauges().get("platform.revision").getValue();
-            return (Long) applied >= revision;
+            return expected.test((Long) applied);
         });
     }
 
     void configure(int version, String keys) {
-        store.put("op/config", CONFIGURATION.formatted(version, keys));
+        store.put("op/config", configuration(version, keys));
+    }
+
+    /** Returns the value of a configuration with stated API keys of the only team. */
+    static String configuration(int version, String keys) {
+        return CONFIGURATION.formatted(version, keys);
     }
 
     ScriptedUpstream upstream(String service, String id, ScriptedUpstream.Script script) throws IOException {
--- a/model/src/main/java/org/cowslipbank/model/relay/PlatformRecord.java
+++ b/model/src/main/java/org/cowslipbank/model/relay/PlatformRecord.java
@@ -1,5 +1,7 @@
 package org.cowslipbank.model.relay;
 
+import java.util.OptionalLong;
+
 /** A decoded item of the metadata store. */
 public sealed interface PlatformRecord {
     /**
@@ -20,8 +22,9 @@
      * An upstream registered itself.
      *
      * @param server the upstream
+     * @param sequence number of its heartbeat, which starts anew with each incarnation; empty if not stated
      */
-    record Registered(UpstreamServer server) implements PlatformRecord {}
+    record Registered(UpstreamServer server, OptionalLong sequence) implements PlatformRecord {}
 
     /**
      * An upstream's registration was removed.
--- a/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.ports.relay;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.cowslipbank.model.relay.StoreItem;
@@ -9,6 +10,11 @@
 /**
  * Client of the platform's metadata store. Every call counts against one rate limit shared by all nodes. Errors are of
  * type {@link org.cowslipbank.model.PeerException}; the run state is unknown if a write may still take effect.
+ *
+ * <p>The store may be restored from a copy that is some seconds old; it then loses what was written and the leases that
+ * were granted since. Each restore begins a new era. Revisions are never given out twice: those of a later era are larger
+ * than all earlier ones. A lease, an expected revision and a watched revision of an earlier era count as ended, different
+ * and compacted.
  */
 public interface MetadataStore {
     /** Expected revision of a key that must not exist yet. */
@@ -19,8 +25,9 @@
      *
      * @param items the items
      * @param revision store revision at which they were read
+     * @param era the store's era, zero if it names none
      */
-    record Range(List<StoreItem> items, long revision) {
+    record Range(List<StoreItem> items, long revision, long era) {
         /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
         public Range {
             items = List.copyOf(items);
@@ -71,18 +78,18 @@
      * @param prefix the prefix
      * @param afterRevision only changes after this revision are returned
      * @param waitMillis the longest wait in milliseconds
-     * @return the changes, or empty if the store has compacted this part of its history
+     * @return the changes, or empty if the store has compacted this part of its history or was restored since
      */
     Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis);
 
     /**
-     * Writes a value if its key has the expected revision.
+     * Writes a value if keys have the expected revisions.
      *
      * @param write the key, value and lease
-     * @param expectedRevision the expected revision, {@link #ABSENT} if the key must not exist
-     * @return the new revision, or empty if the revision differed or the lease has expired or been revoked
+     * @param expectedRevisions the expected revision by key, {@link #ABSENT} if the key must not exist
+     * @return the new revision, or empty if a revision differed or the lease has expired or been revoked
      */
-    Mono<Optional<Long>> writeIf(Write write, long expectedRevision);
+    Mono<Optional<Long>> writeIf(Write write, Map<String, Long> expectedRevisions);
 
     /**
      * Writes a value unconditionally.
