Log the software versions of engines and what a request takes up

The lines could not tell whether a node resumed a stream itself at another version, or its client took it up at another node. Registrations, failed attempts and ended requests now name the engine's software version, and requests the stream that they take up. No change of behaviour.

--- a/decision/src/test/java/org/cowslipbank/decision/relay/RelaySamples.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/RelaySamples.java
@@ -29,7 +29,7 @@
 
     static UpstreamServer engine(int index, long version) {
         String address = "10.0.0." + (index + 1) + ":80";
-        return new UpstreamServer("i-" + index, "llm", address, "a", 64, false, 1, Map.of(MODEL, version));
+        return new UpstreamServer("i-" + index, "llm", address, "a", 64, false, "v1", 1, Map.of(MODEL, version));
     }
 
     static Route route(String host, String prefix, List<ServiceShare> services) {
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamSelectorTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamSelectorTest.java
@@ -137,7 +137,8 @@
     @Example
     void plainRequestsPreferTheLocalDataCentre() {
         List<UpstreamServer> servers = List.of(engines.get(0), engines.get(1));
-        UpstreamServer far = new UpstreamServer("far", "app", "10.9.0.1:80", "b", 6, false, 1, java.util.Map.of());
+        UpstreamServer far =
+                new UpstreamServer("far", "app", "10.9.0.1:80", "b", 6, false, "v1", 1, java.util.Map.of());
         List<UpstreamServer> all = List.of(servers.get(0), far);
         for (int key = 0; key < 50; key++) {
             Candidates even = candidates(Set.of(), UpstreamSelectorTest::idle, 0);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -499,10 +499,12 @@
         if (lastChoice != null) {
             line.peer(lastChoice.server().address())
                     .field("server", lastChoice.server().id())
+                    .field("softwareVersion", lastChoice.server().softwareVersion())
                     .field("rank", lastChoice.rank())
                     .field("storedTokens", lastChoice.storedTokens())
                     .field("expectedMillis", lastChoice.expectedMillis());
         }
+        request.resumes().ifPresent(first -> line.field("resumes", first));
         request.prompt().ifPresent(prompt -> line.field("prompt", prompt.affinityKey())
                 .field("promptTokens", prompt.promptTokens()));
         if (!lastFailure.isEmpty()) {
@@ -757,6 +759,7 @@
                     .field("request", request.id())
                     .peer(server.address())
                     .field("server", server.id())
+                    .field("softwareVersion", server.softwareVersion())
                     .field("outcome", outcome)
                     .field("reason", message)
                     .field("sentAgoMillis", sent ? now() - sentMillis : -1)
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -346,6 +346,7 @@
                     .peer(server.address())
                     .field("server", server.id())
                     .field("service", server.service())
+                    .field("softwareVersion", server.softwareVersion())
                     .field("versions", server.versionByModel()));
         }
         return true;
--- a/model/src/main/java/org/cowslipbank/model/relay/UpstreamServer.java
+++ b/model/src/main/java/org/cowslipbank/model/relay/UpstreamServer.java
@@ -11,6 +11,8 @@
  * @param dataCentre its data centre
  * @param slots requests that it runs at the same time
  * @param draining true if it accepts no new requests
+ * @param softwareVersion version of its software, empty if not stated; only upstreams of the same version may continue
+ *     each other's streams
  * @param startedAtMillis Unix time of its start in milliseconds, zero if not stated
  * @param versionByModel weight version of each model that it has loaded
  */
@@ -21,6 +23,7 @@
         String dataCentre,
         int slots,
         boolean draining,
+        String softwareVersion,
         long startedAtMillis,
         Map<String, Long> versionByModel) {
     /** Makes an unmodifiable copy of the map; null keys and values are rejected with NullPointerException. */
--- a/ports/src/main/java/org/cowslipbank/ports/relay/RelayRequest.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/RelayRequest.java
@@ -17,6 +17,7 @@
  * @param timeoutMillis how long the client waits, in milliseconds from when it sent the request
  * @param prompt size and parts of the prompt, if the request has one
  * @param lastEventId identifier of the last event received, if the client resumes a stream
+ * @param resumes identifier of the client's request that brought the first event of the stream that this one takes up
  * @param endToEndHeaders the end-to-end headers, to be forwarded to the upstream, without those that the node sets itself
  */
 public record RelayRequest(
@@ -28,6 +29,7 @@
         OptionalLong timeoutMillis,
         Optional<PromptShape> prompt,
         Optional<String> lastEventId,
+        Optional<String> resumes,
         List<Header> endToEndHeaders) {
     /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
     public RelayRequest {
@@ -44,6 +46,15 @@
         return query < 0 ? target : target.substring(0, query);
     }
 
+    /**
+     * Returns whether the client takes up a stream of which it already has events.
+     *
+     * @return false for a new request
+     */
+    public boolean takesUpStream() {
+        return lastEventId.isPresent() || resumes.isPresent();
+    }
+
     @Override
     public String toString() {
         return "RelayRequest[" + id + " " + method + "]";
