Let streams go on only at the software version that began them

Cause: neither a node that resumed a stream within its answer nor one at which a client took a stream up asked where the stream had begun, and a node that had not carried it could not know.

Placement is now bound to the version of the first event. While a service has several versions, nodes report through the metadata store where their streams began, so that the knowledge survives all nodes. What is not known is refused as not run instead of joined; with one version all is known.

--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -0,0 +1,222 @@
+package org.cowslipbank.decision.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The software version at which each stream began. What two versions write does not fit together and no engine checks it,
+ * so a stream that broke off may go on only at its version.
+ *
+ * <p>Load pattern: two versions serve side by side, some or all nodes are lost, and clients take their streams up at nodes
+ * that did not carry them. While a service has one version, and had no other one for the life of a stream, every stream
+ * began there and nothing is exchanged. Otherwise each node reports where its streams began, and a stream without a report
+ * may not go on. Thread-safe: used by the traffic thread and the control thread.
+ */
+public final class StreamOrigins {
+    /** Time after its begin for which a stream may be taken up; twice as long as clients wait for an answer. */
+    public static final long STREAM_LIFE_MILLIS = 30_000;
+
+    /** Longest identifier that is remembered; streams of requests with longer ones cannot be taken up at two versions. */
+    static final int MAX_ID_LENGTH = 64;
+
+    /** Streams that are remembered; the oldest are forgotten first. */
+    static final int MAX_STREAMS = 40_000;
+
+    private final Map<String, Origin> originByRequest = new LinkedHashMap<>();
+    private final Map<String, Versions> versionsByService = new HashMap<>();
+    private final Set<String> unreported = new HashSet<>();
+    private long uncertainUntilMillis = Long.MIN_VALUE;
+
+    /** Where and when a stream began. */
+    private record Origin(String service, String softwareVersion, long beganMillis, boolean own) {}
+
+    /** The versions of one service. */
+    private static final class Versions {
+        private Set<String> registered = Set.of();
+        private final Map<String, Long> lastSeenMillis = new HashMap<>();
+        private Set<String> reported = Set.of();
+
+        private Set<String> live(long nowMillis) {
+            lastSeenMillis.values().removeIf(seenMillis -> nowMillis - seenMillis >= STREAM_LIFE_MILLIS);
+            Set<String> live = new HashSet<>(registered);
+            live.addAll(lastSeenMillis.keySet());
+            return live;
+        }
+    }
+
+    /**
+     * Streams that began at one software version.
+     *
+     * @param service the service
+     * @param softwareVersion the version
+     * @param requests identifiers of the requests that brought their first events; may be empty, so that the version itself
+     *     is known
+     */
+    public record Report(String service, String softwareVersion, List<String> requests) {
+        /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
+        public Report {
+            requests = List.copyOf(requests);
+        }
+    }
+
+    /**
+     * Sets the versions of a service whose upstreams are registered.
+     *
+     * @param service the service
+     * @param registered the versions
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onRegistered(String service, Set<String> registered, long nowMillis) {
+        Versions versions = versionsByService.computeIfAbsent(service, key -> new Versions());
+        if (versions.registered.equals(registered)) {
+            return;
+        }
+        versions.registered.forEach(version -> versions.lastSeenMillis.put(version, nowMillis));
+        versions.registered = Set.copyOf(registered);
+        reportAllIfMixed(service, nowMillis);
+    }
+
+    /**
+     * Records a stream of this node.
+     *
+     * @param service the service
+     * @param request identifier of the client's request
+     * @param softwareVersion version of the engine that sent the first event
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onBegun(String service, String request, String softwareVersion, long nowMillis) {
+        if (request.length() > MAX_ID_LENGTH) {
+            return;
+        }
+        add(request, new Origin(service, softwareVersion, nowMillis, true));
+        if (isMixed(service, nowMillis)) {
+            unreported.add(request);
+        }
+    }
+
+    /**
+     * Records another node's report.
+     *
+     * @param report the report
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onReport(Report report, long nowMillis) {
+        Versions versions = versionsByService.computeIfAbsent(report.service(), key -> new Versions());
+        versions.lastSeenMillis.put(report.softwareVersion(), nowMillis);
+        for (String request : report.requests()) {
+            if (request.length() <= MAX_ID_LENGTH && !originByRequest.containsKey(request)) {
+                add(request, new Origin(report.service(), report.softwareVersion(), nowMillis, false));
+            }
+        }
+        reportAllIfMixed(report.service(), nowMillis);
+    }
+
+    private void add(String request, Origin origin) {
+        originByRequest.putIfAbsent(request, origin);
+        var oldest = originByRequest.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Origin first = oldest.next().getValue();
+            boolean expired = origin.beganMillis() - first.beganMillis() >= STREAM_LIFE_MILLIS;
+            if (!expired && originByRequest.size() <= MAX_STREAMS) {
+                return;
+            }
+            oldest.remove();
+        }
+    }
+
+    /** Reports the streams that began before another version was known. */
+    private void reportAllIfMixed(String service, long nowMillis) {
+        Versions versions = versionsByService.get(service);
+        Set<String> live = versions.live(nowMillis);
+        if (live.size() > 1 && versions.reported.size() <= 1) {
+            originByRequest.forEach((request, origin) -> {
+                if (origin.own() && origin.service().equals(service)) {
+                    unreported.add(request);
+                }
+            });
+        }
+    }
+
+    private boolean isMixed(String service, long nowMillis) {
+        Versions versions = versionsByService.get(service);
+        return versions != null && versions.live(nowMillis).size() > 1;
+    }
+
+    /**
+     * Returns the version at which a stream may go on.
+     *
+     * @param service the service
+     * @param request identifier of the request that brought its first event, empty if not stated
+     * @param nowMillis the time in milliseconds
+     * @return the version, or empty if it is not known
+     */
+    public synchronized Optional<String> find(String service, String request, long nowMillis) {
+        Origin origin = originByRequest.get(request);
+        if (origin != null && origin.service().equals(service)) {
+            return Optional.of(origin.softwareVersion());
+        }
+        Versions versions = versionsByService.get(service);
+        if (versions == null || nowMillis < uncertainUntilMillis) {
+            return Optional.empty();
+        }
+        Set<String> live = versions.live(nowMillis);
+        return live.size() == 1 ? live.stream().findFirst() : Optional.empty();
+    }
+
+    /**
+     * Takes what the other nodes do not know yet.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return reports on the services with more than one version; empty if there is nothing new
+     */
+    public synchronized List<Report> takeUnreported(long nowMillis) {
+        Map<String, Map<String, List<String>>> byService = new HashMap<>();
+        versionsByService.forEach((service, versions) -> {
+            Set<String> live = versions.live(nowMillis);
+            if (live.size() > 1 && !versions.reported.equals(live)) {
+                Map<String, List<String>> byVersion = byService.computeIfAbsent(service, key -> new HashMap<>());
+                live.forEach(version -> byVersion.put(version, new ArrayList<>()));
+            }
+            versions.reported = live;
+        });
+        for (String request : unreported) {
+            Origin origin = originByRequest.get(request);
+            if (origin != null) {
+                byService
+                        .computeIfAbsent(origin.service(), key -> new HashMap<>())
+                        .computeIfAbsent(origin.softwareVersion(), key -> new ArrayList<>())
+                        .add(request);
+            }
+        }
+        unreported.clear();
+        List<Report> reports = new ArrayList<>();
+        byService.forEach((service, byVersion) ->
+                byVersion.forEach((version, requests) -> reports.add(new Report(service, version, requests))));
+        return reports;
+    }
+
+    /** Reports all streams of this node again, because reports were not delivered or have been lost. */
+    public synchronized void reportAgain() {
+        versionsByService.values().forEach(versions -> versions.reported = Set.of());
+        versionsByService.forEach((service, versions) -> originByRequest.forEach((request, origin) -> {
+            if (origin.own() && origin.service().equals(service)) {
+                unreported.add(request);
+            }
+        }));
+    }
+
+    /**
+     * Records that reports of the last seconds may be missing, so that a stream without one may have begun anywhere.
+     *
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onReportsLost(long nowMillis) {
+        uncertainUntilMillis = nowMillis + STREAM_LIFE_MILLIS;
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -0,0 +1,115 @@
+package org.cowslipbank.decision.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.relay.StreamOrigins.Report;
+
+/** Failure guarded against: a stream goes on at another software version, or a sound one is refused. */
+final class StreamOriginsTest {
+    private static final String SERVICE = "llm";
+    private static final long LIFE = StreamOrigins.STREAM_LIFE_MILLIS;
+
+    private final StreamOrigins origins = new StreamOrigins();
+
+    private Optional<String> find(String request, long nowMillis) {
+        return origins.find(SERVICE, request, nowMillis);
+    }
+
+    @Example
+    void streamsOfTheOnlyVersionAreKnownWithoutReports() {
+        origins.onRegistered(SERVICE, Set.of("v1"), 0);
+        origins.onBegun(SERVICE, "r1", "v1", 10);
+        assert find("r1", 20).equals(Optional.of("v1"));
+        assert find("of another node", 20).equals(Optional.of("v1"));
+        assert origins.takeUnreported(30).isEmpty();
+    }
+
+    @Example
+    void nothingIsKnownBeforeTheUpstreamsAreRead() {
+        assert find("r1", 0).isEmpty();
+    }
+
+    @Example
+    void unknownStreamsOfAMixedServiceAreNotKnown() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.onBegun(SERVICE, "r1", "v2", 10);
+        assert find("r1", 20).equals(Optional.of("v2"));
+        assert find("of another node", 20).isEmpty();
+    }
+
+    /** The old version's last upstream leaves, but its streams can still be taken up. */
+    @Example
+    void versionThatLeftCountsForTheLifeOfItsStreams() {
+        origins.onRegistered(SERVICE, Set.of("v1"), 0);
+        origins.onRegistered(SERVICE, Set.of("v2"), 1_000);
+        assert find("r1", 1_000 + LIFE - 1).isEmpty();
+        assert find("r1", 1_000 + LIFE).equals(Optional.of("v2"));
+    }
+
+    @Example
+    void streamsFromBeforeTheSecondVersionAreReported() {
+        origins.onRegistered(SERVICE, Set.of("v1"), 0);
+        origins.onBegun(SERVICE, "r1", "v1", 10);
+        assert origins.takeUnreported(400).isEmpty();
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 500);
+        List<Report> reports = origins.takeUnreported(800);
+        assert reports.contains(new Report(SERVICE, "v1", List.of("r1"))) : reports;
+        assert reports.contains(new Report(SERVICE, "v2", List.of())) : reports;
+        assert origins.takeUnreported(1_200).isEmpty();
+        origins.onBegun(SERVICE, "r2", "v2", 1_300);
+        reports = origins.takeUnreported(1_600);
+        assert reports.equals(List.of(new Report(SERVICE, "v2", List.of("r2")))) : reports;
+    }
+
+    /** All nodes were killed; the old version's upstreams have left meanwhile. */
+    @Example
+    void startedNodeKnowsTheVersionsFromReports() {
+        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 0);
+        origins.onRegistered(SERVICE, Set.of("v2"), 0);
+        assert find("r1", 10).equals(Optional.of("v1"));
+        assert find("not reported", 10).isEmpty();
+        assert find("not reported", LIFE + 1).equals(Optional.of("v2"));
+    }
+
+    @Example
+    void lostReportsMakeUnreportedStreamsUnknown() {
+        origins.onRegistered(SERVICE, Set.of("v2"), 0);
+        origins.onReportsLost(0);
+        assert find("r1", LIFE - 1).isEmpty();
+        assert find("r1", LIFE).equals(Optional.of("v2"));
+    }
+
+    @Example
+    void undeliveredReportsAreTakenAgain() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.onBegun(SERVICE, "r1", "v1", 10);
+        List<Report> reports = origins.takeUnreported(400);
+        origins.reportAgain();
+        assert Set.copyOf(origins.takeUnreported(800)).equals(Set.copyOf(reports));
+    }
+
+    @Example
+    void reportsOfOtherNodesAreNotPassedOn() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.takeUnreported(400);
+        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 500);
+        assert origins.takeUnreported(800).isEmpty();
+    }
+
+    @Example
+    void memoryIsBounded() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        for (int number = 0; number <= StreamOrigins.MAX_STREAMS; number++) {
+            origins.onBegun(SERVICE, "r" + number, "v1", 10);
+        }
+        assert find("r0", 20).isEmpty() && find("r1", 20).isPresent();
+        origins.onBegun(SERVICE, "late", "v1", 10 + LIFE);
+        assert find("r1", 10 + LIFE).isEmpty();
+        String longId = "r".repeat(StreamOrigins.MAX_ID_LENGTH + 1);
+        origins.onBegun(SERVICE, longId, "v1", 10 + LIFE);
+        assert find(longId, 10 + LIFE).isEmpty();
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -13,7 +13,6 @@
 import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.ports.relay.MetadataStore;
-import reactor.core.publisher.Mono;
 
 /**
  * Reports to all nodes, through the metadata store, what an upstream was running when its connections broke, and which
@@ -22,9 +21,6 @@
  * State is confined to the control thread.
  */
 final class CrashReports {
-    /** Time for which new reports share one lease; each report then lives for at least half of its lifetime. */
-    static final long LEASE_REUSE_MILLIS = CrashEvidence.REPORT_TTL_MILLIS / 2;
-
     /** Delay of later writes on the same crash; the connections to a crashed upstream break within this time. */
     static final long WRITE_DELAY_MILLIS = 25;
 
@@ -64,8 +60,7 @@
     private final long soundDelayMillis;
     private boolean soundScheduled;
     private boolean writeScheduled;
-    private Mono<Long> lease = Mono.empty();
-    private long leaseGrantedMillis = Long.MIN_VALUE / 2;
+    private final ReportLease lease;
 
     /** Requests at one upstream whose answers broke off since a moment. */
     private record Broken(long firstMillis, Set<Suspect> suspects) {}
@@ -75,6 +70,7 @@
 
     CrashReports(ControlContext context) {
         this.context = context;
+        this.lease = new ReportLease(context, CrashEvidence.REPORT_TTL_MILLIS);
         this.soundDelayMillis =
                 Math.floorMod(FleetLoads.shortHash(context.self().name()), MAX_SOUND_DELAY_MILLIS);
     }
@@ -130,7 +126,7 @@
     /** Writes recent reports again, because the store has lost them. May be called by any thread. */
     void writeAgain() {
         context.control().schedule(() -> {
-            leaseGrantedMillis = Long.MIN_VALUE / 2;
+            lease.discard();
             long nowMillis = context.clocks().nowMillis();
             written.values().removeIf(report -> nowMillis - report.writtenMillis() > WRITE_AGAIN_MILLIS);
             if (written.isEmpty()) {
@@ -167,16 +163,9 @@
     }
 
     private void renewLease() {
-        long nowMillis = context.clocks().nowMillis();
-        if (nowMillis - leaseGrantedMillis <= LEASE_REUSE_MILLIS) {
-            return;
+        if (lease.renewIfDue()) {
+            reported.clear();
         }
-        leaseGrantedMillis = nowMillis;
-        reported.clear();
-        lease = context.store()
-                .grantLease(CrashEvidence.REPORT_TTL_MILLIS)
-                .map(MetadataStore.Lease::id)
-                .cache();
     }
 
     private void writeCrash(String incarnation, Set<Suspect> suspects) {
@@ -213,7 +202,8 @@
     }
 
     private void write(String key, byte[] value, Runnable onFailed) {
-        lease.flatMap(id -> context.store().write(new MetadataStore.Write(key, value, id)))
+        lease.id()
+                .flatMap(id -> context.store().write(new MetadataStore.Write(key, value, id)))
                 .publishOn(context.control())
                 .subscribe(
                         revision -> {
@@ -230,7 +220,7 @@
 
     private void repeat(LogFields line, Runnable onFailed) {
         context.log().logState(line);
-        leaseGrantedMillis = Long.MIN_VALUE / 2;
+        lease.discard();
         onFailed.run();
         scheduleWrite(RETRY_DELAY_MILLIS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -69,7 +69,10 @@
     /** How long a request waits for the configuration to be confirmed while the metadata store is reachable. */
     static final long CONFIRMATION_WAIT_MILLIS = 250;
 
-    /** Interval at which a request that waits for a configuration tries again. */
+    /** How long a stream that is taken up waits for the report on where it began; nodes report within 400 ms. */
+    static final long ORIGIN_WAIT_MILLIS = 700;
+
+    /** Interval at which a request that waits for a configuration or a report tries again. */
     private static final long RESOLVE_RETRY_MILLIS = 15;
 
     /** Limit on further sends after upstreams stated that they did not run the request. */
@@ -96,6 +99,7 @@
     /** Time from an answer's first event after which the request is no longer suspected of crashing the upstream. */
     static final long ESTABLISHED_ANSWER_MILLIS = 1_000;
 
+    private static final String VERSION_GONE = "software_version_gone";
     private static final String CRASHED_UPSTREAMS = "crashed_upstreams";
     private static final String ANONYMOUS_TEAM = "anonymous";
 
@@ -180,6 +184,9 @@
                 request,
                 new RequestPlacement.Target(service, routes.service(service).flatMap(RelayService::engine), team),
                 server -> context.waiting().reservedTokens(this, server));
+        if (!bindToOrigin()) {
+            return;
+        }
         suspects = new RequestSuspects(
                 context, request, new TeamId(team.map(RelayTeam::name).orElse(ANONYMOUS_TEAM)), body);
         if (suspects.areRefused()) {
@@ -193,6 +200,21 @@
         submitStart();
     }
 
+    /** Binds a stream that the client takes up to the software version at which it began. */
+    private boolean bindToOrigin() {
+        if (!request.takesUpStream() || !route.isStream() || !route.resumable()) {
+            return true;
+        }
+        Optional<String> version =
+                context.origins().find(service, request.resumes().orElse(""), now());
+        if (version.isEmpty()) {
+            waitOrRefuse("stream_origin_unknown", ORIGIN_WAIT_MILLIS);
+            return false;
+        }
+        placement.requireSoftwareVersion(version.get());
+        return true;
+    }
+
     private boolean authenticate(RouteTable routes) {
         if (route.anonymous() || !routes.hasTeams()) {
             return true;
@@ -252,6 +274,8 @@
             giveUp(CRASHED_UPSTREAMS);
         } else if (expired) {
             giveUp("overloaded", RETRY_AFTER_MILLIS);
+        } else if (!placement.isPossible(context.view().get())) {
+            giveUp(VERSION_GONE);
         } else if (!tryStartAttempt()) {
             queued = true;
             context.waiting().add(this, waitingTimes());
@@ -270,6 +294,11 @@
             giveUp(CRASHED_UPSTREAMS);
             return true;
         }
+        if (!ended && !placement.isPossible(context.view().get())) {
+            queued = false;
+            giveUp(VERSION_GONE);
+            return true;
+        }
         if (ended || tryStartAttempt()) {
             queued = false;
             return true;
@@ -791,6 +820,7 @@
             }
             byte[] forwarded = route.resumable() ? completeEvents : received;
             if (forwarded.length > 0) {
+                bindToVersion();
                 client.writeBody(Unpooled.wrappedBuffer(forwarded));
             }
             if (splitter.isEventTooLong()) {
@@ -804,6 +834,13 @@
             }
         }
 
+        private void bindToVersion() {
+            if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
+                placement.requireSoftwareVersion(server.softwareVersion());
+                context.origins().onBegun(service, request.id(), server.softwareVersion(), now());
+            }
+        }
+
         @Override
         public void onEnd() {
             if (head.notExecuted()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -14,6 +16,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 
@@ -23,6 +26,7 @@
     private static final String NODES = "nodes/";
     private static final String CRASHES = "crashes/";
     private static final String SOUND = "sound/";
+    private static final String ORIGINS = "streams/";
 
     private final String prefix;
 
@@ -54,6 +58,15 @@
         return prefix + "leader";
     }
 
+    /** Key of a report on stream origins; the lease distinguishes a node's reports from those before its restart. */
+    String originsKey(String node, long lease, long number) {
+        return prefix + ORIGINS + node + "/" + lease + "." + number;
+    }
+
+    boolean isOriginsKey(String key) {
+        return key.startsWith(prefix + ORIGINS);
+    }
+
     /** Key of the mark that names the era of the store up to which no writes are missing. */
     String completeEraKey() {
         return prefix + "complete-era";
@@ -156,6 +169,27 @@
         return revisionBySuspect;
     }
 
+    static byte[] encodeOrigins(List<StreamOrigins.Report> reports) {
+        ObjectNode value = MAPPER.createObjectNode();
+        for (StreamOrigins.Report report : reports) {
+            ArrayNode requests = value.withObjectProperty(report.service()).putArray(report.softwareVersion());
+            report.requests().forEach(requests::add);
+        }
+        return encodeJson(value);
+    }
+
+    static List<StreamOrigins.Report> decodeOrigins(byte[] value) throws IOException {
+        List<StreamOrigins.Report> reports = new ArrayList<>();
+        MAPPER.readTree(value)
+                .fields()
+                .forEachRemaining(service -> service.getValue().fields().forEachRemaining(version -> {
+                    List<String> requests = new ArrayList<>();
+                    version.getValue().forEach(request -> requests.add(request.asText()));
+                    reports.add(new StreamOrigins.Report(service.getKey(), version.getKey(), requests));
+                }));
+        return reports;
+    }
+
     static byte[] encodeEra(long era) {
         return encodeText(Long.toString(era));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -9,15 +9,18 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.RestoreSettling;
 import org.cowslipbank.decision.relay.RouteTable;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.relay.PlatformRecord;
+import org.cowslipbank.model.relay.ServiceShare;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.model.relay.TargetVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
@@ -46,6 +49,7 @@
 
     private final PlatformDecoder decoder;
     private final NodeItems items;
+    private final StreamOrigins origins;
     private final DecisionLog log;
     private final Map<String, UpstreamServer> servers = new HashMap<>();
     private final Map<String, TargetVersion> versions = new HashMap<>();
@@ -57,6 +61,7 @@
     private final Map<String, Long> dropVanishedAtMillis = new HashMap<>();
 
     private Optional<RouteTable> routes = Optional.empty();
+    private Set<String> streamServices = Set.of();
     private Optional<NodeItems.RolloutAnnouncement> rollout = Optional.empty();
     private Optional<String> leader = Optional.empty();
     private FleetTree tree = FleetTree.EMPTY;
@@ -71,9 +76,10 @@
     private PlatformView lastView = PlatformView.EMPTY;
     private boolean viewOutdated = true;
 
-    PlatformState(PlatformDecoder decoder, NodeItems items, DecisionLog log) {
+    PlatformState(PlatformDecoder decoder, NodeItems items, StreamOrigins origins, DecisionLog log) {
         this.decoder = decoder;
         this.items = items;
+        this.origins = origins;
         this.log = log;
     }
 
@@ -82,6 +88,19 @@
         return viewOutdated;
     }
 
+    /** Records which software versions of the services with resumable streams are registered. */
+    void recordSoftwareVersions(long nowMillis) {
+        Map<String, Set<String>> versions = new HashMap<>();
+        streamServices.forEach(service -> versions.put(service, new HashSet<>()));
+        for (UpstreamServer server : servers.values()) {
+            Set<String> ofService = versions.get(server.service());
+            if (ofService != null) {
+                ofService.add(server.softwareVersion());
+            }
+        }
+        versions.forEach((service, registered) -> origins.onRegistered(service, registered, nowMillis));
+    }
+
     /** Returns a snapshot; one that differs from the previous one in the revision alone shares its content. */
     PlatformView view() {
         if (viewOutdated) {
@@ -320,6 +339,10 @@
             return;
         }
         routes = Optional.of(new RouteTable(configured.configuration()));
+        streamServices = configured.configuration().routes().stream()
+                .filter(route -> route.isStream() && route.resumable())
+                .flatMap(route -> route.services().stream().map(ServiceShare::service))
+                .collect(Collectors.toSet());
         log.logState(LogFields.event("configuration applied")
                 .field("version", version)
                 .field("before", known == Long.MIN_VALUE ? "none" : known)
@@ -409,6 +432,12 @@
             leaderRevision = item.isRemoved() ? 0 : item.revision();
             return;
         }
+        if (items.isOriginsKey(item.key())) {
+            if (!item.isRemoved()) {
+                NodeItems.decodeOrigins(item.value()).forEach(report -> origins.onReport(report, nowMillis));
+            }
+            return;
+        }
         if (item.key().equals(items.completeEraKey())) {
             if (!item.isRemoved()) {
                 NodeItems.decodeEra(item.value()).ifPresent(settling::onMarked);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -109,8 +109,12 @@
         /** Called when this node may have missed changes of the store, or no longer follows it. */
         void onChangesMissed();
 
-        /** Called when the store was restored from a copy, so that it lacks the last writes of this node. */
-        void onStoreRestored();
+        /**
+         * Called when the store was restored from a copy, so that it lacks the last writes of the nodes.
+         *
+         * @param firstReading true if this node knows nothing from before
+         */
+        void onStoreRestored(boolean firstReading);
     }
 
     PlatformView view() {
@@ -166,8 +170,9 @@
 
     private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt) {
         onContact();
+        boolean firstReading = view.routes().isEmpty();
         if (state.applySnapshot(range, revisionAtSend, clocks.nowMillis())) {
-            listener.onStoreRestored();
+            listener.onStoreRestored(firstReading);
         }
         confirm(sentAt);
         publish();
@@ -246,6 +251,9 @@
 
     private void publish() {
         boolean changed = state.hasChanged();
+        if (changed) {
+            state.recordSoftwareVersions(clocks.nowMillis());
+        }
         view = state.view();
         if (changed) {
             listener.onView(view);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LeaderLease;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.ports.relay.RelayCodec;
@@ -34,6 +35,7 @@
  * @param waiting queue of requests without an upstream
  * @param retries this node's share of the retry budgets
  * @param crashReports reports crashes of upstreams, and answers that went on well, to all nodes
+ * @param origins software versions at which streams began
  * @param metrics counters and timers of requests
  * @param log the structured log
  */
@@ -55,6 +57,7 @@
         WaitingRequests waiting,
         RetryBudgets retries,
         CrashReports crashReports,
+        StreamOrigins origins,
         RelayMetrics metrics,
         DecisionLog log) {
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -16,6 +16,7 @@
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LookupNodes;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.entry.admin.PrometheusText;
@@ -68,6 +69,7 @@
     private final HubFeed hubFeed;
     private final HubFeedClient hubClient;
     private final CacheStoreCleaner cleaner;
+    private final StreamOriginReports originReports;
     private final UpstreamLimits limits;
     private final LoadDigests digests;
     private final RelayContext context;
@@ -105,7 +107,8 @@
         this.metrics = metrics;
         this.log = new DecisionLog(clocks.monotonic(), DecisionLog.LINES_PER_SECOND);
         NodeItems items = new NodeItems(platform.decoder().nodeItemPrefix());
-        PlatformState state = new PlatformState(platform.decoder(), items, log);
+        StreamOrigins origins = new StreamOrigins();
+        PlatformState state = new PlatformState(platform.decoder(), items, origins, log);
         this.hubFeed = new HubFeed(loop, clocks);
         this.watcher =
                 new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, watchListener());
@@ -122,6 +125,7 @@
         this.lease = new NodeLease(controlContext, state, settings.minLeaseMillis());
         this.rollouts = new RolloutController(controlContext, lease, platform.engines(), settings.bounds());
         CrashReports crashReports = new CrashReports(controlContext);
+        this.originReports = new StreamOriginReports(controlContext, origins);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
         this.connections = new UpstreamConnectionPool(codec, clocks.monotonic(), turns, loops, loop);
@@ -157,6 +161,7 @@
                 new RetryBudgets(
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashReports,
+                origins,
                 new RelayMetrics(metrics),
                 log);
         this.clientServer = new ClientHttpServer(context);
@@ -188,6 +193,7 @@
         hubClient.start();
         lease.start();
         rollouts.start();
+        originReports.start();
         log.logState(LogFields.event("node started")
                 .field("node", settings.nodeName())
                 .field("dataCentre", settings.dataCentre())
@@ -331,8 +337,12 @@
             }
 
             @Override
-            public void onStoreRestored() {
+            public void onStoreRestored(boolean firstReading) {
                 context.crashReports().writeAgain();
+                context.origins().reportAgain();
+                if (firstReading) {
+                    context.origins().onReportsLost(clocks.nowMillis());
+                }
             }
         };
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -32,6 +32,7 @@
     private final RelayRequest request;
     private final Target target;
     private final ToIntFunction<String> reservedTokens;
+    private Optional<String> softwareVersion = Optional.empty();
 
     /**
      * The service that a request goes to, and the team that sent it.
@@ -82,6 +83,43 @@
         return targetsEngines() && request.prompt().isPresent();
     }
 
+    /**
+     * Lets the request be sent only to upstreams of a software version, because its client has events from one of them.
+     *
+     * @param version the version
+     */
+    void requireSoftwareVersion(String version) {
+        softwareVersion = Optional.of(version);
+    }
+
+    /**
+     * Returns the software version to which the request is bound.
+     *
+     * @return the version, or empty before the client has any event
+     */
+    Optional<String> requiredSoftwareVersion() {
+        return softwareVersion;
+    }
+
+    /**
+     * Returns whether an upstream of the required software version is registered.
+     *
+     * @param view the platform
+     * @return false if the request cannot be sent at all
+     */
+    boolean isPossible(PlatformView view) {
+        return softwareVersion.isEmpty() || !activeServers(view).isEmpty();
+    }
+
+    private List<UpstreamServer> activeServers(PlatformView view) {
+        List<UpstreamServer> active = view.activeServers(target.service());
+        return softwareVersion.isEmpty()
+                ? active
+                : active.stream()
+                        .filter(server -> server.softwareVersion().equals(softwareVersion.get()))
+                        .toList();
+    }
+
     /**
      * Chooses the upstream.
      *
@@ -90,7 +128,7 @@
      * @return the choice, or empty if no upstream is available now
      */
     Optional<UpstreamSelector.Choice> choose(PlatformView view, Set<String> tried) {
-        List<UpstreamServer> servers = view.activeServers(target.service());
+        List<UpstreamServer> servers = activeServers(view);
         UpstreamSelector.Candidates candidates = candidates(view, tried);
         if (hasPrompt()) {
             return UpstreamSelector.chooseEngine(choicePrompt(), servers, candidates);
@@ -109,8 +147,7 @@
      */
     Optional<UpstreamServer> reservationTarget(PlatformView view, Set<String> tried) {
         return hasPrompt()
-                ? UpstreamSelector.chooseReservation(
-                        choicePrompt(), view.activeServers(target.service()), candidates(view, tried))
+                ? UpstreamSelector.chooseReservation(choicePrompt(), activeServers(view), candidates(view, tried))
                 : Optional.empty();
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
@@ -0,0 +1,89 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.cowslipbank.decision.relay.StreamOrigins;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.ports.relay.MetadataStore;
+
+/**
+ * Reports to all nodes, through the metadata store, at which software version this node's streams began, while a service
+ * has several. The reports outlive the node, so that its clients can take their streams up also if all nodes are lost. State
+ * is confined to the control thread.
+ */
+final class StreamOriginReports {
+    /** Shortest interval of reports; a stream that breaks off sooner after its begin cannot be taken up elsewhere. */
+    static final long MIN_INTERVAL_MILLIS = 400;
+
+    /** Interval per registered node, so that a large fleet stays within half of the store's 400 writes a second. */
+    static final long INTERVAL_MILLIS_PER_NODE = 5;
+
+    private final ControlContext context;
+    private final StreamOrigins origins;
+    private final ReportLease lease;
+    private long number;
+    private boolean writing;
+
+    StreamOriginReports(ControlContext context, StreamOrigins origins) {
+        this.context = context;
+        this.origins = origins;
+        this.lease = new ReportLease(context, 2 * StreamOrigins.STREAM_LIFE_MILLIS);
+    }
+
+    void start() {
+        scheduleNext();
+    }
+
+    private void scheduleNext() {
+        long intervalMillis = Math.max(
+                MIN_INTERVAL_MILLIS,
+                INTERVAL_MILLIS_PER_NODE * context.view().get().nodes().size());
+        GuardedTask task = new GuardedTask("stream origins", this::report, context.log());
+        context.control()
+                .schedule(
+                        () -> {
+                            task.run();
+                            scheduleNext();
+                        },
+                        intervalMillis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void report() {
+        if (writing) {
+            return;
+        }
+        List<StreamOrigins.Report> reports =
+                origins.takeUnreported(context.clocks().nowMillis());
+        if (!reports.isEmpty()) {
+            write(reports);
+        }
+    }
+
+    private void write(List<StreamOrigins.Report> reports) {
+        writing = true;
+        lease.renewIfDue();
+        byte[] value = NodeItems.encodeOrigins(reports);
+        lease.id()
+                .flatMap(id -> context.store()
+                        .write(new MetadataStore.Write(
+                                context.items().originsKey(context.self().name(), id, number++), value, id)))
+                .publishOn(context.control())
+                .doFinally(signal -> writing = false)
+                .subscribe(
+                        revision -> {
+                            if (revision.isEmpty()) {
+                                repeat(LogFields.event("lease of stream origins has ended; reporting again"));
+                            }
+                        },
+                        error -> repeat(LogFields.event("stream origins not reported; reporting again")
+                                .error(error)));
+    }
+
+    private void repeat(LogFields line) {
+        context.log().logState(line);
+        lease.discard();
+        origins.reportAgain();
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
@@ -0,0 +1,156 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.cowslipbank.model.PeerException;
+
+/** Failure guarded against: a stream has events from engines of two software versions. */
+final class MixedVersionsTest {
+    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+
+    private RelaySystem system;
+    private RelaySystem restarted;
+
+    @BeforeTry
+    void setUp() throws IOException, PeerException {
+        system = new RelaySystem();
+    }
+
+    @AfterTry
+    void tearDown() throws IOException {
+        system.close();
+        if (restarted != null) {
+            restarted.close();
+        }
+    }
+
+    /** Begins a stream and breaks off after its first event; goes on with a stream that is taken up. */
+    private static void beginOrGoOn(ScriptedUpstream.Received request, java.net.Socket socket)
+            throws IOException, InterruptedException {
+        if (request.header("Last-Event-Id").isEmpty()) {
+            ScriptedUpstream.beginStream(request, socket, FIRST_EVENT);
+            // Longer than the interval at which nodes tell each other where streams began.
+            Thread.sleep(1_200);
+            ScriptedUpstream.reset(socket);
+        } else {
+            ScriptedUpstream.beginStream(request, socket, "id: 2\ndata: b\n\n");
+            ScriptedUpstream.endStream(socket);
+        }
+    }
+
+    private static String takeUp(RelaySystem node, String id, String resumes) {
+        return node.send("/stream/", id, "Last-Event-Id: 1\r\nResumes: " + resumes + "\r\n", "prompt");
+    }
+
+    private static List<String> resumedAt(ScriptedUpstream engine) {
+        return engine.received.stream()
+                .filter(request -> !request.header("Last-Event-Id").isEmpty())
+                .map(request -> request.header("X-Request-Id"))
+                .toList();
+    }
+
+    private RelaySystem restart() throws IOException, PeerException {
+        system.closeNode();
+        restarted = new RelaySystem(system.store);
+        return restarted.start();
+    }
+
+    @Example
+    void nodeResumesAStreamOnlyAtTheVersionThatBeganIt() throws Exception {
+        ScriptedUpstream first = system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        Thread joins = new Thread(() -> {
+            try {
+                RelaySystem.await("the stream has begun", () -> !first.received.isEmpty());
+                system.engine("i-2", "v2", MixedVersionsTest::beginOrGoOn);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        joins.start();
+        String answer = system.send("/stream/", "r1", "", "prompt");
+        joins.join();
+        assert !answer.contains("data: b") && !answer.endsWith("0\r\n\r\n") : answer;
+    }
+
+    @Example
+    void nodeResumesAStreamAtAnotherEngineOfTheVersion() throws Exception {
+        system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.engine("i-2", "v1", MixedVersionsTest::beginOrGoOn);
+        ScriptedUpstream other = system.engine("i-3", "v2", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        for (int number = 0; number < 4; number++) {
+            String answer = system.send("/stream/", "r" + number, "", "prompt");
+            boolean otherBegan = !other.received.isEmpty();
+            assert otherBegan || answer.contains("data: b") && answer.endsWith("0\r\n\r\n") : answer;
+        }
+        assert resumedAt(other).isEmpty() : resumedAt(other);
+    }
+
+    /** Begins a stream at the only engine, then lets one of another version take part. */
+    private ScriptedUpstream beginAtFirstVersion() throws Exception {
+        system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        ScriptedUpstream second = system.engine("i-2", "v2", MixedVersionsTest::beginOrGoOn);
+        system.store.remove("servers/i-2");
+        system.awaitStoreApplied();
+        Thread client = new Thread(() -> system.send("/stream/", "r1", "", "prompt"));
+        client.start();
+        Thread.sleep(300);
+        system.register("llm", "i-2", second.address(), "ready", 2, "v2");
+        client.join();
+        return second;
+    }
+
+    @Example
+    void streamIsTakenUpAtTheVersionThatBeganIt() throws Exception {
+        ScriptedUpstream second = beginAtFirstVersion();
+        for (int number = 0; number < 6; number++) {
+            String answer = takeUp(system, "t" + number, "r1");
+            assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n") : answer;
+        }
+        assert resumedAt(second).isEmpty() : resumedAt(second);
+    }
+
+    @Example
+    void streamIsTakenUpAtItsVersionAfterTheNodeWasKilled() throws Exception {
+        ScriptedUpstream second = beginAtFirstVersion();
+        RelaySystem node = restart();
+        for (int number = 0; number < 6; number++) {
+            String answer = takeUp(node, "t" + number, "r1");
+            assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n") : answer;
+        }
+        assert resumedAt(second).isEmpty() : resumedAt(second);
+    }
+
+    @Example
+    void streamOfAVersionThatHasLeftIsRefusedAsNotRun() throws Exception {
+        ScriptedUpstream second = beginAtFirstVersion();
+        system.store.remove("servers/i-1");
+        system.awaitStoreApplied();
+        assert takeUp(system, "t1", "r1").startsWith("HTTP/1.1 503");
+        RelaySystem node = restart();
+        assert takeUp(node, "t2", "r1").startsWith("HTTP/1.1 503");
+        assert takeUp(node, "t3", "not known").startsWith("HTTP/1.1 503");
+        assert resumedAt(second).isEmpty() : resumedAt(second);
+        // New streams are not affected.
+        assert node.send("/stream/", "r2", "", "prompt").startsWith("HTTP/1.1 200");
+    }
+
+    /** Without a second version every stream began at the only one. */
+    @Example
+    void unknownStreamGoesOnAtTheOnlyVersion() throws Exception {
+        system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.engine("i-2", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        String answer = takeUp(system, "t1", "not known");
+        assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n") : answer;
+        RelaySystem node = restart();
+        answer = takeUp(node, "t2", "not known");
+        assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n") : answer;
+    }
+}
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import net.jqwik.api.Example;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.platform.MetadataItemDecoder;
@@ -12,8 +13,8 @@
 
 final class PlatformStateTest {
     private final NodeItems items = new NodeItems("cowslipbank/");
-    private final PlatformState state =
-            new PlatformState(new MetadataItemDecoder(), items, new DecisionLog(MonotonicClock.SYSTEM, 1));
+    private final PlatformState state = new PlatformState(
+            new MetadataItemDecoder(), items, new StreamOrigins(), new DecisionLog(MonotonicClock.SYSTEM, 1));
 
     private static StoreItem server(String id, String address, long born, String serverState, long revision) {
         String value =
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -63,7 +63,7 @@
              "Tenants":[{"Name":"t","ApiKeys":[%s]}]}
             """;
 
-    final FakeMetadataStore store = new FakeMetadataStore();
+    final FakeMetadataStore store;
     final FakeEngines engines = new FakeEngines();
     final AtomicLong suspendedMillis = new AtomicLong();
     private final MetricRegistry metrics = new MetricRegistry();
@@ -87,19 +87,26 @@
     }
 
     RelaySystem(Transport transport) throws IOException, PeerException {
-        this(transport, Optional.empty());
+        this(transport, new FakeMetadataStore(), Optional.empty());
+        configure(1, "\"key\"");
+    }
+
+    /** Creates a node that follows a store which another node has followed before. */
+    RelaySystem(FakeMetadataStore store) throws IOException, PeerException {
+        this(Transport.PREFERRED, store, Optional.empty());
     }
 
     /** Creates a node that follows a metadata store over HTTP instead of {@link #store}. */
     RelaySystem(StandInStore remoteStore) throws IOException, PeerException {
-        this(Transport.PREFERRED, Optional.of("127.0.0.1:" + remoteStore.port()));
+        this(Transport.PREFERRED, new FakeMetadataStore(), Optional.of("127.0.0.1:" + remoteStore.port()));
     }
 
-    private RelaySystem(Transport transport, Optional<String> remoteStore) throws IOException, PeerException {
+    private RelaySystem(Transport transport, FakeMetadataStore store, Optional<String> remoteStore)
+            throws IOException, PeerException {
+        this.store = store;
         LoopResources preferred = LoopResources.create("relay-test", 1, true);
         loops = transport == Transport.PORTABLE ? new PortableLoops(preferred) : preferred;
         eventLoop = (EventLoop) loops.onServer(true).next();
-        configure(1, "\"key\"");
         settings = new RelaySettings(
                 "n1",
                 "a",
@@ -171,11 +178,24 @@
 
     /** Registers an upstream that started at a stated time; a later time stands for a restart. */
     void register(String service, String id, String address, String state, long startedAtMillis) {
+        register(service, id, address, state, startedAtMillis, "v1");
+    }
+
+    void register(
+            String service, String id, String address, String state, long startedAtMillis, String softwareVersion) {
         store.put(
                 "servers/" + id,
                 ("{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"a\",\"Slots\":16,\"State\":\"%s\",\"born\":%d,"
-                                + "\"Models\":[{\"Name\":\"m\",\"Version\":1}]}")
-                        .formatted(service, address, state, startedAtMillis));
+                                + "\"Version\":\"%s\",\"Models\":[{\"Name\":\"m\",\"Version\":1}]}")
+                        .formatted(service, address, state, startedAtMillis, softwareVersion));
+    }
+
+    /** Starts and registers an engine with a stated software version. */
+    ScriptedUpstream engine(String id, String softwareVersion, ScriptedUpstream.Script script) throws IOException {
+        ScriptedUpstream upstream = new ScriptedUpstream(script);
+        upstreams.add(upstream);
+        register("llm", id, upstream.address(), "ready", 1, softwareVersion);
+        return upstream;
     }
 
     /**
@@ -395,11 +415,16 @@
         void open(int port) throws IOException;
     }
 
+    /** Ends the node as a kill does; the upstreams go on. */
+    void closeNode() {
+        loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+    }
+
     @Override
     public void close() throws IOException {
         for (ScriptedUpstream upstream : upstreams) {
             upstream.close();
         }
-        loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+        closeNode();
     }
 }
