Trust a refusal only if it surely answers this request

A report from a similar system: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran.

A refusal without a request identifier was taken for one of the request in progress: an order that ran was answered 503. Answers without an identifier now promise nothing, whatever they state.

Engines may refuse a request briefly, so it is sent there again; on the same connection a copy of the first refusal has the same identifier. A request is no longer sent on a connection on which it was refused.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -587,7 +587,7 @@
                     : UpstreamLoads.plainSilenceLimitMillis(route.latencyObjectiveMillis());
             context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
             context.limits().onSent(server.incarnation(), now());
-            Optional<UpstreamConnection> idle = context.connections().takeIdle(server.address());
+            Optional<UpstreamConnection> idle = context.connections().takeIdle(server.address(), request.id());
             if (idle.isPresent()) {
                 onConnection(idle.get(), null);
             } else {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -1,5 +1,8 @@
 package org.cowslipbank.entry.relay;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -36,6 +39,9 @@
     /** Bytes of an answer to another request that are skipped before the connection is given up. */
     static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
+    /** Refused requests that are remembered; then the connection is not used again. */
+    static final int MAX_REFUSED_REQUESTS = 64;
+
     private static final int FIRST_FINAL_STATUS = 200;
 
     private final RelayCodec codec;
@@ -44,6 +50,7 @@
     private Channel channel;
     private UpstreamListener listener;
     private String requestId = "";
+    private final Set<String> refusedIds = new HashSet<>();
     private AnswerHead head;
     private boolean skippingAnswer;
     private int interimAnswers;
@@ -93,6 +100,16 @@
         channel.config().setAutoRead(!paused);
     }
 
+    /**
+     * Returns whether answers to a request can be told from copies of earlier ones on this connection.
+     *
+     * @param id the request's identifier
+     * @return false if the upstream has refused the request on this connection before
+     */
+    boolean canCarry(String id) {
+        return !refusedIds.contains(id);
+    }
+
     /** Cancels the request; the upstream stops it when the connection closes. */
     void cancel() {
         listener = null;
@@ -152,10 +169,15 @@
             reusable = false;
             return;
         }
-        if (decoded.requestId().isEmpty() && !decoded.notExecuted()) {
+        if (decoded.requestId().isEmpty()) {
+            // Also a refusal: it may be a copy of an earlier one, and this request may run.
             fail(UpstreamListener.Failure.MALFORMED, "answer without a request id");
             return;
         }
+        if (decoded.notExecuted()) {
+            refusedIds.add(requestId);
+            reusable = reusable && refusedIds.size() < MAX_REFUSED_REQUESTS;
+        }
         bodyEndsAtClose = decoded.contentBytes().isEmpty() && !HttpUtil.isTransferEncodingChunked(response);
         reusable = reusable && !decoded.closesConnection() && !bodyEndsAtClose && HttpUtil.isKeepAlive(response);
         idleMillis = decoded.idleTimeoutMillis().orElse(DEFAULT_IDLE_MILLIS) - IDLE_MARGIN_MILLIS;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -65,19 +65,26 @@
      * Takes an idle connection.
      *
      * @param address the upstream as {@code IP:port}
-     * @return the connection, or empty if there is none
+     * @param requestId identifier of the request to be sent
+     * @return the connection, or empty if there is none for this request
      */
-    Optional<UpstreamConnection> takeIdle(String address) {
-        Deque<UpstreamConnection> connections = idle.get(address);
-        while (connections != null && !connections.isEmpty()) {
+    Optional<UpstreamConnection> takeIdle(String address, String requestId) {
+        Deque<UpstreamConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
+        Deque<UpstreamConnection> passedOver = new ArrayDeque<>();
+        Optional<UpstreamConnection> taken = Optional.empty();
+        while (taken.isEmpty() && !connections.isEmpty()) {
             // The most recently used connection is the least likely to be closed by the upstream.
             UpstreamConnection connection = connections.pollLast();
-            if (connection.isUsable(clock.nowMillis())) {
-                return Optional.of(connection);
+            if (!connection.isUsable(clock.nowMillis())) {
+                connection.close();
+            } else if (connection.canCarry(requestId)) {
+                taken = Optional.of(connection);
+            } else {
+                passedOver.addFirst(connection);
             }
-            connection.close();
         }
-        return Optional.empty();
+        connections.addAll(passedOver);
+        return taken;
     }
 
     /**
