End streams at bytes that are no event of theirs

A report from a similar system: after a stream broke off, the text of the next server's error, at times its head, stood in the middle of the stream, or it ended as if it were complete.

A resumed stream now goes on only with status 200 and events. EventSplitter stops before a line that has no field name, and before an event whose number does not follow the last one; the attempt has then failed, and the stream goes on elsewhere or is cut off.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
@@ -15,28 +15,45 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte COMMENT = ':';
+    private static final String NUMBER = "[0-9]{1,18}";
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private byte[] incompleteEvent = new byte[0];
     private String lastEventId;
     private boolean hasEvent;
+    private boolean malformed;
 
     /**
      * Adds bytes of the stream and returns what can be passed on.
      *
      * @param bytes the next bytes of the stream
-     * @return the buffered and new bytes up to the end of the last complete event; may be empty
+     * @return the buffered and new bytes up to the end of the last complete event before any malformed one; may be empty
      */
     public byte[] append(byte[] bytes) {
         byte[] joined = Arrays.copyOf(incompleteEvent, incompleteEvent.length + bytes.length);
         System.arraycopy(bytes, 0, joined, incompleteEvent.length, bytes.length);
-        int end = endOfEvents(joined);
-        hasEvent = containsField(joined, end);
-        updateLastEventId(joined, end);
+        hasEvent = false;
+        int end = 0;
+        int next = endOfEvent(joined, end);
+        while (next > end && isWellFormed(joined, end, next)) {
+            end = next;
+            next = endOfEvent(joined, end);
+        }
+        malformed = malformed || next > end;
         incompleteEvent = Arrays.copyOfRange(joined, end, joined.length);
         return Arrays.copyOf(joined, end);
     }
 
+    /**
+     * Returns whether bytes arrived that are no event, such as the text of an error, or an event that does not follow the
+     * ones before it.
+     *
+     * @return true if the stream must not go on with these bytes
+     */
+    public boolean isMalformed() {
+        return malformed;
+    }
+
     /**
      * Returns whether the last bytes completed an event. Comments, which keep a connection open, are no progress.
      *
@@ -55,9 +72,10 @@
         return incompleteEvent.length > MAX_INCOMPLETE_BYTES;
     }
 
-    /** Discards the buffered bytes of an incomplete event. */
+    /** Discards the buffered bytes of an incomplete or malformed event, so that the stream can go on elsewhere. */
     public void discardIncompleteEvent() {
         incompleteEvent = new byte[0];
+        malformed = false;
     }
 
     /**
@@ -78,46 +96,73 @@
         return Optional.ofNullable(lastEventId);
     }
 
-    private static int endOfEvents(byte[] bytes) {
-        int end = 0;
-        int lineStart = 0;
-        for (int index = 0; index < bytes.length; index++) {
+    /** Returns the end of the first event, behind its blank line, or the start if it is not complete. */
+    private static int endOfEvent(byte[] bytes, int from) {
+        int lineStart = from;
+        for (int index = from; index < bytes.length; index++) {
             if (bytes[index] != LINE_FEED) {
                 continue;
             }
-            boolean empty = index == lineStart || index == lineStart + 1 && bytes[lineStart] == CARRIAGE_RETURN;
-            if (empty) {
-                end = index + 1;
+            if (lineEnd(bytes, lineStart, index) == lineStart) {
+                return index + 1;
             }
             lineStart = index + 1;
         }
-        return end;
+        return from;
     }
 
-    private static boolean containsField(byte[] bytes, int end) {
-        boolean lineStart = true;
-        for (int index = 0; index < end; index++) {
-            byte current = bytes[index];
-            if (lineStart && current != COMMENT && current != LINE_FEED && current != CARRIAGE_RETURN) {
-                return true;
-            }
-            lineStart = current == LINE_FEED;
-        }
-        return false;
+    /** Returns the end of a line without the carriage return before its line feed. */
+    private static int lineEnd(byte[] bytes, int lineStart, int lineFeed) {
+        return lineFeed > lineStart && bytes[lineFeed - 1] == CARRIAGE_RETURN ? lineFeed - 1 : lineFeed;
     }
 
-    private void updateLastEventId(byte[] bytes, int end) {
-        int lineStart = 0;
-        for (int index = 0; index < end; index++) {
+    private boolean isWellFormed(byte[] bytes, int from, int to) {
+        int lineStart = from;
+        for (int index = from; index < to; index++) {
             if (bytes[index] != LINE_FEED) {
                 continue;
             }
-            if (isIdField(bytes, lineStart, index)) {
-                int from = lineStart + ID_FIELD.length;
-                lastEventId = new String(bytes, from, index - from, StandardCharsets.UTF_8).trim();
+            if (!acceptLine(bytes, lineStart, lineEnd(bytes, lineStart, index))) {
+                return false;
             }
             lineStart = index + 1;
         }
+        return true;
+    }
+
+    private boolean acceptLine(byte[] bytes, int from, int to) {
+        if (from == to || bytes[from] == COMMENT) {
+            return true;
+        }
+        hasEvent = true;
+        if (!hasFieldName(bytes, from, to)) {
+            return false;
+        }
+        return !isIdField(bytes, from, to)
+                || acceptId(
+                        new String(bytes, from + ID_FIELD.length, to - from - ID_FIELD.length, StandardCharsets.UTF_8)
+                                .trim());
+    }
+
+    /** Returns whether a line begins with the name of a field; a status line or a sentence does not. */
+    private static boolean hasFieldName(byte[] bytes, int from, int to) {
+        for (int index = from; index < to && bytes[index] != COMMENT; index++) {
+            boolean nameCharacter =
+                    bytes[index] == '-' || bytes[index] == '_' || Character.isLetterOrDigit(bytes[index]);
+            if (!nameCharacter) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean acceptId(String id) {
+        boolean comparable = lastEventId != null && id.matches(NUMBER) && lastEventId.matches(NUMBER);
+        if (comparable && Long.parseLong(id) <= Long.parseLong(lastEventId)) {
+            return false;
+        }
+        lastEventId = id;
+        return true;
     }
 
     private static boolean isIdField(byte[] bytes, int from, int to) {
--- a/decision/src/test/java/org/cowslipbank/decision/relay/EventSplitterTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/EventSplitterTest.java
@@ -47,6 +47,31 @@
         assert splitter.lastEventId().equals(Optional.of("3"));
     }
 
+    /** Failure guarded against: the text of an error is passed on as if it were an event. */
+    @Example
+    void bytesThatAreNoEventEndTheStream() {
+        EventSplitter splitter = new EventSplitter();
+        String passed =
+                text(splitter.append(bytes("id: 1\ndata: a\n\nHTTP/1.1 500 X\r\nA: b\r\n\r\nid: 2\ndata: b\n\n")));
+        assert passed.equals("id: 1\ndata: a\n\n") : passed;
+        assert splitter.isMalformed();
+        assert text(splitter.append(bytes("id: 3\ndata: c\n\n"))).isEmpty();
+        splitter.discardIncompleteEvent();
+        assert text(splitter.append(bytes("id: 2\ndata: b\n\n"))).equals("id: 2\ndata: b\n\n");
+        assert !splitter.isMalformed();
+    }
+
+    /** Failure guarded against: a stream that begins again is joined to the events before it. */
+    @Example
+    void numbersOfEventsRise() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.append(
+                bytes("id: 9\ndata: a\n\nx-weight-versions: 3\nid: 10\ndata: b\n\n: comment\n\nevent: end\n\n"));
+        assert !splitter.isMalformed() && splitter.lastEventId().equals(Optional.of("10"));
+        assert text(splitter.append(bytes("id: 10\ndata: b\n\n"))).isEmpty();
+        assert splitter.isMalformed();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -727,11 +727,12 @@
                 return;
             }
             streaming = route.isStream() && answer.isSuccess();
-            if (streaming) {
-                startStream(answer);
-            } else if (headSent) {
+            if (headSent && !answer.hasEvents()) {
                 connection.cancel();
-                onAttemptFailed(Outcome.FAILED, true, "status " + answer.status() + " in answer to a resumed stream");
+                onAttemptFailed(
+                        Outcome.FAILED, true, "status " + answer.status() + " without events for a resumed stream");
+            } else if (streaming) {
+                startStream(answer);
             }
         }
 
@@ -819,10 +820,19 @@
                 progressMillis = now();
             }
             byte[] forwarded = route.resumable() ? completeEvents : received;
+            if (splitter.isMalformed() && !route.resumable()) {
+                forwarded = new byte[0];
+            }
             if (forwarded.length > 0) {
                 bindToVersion();
                 client.writeBody(Unpooled.wrappedBuffer(forwarded));
             }
+            if (splitter.isMalformed()) {
+                connection.cancel();
+                onAttemptFailed(
+                        Outcome.FAILED, true, "bytes that are no event, or an event that does not follow the last one");
+                return;
+            }
             if (splitter.isEventTooLong()) {
                 connection.cancel();
                 onAttemptFailed(
--- a/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
@@ -17,6 +17,7 @@
  * @param idleTimeoutMillis how long the upstream keeps an idle connection, in milliseconds
  * @param contentEncoded true if the body has a content encoding and so is not what the upstream itself wrote
  * @param contentBytes length of the body in bytes, if stated
+ * @param eventStream false if the body is stated to be something else than a stream of events
  * @param requestsPerSecond requests a second that the upstream takes from all nodes together, empty if it names no limit
  * @param endToEndHeaders the end-to-end headers, to be forwarded to the client
  */
@@ -31,8 +32,11 @@
         OptionalLong idleTimeoutMillis,
         boolean contentEncoded,
         OptionalLong contentBytes,
+        boolean eventStream,
         OptionalDouble requestsPerSecond,
         List<Header> endToEndHeaders) {
+    private static final int OK = 200;
+
     /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
     public AnswerHead {
         endToEndHeaders = List.copyOf(endToEndHeaders);
@@ -46,4 +50,13 @@
     public boolean isSuccess() {
         return status >= 200 && status < 300;
     }
+
+    /**
+     * Returns whether the answer can continue a stream.
+     *
+     * @return false for errors and for bodies without events
+     */
+    public boolean hasEvents() {
+        return status == OK && eventStream;
+    }
 }
