Heed upstreams that announce that they leave or ask for a pause

Neither header of an upstream's answers was read, so it went on getting requests: 64 in a pause of 2 s where two are allowed, and any number after it had announced that it leaves.

The request limit, leaving and pauses are now one notice, decoded once in the adapter, kept by incarnation in UpstreamNotices and asked by placement in one place; the limits moved into it. Leaving ends with the incarnation, a pause with its time. Nodes tell each other who leaves in the load digests that exist. A request whose connection was being opened goes elsewhere as not run. While all upstreams pause, two requests may be sent to each; what cannot wait is refused at once with a retry delay up to the first end. Malformed, repeated and foreign headers say nothing and are logged.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -16,6 +16,7 @@
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
+import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.UpstreamSelector;
 import org.cowslipbank.decision.relay.WaitingQueue;
 import org.cowslipbank.decision.retry.RetryQuestion;
@@ -28,6 +29,7 @@
 import org.cowslipbank.model.relay.RelayService;
 import org.cowslipbank.model.relay.RelayTeam;
 import org.cowslipbank.model.relay.Route;
+import org.cowslipbank.model.relay.UpstreamNotice;
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.RelayRequest;
@@ -276,12 +278,23 @@
             giveUp("overloaded", RETRY_AFTER_MILLIS);
         } else if (!placement.isPossible(context.view().get())) {
             giveUp(VERSION_GONE);
-        } else if (!tryStartAttempt()) {
+        } else if (!tryStartAttempt() && !refuseInPause()) {
             queued = true;
             context.waiting().add(this, waitingTimes());
         }
     }
 
+    /** Gives the request up at once if all upstreams want a pause beyond its time. */
+    private boolean refuseInPause() {
+        OptionalLong endMillis = placement.pauseEndMillis(context.view().get());
+        if (endMillis.isEmpty() || endMillis.getAsLong() < waitingTimes().giveUpMillis()) {
+            return false;
+        }
+        context.metrics().onKeptBack();
+        giveUp("upstreams_pause", Math.max(RETRY_AFTER_MILLIS, endMillis.getAsLong() - now()));
+        return true;
+    }
+
     /**
      * Retries a queued exchange, and gives it up if its time in the queue has expired.
      *
@@ -303,6 +316,10 @@
             queued = false;
             return true;
         }
+        if (refuseInPause()) {
+            queued = false;
+            return true;
+        }
         if (expired) {
             queued = false;
             giveUp("no_room");
@@ -312,7 +329,7 @@
 
     private boolean tryStartAttempt() {
         view = context.view().get();
-        Optional<UpstreamSelector.Choice> choice = choose();
+        Optional<UpstreamSelector.Choice> choice = choose().or(() -> placement.chooseInPause(view, triedIncarnations));
         if (choice.isEmpty()) {
             return false;
         }
@@ -568,6 +585,7 @@
         private boolean streaming;
         private Future<?> checkTimer;
 
+        private final boolean inPause;
         private boolean promptRead;
         private long sentMillis;
         private long answerBeganMillis = -1;
@@ -578,6 +596,9 @@
         Attempt(UpstreamSelector.Choice choice) {
             this.server = choice.server();
             this.unreadTokens = choice.unreadTokens();
+            this.inPause = context.notices()
+                    .pauseEndMillis(server.incarnation(), now())
+                    .isPresent();
         }
 
         void start() {
@@ -586,7 +607,7 @@
                     ? UpstreamLoads.SILENCE_LIMIT_MILLIS
                     : UpstreamLoads.plainSilenceLimitMillis(route.latencyObjectiveMillis());
             context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
-            context.limits().onSent(server.incarnation(), now());
+            context.notices().onSent(server.incarnation(), now());
             Optional<UpstreamConnection> idle = context.connections().takeIdle(server.address(), request.id());
             if (idle.isPresent()) {
                 onConnection(idle.get(), null);
@@ -614,6 +635,13 @@
                 onFailure(Failure.UNREACHABLE, String.valueOf(error.getMessage()));
                 return;
             }
+            if (!inPause && context.notices().isHeldBack(server.incarnation(), now())) {
+                // It said so while the connection was being opened.
+                context.connections().release(opened);
+                context.metrics().onKeptBack();
+                onAttemptFailed(Outcome.ABANDONED, false, "upstream leaves or wants a pause");
+                return;
+            }
             connection = opened;
             sent = true;
             sentMillis = now();
@@ -715,7 +743,7 @@
         @Override
         public void onHead(AnswerHead answer) {
             head = answer;
-            recordLimit(answer);
+            recordNotice(answer);
             answer.weightVersion().ifPresent(version -> context.loads().onVersion(server.incarnation(), version));
             if (answer.notExecuted()) {
                 // The rejection is read to its end, so that the connection stays usable.
@@ -736,24 +764,44 @@
             }
         }
 
-        private void recordLimit(AnswerHead answer) {
-            boolean changed =
-                    context.limits().onAnswer(server.incarnation(), answer.requestsPerSecond(), sentMillis, now());
-            if (changed) {
+        private void recordNotice(AnswerHead answer) {
+            boolean ofAnother =
+                    !answer.serverId().isEmpty() && !answer.serverId().equals(server.id());
+            if (ofAnother) {
+                // Another upstream has taken the address over.
+                return;
+            }
+            UpstreamNotice notice = answer.notice();
+            context.notices()
+                    .onAnswer(server.incarnation(), notice, sentMillis, now())
+                    .forEach(change -> context.log()
+                            .logState(LogFields.event(describe(change))
+                                    .peer(server.address())
+                                    .field("server", server.id())
+                                    .field("source", "answer")
+                                    .field(
+                                            "requestsPerSecond",
+                                            notice.requestsPerSecond().orElse(-1))
+                                    .field("pauseMillis", notice.pauseMillis().orElse(-1))
+                                    .field("nodes", view.nodes().size())));
+            if (!notice.ignored().isEmpty()) {
                 context.log()
-                        .logState(LogFields.event(
-                                        answer.requestsPerSecond().isPresent()
-                                                ? "upstream names a request limit"
-                                                : "upstream no longer names a request limit")
+                        .logRequest(LogFields.event("upstream's notice ignored")
                                 .peer(server.address())
                                 .field("server", server.id())
-                                .field(
-                                        "requestsPerSecond",
-                                        answer.requestsPerSecond().orElse(-1))
-                                .field("nodes", view.nodes().size()));
+                                .field("headers", notice.ignored()));
             }
         }
 
+        private static String describe(UpstreamNotices.Change change) {
+            return switch (change) {
+                case LIMITED -> "upstream names a request limit";
+                case UNLIMITED -> "upstream no longer names a request limit";
+                case LEAVING -> "upstream leaves";
+                case PAUSED -> "upstream asks for a pause";
+            };
+        }
+
         private void startStream(AnswerHead answer) {
             if (!headSent) {
                 headSent = true;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -27,6 +27,7 @@
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
+import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.PeerException;
@@ -53,7 +54,7 @@
     private final Supplier<PlatformView> view;
     private final UpstreamLoads ownLoads;
     private final FleetLoads fleetLoads;
-    private final UpstreamLimits limits;
+    private final UpstreamNotices notices;
     private final Clocks clocks;
     private final LoopTurnTracker turns;
     private final DecisionLog log;
@@ -66,15 +67,21 @@
      *
      * @param ownLoads this node's load
      * @param fleetLoads load of the other nodes
-     * @param limits limits that upstreams name
+     * @param notices what upstreams say of themselves
      */
-    record Exchanged(UpstreamLoads ownLoads, FleetLoads fleetLoads, UpstreamLimits limits) {}
+    record Exchanged(UpstreamLoads ownLoads, FleetLoads fleetLoads, UpstreamNotices notices) {}
 
     /** A digest, encoded as an array; {@code node} is a hash of the sender's name. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"scope", "node", "part", "work", "limits"})
+    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving"})
     @JsonIgnoreProperties(ignoreUnknown = true)
-    record LoadDigest(FleetLoads.Scope scope, int node, int part, List<Entry> work, List<LimitEntry> limits) {}
+    record LoadDigest(
+            FleetLoads.Scope scope,
+            int node,
+            int part,
+            List<Entry> work,
+            List<LimitEntry> limits,
+            List<Integer> leaving) {}
 
     /** Limit of one upstream, encoded as an array; a rate below zero says that it no longer names one. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -109,7 +116,7 @@
         this.view = view;
         this.ownLoads = exchanged.ownLoads();
         this.fleetLoads = exchanged.fleetLoads();
-        this.limits = exchanged.limits();
+        this.notices = exchanged.notices();
         this.clocks = clocks;
         this.turns = turns;
         this.log = log;
@@ -204,23 +211,36 @@
         work.forEach((server, load) -> entries.get(Math.floorMod(server, datagrams))
                 .add(new Entry(server, load.requests(), load.tokens(), load.unreadTokens())));
         List<List<LimitEntry>> limitEntries = limitEntries(datagrams);
+        List<Integer> leaving = notices.leavingToTell(clocks.nowMillis());
         for (int part = 0; part < datagrams; part++) {
             LoadDigest digest = new LoadDigest(
-                    scope, FleetLoads.shortHash(self.name()), part, entries.get(part), limitEntries.get(part));
+                    scope,
+                    FleetLoads.shortHash(self.name()),
+                    part,
+                    entries.get(part),
+                    limitEntries.get(part),
+                    leavingOfPart(leaving, part, datagrams));
             ByteBuf content = Unpooled.wrappedBuffer(encode(digest));
             channel.write(
                     new DatagramPacket(content, SocketAddresses.parse(node.digestAddress())), channel.voidPromise());
         }
     }
 
+    private static List<Integer> leavingOfPart(List<Integer> leaving, int part, int datagrams) {
+        return leaving.stream()
+                .filter(key -> Math.floorMod(key, datagrams) == part)
+                .limit(MAX_ENTRIES_PER_DATAGRAM)
+                .toList();
+    }
+
     private List<List<LimitEntry>> limitEntries(int datagrams) {
         List<List<LimitEntry>> byPart = new ArrayList<>();
         for (int part = 0; part < datagrams; part++) {
             byPart.add(new ArrayList<>());
         }
-        limits.observations(clocks.nowMillis())
-                .forEach(observation -> byPart.get(Math.floorMod(observation.upstream(), datagrams))
-                        .add(LimitEntry.of(observation)));
+        notices.limits().observations(clocks.nowMillis()).forEach(observation -> byPart.get(
+                        Math.floorMod(observation.upstream(), datagrams))
+                .add(LimitEntry.of(observation)));
         return byPart;
     }
 
@@ -238,9 +258,11 @@
                             new FleetLoads.Load(entry.requests(), entry.tokens(), entry.unreadTokens())));
             fleetLoads.onDigest(
                     new FleetLoads.Source(digest.scope(), digest.node(), digest.part()), byServer, clocks.nowMillis());
-            // Nodes of an earlier release send no limits.
+            // Nodes of an earlier release send no limits and no leaving upstreams.
             List<LimitEntry> named = digest.limits() == null ? List.of() : digest.limits();
-            named.forEach(entry -> limits.onObservation(entry.decode(), clocks.nowMillis()));
+            named.forEach(entry -> notices.limits().onObservation(entry.decode(), clocks.nowMillis()));
+            List<Integer> leaving = digest.leaving() == null ? List.of() : digest.leaving();
+            leaving.forEach(key -> notices.onLeavingTold(key, clocks.nowMillis()));
         } catch (IOException e) {
             log.logRequest(LogFields.event("cannot decode load digest; ignored")
                     .peer(String.valueOf(packet.sender()))
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -10,8 +10,8 @@
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.decision.relay.StreamOrigins;
-import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
+import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.ports.relay.RelayCodec;
 import org.cowslipbank.ports.relay.RelaySettings;
 
@@ -27,7 +27,7 @@
  * @param loop the traffic thread
  * @param connections connections to upstreams
  * @param loads load and availability of upstreams as seen by this node
- * @param limits pace of requests to upstreams that name a limit
+ * @param notices what upstreams say of themselves: limits, leaving, pauses
  * @param fleetLoads requests of other nodes in flight at upstreams
  * @param cacheIndex index of the parts in the cache stores
  * @param turns the turns of the traffic thread's event loop
@@ -49,7 +49,7 @@
         EventLoop loop,
         UpstreamConnectionPool connections,
         UpstreamLoads loads,
-        UpstreamLimits limits,
+        UpstreamNotices notices,
         FleetLoads fleetLoads,
         CacheIndex cacheIndex,
         LoopTurnTracker turns,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -13,6 +13,7 @@
     private final Counter furtherAttempts;
     private final Counter resumes;
     private final Counter clientsGone;
+    private final Counter keptBack;
     private final Timer firstByte;
     private final Timer duration;
 
@@ -22,6 +23,7 @@
         this.furtherAttempts = registry.counter("relay.furtherAttempts");
         this.resumes = registry.counter("relay.resumes");
         this.clientsGone = registry.counter("relay.clientsGone");
+        this.keptBack = registry.counter("relay.keptBack");
         this.firstByte = registry.timer("relay.firstByteMillis");
         this.duration = registry.timer("relay.wholeMillis");
     }
@@ -42,6 +44,11 @@
         clientsGone.inc();
     }
 
+    /** Counts a request that was not sent to an upstream that leaves or wants a pause. */
+    void onKeptBack() {
+        keptBack.inc();
+    }
+
     void onFirstByte(long millis) {
         firstByte.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -17,8 +17,8 @@
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LookupNodes;
 import org.cowslipbank.decision.relay.StreamOrigins;
-import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
+import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.entry.admin.PrometheusText;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -64,13 +64,13 @@
     private final NodeLease lease;
     private final RolloutController rollouts;
     private final UpstreamLoads loads = new UpstreamLoads();
+    private final UpstreamNotices notices = new UpstreamNotices();
     private final UpstreamConnectionPool connections;
     private final CacheStoreFollower cacheStores;
     private final HubFeed hubFeed;
     private final HubFeedClient hubClient;
     private final CacheStoreCleaner cleaner;
     private final StreamOriginReports originReports;
-    private final UpstreamLimits limits;
     private final LoadDigests digests;
     private final RelayContext context;
     private final ClientHttpServer clientServer;
@@ -123,7 +123,7 @@
         ControlContext controlContext =
                 new ControlContext(self, platform.store(), items, watcher::view, clocks, control, log);
         this.lease = new NodeLease(controlContext, state, settings.minLeaseMillis());
-        this.rollouts = new RolloutController(controlContext, lease, platform.engines(), settings.bounds());
+        this.rollouts = new RolloutController(controlContext, lease, platform.engines(), notices, settings.bounds());
         CrashReports crashReports = new CrashReports(controlContext);
         this.originReports = new StreamOriginReports(controlContext, origins);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
@@ -138,10 +138,9 @@
         this.cleaner =
                 new CacheStoreCleaner(platform.engines(), cacheIndex, watcher::view, lease::isLeader, clocks, log);
         FleetLoads fleetLoads = new FleetLoads();
-        this.limits = new UpstreamLimits();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, turns, loads);
         this.digests = new LoadDigests(
-                self, watcher::view, new LoadDigests.Exchanged(loads, fleetLoads, limits), clocks, turns, log);
+                self, watcher::view, new LoadDigests.Exchanged(loads, fleetLoads, notices), clocks, turns, log);
         this.context = new RelayContext(
                 settings,
                 codec,
@@ -152,7 +151,7 @@
                 loop,
                 connections,
                 loads,
-                limits,
+                notices,
                 fleetLoads,
                 cacheIndex,
                 turns,
@@ -236,11 +235,11 @@
         context.turns().onEvent();
         cacheStores.refresh();
         loads.retain(view.incarnations());
-        limits.retain(view.incarnations());
+        notices.retain(view.incarnations());
         if (!view.nodes().keySet().equals(sharingNodes)) {
             sharingNodes = view.nodes().keySet();
             List<String> names = sharingNodes.stream().sorted().toList();
-            limits.setShare(names.size(), Math.max(0, names.indexOf(settings.nodeName())));
+            notices.limits().setShare(names.size(), Math.max(0, names.indexOf(settings.nodeName())));
         }
     }
 
@@ -249,6 +248,9 @@
         clientServer.closeExpired();
         connections.closeExpired();
         cleaner.freeUnusedParts();
+        notices.takeEndedPauses(clocks.nowMillis())
+                .forEach(incarnation -> log.logState(
+                        LogFields.event("pause of upstream has ended").field("incarnation", incarnation)));
     }
 
     private DisposableServer listen(String address, Handler handler) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -33,6 +33,7 @@
     private final Target target;
     private final ToIntFunction<String> reservedTokens;
     private Optional<String> softwareVersion = Optional.empty();
+    private boolean probing;
 
     /**
      * The service that a request goes to, and the team that sent it.
@@ -138,6 +139,46 @@
                 .map(UpstreamSelector.Choice::plain);
     }
 
+    /**
+     * Chooses an upstream for one of the few requests that a pause allows.
+     *
+     * @param view the platform
+     * @param tried incarnations that are excluded because the request has been sent to them
+     * @return the choice, or empty if not all upstreams pause, or none may get a request now
+     */
+    Optional<UpstreamSelector.Choice> chooseInPause(PlatformView view, Set<String> tried) {
+        if (pauseEndMillis(view).isEmpty()) {
+            return Optional.empty();
+        }
+        probing = true;
+        try {
+            return choose(view, tried);
+        } finally {
+            probing = false;
+        }
+    }
+
+    /**
+     * Returns when the first upstream takes requests again, if all have asked for a pause.
+     *
+     * @param view the platform
+     * @return the time in milliseconds, or empty if an upstream takes requests now or none is registered
+     */
+    OptionalLong pauseEndMillis(PlatformView view) {
+        long earliestMillis = Long.MAX_VALUE;
+        for (UpstreamServer server : activeServers(view)) {
+            if (context.notices().isLeaving(server.incarnation())) {
+                continue;
+            }
+            OptionalLong endMillis = context.notices().pauseEndMillis(server.incarnation(), now());
+            if (endMillis.isEmpty()) {
+                return OptionalLong.empty();
+            }
+            earliestMillis = Math.min(earliestMillis, endMillis.getAsLong());
+        }
+        return earliestMillis == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(earliestMillis);
+    }
+
     /**
      * Returns the engine at which room should be reserved while the request is queued.
      *
@@ -200,7 +241,7 @@
     }
 
     private long limitPenaltyMillis(UpstreamServer server) {
-        return context.limits().isLimited(server.incarnation())
+        return context.notices().isLimited(server.incarnation())
                 ? UpstreamSelector.limitedPenaltyMillis(
                         promptTokens(), target.engine().get().capacityTokens())
                 : 0;
@@ -215,7 +256,9 @@
         boolean closed = versionAgeIfOld(view, server).stream()
                 .anyMatch(ageMillis -> OldWeightsPolicy.isExcluded(ageMillis, boundMillis));
         return !closed
-                && context.limits().maySend(server.incarnation(), now())
+                && (probing
+                        ? context.notices().mayProbe(server.incarnation(), now())
+                        : context.notices().maySend(server.incarnation(), now()))
                 && context.loads()
                         .isAvailable(server.incarnation(), context.turns().lastReadMillis());
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RolloutController.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RolloutController.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.cowslipbank.decision.relay.LeaderLease;
+import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.VersionRollout;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.relay.TargetVersion;
@@ -27,15 +28,22 @@
     private final ControlContext context;
     private final NodeLease lease;
     private final EngineControl engines;
+    private final UpstreamNotices notices;
     private final long orderTurnMillis;
     private final long versionMillis;
     private final Map<String, VersionRollout> rollouts = new HashMap<>();
     private boolean announcing;
 
-    RolloutController(ControlContext context, NodeLease lease, EngineControl engines, RelaySettings.Bounds bounds) {
+    RolloutController(
+            ControlContext context,
+            NodeLease lease,
+            EngineControl engines,
+            UpstreamNotices notices,
+            RelaySettings.Bounds bounds) {
         this.context = context;
         this.lease = lease;
         this.engines = engines;
+        this.notices = notices;
         this.orderTurnMillis = bounds.orderTurnMillis();
         this.versionMillis = bounds.versionMillis();
     }
@@ -80,10 +88,12 @@
         }
     }
 
-    private static List<UpstreamServer> enginesOf(PlatformView platform, String model) {
+    private List<UpstreamServer> enginesOf(PlatformView platform, String model) {
         List<UpstreamServer> found = new ArrayList<>();
         for (UpstreamServer server : platform.servers().values()) {
-            if (!server.draining() && server.versionByModel().containsKey(model)) {
+            if (!server.draining()
+                    && !notices.isLeaving(server.incarnation())
+                    && server.versionByModel().containsKey(model)) {
                 found.add(server);
             }
         }
--- a/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
@@ -1,9 +1,10 @@
 package org.cowslipbank.ports.relay;
 
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
+import org.cowslipbank.model.relay.UpstreamNotice;
+
 /**
  * Status and headers of an upstream's answer.
  *
@@ -18,7 +19,7 @@
  * @param contentEncoded true if the body has a content encoding and so is not what the upstream itself wrote
  * @param contentBytes length of the body in bytes, if stated
  * @param eventStream false if the body is stated to be something else than a stream of events
- * @param requestsPerSecond requests a second that the upstream takes from all nodes together, empty if it names no limit
+ * @param notice what the upstream says of itself
  * @param endToEndHeaders the end-to-end headers, to be forwarded to the client
  */
 public record AnswerHead(
@@ -33,7 +34,7 @@
         boolean contentEncoded,
         OptionalLong contentBytes,
         boolean eventStream,
-        OptionalDouble requestsPerSecond,
+        UpstreamNotice notice,
         List<Header> endToEndHeaders) {
     private static final int OK = 200;
 
