Apply a configuration that has the number of a lost one

A configuration that reached nodes, but whose acknowledgement was lost in the restore of the metadata store, has a number that operators may give to other content. Nodes compared numbers only: the routes and keys of the second one were never in force, and those of the lost one stayed.

The test configurationWithTheNumberOfALostOneIsApplied fails before (status 401 for a key of the second configuration for 10 s) and passes now, because the content is compared as well. A configuration that is older than the known one is still ignored, and now leaves a line with both numbers.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -20,6 +20,7 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.relay.PlatformRecord;
+import org.cowslipbank.model.relay.RelayConfiguration;
 import org.cowslipbank.model.relay.ServiceShare;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.model.relay.TargetVersion;
@@ -328,26 +329,33 @@
     }
 
     private void onConfigured(PlatformRecord.Configured configured, StoreItem item) {
-        long version = configured.configuration().version();
-        long known = routes.map(table -> table.configuration().version()).orElse(Long.MIN_VALUE);
-        if (version < known) {
+        RelayConfiguration configuration = configured.configuration();
+        Optional<RelayConfiguration> known = routes.map(RouteTable::configuration);
+        long knownVersion = known.map(RelayConfiguration::version).orElse(Long.MIN_VALUE);
+        if (configuration.version() < knownVersion) {
             // Only a store that was restored from a copy has an older one; it is written again.
+            log.logState(LogFields.event("configuration older than the known one; ignored")
+                    .field("version", configuration.version())
+                    .field("known", knownVersion)
+                    .field("storeRevision", item.revision()));
             return;
         }
         configurationRevision = item.revision();
-        if (version == known) {
+        // A configuration that a restore has lost may have had the number of another one, so content is compared as
+        // well.
+        if (known.filter(configuration::equals).isPresent()) {
             return;
         }
-        routes = Optional.of(new RouteTable(configured.configuration()));
-        streamServices = configured.configuration().routes().stream()
+        routes = Optional.of(new RouteTable(configuration));
+        streamServices = configuration.routes().stream()
                 .filter(route -> route.isStream() && route.resumable())
                 .flatMap(route -> route.services().stream().map(ServiceShare::service))
                 .collect(Collectors.toSet());
         log.logState(LogFields.event("configuration applied")
-                .field("version", version)
-                .field("before", known == Long.MIN_VALUE ? "none" : known)
+                .field("version", configuration.version())
+                .field("before", known.isEmpty() ? "none" : knownVersion)
                 .field("storeRevision", item.revision())
-                .field("routes", configured.configuration().routes().size()));
+                .field("routes", configuration.routes().size()));
     }
 
     private boolean onRegistered(UpstreamServer server) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RestoredStoreTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RestoredStoreTest.java
@@ -136,6 +136,20 @@
         awaitStatus("added", "200", CONFIGURATION_MILLIS);
     }
 
+    /** Failure guarded against: a configuration is ignored because one that a restore has lost had its number. */
+    @Example
+    void configurationWithTheNumberOfALostOneIsApplied() throws Exception {
+        start(KEY);
+        StandInStore.Copy copy = store.copy();
+        store.put("op/config", RelaySystem.configuration(2, "\"key\",\"lost\""));
+        awaitStatus("lost", "200", CONFIGURATION_MILLIS);
+        store.restore(copy);
+        pause(500);
+        store.put("op/config", RelaySystem.configuration(2, "\"key\",\"added\""));
+        awaitStatus("added", "200", CONFIGURATION_MILLIS);
+        awaitStatus("lost", "401", CONFIGURATION_MILLIS);
+    }
+
     /** Failure guarded against: a running node takes back a configuration because the copy has an older one. */
     @Example
     void revokedKeyOfTheCopyStaysRevoked() throws Exception {
