Do not let a stream that a client takes up begin again

An engine that ignores where a stream should go on begins it again. Within an answer such events have ended the attempt since; where a client took the stream up at a node, the node compared them with nothing and passed them on, so the client got the first events twice in an answer that looked complete.

streamTakenUpByAClientDoesNotBeginAgain fails before (200 with events 1 and 2 for a client that has event 1) and passes now: the splitter begins at the client's last event, and the attempt ends at an event that does not follow it.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
@@ -23,6 +23,15 @@
     private boolean hasEvent;
     private boolean malformed;
 
+    /**
+     * Sets where the stream goes on, so that an event which the client already has is malformed.
+     *
+     * @param eventId identifier of the last event that the client has
+     */
+    public void resumeAfter(String eventId) {
+        lastEventId = eventId;
+    }
+
     /**
      * Adds bytes of the stream and returns what can be passed on.
      *
@@ -90,7 +99,7 @@
     /**
      * Returns the identifier of the last complete event that has one.
      *
-     * @return the identifier, or empty before the first such event
+     * @return the identifier, or empty before the first such event of a new stream
      */
     public Optional<String> lastEventId() {
         return Optional.ofNullable(lastEventId);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -214,6 +214,7 @@
             return false;
         }
         placement.requireSoftwareVersion(version.get());
+        request.lastEventId().ifPresent(splitter::resumeAfter);
         return true;
     }
 
@@ -234,9 +235,8 @@
         return true;
     }
 
-    // After a suspension of the VM the confirmation comes within milliseconds; without contact to the metadata store it
-    // may
-    // not come at all.
+    // After a suspension of the VM the confirmation comes within milliseconds; without contact to the metadata store
+    // it may not come at all.
     private void waitForConfirmation() {
         waitOrRefuse("configuration_unconfirmed", context.canConfirm().getAsBoolean() ? CONFIRMATION_WAIT_MILLIS : 0);
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/ErrorInStreamTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/ErrorInStreamTest.java
@@ -134,4 +134,18 @@
         String answer = system.send("/stream/", "r1", "", "prompt");
         assert RelaySystem.joined(answer).equals(FIRST_EVENT) && !answer.endsWith("0\r\n\r\n") : answer;
     }
+
+    /** An engine that ignores where the stream of a client should go on begins it again. */
+    @Example
+    void streamTakenUpByAClientDoesNotBeginAgain() throws Exception {
+        ScriptedUpstream.Script script = (request, socket) -> {
+            ScriptedUpstream.beginStream(request, socket, FIRST_EVENT + "id: 2\ndata: b\n\n");
+            ScriptedUpstream.endStream(socket);
+        };
+        system.upstream("llm", "i-1", script);
+        system.upstream("llm", "i-2", script);
+        system.start();
+        String answer = system.send("/stream/", "r1", "Last-Event-Id: 1\r\nResumes: r0\r\n", "prompt");
+        assert RelaySystem.joined(answer).isEmpty() && !answer.endsWith("0\r\n\r\n") : answer;
+    }
 }
