Count sound answers from the first crash on

Cause: a prompt part that a third of the requests contain was taken for the cause of crashes. It had been in progress at one crash 14 s before, then at another one, and at an engine whose connections were reset. Answers with it went on well all the time, but nodes heeded them only from the second crash on, so the first one still counted. Evidence: "causes of upstream crashes changed" at 26.13 s on all nodes, undone 60 ms later, and 18 requests with the outcome crashed_upstreams in between.

Each node now clears suspects by its own sound answers from the first crash on; only for suspects of two crashes do nodes write to the metadata store, as before. A part that crashes engines has no sound answers, so it is found as before.

CrashingPromptPartTest.partOfSoundAnswersBetweenCrashesIsNotRefused fails before (503) and passes now. Three checks of CrashEvidenceTest compared with verdicts that lack the new component; they now name its value and are as strict.

--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
@@ -17,15 +17,20 @@
     /** Crashes after which a suspect is refused; the platform's rules state the same number for repeated requests. */
     public static final int MIN_CRASHES = 3;
 
-    /** Crashes from which on answers are watched for evidence that a suspect is sound. */
+    /** Crashes from which on nodes tell each other of answers which show that a suspect is sound. */
     static final int MIN_WATCHED_CRASHES = 2;
 
     /** How long a report counts; clients go on sending requests with the same prompt parts for minutes. */
     public static final long REPORT_TTL_MILLIS = 600_000;
 
+    private static final long NEVER = -1;
+
     private final Map<String, Crash> crashes = new HashMap<>();
     private final Map<Suspect, Set<String>> incarnationsBySuspect = new HashMap<>();
     private final Set<Suspect> repeated = new HashSet<>();
+    /** Revision of the last crash of each suspect that no sound answer has followed, by the suspect's identifier. */
+    private final Map<String, Long> suspectedAtRevision = new HashMap<>();
+
     private final Map<String, Long> soundAtRevision = new HashMap<>();
     private CrashVerdicts verdicts = CrashVerdicts.NONE;
     private boolean outdated;
@@ -54,6 +59,13 @@
                 repeated.add(suspect);
                 outdated = true;
             }
+            suspect(suspect.id(), crashes.get(incarnation).firstRevision());
+        }
+    }
+
+    private void suspect(String id, long crashRevision) {
+        if (crashRevision > soundAtRevision.getOrDefault(id, NEVER)) {
+            outdated |= suspectedAtRevision.merge(id, crashRevision, Math::max) == crashRevision;
         }
     }
 
@@ -65,6 +77,7 @@
             Set<String> reported = new HashSet<>();
             incarnationsBySuspect.keySet().forEach(suspect -> reported.add(suspect.id()));
             soundAtRevision.keySet().retainAll(reported);
+            suspectedAtRevision.keySet().retainAll(reported);
             outdated = true;
         }
     }
@@ -75,7 +88,10 @@
      * @param revisionBySuspect for each suspect the revision that was known when an answer with it went on well
      */
     public void addSound(Map<String, Long> revisionBySuspect) {
-        revisionBySuspect.forEach((id, revision) -> soundAtRevision.merge(id, revision, Math::max));
+        revisionBySuspect.forEach((id, revision) -> {
+            soundAtRevision.merge(id, revision, Math::max);
+            suspectedAtRevision.computeIfPresent(id, (key, crash) -> crash <= revision ? null : crash);
+        });
         outdated = true;
     }
 
@@ -108,11 +124,11 @@
         }
         Set<String> refused = new HashSet<>();
         CrashCauses.find(suspectsByCrash.values(), MIN_CRASHES).forEach(cause -> refused.add(cause.id()));
-        return new CrashVerdicts(refused, watched);
+        return new CrashVerdicts(refused, watched, suspectedAtRevision.keySet());
     }
 
     private List<String> unclearedCrashes(Suspect suspect) {
-        long clearedUpTo = soundAtRevision.getOrDefault(suspect.id(), -1L);
+        long clearedUpTo = soundAtRevision.getOrDefault(suspect.id(), NEVER);
         return incarnationsBySuspect.getOrDefault(suspect, Set.of()).stream()
                 .filter(incarnation -> crashes.get(incarnation).firstRevision() > clearedUpTo)
                 .toList();
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashVerdicts.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashVerdicts.java
@@ -6,16 +6,18 @@
  * What follows from the crashes that are known.
  *
  * @param refused identifiers of the suspects that are taken as causes; requests that contain one are refused
- * @param watched identifiers of the suspects that further crashes would make causes; an answer that goes on well clears
- *     them, and refused ones too
+ * @param watched identifiers of the suspects that one further crash would make causes, and of the refused ones; nodes tell
+ *     each other of answers with them that go on well
+ * @param suspected identifiers of the suspects of any crash; an answer that goes on well clears them
  */
-public record CrashVerdicts(Set<String> refused, Set<String> watched) {
+public record CrashVerdicts(Set<String> refused, Set<String> watched, Set<String> suspected) {
     /** Nothing is suspected. */
-    public static final CrashVerdicts NONE = new CrashVerdicts(Set.of(), Set.of());
+    public static final CrashVerdicts NONE = new CrashVerdicts(Set.of(), Set.of(), Set.of());
 
     /** Makes unmodifiable copies of the sets; null elements are rejected with NullPointerException. */
     public CrashVerdicts {
         refused = Set.copyOf(refused);
         watched = Set.copyOf(watched);
+        suspected = Set.copyOf(suspected);
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
@@ -13,13 +13,17 @@
 
     private final CrashEvidence evidence = new CrashEvidence();
 
+    private static CrashVerdicts suspectedOnly(String suspect) {
+        return new CrashVerdicts(Set.of(), Set.of(), Set.of(suspect));
+    }
+
     /** Failure guarded against: the reports of several nodes on one crash count as several crashes. */
     @Example
     void reportsOfOneCrashCountOnce() {
         evidence.addReport("i-1@1", Set.of(DEADLY), 1, 0);
         evidence.addReport("i-1@1", Set.of(DEADLY), 2, 0);
         evidence.addReport("i-1@1", Set.of(DEADLY), 3, 0);
-        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+        assert evidence.verdicts().equals(suspectedOnly("deadly")) : evidence.verdicts();
         evidence.addReport("i-1@2", Set.of(DEADLY), 4, 0);
         assert evidence.verdicts().watched().equals(Set.of("deadly")) : evidence.verdicts();
         evidence.addReport("i-2@1", Set.of(DEADLY), 5, 0);
@@ -66,7 +70,7 @@
         }
         evidence.addSound(Map.of("popular", 3L));
         evidence.addReport("i-3@1", Set.of(POPULAR, DEADLY), 4, 0);
-        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+        assert evidence.verdicts().equals(suspectedOnly("deadly")) : evidence.verdicts();
     }
 
     /** Failure guarded against: a request is refused for ever because of crashes long ago. */
@@ -76,6 +80,20 @@
             evidence.addReport("i-" + crash + "@1", Set.of(DEADLY), crash, 0);
         }
         evidence.addReport("i-9@1", Set.of(POPULAR), 9, CrashEvidence.REPORT_TTL_MILLIS + 1);
-        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+        assert evidence.verdicts().equals(suspectedOnly("popular")) : evidence.verdicts();
+    }
+
+    /** Failure guarded against: a part counts as at three crashes although answers with it went on well after the first. */
+    @Example
+    void crashBeforeASoundAnswerDoesNotCount() {
+        evidence.addReport("i-1@1", Set.of(POPULAR, DEADLY), 1, 0);
+        assert evidence.verdicts().suspected().equals(Set.of("popular", "deadly"));
+        evidence.addSound(Map.of("popular", 1L));
+        assert evidence.verdicts().equals(suspectedOnly("deadly")) : evidence.verdicts();
+        evidence.addReport("i-2@1", Set.of(POPULAR), 2, 0);
+        evidence.addReport("i-3@1", Set.of(POPULAR), 3, 0);
+        assert evidence.verdicts().refused().isEmpty() : evidence.verdicts();
+        evidence.addReport("i-4@1", Set.of(POPULAR), 4, 0);
+        assert evidence.verdicts().refused().equals(Set.of("popular")) : evidence.verdicts();
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.suspects.CrashCauses;
@@ -58,6 +59,7 @@
     private final Map<String, WrittenReport> written = new HashMap<>();
     private final Map<String, Long> sound = new HashMap<>();
     private final long soundDelayMillis;
+    private final Consumer<Map<String, Long>> ownEvidence;
     private boolean soundScheduled;
     private boolean writeScheduled;
     private final ReportLease lease;
@@ -68,8 +70,16 @@
     /** A report in the store. */
     private record WrittenReport(byte[] value, long writtenMillis) {}
 
-    CrashReports(ControlContext context) {
+    /**
+     * Creates the reports of a node.
+     *
+     * @param context the control thread's shared state
+     * @param ownEvidence receives for each suspect of a sound answer of this node the store's revision that was known then;
+     *     called on the control thread
+     */
+    CrashReports(ControlContext context, Consumer<Map<String, Long>> ownEvidence) {
         this.context = context;
+        this.ownEvidence = ownEvidence;
         this.lease = new ReportLease(context, CrashEvidence.REPORT_TTL_MILLIS);
         this.soundDelayMillis =
                 Math.floorMod(FleetLoads.shortHash(context.self().name()), MAX_SOUND_DELAY_MILLIS);
@@ -108,14 +118,18 @@
     }
 
     /**
-     * Reports suspects that were in an answer that went on well. May be called by any thread.
+     * Records suspects that were in an answer that went on well, and reports them if other nodes need to know. May be
+     * called by any thread.
      *
      * @param suspects identifiers of the suspects
      * @param revision the store's revision that this node knew at that time
      */
     void reportSound(Set<String> suspects, long revision) {
         context.control().schedule(() -> {
-            suspects.forEach(suspect -> sound.merge(suspect, revision, Math::max));
+            Map<String, Long> evidence = new HashMap<>();
+            suspects.forEach(suspect -> evidence.put(suspect, revision));
+            ownEvidence.accept(evidence);
+            evidence.forEach((suspect, known) -> sound.merge(suspect, known, Math::max));
             if (!soundScheduled) {
                 soundScheduled = true;
                 context.control().schedule(this::writeSound, soundDelayMillis, TimeUnit.MILLISECONDS);
@@ -193,10 +207,10 @@
 
     private void writeSound() {
         soundScheduled = false;
-        renewLease();
         CrashVerdicts verdicts = context.view().get().crashes();
-        sound.keySet().removeIf(suspect -> !verdicts.watched().contains(suspect));
+        sound.keySet().retainAll(verdicts.watched());
         if (!sound.isEmpty()) {
+            renewLease();
             write(context.items().soundKey(context.self().name()), NodeItems.encodeSound(sound), () -> {});
         }
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -472,6 +472,16 @@
         }
     }
 
+    /**
+     * Clears suspects of crashes, because answers of this node with them went on well.
+     *
+     * @param revisionBySuspect for each suspect the revision that was known at that time
+     */
+    void onSoundAnswers(Map<String, Long> revisionBySuspect) {
+        crashes.addSound(revisionBySuspect);
+        viewOutdated |= !lastView.crashes().refused().isEmpty();
+    }
+
     private CrashVerdicts crashVerdicts() {
         CrashVerdicts verdicts = crashes.verdicts();
         Set<String> refusedBefore = lastView.crashes().refused();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -124,7 +124,7 @@
                 new ControlContext(self, platform.store(), items, watcher::view, clocks, control, log);
         this.lease = new NodeLease(controlContext, state, settings.minLeaseMillis());
         this.rollouts = new RolloutController(controlContext, lease, platform.engines(), notices, settings.bounds());
-        CrashReports crashReports = new CrashReports(controlContext);
+        CrashReports crashReports = new CrashReports(controlContext, state::onSoundAnswers);
         this.originReports = new StreamOriginReports(controlContext, origins);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -65,12 +65,12 @@
     /** Clears the suspects, since an answer to the request went on well. */
     void reportSound() {
         PlatformView newest = context.view().get();
-        Set<String> watched = newest.crashes().watched();
-        if (watched.isEmpty()) {
+        Set<String> suspected = newest.crashes().suspected();
+        if (suspected.isEmpty()) {
             return;
         }
         Set<String> sound =
-                suspects().stream().map(Suspect::id).filter(watched::contains).collect(Collectors.toSet());
+                suspects().stream().map(Suspect::id).filter(suspected::contains).collect(Collectors.toSet());
         if (!sound.isEmpty()) {
             context.crashReports().reportSound(sound, newest.revision());
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -47,7 +47,7 @@
     }
 
     private void answerOrCrash(ScriptedUpstream.Received request, Socket socket) throws IOException {
-        if (request.header("X-Prefix-Hash").contains("dead:")) {
+        if (request.header("X-Prefix-Hash").contains("dead")) {
             ScriptedUpstream.reset(socket);
             String address = "127.0.0.1:" + socket.getLocalPort();
             system.register("llm", request.header("X-Expect-Instance"), address, "ready", restarts.incrementAndGet());
@@ -111,6 +111,27 @@
         }
     }
 
+    /** Failure guarded against: a part is refused because of a crash since which answers with it went on well. */
+    @Example
+    void partOfSoundAnswersBetweenCrashesIsNotRefused() throws Exception {
+        sendPrompt("c1", "aa:100,dead1:100,c1:100");
+        system.awaitStoreApplied();
+        assert sendSound(1).startsWith("HTTP/1.1 200");
+        sendPrompt("c2", "aa:100,dead2:100,c2:100");
+        sendPrompt("c3", "aa:100,dead3:100,c3:100");
+        RelaySystem.await(
+                "all crashes are reported",
+                () -> system.store.keys().stream()
+                                .filter(key -> key.contains("/crashes/"))
+                                .count()
+                        == 3);
+        system.awaitStoreApplied();
+        for (int number = 2; number < 12; number++) {
+            String answer = sendSound(number);
+            assert answer.startsWith("HTTP/1.1 200") : answer;
+        }
+    }
+
     /** Failure guarded against: reports on an engine that breaks off answers now and then grow with each of them. */
     @Example
     void reportsOnOneEngineDoNotGrow() throws Exception {
