Report the origin of a stream when its request is sent

Cause: nodes reported where a stream began only after its first event, every 400 ms. Streams of a class that ends within a second had no report when their node was killed, and what is not known is refused.

A request is now reported when it is sent, every 200 ms, so the store usually holds the origin before the first event. If the request goes to another version before that, because its engine failed, it is reported again at once, and the later report counts. With one version nothing is recorded or written, as before.

MixedVersionsTest.originIsReportedBeforeTheFirstEvent fails before (no report in the store at the first event, 600 ms after the request) and passes now.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -15,8 +15,9 @@
  *
  * <p>Load pattern: two versions serve side by side, some or all nodes are lost, and clients take their streams up at nodes
  * that did not carry them. While a service has one version, and had no other one for the life of a stream, every stream
- * began there and nothing is exchanged. Otherwise each node reports where its streams began, and a stream without a report
- * may not go on. Thread-safe: used by the traffic thread and the control thread.
+ * began there and nothing is exchanged. Otherwise each node reports where its requests are sent, so that the report is
+ * usually known before the first event, and a stream without a report may not go on. Thread-safe: used by the traffic thread
+ * and the control thread.
  */
 public final class StreamOrigins {
     /** Time after its begin for which a stream may be taken up; twice as long as clients wait for an answer. */
@@ -33,8 +34,13 @@
     private final Set<String> unreported = new HashSet<>();
     private long uncertainUntilMillis = Long.MIN_VALUE;
 
-    /** Where and when a stream began. */
-    private record Origin(String service, String softwareVersion, long beganMillis, boolean own) {}
+    /**
+     * Where and when a stream began, or is expected to begin.
+     *
+     * @param revision the store's revision of the report on it
+     * @param own true if this node carried the stream
+     */
+    private record Origin(String service, String softwareVersion, long beganMillis, long revision, boolean own) {}
 
     /** The versions of one service. */
     private static final class Versions {
@@ -51,12 +57,12 @@
     }
 
     /**
-     * Streams that began at one software version.
+     * Streams that began at one software version, or are expected to.
      *
      * @param service the service
      * @param softwareVersion the version
-     * @param requests identifiers of the requests that brought their first events; may be empty, so that the version itself
-     *     is known
+     * @param requests identifiers of the requests that bring their first events; may be empty, so that the version itself is
+     *     known
      */
     public record Report(String service, String softwareVersion, List<String> requests) {
         /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
@@ -82,6 +88,19 @@
         reportAllIfMixed(service, nowMillis);
     }
 
+    /**
+     * Records that this node sends a request whose stream may begin. Without a second version nothing is recorded.
+     *
+     * @param service the service
+     * @param request identifier of the client's request
+     * @param softwareVersion version of the engine to which it is sent
+     * @param nowMillis the time in milliseconds
+     * @return true if the request was sent to another version before, so that an earlier report on it must be replaced
+     */
+    public synchronized boolean onSent(String service, String request, String softwareVersion, long nowMillis) {
+        return isMixed(service, nowMillis) && addOwn(service, request, softwareVersion, nowMillis);
+    }
+
     /**
      * Records a stream of this node.
      *
@@ -91,34 +110,46 @@
      * @param nowMillis the time in milliseconds
      */
     public synchronized void onBegun(String service, String request, String softwareVersion, long nowMillis) {
-        if (request.length() > MAX_ID_LENGTH) {
-            return;
+        addOwn(service, request, softwareVersion, nowMillis);
+    }
+
+    private boolean addOwn(String service, String request, String softwareVersion, long nowMillis) {
+        Origin known = originByRequest.get(request);
+        boolean unchanged = known != null && known.softwareVersion().equals(softwareVersion);
+        if (request.length() > MAX_ID_LENGTH || unchanged) {
+            return false;
         }
-        add(request, new Origin(service, softwareVersion, nowMillis, true));
+        add(request, new Origin(service, softwareVersion, nowMillis, 0, true));
         if (isMixed(service, nowMillis)) {
             unreported.add(request);
         }
+        return known != null;
     }
 
     /**
      * Records another node's report.
      *
      * @param report the report
+     * @param revision the store's revision of the report; a later one replaces an earlier one on the same request
      * @param nowMillis the time in milliseconds
      */
-    public synchronized void onReport(Report report, long nowMillis) {
+    public synchronized void onReport(Report report, long revision, long nowMillis) {
         Versions versions = versionsByService.computeIfAbsent(report.service(), key -> new Versions());
         versions.lastSeenMillis.put(report.softwareVersion(), nowMillis);
         for (String request : report.requests()) {
-            if (request.length() <= MAX_ID_LENGTH && !originByRequest.containsKey(request)) {
-                add(request, new Origin(report.service(), report.softwareVersion(), nowMillis, false));
+            Origin known = originByRequest.get(request);
+            boolean newer = known == null || !known.own() && known.revision() < revision;
+            if (request.length() <= MAX_ID_LENGTH && newer) {
+                add(request, new Origin(report.service(), report.softwareVersion(), nowMillis, revision, false));
             }
         }
         reportAllIfMixed(report.service(), nowMillis);
     }
 
     private void add(String request, Origin origin) {
-        originByRequest.putIfAbsent(request, origin);
+        // Removed first, so that the order is that of the times.
+        originByRequest.remove(request);
+        originByRequest.put(request, origin);
         var oldest = originByRequest.entrySet().iterator();
         while (oldest.hasNext()) {
             Origin first = oldest.next().getValue();
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -67,7 +67,7 @@
     /** All nodes were killed; the old version's upstreams have left meanwhile. */
     @Example
     void startedNodeKnowsTheVersionsFromReports() {
-        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 0);
+        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 5, 0);
         origins.onRegistered(SERVICE, Set.of("v2"), 0);
         assert find("r1", 10).equals(Optional.of("v1"));
         assert find("not reported", 10).isEmpty();
@@ -82,6 +82,43 @@
         assert find("r1", LIFE).equals(Optional.of("v2"));
     }
 
+    /** A node that is killed between the first event of a stream and its next report leaves the origin known. */
+    @Example
+    void requestsAreReportedWhenTheyAreSent() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.takeUnreported(0);
+        assert !origins.onSent(SERVICE, "r1", "v1", 10);
+        assert origins.takeUnreported(20).equals(List.of(new Report(SERVICE, "v1", List.of("r1"))));
+        assert !origins.onSent(SERVICE, "r1", "v1", 30);
+        origins.onBegun(SERVICE, "r1", "v1", 40);
+        assert origins.takeUnreported(50).isEmpty();
+    }
+
+    /** The request's engine failed before its first event, and the next one has another version. */
+    @Example
+    void laterReportReplacesAnEarlierOne() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.onSent(SERVICE, "r1", "v1", 10);
+        origins.takeUnreported(20);
+        assert origins.onSent(SERVICE, "r1", "v2", 30);
+        assert origins.takeUnreported(40).equals(List.of(new Report(SERVICE, "v2", List.of("r1"))));
+        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 9, 50);
+        assert find("r1", 60).equals(Optional.of("v2"));
+        origins.onReport(new Report(SERVICE, "v2", List.of("of another node")), 8, 50);
+        origins.onReport(new Report(SERVICE, "v1", List.of("of another node")), 7, 60);
+        assert find("of another node", 70).equals(Optional.of("v2"));
+        origins.onReport(new Report(SERVICE, "v1", List.of("of another node")), 9, 80);
+        assert find("of another node", 90).equals(Optional.of("v1"));
+    }
+
+    @Example
+    void nothingIsRecordedOfSentRequestsWithoutASecondVersion() {
+        origins.onRegistered(SERVICE, Set.of("v1"), 0);
+        assert !origins.onSent(SERVICE, "r1", "v1", 10);
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 20);
+        assert find("r1", 30).isEmpty();
+    }
+
     @Example
     void undeliveredReportsAreTakenAgain() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
@@ -95,7 +132,7 @@
     void reportsOfOtherNodesAreNotPassedOn() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
         origins.takeUnreported(400);
-        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 500);
+        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 5, 500);
         assert origins.takeUnreported(800).isEmpty();
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -71,7 +71,7 @@
     /** How long a request waits for the configuration to be confirmed while the metadata store is reachable. */
     static final long CONFIRMATION_WAIT_MILLIS = 250;
 
-    /** How long a stream that is taken up waits for the report on where it began; nodes report within 400 ms. */
+    /** How long a stream that is taken up waits for the report on where it began; nodes report every 200 ms. */
     static final long ORIGIN_WAIT_MILLIS = 700;
 
     /** Interval at which a request that waits for a configuration or a report tries again. */
@@ -608,6 +608,9 @@
                     : UpstreamLoads.plainSilenceLimitMillis(route.latencyObjectiveMillis());
             context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
             context.notices().onSent(server.incarnation(), now());
+            if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
+                context.originReports().onSent(service, request.id(), server.softwareVersion());
+            }
             Optional<UpstreamConnection> idle = context.connections().takeIdle(server.address(), request.id());
             if (idle.isPresent()) {
                 onConnection(idle.get(), null);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -442,7 +442,8 @@
         }
         if (items.isOriginsKey(item.key())) {
             if (!item.isRemoved()) {
-                NodeItems.decodeOrigins(item.value()).forEach(report -> origins.onReport(report, nowMillis));
+                NodeItems.decodeOrigins(item.value())
+                        .forEach(report -> origins.onReport(report, item.revision(), nowMillis));
             }
             return;
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -36,6 +36,7 @@
  * @param retries this node's share of the retry budgets
  * @param crashReports reports crashes of upstreams, and answers that went on well, to all nodes
  * @param origins software versions at which streams began
+ * @param originReports reports to all nodes where streams begin
  * @param metrics counters and timers of requests
  * @param log the structured log
  */
@@ -58,6 +59,7 @@
         RetryBudgets retries,
         CrashReports crashReports,
         StreamOrigins origins,
+        StreamOriginReports originReports,
         RelayMetrics metrics,
         DecisionLog log) {
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -161,6 +161,7 @@
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashReports,
                 origins,
+                originReports,
                 new RelayMetrics(metrics),
                 log);
         this.clientServer = new ClientHttpServer(context);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
@@ -8,13 +8,13 @@
 import org.cowslipbank.ports.relay.MetadataStore;
 
 /**
- * Reports to all nodes, through the metadata store, at which software version this node's streams began, while a service
+ * Reports to all nodes, through the metadata store, at which software version this node's streams begin, while a service
  * has several. The reports outlive the node, so that its clients can take their streams up also if all nodes are lost. State
  * is confined to the control thread.
  */
 final class StreamOriginReports {
-    /** Shortest interval of reports; a stream that breaks off sooner after its begin cannot be taken up elsewhere. */
-    static final long MIN_INTERVAL_MILLIS = 400;
+    /** Shortest interval of reports; engines take about as long from a request to its first event. */
+    static final long MIN_INTERVAL_MILLIS = 200;
 
     /** Interval per registered node, so that a large fleet stays within half of the store's 400 writes a second. */
     static final long INTERVAL_MILLIS_PER_NODE = 5;
@@ -24,6 +24,7 @@
     private final ReportLease lease;
     private long number;
     private boolean writing;
+    private boolean dueAfterWrite;
 
     StreamOriginReports(ControlContext context, StreamOrigins origins) {
         this.context = context;
@@ -35,6 +36,20 @@
         scheduleNext();
     }
 
+    /**
+     * Records that a request is sent whose stream may begin. May be called by any thread.
+     *
+     * @param service the service
+     * @param request identifier of the client's request
+     * @param softwareVersion version of the engine to which it is sent
+     */
+    void onSent(String service, String request, String softwareVersion) {
+        if (origins.onSent(service, request, softwareVersion, context.clocks().nowMillis())) {
+            // At once, so that the earlier report is replaced before the first event.
+            context.control().schedule(new GuardedTask("stream origins", this::report, context.log()));
+        }
+    }
+
     private void scheduleNext() {
         long intervalMillis = Math.max(
                 MIN_INTERVAL_MILLIS,
@@ -52,8 +67,10 @@
 
     private void report() {
         if (writing) {
+            dueAfterWrite = true;
             return;
         }
+        dueAfterWrite = false;
         List<StreamOrigins.Report> reports =
                 origins.takeUnreported(context.clocks().nowMillis());
         if (!reports.isEmpty()) {
@@ -70,7 +87,7 @@
                         .write(new MetadataStore.Write(
                                 context.items().originsKey(context.self().name(), id, number++), value, id)))
                 .publishOn(context.control())
-                .doFinally(signal -> writing = false)
+                .doFinally(signal -> onWritten())
                 .subscribe(
                         revision -> {
                             if (revision.isEmpty()) {
@@ -81,6 +98,13 @@
                                 .error(error)));
     }
 
+    private void onWritten() {
+        writing = false;
+        if (dueAfterWrite) {
+            report();
+        }
+    }
+
     private void repeat(LogFields line) {
         context.log().logState(line);
         lease.discard();
--- a/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
@@ -1,6 +1,8 @@
 package org.cowslipbank.entry.relay;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import net.jqwik.api.Example;
@@ -12,6 +14,9 @@
 final class MixedVersionsTest {
     private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
 
+    /** Time that an engine takes for a long prompt. */
+    private static final long SLOW_FIRST_EVENT_MILLIS = 600;
+
     private RelaySystem system;
     private RelaySystem restarted;
 
@@ -29,7 +34,7 @@
     }
 
     /** Begins a stream and breaks off after its first event; goes on with a stream that is taken up. */
-    private static void beginOrGoOn(ScriptedUpstream.Received request, java.net.Socket socket)
+    private static void beginOrGoOn(ScriptedUpstream.Received request, Socket socket)
             throws IOException, InterruptedException {
         if (request.header("Last-Event-Id").isEmpty()) {
             ScriptedUpstream.beginStream(request, socket, FIRST_EVENT);
@@ -127,6 +132,29 @@
         assert resumedAt(second).isEmpty() : resumedAt(second);
     }
 
+    /** Otherwise a stream that breaks off soon after its begin, because its node is killed, could not be taken up. */
+    @Example
+    void originIsReportedBeforeTheFirstEvent() throws Exception {
+        ScriptedUpstream.Script slow = (request, socket) -> {
+            Thread.sleep(SLOW_FIRST_EVENT_MILLIS);
+            ScriptedUpstream.beginStream(request, socket, FIRST_EVENT);
+        };
+        system.engine("i-1", "v1", slow);
+        system.engine("i-2", "v2", slow);
+        system.start();
+        try (Socket client = system.connect()) {
+            ScriptedUpstream.write(client, system.request("/stream/", "r1", "Content-Length: 0\r\n\r\n"));
+            client.getInputStream().read();
+            assert isReported("r1");
+        }
+    }
+
+    private boolean isReported(String request) {
+        return system.store.keys().stream()
+                .flatMap(key -> system.store.item(key).stream())
+                .anyMatch(item -> new String(item.value(), StandardCharsets.ISO_8859_1).contains(request));
+    }
+
     @Example
     void streamOfAVersionThatHasLeftIsRefusedAsNotRun() throws Exception {
         ScriptedUpstream second = beginAtFirstVersion();
