Let refusals because of crashes end after ten minutes

They are dropped by the periodic check of registrations now. The test refusalsEndWithTheirReports fails if that check leaves reports alone.

--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
@@ -69,7 +69,13 @@
         }
     }
 
-    private void dropExpired(long nowMillis) {
+    /**
+     * Drops reports that no longer count.
+     *
+     * @param nowMillis the monotonic time in milliseconds
+     * @return true if there were any
+     */
+    public boolean dropExpired(long nowMillis) {
         if (crashes.values().removeIf(crash -> nowMillis - crash.receivedMillis() > REPORT_TTL_MILLIS)) {
             incarnationsBySuspect.values().forEach(incarnations -> incarnations.retainAll(crashes.keySet()));
             incarnationsBySuspect.values().removeIf(Set::isEmpty);
@@ -79,7 +85,9 @@
             soundAtRevision.keySet().retainAll(reported);
             suspectedAtRevision.keySet().retainAll(reported);
             outdated = true;
+            return true;
         }
+        return false;
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -287,9 +287,15 @@
         return different;
     }
 
-    /** Drops registrations that vanished and were not written again; returns whether there were any. */
-    boolean dropVanished(long nowMillis) {
-        boolean changed = false;
+    /**
+     * Drops registrations that vanished and were not written again, and reports on crashes that no longer count.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return true if there were any
+     */
+    boolean dropExpired(long nowMillis) {
+        boolean changed = crashes.dropExpired(nowMillis);
+        viewOutdated |= changed;
         for (Map.Entry<String, Long> entry : Map.copyOf(dropVanishedAtMillis).entrySet()) {
             if (nowMillis >= entry.getValue()) {
                 dropVanishedAtMillis.remove(entry.getKey());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -44,8 +44,8 @@
     /** How often a node that follows a hub checks whether it has to read the metadata store directly. */
     static final long HUB_CHECK_MILLIS = 100;
 
-    /** Interval of the check for vanished registrations to drop. */
-    static final long VANISHED_CHECK_MILLIS = 150;
+    /** Interval of the check for vanished registrations and old reports to drop. */
+    static final long EXPIRY_CHECK_MILLIS = 150;
 
     private final MetadataStore store;
     private final PlatformDecoder decoder;
@@ -138,14 +138,14 @@
         lastAnswerMillis = clocks.nowMillis();
         control.schedule(this::readAll);
         control.schedulePeriodically(
-                new GuardedTask("vanished registrations", this::dropVanished, log),
-                VANISHED_CHECK_MILLIS,
-                VANISHED_CHECK_MILLIS,
+                new GuardedTask("expired registrations and reports", this::dropExpired, log),
+                EXPIRY_CHECK_MILLIS,
+                EXPIRY_CHECK_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void dropVanished() {
-        if (state.dropVanished(clocks.nowMillis())) {
+    private void dropExpired() {
+        if (state.dropExpired(clocks.nowMillis())) {
             publish();
         }
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
@@ -1,11 +1,15 @@
 package org.cowslipbank.entry.relay;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import net.jqwik.api.Example;
 import org.cowslipbank.decision.relay.StreamOrigins;
+import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
+import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.platform.MetadataItemDecoder;
@@ -38,8 +42,8 @@
         state.onReconnected(60_000);
         state.applyChanges(List.of(removed("servers/i-1", 6)), 6, 60_010);
         assert state.view().activeServers("app").size() == 1;
-        assert !state.dropVanished(60_000 + PlatformState.REREGISTRATION_MILLIS - 1);
-        assert state.dropVanished(60_000 + PlatformState.REREGISTRATION_MILLIS);
+        assert !state.dropExpired(60_000 + PlatformState.REREGISTRATION_MILLIS - 1);
+        assert state.dropExpired(60_000 + PlatformState.REREGISTRATION_MILLIS);
         assert state.view().activeServers("app").isEmpty();
     }
 
@@ -74,7 +78,7 @@
         state.onReconnected(60_000);
         applySnapshot(List.of(), 6, 60_010);
         state.applyChanges(List.of(server("i-1", "10.0.0.1:80", 1, "ready", 7)), 7, 61_000);
-        assert !state.dropVanished(70_000);
+        assert !state.dropExpired(70_000);
         assert state.view().activeServers("app").size() == 1;
     }
 
@@ -121,7 +125,7 @@
     /** Failure guarded against: engines stay unused because the leader failed after announcing that they will switch. */
     @Example
     void announcementEndsWithItsLeader() {
-        byte[] rollout = NodeItems.encodeRollout(new NodeItems.RolloutAnnouncement("n1#7", java.util.Set.of("i-1")));
+        byte[] rollout = NodeItems.encodeRollout(new NodeItems.RolloutAnnouncement("n1#7", Set.of("i-1")));
         StoreItem announced = new StoreItem(items.rolloutKey(), rollout, 6, 6, 0);
         StoreItem leader = new StoreItem(items.leaderKey(), NodeItems.encodeText("n1#7"), 5, 5, 7);
         applySnapshot(List.of(leader, announced), 6, 0);
@@ -138,6 +142,21 @@
         assert state.view().switchingEngines().isEmpty();
     }
 
+    /** Failure guarded against: what was refused because of crashes stays refused until another crash is reported. */
+    @Example
+    void refusalsEndWithTheirReports() {
+        List<StoreItem> reports = new ArrayList<>();
+        for (int crash = 1; crash <= CrashEvidence.MIN_CRASHES; crash++) {
+            byte[] value = NodeItems.encodeSuspects(Set.of(new Suspect("part:dead", 0)));
+            reports.add(new StoreItem(items.crashKey("n1", "i-" + crash + "@1"), value, crash, crash, 0));
+        }
+        applySnapshot(reports, 5, 0);
+        assert state.view().crashes().refused().equals(Set.of("part:dead"));
+        assert !state.dropExpired(CrashEvidence.REPORT_TTL_MILLIS);
+        assert state.dropExpired(CrashEvidence.REPORT_TTL_MILLIS + 1);
+        assert state.view().crashes().refused().isEmpty() : state.view().crashes();
+    }
+
     private static StoreItem heartbeat(String serverState, long born, long sequence, long revision) {
         String value =
                 "{\"Service\":\"app\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"a\",\"Slots\":6,\"State\":\"%s\",\"born\":%d,\"Sequence\":%d}"
