Tell other nodes of sound answers that only this node knows

Since nodes clear suspects by their own sound answers from the first crash on, a node that had cleared a part no longer counted it as watched and told nobody.

What has to be told is now decided by the evidence that the nodes have told each other, and what is refused by that and the node's own. The test CrashEvidenceTest.partThatOtherNodesMayRefuseStaysWatched states the case.

--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
@@ -31,7 +31,11 @@
     /** Revision of the last crash of each suspect that no sound answer has followed, by the suspect's identifier. */
     private final Map<String, Long> suspectedAtRevision = new HashMap<>();
 
+    /** Evidence that the nodes have told each other, the same on all of them; decides what still has to be told. */
+    private final Map<String, Long> toldSoundAtRevision = new HashMap<>();
+    /** The same with the sound answers of this node. */
     private final Map<String, Long> soundAtRevision = new HashMap<>();
+
     private CrashVerdicts verdicts = CrashVerdicts.NONE;
     private boolean outdated;
 
@@ -82,6 +86,7 @@
             repeated.retainAll(incarnationsBySuspect.keySet());
             Set<String> reported = new HashSet<>();
             incarnationsBySuspect.keySet().forEach(suspect -> reported.add(suspect.id()));
+            toldSoundAtRevision.keySet().retainAll(reported);
             soundAtRevision.keySet().retainAll(reported);
             suspectedAtRevision.keySet().retainAll(reported);
             outdated = true;
@@ -91,11 +96,22 @@
     }
 
     /**
-     * Clears suspects of all crashes that were reported up to a revision.
+     * Clears suspects of all crashes that were reported up to a revision, as a node has told all others.
      *
      * @param revisionBySuspect for each suspect the revision that was known when an answer with it went on well
      */
     public void addSound(Map<String, Long> revisionBySuspect) {
+        revisionBySuspect.forEach((id, revision) -> toldSoundAtRevision.merge(id, revision, Math::max));
+        addOwnSound(revisionBySuspect);
+    }
+
+    /**
+     * Clears suspects of all crashes that were reported up to a revision, by answers of this node that the other nodes may
+     * not know.
+     *
+     * @param revisionBySuspect for each suspect the revision that was known when an answer with it went on well
+     */
+    public void addOwnSound(Map<String, Long> revisionBySuspect) {
         revisionBySuspect.forEach((id, revision) -> {
             soundAtRevision.merge(id, revision, Math::max);
             suspectedAtRevision.computeIfPresent(id, (key, crash) -> crash <= revision ? null : crash);
@@ -120,10 +136,10 @@
         Set<String> watched = new HashSet<>();
         Map<String, Set<Suspect>> suspectsByCrash = new HashMap<>();
         for (Suspect suspect : repeated) {
-            List<String> uncleared = unclearedCrashes(suspect);
-            if (uncleared.size() >= MIN_WATCHED_CRASHES) {
+            if (unclearedCrashes(suspect, toldSoundAtRevision).size() >= MIN_WATCHED_CRASHES) {
                 watched.add(suspect.id());
             }
+            List<String> uncleared = unclearedCrashes(suspect, soundAtRevision);
             if (uncleared.size() >= MIN_CRASHES) {
                 uncleared.forEach(crash -> suspectsByCrash
                         .computeIfAbsent(crash, key -> new HashSet<>())
@@ -135,8 +151,8 @@
         return new CrashVerdicts(refused, watched, suspectedAtRevision.keySet());
     }
 
-    private List<String> unclearedCrashes(Suspect suspect) {
-        long clearedUpTo = soundAtRevision.getOrDefault(suspect.id(), NEVER);
+    private List<String> unclearedCrashes(Suspect suspect, Map<String, Long> evidence) {
+        long clearedUpTo = evidence.getOrDefault(suspect.id(), NEVER);
         return incarnationsBySuspect.getOrDefault(suspect, Set.of()).stream()
                 .filter(incarnation -> crashes.get(incarnation).firstRevision() > clearedUpTo)
                 .toList();
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashVerdicts.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashVerdicts.java
@@ -6,9 +6,9 @@
  * What follows from the crashes that are known.
  *
  * @param refused identifiers of the suspects that are taken as causes; requests that contain one are refused
- * @param watched identifiers of the suspects that one further crash would make causes, and of the refused ones; nodes tell
- *     each other of answers with them that go on well
- * @param suspected identifiers of the suspects of any crash; an answer that goes on well clears them
+ * @param watched identifiers of the suspects that one further crash would make causes on some node, and of the refused
+ *     ones; nodes tell each other of answers with them that go on well
+ * @param suspected identifiers of the suspects of any crash; an answer of this node that goes on well clears them here
  */
 public record CrashVerdicts(Set<String> refused, Set<String> watched, Set<String> suspected) {
     /** Nothing is suspected. */
--- a/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
@@ -73,6 +73,19 @@
         assert evidence.verdicts().equals(suspectedOnly("deadly")) : evidence.verdicts();
     }
 
+    /** Failure guarded against: a node that has cleared a part by its own answers does not tell the nodes that refuse it. */
+    @Example
+    void partThatOtherNodesMayRefuseStaysWatched() {
+        for (int crash = 1; crash <= 3; crash++) {
+            evidence.addReport("i-" + crash + "@1", Set.of(POPULAR), crash, 0);
+        }
+        evidence.addOwnSound(Map.of("popular", 3L));
+        assert evidence.verdicts().refused().isEmpty() : evidence.verdicts();
+        assert evidence.verdicts().watched().equals(Set.of("popular")) : evidence.verdicts();
+        evidence.addSound(Map.of("popular", 3L));
+        assert evidence.verdicts().equals(CrashVerdicts.NONE) : evidence.verdicts();
+    }
+
     /** Failure guarded against: a request is refused for ever because of crashes long ago. */
     @Example
     void oldReportsExpire() {
@@ -88,7 +101,7 @@
     void crashBeforeASoundAnswerDoesNotCount() {
         evidence.addReport("i-1@1", Set.of(POPULAR, DEADLY), 1, 0);
         assert evidence.verdicts().suspected().equals(Set.of("popular", "deadly"));
-        evidence.addSound(Map.of("popular", 1L));
+        evidence.addOwnSound(Map.of("popular", 1L));
         assert evidence.verdicts().equals(suspectedOnly("deadly")) : evidence.verdicts();
         evidence.addReport("i-2@1", Set.of(POPULAR), 2, 0);
         evidence.addReport("i-3@1", Set.of(POPULAR), 3, 0);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -485,7 +485,7 @@
      * @param revisionBySuspect for each suspect the revision that was known at that time
      */
     void onSoundAnswers(Map<String, Long> revisionBySuspect) {
-        crashes.addSound(revisionBySuspect);
+        crashes.addOwnSound(revisionBySuspect);
         viewOutdated |= !lastView.crashes().refused().isEmpty();
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -66,11 +66,14 @@
     void reportSound() {
         PlatformView newest = context.view().get();
         Set<String> suspected = newest.crashes().suspected();
-        if (suspected.isEmpty()) {
+        Set<String> watched = newest.crashes().watched();
+        if (suspected.isEmpty() && watched.isEmpty()) {
             return;
         }
-        Set<String> sound =
-                suspects().stream().map(Suspect::id).filter(suspected::contains).collect(Collectors.toSet());
+        Set<String> sound = suspects().stream()
+                .map(Suspect::id)
+                .filter(suspect -> suspected.contains(suspect) || watched.contains(suspect))
+                .collect(Collectors.toSet());
         if (!sound.isEmpty()) {
             context.crashReports().reportSound(sound, newest.revision());
         }
