Count connections that break together as one crash

When a node loses its connections to several upstreams, it reports only what their requests had in common, since its own network is the likelier cause.

Such a report now names one upstream, the same on all nodes, so it is one crash. The first break waits for 25 ms like the others, because the connections of one cause break within that time.

CrashingPromptPartTest.partOfAllRequestsIsAnsweredAfterTheNodeLostItsConnections fails before (503) and passes now.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.entry.relay;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -22,7 +23,7 @@
  * State is confined to the control thread.
  */
 final class CrashReports {
-    /** Delay of later writes on the same crash; the connections to a crashed upstream break within this time. */
+    /** Delay of writes; the connections that break for one reason do so within this time. */
     static final long WRITE_DELAY_MILLIS = 25;
 
     /**
@@ -42,7 +43,8 @@
 
     /**
      * Number of upstreams from which on connections that break within this window are rather due to this node's own network
-     * or to a pause of its VM. Then only suspects that were in progress at all of these upstreams are reported.
+     * or to a pause of its VM. Then only suspects that were in progress at all of these upstreams are reported, and as one
+     * crash: popular prompt parts are in progress everywhere.
      */
     static final int OWN_FAULT_UPSTREAMS = 3;
 
@@ -61,7 +63,6 @@
     private final long soundDelayMillis;
     private final Consumer<Map<String, Long>> ownEvidence;
     private boolean soundScheduled;
-    private boolean writeScheduled;
     private final ReportLease lease;
 
     /** Requests at one upstream whose answers broke off since a moment. */
@@ -110,7 +111,7 @@
             return;
         }
         pending.computeIfAbsent(incarnation, key -> new HashSet<>()).addAll(suspects);
-        scheduleWrite(reported.containsKey(incarnation) ? WRITE_DELAY_MILLIS : 0);
+        scheduleWrite(WRITE_DELAY_MILLIS);
     }
 
     private void forgetOldBreaks(long nowMillis) {
@@ -152,14 +153,13 @@
     }
 
     private void scheduleWrite(long delayMillis) {
-        if (!writeScheduled || delayMillis == 0) {
-            writeScheduled = true;
-            context.control().schedule(this::writePending, delayMillis, TimeUnit.MILLISECONDS);
-        }
+        context.control().schedule(this::writePending, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void writePending() {
-        writeScheduled = false;
+        if (pending.isEmpty()) {
+            return;
+        }
         renewLease();
         Map<String, Set<Suspect>> broken = new HashMap<>(pending);
         pending.clear();
@@ -171,7 +171,7 @@
                     .logState(LogFields.event("connections to many upstreams broke at once")
                             .field("incarnations", recentlyBroken.keySet())
                             .field("commonSuspects", common.size()));
-            broken.values().forEach(suspects -> suspects.retainAll(common));
+            broken = Map.of(Collections.min(recentlyBroken.keySet()), common);
         }
         broken.forEach(this::writeCrash);
     }
