Start streams whose clients already have events first

Such a stream waited among the new requests, and one that a node resumed within its answer behind all of them as late, although few upstreams may go on with it and what was computed for it is lost otherwise. Both go first now, in the queue of requests without an upstream and in that of the node's starts, and so get the reservation for long prompts.

WaitingQueueTest and StartQueueTest have a case each that does not hold before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StartQueue.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StartQueue.java
@@ -12,8 +12,8 @@
  *
  * <p>The load pattern that this answers is a node that gets more requests than its processor time allows: after a start
  * with cold code, a restart of many nodes, or a burst. In order of arrival every request would become late, and requests
- * would be sent on after their clients have left. Here requests that can still be on time go first, the most urgent one
- * before the others, and a request that the node cannot start in time by its own recent pace is refused while its client
+ * would be sent on after their clients have left. Here streams whose clients already have events go first, then requests
+ * that can still be on time, the most urgent one before the others, and a request that the node cannot start in time by its own recent pace is refused while its client
  * can still go elsewhere. Confined to the traffic thread.
  *
  * @param <T> type of a request
@@ -24,8 +24,8 @@
 
     private static final long NEVER = Long.MIN_VALUE;
 
-    private final Queue<Entry<T>> onTime = new PriorityQueue<>(
-            Comparator.comparingLong((Entry<T> entry) -> entry.times().onTimeUntilMillis()));
+    private final Queue<Entry<T>> onTime =
+            new PriorityQueue<>(Comparator.comparing((Entry<T> entry) -> entry.times(), WaitingQueue.Times.BY_URGENCY));
     private final Queue<Entry<T>> late = new ArrayDeque<>();
     private double millisPerStart;
     private long lastStartMillis = NEVER;
@@ -66,7 +66,7 @@
      * @return the request, or empty if the queue is empty
      */
     public Optional<Next<T>> poll(long nowMillis) {
-        while (!onTime.isEmpty() && onTime.peek().times().onTimeUntilMillis() < nowMillis) {
+        while (!onTime.isEmpty() && onTime.peek().times().isLate(nowMillis)) {
             late.add(onTime.poll());
         }
         Entry<T> entry = onTime.isEmpty() ? late.poll() : onTime.poll();
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StartQueueTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StartQueueTest.java
@@ -87,4 +87,16 @@
         assert queue.offer(2, arrivedAt(0), GIVE_UP_MILLIS - 1).isEmpty();
         assert queue.poll(GIVE_UP_MILLIS).get().expired();
     }
+
+    /** Failure guarded against: a stream that was broken off is started after the new requests of its client's node. */
+    @Example
+    void begunStreamsAreStartedFirst() {
+        queue.offer(1, arrivedAt(0), 0);
+        queue.offer(2, WaitingQueue.Times.ofBegunStream(10, 2_000), 10);
+        queue.offer(3, arrivedAt(10), 10);
+        assert queue.poll(20).orElseThrow().request() == 2;
+        assert queue.poll(20).orElseThrow().request() == 1;
+        queue.offer(4, WaitingQueue.Times.ofBegunStream(20, 2_000), 20);
+        assert queue.poll(1_000).orElseThrow().request() == 4;
+    }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/WaitingQueueTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/WaitingQueueTest.java
@@ -19,6 +19,18 @@
         assert line.inTryOrder(1_000).equals(List.of("urgent", "calm", "late"));
     }
 
+    /** Failure guarded against: streams that were broken off wait behind new requests until their clients give up. */
+    @Example
+    void begunStreamsGoFirst() {
+        line.add("late", new WaitingQueue.Times(0, 500, 5_000));
+        line.add("urgent", new WaitingQueue.Times(800, 1_100, 5_000));
+        line.add("begun later", WaitingQueue.Times.ofBegunStream(900, 3_000));
+        line.add("begun", WaitingQueue.Times.ofBegunStream(700, 2_900));
+        assert line.inTryOrder(1_000).equals(List.of("begun", "begun later", "urgent", "late"));
+        assert line.inTryOrder(4_000).subList(0, 2).equals(List.of("begun", "begun later"));
+        assert line.hasExpired("begun", 2_900);
+    }
+
     /** Failure guarded against: a late request starves because other late ones are served first. */
     @Example
     void lateRequestsKeepTheirOrderOfArrival() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -363,18 +363,20 @@
     private WaitingQueue.Times waitingTimes() {
         long nowMillis = now();
         if (headSent) {
-            return new WaitingQueue.Times(
-                    arrivedMillis, nowMillis, Math.min(deadlineMillis, nowMillis + MAX_RESUME_WAIT_MILLIS));
+            return WaitingQueue.Times.ofBegunStream(
+                    arrivedMillis, Math.min(deadlineMillis, nowMillis + MAX_RESUME_WAIT_MILLIS));
         }
         long serviceMillis = route.isStream() ? STREAM_FIRST_EVENT_MILLIS : PLAIN_REQUEST_MILLIS;
         long patienceMillis = route.isStream()
                 ? Math.max(STREAM_PATIENCE_MILLIS, STREAM_PATIENCE_OBJECTIVES * route.latencyObjectiveMillis())
                 : PLAIN_PATIENCE_OBJECTIVES * route.latencyObjectiveMillis();
+        // The time of arrival is the earliest possible one, so patience counts from the time of reading.
+        long giveUpMillis = Math.min(deadlineMillis - serviceMillis, readMillis + patienceMillis - serviceMillis);
+        if (placement.requiredSoftwareVersion().isPresent()) {
+            return WaitingQueue.Times.ofBegunStream(arrivedMillis, giveUpMillis);
+        }
         return new WaitingQueue.Times(
-                arrivedMillis,
-                arrivedMillis + route.latencyObjectiveMillis() - serviceMillis,
-                // The time of arrival is the earliest possible one, so patience counts from the time of reading.
-                Math.min(deadlineMillis - serviceMillis, readMillis + patienceMillis - serviceMillis));
+                arrivedMillis, arrivedMillis + route.latencyObjectiveMillis() - serviceMillis, giveUpMillis);
     }
 
     private Optional<UpstreamSelector.Choice> choose() {
