--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -16,7 +16,6 @@
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
-import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.UpstreamSelector;
 import org.cowslipbank.decision.relay.WaitingQueue;
 import org.cowslipbank.decision.retry.RetryQuestion;
@@ -29,7 +28,6 @@
 import org.cowslipbank.model.relay.RelayService;
 import org.cowslipbank.model.relay.RelayTeam;
 import org.cowslipbank.model.relay.Route;
-import org.cowslipbank.model.relay.UpstreamNotice;
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.RelayRequest;
@@ -748,7 +746,7 @@
         @Override
         public void onHead(AnswerHead answer) {
             head = answer;
-            recordNotice(answer);
+            context.noticeRecorder().record(server, answer, sentMillis);
             answer.weightVersion().ifPresent(version -> context.loads().onVersion(server.incarnation(), version));
             if (answer.notExecuted()) {
                 // The rejection is read to its end, so that the connection stays usable.
@@ -769,44 +767,6 @@
             }
         }
 
-        private void recordNotice(AnswerHead answer) {
-            boolean ofAnother =
-                    !answer.serverId().isEmpty() && !answer.serverId().equals(server.id());
-            if (ofAnother) {
-                // Another upstream has taken the address over.
-                return;
-            }
-            UpstreamNotice notice = answer.notice();
-            context.notices()
-                    .onAnswer(server.incarnation(), notice, sentMillis, now())
-                    .forEach(change -> context.log()
-                            .logState(LogFields.event(describe(change))
-                                    .peer(server.address())
-                                    .field("server", server.id())
-                                    .field("source", "answer")
-                                    .field(
-                                            "requestsPerSecond",
-                                            notice.requestsPerSecond().orElse(-1))
-                                    .field("pauseMillis", notice.pauseMillis().orElse(-1))
-                                    .field("nodes", view.nodes().size())));
-            if (!notice.ignored().isEmpty()) {
-                context.log()
-                        .logRequest(LogFields.event("upstream's notice ignored")
-                                .peer(server.address())
-                                .field("server", server.id())
-                                .field("headers", notice.ignored()));
-            }
-        }
-
-        private static String describe(UpstreamNotices.Change change) {
-            return switch (change) {
-                case LIMITED -> "upstream names a request limit";
-                case UNLIMITED -> "upstream no longer names a request limit";
-                case LEAVING -> "upstream leaves";
-                case PAUSED -> "upstream asks for a pause";
-            };
-        }
-
         private void startStream(AnswerHead answer) {
             if (!headSent) {
                 headSent = true;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -28,6 +28,7 @@
  * @param connections connections to upstreams
  * @param loads load and availability of upstreams as seen by this node
  * @param notices what upstreams say of themselves: limits, leaving, pauses
+ * @param noticeRecorder records and logs what upstreams say of themselves
  * @param fleetLoads requests of other nodes in flight at upstreams
  * @param cacheIndex index of the parts in the cache stores
  * @param turns the turns of the traffic thread's event loop
@@ -51,6 +52,7 @@
         UpstreamConnectionPool connections,
         UpstreamLoads loads,
         UpstreamNotices notices,
+        NoticeRecorder noticeRecorder,
         FleetLoads fleetLoads,
         CacheIndex cacheIndex,
         LoopTurnTracker turns,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -152,6 +152,7 @@
                 connections,
                 loads,
                 notices,
+                new NoticeRecorder(notices, watcher::view, clocks, log),
                 fleetLoads,
                 cacheIndex,
                 turns,
