--- a/decision/src/main/java/org/cowslipbank/decision/relay/StartQueue.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StartQueue.java
@@ -13,8 +13,8 @@
  * <p>The load pattern that this answers is a node that gets more requests than its processor time allows: after a start
  * with cold code, a restart of many nodes, or a burst. In order of arrival every request would become late, and requests
  * would be sent on after their clients have left. Here streams whose clients already have events go first, then requests
- * that can still be on time, the most urgent one before the others, and a request that the node cannot start in time by its own recent pace is refused while its client
- * can still go elsewhere. Confined to the traffic thread.
+ * that can still be on time, the most urgent one before the others, and a request that the node cannot start in time by its
+ * own recent pace is refused while its client can still go elsewhere. Confined to the traffic thread.
  *
  * @param <T> type of a request
  */
--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
@@ -28,11 +28,13 @@
     private final Map<String, Crash> crashes = new HashMap<>();
     private final Map<Suspect, Set<String>> incarnationsBySuspect = new HashMap<>();
     private final Set<Suspect> repeated = new HashSet<>();
+
     /** Revision of the last crash of each suspect that no sound answer has followed, by the suspect's identifier. */
     private final Map<String, Long> suspectedAtRevision = new HashMap<>();
 
     /** Evidence that the nodes have told each other, the same on all of them; decides what still has to be told. */
     private final Map<String, Long> toldSoundAtRevision = new HashMap<>();
+
     /** The same with the sound answers of this node. */
     private final Map<String, Long> soundAtRevision = new HashMap<>();
 
