Keep the evidence for sound parts as long as their crash reports

Crash reports stay in the store for minutes, but a node's evidence for sound parts was one item that held only what was watched at that moment, and the next life of the node overwrote it. A node that starts read the crashes without the answers that had cleared them.

The item now has the lease in its key, like the reports on streams, and holds all that was told under the lease, so it ends with the crash reports. CrashingPromptPartTest.clearedPartIsAnsweredByANodeThatStarts fails before (503) and passes now.

Reports wait for 60 instead of 25 ms: beside load the breaks of one cause were once seen further apart, and partOfAllRequestsIsAnsweredAfterTheNodeLost- ItsConnections failed.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.suspects.CrashCauses;
@@ -24,7 +25,7 @@
  */
 final class CrashReports {
     /** Delay of writes; the connections that break for one reason do so within this time. */
-    static final long WRITE_DELAY_MILLIS = 25;
+    static final long WRITE_DELAY_MILLIS = 60;
 
     /**
      * Longest delay of a report on sound suspects. The delays of nodes differ, so that the first report spares the others
@@ -60,6 +61,9 @@
     private final Map<String, Broken> reported = new HashMap<>();
     private final Map<String, WrittenReport> written = new HashMap<>();
     private final Map<String, Long> sound = new HashMap<>();
+    /** What was told under the present lease; told again with each write, for nodes that start later. */
+    private final Map<String, Long> toldSound = new HashMap<>();
+
     private final long soundDelayMillis;
     private final Consumer<Map<String, Long>> ownEvidence;
     private boolean soundScheduled;
@@ -148,7 +152,7 @@
                 return;
             }
             renewLease();
-            written.forEach((key, report) -> write(key, report.value(), () -> {}));
+            written.forEach((key, report) -> write(id -> key, report.value(), () -> {}));
         });
     }
 
@@ -179,6 +183,7 @@
     private void renewLease() {
         if (lease.renewIfDue()) {
             reported.clear();
+            toldSound.clear();
         }
     }
 
@@ -199,7 +204,7 @@
         byte[] value = NodeItems.encodeSuspects(all);
         written.values().removeIf(report -> nowMillis - report.writtenMillis() > WRITE_AGAIN_MILLIS);
         written.put(key, new WrittenReport(value, nowMillis));
-        write(key, value, () -> {
+        write(id -> key, value, () -> {
             all.removeAll(suspects);
             pending.computeIfAbsent(incarnation, again -> new HashSet<>()).addAll(suspects);
         });
@@ -209,15 +214,18 @@
         soundScheduled = false;
         CrashVerdicts verdicts = context.view().get().crashes();
         sound.keySet().retainAll(verdicts.watched());
-        if (!sound.isEmpty()) {
-            renewLease();
-            write(context.items().soundKey(context.self().name()), NodeItems.encodeSound(sound), () -> {});
+        if (sound.isEmpty()) {
+            return;
         }
+        renewLease();
+        sound.forEach((suspect, revision) -> toldSound.merge(suspect, revision, Math::max));
+        sound.clear();
+        write(id -> context.items().soundKey(context.self().name(), id), NodeItems.encodeSound(toldSound), () -> {});
     }
 
-    private void write(String key, byte[] value, Runnable onFailed) {
+    private void write(LongFunction<String> keyOfLease, byte[] value, Runnable onFailed) {
         lease.id()
-                .flatMap(id -> context.store().write(new MetadataStore.Write(key, value, id)))
+                .flatMap(id -> context.store().write(new MetadataStore.Write(keyOfLease.apply(id), value, id)))
                 .publishOn(context.control())
                 .subscribe(
                         revision -> {
@@ -227,7 +235,6 @@
                         },
                         error -> repeat(
                                 LogFields.event("crash report not written; writing again")
-                                        .field("key", key)
                                         .error(error),
                                 onFailed));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -80,8 +80,9 @@
         return prefix + CRASHES + node + "/" + incarnation;
     }
 
-    String soundKey(String node) {
-        return prefix + SOUND + node;
+    /** Key of a node's evidence for suspects; the lease distinguishes it from that before a restart. */
+    String soundKey(String node, long lease) {
+        return prefix + SOUND + node + "/" + lease;
     }
 
     boolean isSoundKey(String key) {
