Probe what is refused because of crashes

What is refused is in no answer, so nothing could clear it before its reports lapse after ten minutes.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -26,6 +26,9 @@
     /** Delay between successive candidates for leadership, so that usually only one of them calls the store. */
     static final long CANDIDATE_DELAY_MILLIS = 120;
 
+    /** Separates the node's name from its lease in the leader key. */
+    static final String LEASE_SEPARATOR = "#";
+
     private final ControlContext context;
     private final PlatformState state;
     private final long ttlMillis;
@@ -222,7 +225,7 @@
 
     // Includes the lease, so that a restarted process does not take its predecessor's leader key for its own.
     String leaderId() {
-        return context.self().name() + "#" + lease;
+        return context.self().name() + LEASE_SEPARATOR + lease;
     }
 
     private void becomeLeader(long fencingToken) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -130,6 +130,17 @@
                 later, routes, servers, activeByService, versions, nodes, switchingEngines, leader, crashes, tree);
     }
 
+    /**
+     * Returns whether the leader is a certain node.
+     *
+     * @param node the node's name
+     * @return true if the leader key names it
+     */
+    boolean isLedBy(String node) {
+        return leader.filter(id -> id.startsWith(node + NodeLease.LEASE_SEPARATOR))
+                .isPresent();
+    }
+
     /**
      * Returns the incarnations of all registered upstreams.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -12,6 +12,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
+import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.ports.relay.RelayCodec;
 import org.cowslipbank.ports.relay.RelaySettings;
 
@@ -36,6 +37,7 @@
  * @param waiting queue of requests without an upstream
  * @param retries this node's share of the retry budgets
  * @param crashReports reports crashes of upstreams, and answers that went on well, to all nodes
+ * @param probes requests that are sent although they are refused because of crashes
  * @param origins software versions at which streams began
  * @param originReports reports to all nodes where streams begin
  * @param metrics counters and timers of requests
@@ -60,6 +62,7 @@
         WaitingRequests waiting,
         RetryBudgets retries,
         CrashReports crashReports,
+        RefusalProbes probes,
         StreamOrigins origins,
         StreamOriginReports originReports,
         RelayMetrics metrics,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -19,6 +19,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
+import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.entry.admin.PrometheusText;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -161,6 +162,7 @@
                 new RetryBudgets(
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashReports,
+                new RefusalProbes(),
                 origins,
                 originReports,
                 new RelayMetrics(metrics),
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBufUtil;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.decision.suspects.Fingerprint;
+import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.TeamId;
 import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
@@ -27,6 +28,7 @@
     private final TeamId team;
     private final ByteBuf body;
     private Set<Suspect> suspects;
+    private boolean isProbe;
 
     /**
      * Creates the suspects of a request; they are derived when they are first needed.
@@ -44,13 +46,31 @@
     }
 
     /**
-     * Returns whether the request is refused because it, or one of its parts, is taken as the cause of crashes.
+     * Returns whether the request is refused because it, or one of its parts, is taken as the cause of crashes. The leader
+     * lets a few such requests through, as probes.
      *
      * @return true if it must not be sent
      */
     boolean areRefused() {
-        Set<String> refused = context.view().get().crashes().refused();
-        return !refused.isEmpty() && suspects().stream().anyMatch(suspect -> refused.contains(suspect.id()));
+        PlatformView view = context.view().get();
+        Set<String> refused = view.crashes().refused();
+        if (isProbe || refused.isEmpty()) {
+            return false;
+        }
+        Set<String> own =
+                suspects().stream().map(Suspect::id).filter(refused::contains).collect(Collectors.toSet());
+        if (own.isEmpty()) {
+            return false;
+        }
+        isProbe = view.isLedBy(context.settings().nodeName())
+                && context.probes().mayProbe(own, refused, context.clocks().nowMillis());
+        if (isProbe) {
+            context.log()
+                    .logState(LogFields.event("refused request is sent as a probe")
+                            .field("request", request.id())
+                            .field("refused", own));
+        }
+        return !isProbe;
     }
 
     /**
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -162,6 +162,23 @@
         system.awaitStoreApplied();
     }
 
+    /** Failure guarded against: a sound part that was at three breaks by chance stays refused for ten minutes. */
+    @Example
+    void soundPartThatWasRefusedIsAnsweredAgain() throws Exception {
+        for (int crash = 1; crash <= 3; crash++) {
+            sendPrompt("c" + crash, "aa:100,dead" + crash + ":100,c" + crash + ":100");
+            awaitReports(crash);
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        assert sendSound(1).startsWith("HTTP/1.1 503");
+        RelaySystem.await("a probe is answered", () -> sendSound(2).startsWith("HTTP/1.1 200"));
+        // The next probe is due later than this waits.
+        RelaySystem.await("the probe has cleared the part", () -> sendSound(2).startsWith("HTTP/1.1 200"));
+        for (int number = 3; number < 13; number++) {
+            assert sendSound(number).startsWith("HTTP/1.1 200") : number;
+        }
+    }
+
     private void awaitReports(int crashes) {
         RelaySystem.await(
                 "all crashes are reported",
