Answer a watch that times out with the changes so far

Cause, from a trace: the fake store answered a watch that had timed out with its present revision and no changes, so a change since its last poll was never told, and the node took the engine for registered.

The answer at the end of the wait now lists the changes as well, as the platform's store does. The test and its bounds are unchanged.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -89,7 +89,7 @@
                 .repeatWhen(again -> again.delayElements(POLL))
                 .filter(found -> found.isEmpty() || !found.get().items().isEmpty())
                 .next()
-                .timeout(Duration.ofMillis(waitMillis), call(() -> Optional.of(new Changes(List.of(), revision))));
+                .timeout(Duration.ofMillis(waitMillis), call(() -> changes(afterRevision)));
     }
 
     private Optional<Changes> changes(long afterRevision) {
