Take a request that breaks upstream after upstream for no network fault

Cause: since breaks at three upstreams within 100 ms count as one, as when the node's own network fails. A crashing request that is sent on after each break fits that, too.

Only requests that were sent before the first of these breaks are put together now: a network fault breaks what is in progress, not what is sent later. Breaks of requests sent later are reported after 25 ms. Breaks are compared by the time at which they occurred, not at which the control thread read them.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -24,8 +24,11 @@
  * State is confined to the control thread.
  */
 final class CrashReports {
-    /** Delay of writes; the connections that break for one reason do so within this time. */
-    static final long WRITE_DELAY_MILLIS = 60;
+    /** Delay after a break; the connections that break for one reason do so within this time. */
+    static final long CLASSIFY_DELAY_MILLIS = 60;
+
+    /** Delay of the write for a break whose reason is known, so that one crash causes few writes. */
+    static final long WRITE_DELAY_MILLIS = 25;
 
     /**
      * Longest delay of a report on sound suspects. The delays of nodes differ, so that the first report spares the others
@@ -45,7 +48,8 @@
     /**
      * Number of upstreams from which on connections that break within this window are rather due to this node's own network
      * or to a pause of its VM. Then only suspects that were in progress at all of these upstreams are reported, and as one
-     * crash: popular prompt parts are in progress everywhere.
+     * crash: popular prompt parts are in progress everywhere. Requests that were sent after the first break do not count,
+     * so that one which crashes upstream after upstream is not taken for a fault of the network.
      */
     static final int OWN_FAULT_UPSTREAMS = 3;
 
@@ -57,7 +61,11 @@
 
     private final ControlContext context;
     private final Map<String, Broken> recentlyBroken = new HashMap<>();
+    /** Suspects of breaks that may be due to this node, by incarnation. */
+    private final Map<String, Set<Suspect>> unclassified = new HashMap<>();
+    /** Suspects that are to be reported, by incarnation. */
     private final Map<String, Set<Suspect>> pending = new HashMap<>();
+
     private final Map<String, Broken> reported = new HashMap<>();
     private final Map<String, WrittenReport> written = new HashMap<>();
     private final Map<String, Long> sound = new HashMap<>();
@@ -95,31 +103,57 @@
      *
      * @param incarnation the upstream's incarnation
      * @param suspects what the request consists of
+     * @param sentMillis when the request was sent
      */
-    void reportBroken(String incarnation, Set<Suspect> suspects) {
-        context.control().schedule(() -> addBroken(incarnation, suspects));
+    void reportBroken(String incarnation, Set<Suspect> suspects, long sentMillis) {
+        long brokenMillis = context.clocks().nowMillis();
+        context.control().schedule(() -> addBroken(incarnation, suspects, sentMillis, brokenMillis));
     }
 
-    private void addBroken(String incarnation, Set<Suspect> suspects) {
-        long nowMillis = context.clocks().nowMillis();
-        forgetOldBreaks(nowMillis);
-        recentlyBroken
-                .computeIfAbsent(incarnation, key -> new Broken(nowMillis, new HashSet<>()))
-                .suspects()
-                .addAll(suspects);
-        if (pending.size() >= MAX_PENDING && !pending.containsKey(incarnation)) {
+    private void addBroken(String incarnation, Set<Suspect> suspects, long sentMillis, long brokenMillis) {
+        recentlyBroken.values().removeIf(broken -> brokenMillis - broken.firstMillis() > OWN_FAULT_WINDOW_MILLIS);
+        boolean waiting = unclassified.containsKey(incarnation) || pending.containsKey(incarnation);
+        if (!waiting && unclassified.size() + pending.size() >= MAX_PENDING) {
             context.log()
                     .logState(LogFields.event("crash report dropped")
                             .field("incarnation", incarnation)
                             .field("pending", pending.size()));
             return;
         }
-        pending.computeIfAbsent(incarnation, key -> new HashSet<>()).addAll(suspects);
-        scheduleWrite(WRITE_DELAY_MILLIS);
+        if (recentlyBroken.values().stream().anyMatch(broken -> broken.firstMillis() <= sentMillis)) {
+            addTo(pending, incarnation, suspects);
+            scheduleWrite(WRITE_DELAY_MILLIS);
+            return;
+        }
+        recentlyBroken
+                .computeIfAbsent(incarnation, key -> new Broken(brokenMillis, new HashSet<>()))
+                .suspects()
+                .addAll(suspects);
+        addTo(unclassified, incarnation, suspects);
+        context.control().schedule(this::classify, CLASSIFY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void forgetOldBreaks(long nowMillis) {
-        recentlyBroken.values().removeIf(broken -> nowMillis - broken.firstMillis() > OWN_FAULT_WINDOW_MILLIS);
+    private static void addTo(Map<String, Set<Suspect>> byIncarnation, String incarnation, Set<Suspect> suspects) {
+        byIncarnation.computeIfAbsent(incarnation, key -> new HashSet<>()).addAll(suspects);
+    }
+
+    private void classify() {
+        if (unclassified.isEmpty()) {
+            return;
+        }
+        if (recentlyBroken.size() < OWN_FAULT_UPSTREAMS) {
+            unclassified.forEach((incarnation, suspects) -> addTo(pending, incarnation, suspects));
+        } else {
+            Set<Suspect> common = CrashCauses.inAll(
+                    recentlyBroken.values().stream().map(Broken::suspects).toList());
+            context.log()
+                    .logState(LogFields.event("connections to many upstreams broke at once")
+                            .field("incarnations", recentlyBroken.keySet())
+                            .field("commonSuspects", common.size()));
+            addTo(pending, Collections.min(recentlyBroken.keySet()), common);
+        }
+        unclassified.clear();
+        writePending();
     }
 
     /**
@@ -167,16 +201,6 @@
         renewLease();
         Map<String, Set<Suspect>> broken = new HashMap<>(pending);
         pending.clear();
-        forgetOldBreaks(context.clocks().nowMillis());
-        if (recentlyBroken.size() >= OWN_FAULT_UPSTREAMS) {
-            Set<Suspect> common = CrashCauses.inAll(
-                    recentlyBroken.values().stream().map(Broken::suspects).toList());
-            context.log()
-                    .logState(LogFields.event("connections to many upstreams broke at once")
-                            .field("incarnations", recentlyBroken.keySet())
-                            .field("commonSuspects", common.size()));
-            broken = Map.of(Collections.min(recentlyBroken.keySet()), common);
-        }
         broken.forEach(this::writeCrash);
     }
 
@@ -206,7 +230,7 @@
         written.put(key, new WrittenReport(value, nowMillis));
         write(id -> key, value, () -> {
             all.removeAll(suspects);
-            pending.computeIfAbsent(incarnation, again -> new HashSet<>()).addAll(suspects);
+            addTo(pending, incarnation, suspects);
         });
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -466,7 +466,7 @@
             rejections++;
         }
         if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
-            suspects.reportBroken(server.incarnation());
+            suspects.reportBroken(server.incarnation(), failed.sentMillis);
         }
         splitter.discardIncompleteEvent();
         if (mayRetry()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -77,9 +77,10 @@
      * Reports that an answer to the request broke off.
      *
      * @param incarnation the upstream's incarnation
+     * @param sentMillis when the request was sent
      */
-    void reportBroken(String incarnation) {
-        context.crashReports().reportBroken(incarnation, suspects());
+    void reportBroken(String incarnation, long sentMillis) {
+        context.crashReports().reportBroken(incarnation, suspects(), sentMillis);
     }
 
     /** Clears the suspects, since an answer to the request went on well. */
