Send a probe of a refused part to one engine, whoever leads

The count of probes was the leader's own, so each new leader began anew: with the leader killed every 10 s four probes were sent in 35 s, where three are allowed after the fifth crash.

A probe that may have run is refused now like any other request. The number of probes is written into the store and counts for later leaders.

probeOfACrashingPartReachesOneEngine (2 engines before) and nodeThatStarts- DoesNotProbeAnew fail before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -72,6 +72,11 @@
     /** What was told under the present lease; told again with each write, for nodes that start later. */
     private final Map<String, Long> toldSound = new HashMap<>();
 
+    /** Number of probes sent by this node that still has to be told, and that was told under the present lease. */
+    private final Map<String, Long> untoldProbes = new HashMap<>();
+
+    private final Map<String, Long> toldProbes = new HashMap<>();
+
     private final long soundDelayMillis;
     private final Consumer<Map<String, Long>> ownEvidence;
     private boolean soundScheduled;
@@ -176,12 +181,26 @@
         });
     }
 
+    /**
+     * Tells all nodes that a request was sent although its suspects are refused. May be called by any thread.
+     *
+     * @param sentBySuspect the number of probes that were sent so far, by identifier of the suspect
+     */
+    void reportProbes(Map<String, Long> sentBySuspect) {
+        context.control().schedule(() -> {
+            untoldProbes.putAll(sentBySuspect);
+            writePending();
+        });
+    }
+
     /** Writes recent reports again, because the store has lost them. May be called by any thread. */
     void writeAgain() {
         context.control().schedule(() -> {
             lease.discard();
             long nowMillis = context.clocks().nowMillis();
             written.values().removeIf(report -> nowMillis - report.writtenMillis() > WRITE_AGAIN_MILLIS);
+            untoldProbes.putAll(toldProbes);
+            writePending();
             if (written.isEmpty()) {
                 return;
             }
@@ -195,19 +214,33 @@
     }
 
     private void writePending() {
-        if (pending.isEmpty()) {
+        if (pending.isEmpty() && untoldProbes.isEmpty()) {
             return;
         }
         renewLease();
         Map<String, Set<Suspect>> broken = new HashMap<>(pending);
         pending.clear();
         broken.forEach(this::writeCrash);
+        if (!untoldProbes.isEmpty()) {
+            writeProbes();
+        }
+    }
+
+    private void writeProbes() {
+        Map<String, Long> probes = new HashMap<>(untoldProbes);
+        untoldProbes.clear();
+        toldProbes.putAll(probes);
+        write(
+                id -> context.items().probesKey(context.self().name(), id),
+                NodeItems.encodeNumbers(toldProbes),
+                () -> probes.forEach((suspect, sent) -> untoldProbes.merge(suspect, sent, Math::max)));
     }
 
     private void renewLease() {
         if (lease.renewIfDue()) {
             reported.clear();
             toldSound.clear();
+            toldProbes.clear();
         }
     }
 
@@ -244,7 +277,7 @@
         renewLease();
         sound.forEach((suspect, revision) -> toldSound.merge(suspect, revision, Math::max));
         sound.clear();
-        write(id -> context.items().soundKey(context.self().name(), id), NodeItems.encodeSound(toldSound), () -> {});
+        write(id -> context.items().soundKey(context.self().name(), id), NodeItems.encodeNumbers(toldSound), () -> {});
     }
 
     private void write(LongFunction<String> keyOfLease, byte[] value, Runnable onFailed) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -462,6 +462,7 @@
         attempt = null;
         if (mayHaveRun) {
             possibleRuns++;
+            suspects.onPossibleRun();
         } else {
             rejections++;
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -26,6 +26,7 @@
     private static final String NODES = "nodes/";
     private static final String CRASHES = "crashes/";
     private static final String SOUND = "sound/";
+    private static final String PROBES = "probes/";
     private static final String ORIGINS = "streams/";
 
     private final String prefix;
@@ -89,6 +90,15 @@
         return key.startsWith(prefix + SOUND);
     }
 
+    /** Key of the number of probes that a node has sent; the lease distinguishes it from that before a restart. */
+    String probesKey(String node, long lease) {
+        return prefix + PROBES + node + "/" + lease;
+    }
+
+    boolean isProbesKey(String key) {
+        return key.startsWith(prefix + PROBES);
+    }
+
     Optional<String> parseNodeName(String key) {
         String start = prefix + NODES;
         return key.startsWith(start) ? Optional.of(key.substring(start.length())) : Optional.empty();
@@ -155,19 +165,20 @@
         return suspects;
     }
 
-    static byte[] encodeSound(Map<String, Long> revisionBySuspect) {
+    /** Encodes a number for each suspect: a revision of the store, or how many probes were sent. */
+    static byte[] encodeNumbers(Map<String, Long> bySuspect) {
         ObjectNode value = MAPPER.createObjectNode();
-        revisionBySuspect.forEach(value::put);
+        bySuspect.forEach(value::put);
         return encodeJson(value);
     }
 
-    static Map<String, Long> decodeSound(byte[] value) throws IOException {
-        Map<String, Long> revisionBySuspect = new HashMap<>();
+    static Map<String, Long> decodeNumbers(byte[] value) throws IOException {
+        Map<String, Long> bySuspect = new HashMap<>();
         MAPPER.readTree(value)
                 .fields()
-                .forEachRemaining(field ->
-                        revisionBySuspect.put(field.getKey(), field.getValue().asLong()));
-        return revisionBySuspect;
+                .forEachRemaining(
+                        field -> bySuspect.put(field.getKey(), field.getValue().asLong()));
+        return bySuspect;
     }
 
     static byte[] encodeOrigins(List<StreamOrigins.Report> reports) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -17,6 +17,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.decision.suspects.CrashVerdicts;
+import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.relay.PlatformRecord;
@@ -51,6 +52,7 @@
     private final PlatformDecoder decoder;
     private final NodeItems items;
     private final StreamOrigins origins;
+    private final RefusalProbes probes;
     private final DecisionLog log;
     private final Map<String, UpstreamServer> servers = new HashMap<>();
     private final Map<String, TargetVersion> versions = new HashMap<>();
@@ -77,10 +79,12 @@
     private PlatformView lastView = PlatformView.EMPTY;
     private boolean viewOutdated = true;
 
-    PlatformState(PlatformDecoder decoder, NodeItems items, StreamOrigins origins, DecisionLog log) {
+    PlatformState(
+            PlatformDecoder decoder, NodeItems items, StreamOrigins origins, RefusalProbes probes, DecisionLog log) {
         this.decoder = decoder;
         this.items = items;
         this.origins = origins;
+        this.probes = probes;
         this.log = log;
     }
 
@@ -475,7 +479,9 @@
             crashes.addReport(
                     crash.get().incarnation(), NodeItems.decodeSuspects(item.value()), item.revision(), nowMillis);
         } else if (items.isSoundKey(item.key())) {
-            crashes.addSound(NodeItems.decodeSound(item.value()));
+            crashes.addSound(NodeItems.decodeNumbers(item.value()));
+        } else if (items.isProbesKey(item.key())) {
+            probes.onTold(NodeItems.decodeNumbers(item.value()), nowMillis);
         }
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -109,7 +109,8 @@
         this.log = new DecisionLog(clocks.monotonic(), DecisionLog.LINES_PER_SECOND);
         NodeItems items = new NodeItems(platform.decoder().nodeItemPrefix());
         StreamOrigins origins = new StreamOrigins();
-        PlatformState state = new PlatformState(platform.decoder(), items, origins, log);
+        RefusalProbes probes = new RefusalProbes();
+        PlatformState state = new PlatformState(platform.decoder(), items, origins, probes, log);
         this.hubFeed = new HubFeed(loop, clocks);
         this.watcher =
                 new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, watchListener());
@@ -162,7 +163,7 @@
                 new RetryBudgets(
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashReports,
-                new RefusalProbes(),
+                probes,
                 origins,
                 originReports,
                 new RelayMetrics(metrics),
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -29,6 +30,7 @@
     private final ByteBuf body;
     private Set<Suspect> suspects;
     private boolean isProbe;
+    private boolean mayHaveRun;
 
     /**
      * Creates the suspects of a request; they are derived when they are first needed.
@@ -47,7 +49,7 @@
 
     /**
      * Returns whether the request is refused because it, or one of its parts, is taken as the cause of crashes. The leader
-     * lets a few such requests through, as probes.
+     * lets a few such requests through, as probes, until they may have run.
      *
      * @return true if it must not be sent
      */
@@ -62,9 +64,14 @@
         if (own.isEmpty()) {
             return false;
         }
-        isProbe = view.isLedBy(context.settings().nodeName())
-                && context.probes().mayProbe(own, refused, context.clocks().nowMillis());
+        if (mayHaveRun || !view.isLedBy(context.settings().nodeName())) {
+            return true;
+        }
+        Map<String, Long> probes =
+                context.probes().takeProbe(own, refused, context.clocks().nowMillis());
+        isProbe = !probes.isEmpty();
         if (isProbe) {
+            context.crashReports().reportProbes(probes);
             context.log()
                     .logState(LogFields.event("refused request is sent as a probe")
                             .field("request", request.id())
@@ -73,6 +80,12 @@
         return !isProbe;
     }
 
+    /** Records that an attempt failed and may have run, so that the request is not sent again while it is refused. */
+    void onPossibleRun() {
+        isProbe = false;
+        mayHaveRun = true;
+    }
+
     /**
      * Reports that an answer to the request broke off.
      *
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.cowslipbank.decision.relay.CacheIndex;
 import org.cowslipbank.decision.relay.StreamOrigins;
+import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
 import org.cowslipbank.entry.relay.FeedMessages.PollRequest;
@@ -41,8 +42,12 @@
 
     CacheStoreFollowerTest() {
         DecisionLog log = new DecisionLog(Clocks.SYSTEM.monotonic(), DecisionLog.LINES_PER_SECOND);
-        PlatformState state =
-                new PlatformState(new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), log);
+        PlatformState state = new PlatformState(
+                new MetadataItemDecoder(),
+                new NodeItems("cowslipbank/"),
+                new StreamOrigins(),
+                new RefusalProbes(),
+                log);
         byte[] value = CONFIGURATION.getBytes(StandardCharsets.UTF_8);
         state.applySnapshot(new MetadataStore.Range(List.of(new StoreItem("op/config", value, 2, 2, 0)), 2, 0), 0, 0);
         PlatformView view = state.view();
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import net.jqwik.api.Example;
@@ -30,6 +31,11 @@
     /** Time after the last of these crashes in which requests with the part may still reach engines. */
     private static final long CONTACT_MILLIS = 3_000;
 
+    /** Time within which a request that broke off is sent again. */
+    private static final long PROBE_RETRY_MILLIS = 1_000;
+
+    private static final long FIRST_PROBE_MILLIS = 5_000;
+
     private final AtomicLong restarts = new AtomicLong(1);
     private RelaySystem system;
     private RelaySystem restarted;
@@ -179,6 +185,46 @@
         }
     }
 
+    /** Failure guarded against: a probe that crashes an engine is sent to another one and crashes that as well. */
+    @Example
+    void probeOfACrashingPartReachesOneEngine() throws Exception {
+        long before = probeUntilSent();
+        Thread.sleep(PROBE_RETRY_MILLIS);
+        assert crashes() == before + 1 : crashes() - before;
+    }
+
+    /** Failure guarded against: a node that starts and leads sends probes as if none had been sent before. */
+    @Example
+    void nodeThatStartsDoesNotProbeAnew() throws Exception {
+        probeUntilSent();
+        RelaySystem.await(
+                "the probe is told", () -> system.store.keys().stream().anyMatch(key -> key.contains("/probes/")));
+        system.closeNode();
+        restarted = new RelaySystem(system.store).start();
+        long before = crashes();
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FIRST_PROBE_MILLIS + 2_000);
+        while (System.nanoTime() < untilNanos) {
+            restarted.send("/stream/", "r", promptHeaders("aa:100,dead:100,r:100"), "prompt");
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        assert crashes() == before : crashes() - before;
+    }
+
+    /** Sends requests with a part that crashes engines until a probe has been sent; returns the crashes before it. */
+    private long probeUntilSent() throws InterruptedException {
+        for (int number = 0; number < 3; number++) {
+            sendDeadly(number);
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        awaitReports(3);
+        long before = crashes();
+        RelaySystem.await("a probe is sent", () -> {
+            system.send("/stream/", "p", promptHeaders("aa:100,dead:100,p:100"), "prompt");
+            return crashes() > before;
+        });
+        return before;
+    }
+
     private void awaitReports(int crashes) {
         RelaySystem.await(
                 "all crashes are reported",
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
@@ -10,6 +10,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.decision.suspects.CrashEvidence;
+import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.platform.MetadataItemDecoder;
@@ -18,7 +19,11 @@
 final class PlatformStateTest {
     private final NodeItems items = new NodeItems("cowslipbank/");
     private final PlatformState state = new PlatformState(
-            new MetadataItemDecoder(), items, new StreamOrigins(), new DecisionLog(MonotonicClock.SYSTEM, 1));
+            new MetadataItemDecoder(),
+            items,
+            new StreamOrigins(),
+            new RefusalProbes(),
+            new DecisionLog(MonotonicClock.SYSTEM, 1));
 
     private static StoreItem server(String id, String address, long born, String serverState, long revision) {
         String value =
