Count resets of idle connections as a fault of the node's network

Cause: only breaks of requests were compared. The idle connections to other upstreams that were reset at the same moment show that no prompt part is the cause, but nothing counted them.

An idle connection that is reset now counts as a break at its upstream without suspects, so that nothing is common to all breaks of a network fault. An engine that crashes resets connections to itself alone, and is reported as before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -15,6 +15,7 @@
 import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.MetadataStore;
 
 /**
@@ -46,10 +47,10 @@
     static final long RETRY_DELAY_MILLIS = 1_000;
 
     /**
-     * Number of upstreams from which on connections that break within this window are rather due to this node's own network
-     * or to a pause of its VM. Then only suspects that were in progress at all of these upstreams are reported, and as one
-     * crash: popular prompt parts are in progress everywhere. Requests that were sent after the first break do not count,
-     * so that one which crashes upstream after upstream is not taken for a fault of the network.
+     * Number of upstreams from which on connections that break within this window, idle ones too, are rather due to this
+     * node's own network or to a pause of its VM. Then only suspects that were in progress at all of these upstreams are
+     * reported, and as one crash: popular prompt parts are in progress everywhere. Requests that were sent after the first
+     * break do not count, so that one which crashes upstream after upstream is not taken for a fault of the network.
      */
     static final int OWN_FAULT_UPSTREAMS = 3;
 
@@ -60,9 +61,15 @@
     static final int MAX_PENDING = 64;
 
     private final ControlContext context;
+    /** Upstreams whose connections broke lately, by address; without suspects where only idle ones did. */
     private final Map<String, Broken> recentlyBroken = new HashMap<>();
+
     /** Suspects of breaks that may be due to this node, by incarnation. */
     private final Map<String, Set<Suspect>> unclassified = new HashMap<>();
+
+    /** The same for requests that were sent after the first of these breaks. */
+    private final Map<String, Set<Suspect>> sentLater = new HashMap<>();
+
     /** Suspects that are to be reported, by incarnation. */
     private final Map<String, Set<Suspect>> pending = new HashMap<>();
 
@@ -103,20 +110,44 @@
                 Math.floorMod(FleetLoads.shortHash(context.self().name()), MAX_SOUND_DELAY_MILLIS);
     }
 
+    /**
+     * Records that an idle connection was reset: with others it shows a fault of this node's network. May be called by any
+     * thread.
+     *
+     * @param address the upstream as {@code IP:port}
+     */
+    void onIdleReset(String address) {
+        long brokenMillis = context.clocks().nowMillis();
+        context.control().schedule(() -> recordBreak(address, Set.of(), brokenMillis));
+    }
+
+    private void recordBreak(String address, Set<Suspect> suspects, long brokenMillis) {
+        forgetBreaksBefore(brokenMillis - OWN_FAULT_WINDOW_MILLIS);
+        recentlyBroken
+                .computeIfAbsent(address, key -> new Broken(brokenMillis, new HashSet<>()))
+                .suspects()
+                .addAll(suspects);
+    }
+
+    private void forgetBreaksBefore(long millis) {
+        recentlyBroken.values().removeIf(broken -> broken.firstMillis() < millis);
+    }
+
     /**
      * Reports a request whose answer broke off. May be called by any thread.
      *
-     * @param incarnation the upstream's incarnation
+     * @param server the upstream
      * @param suspects what the request consists of
      * @param sentMillis when the request was sent
      */
-    void reportBroken(String incarnation, Set<Suspect> suspects, long sentMillis) {
+    void reportBroken(UpstreamServer server, Set<Suspect> suspects, long sentMillis) {
         long brokenMillis = context.clocks().nowMillis();
-        context.control().schedule(() -> addBroken(incarnation, suspects, sentMillis, brokenMillis));
+        context.control().schedule(() -> addBroken(server, suspects, sentMillis, brokenMillis));
     }
 
-    private void addBroken(String incarnation, Set<Suspect> suspects, long sentMillis, long brokenMillis) {
-        recentlyBroken.values().removeIf(broken -> brokenMillis - broken.firstMillis() > OWN_FAULT_WINDOW_MILLIS);
+    private void addBroken(UpstreamServer server, Set<Suspect> suspects, long sentMillis, long brokenMillis) {
+        String incarnation = server.incarnation();
+        forgetBreaksBefore(brokenMillis - OWN_FAULT_WINDOW_MILLIS);
         boolean waiting = unclassified.containsKey(incarnation) || pending.containsKey(incarnation);
         if (!waiting && unclassified.size() + pending.size() >= MAX_PENDING) {
             context.log()
@@ -126,14 +157,11 @@
             return;
         }
         if (recentlyBroken.values().stream().anyMatch(broken -> broken.firstMillis() <= sentMillis)) {
-            addTo(pending, incarnation, suspects);
-            scheduleWrite(WRITE_DELAY_MILLIS);
+            addTo(sentLater, incarnation, suspects);
+            context.control().schedule(this::classifySentLater, WRITE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        recentlyBroken
-                .computeIfAbsent(incarnation, key -> new Broken(brokenMillis, new HashSet<>()))
-                .suspects()
-                .addAll(suspects);
+        recordBreak(server.address(), suspects, brokenMillis);
         addTo(unclassified, incarnation, suspects);
         context.control().schedule(this::classify, CLASSIFY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -142,20 +170,32 @@
         byIncarnation.computeIfAbsent(incarnation, key -> new HashSet<>()).addAll(suspects);
     }
 
+    private boolean isOwnFault() {
+        return recentlyBroken.size() >= OWN_FAULT_UPSTREAMS;
+    }
+
+    private void classifySentLater() {
+        if (!isOwnFault()) {
+            sentLater.forEach((incarnation, suspects) -> addTo(pending, incarnation, suspects));
+        }
+        sentLater.clear();
+        writePending();
+    }
+
     private void classify() {
         if (unclassified.isEmpty()) {
             return;
         }
-        if (recentlyBroken.size() < OWN_FAULT_UPSTREAMS) {
+        if (!isOwnFault()) {
             unclassified.forEach((incarnation, suspects) -> addTo(pending, incarnation, suspects));
         } else {
             Set<Suspect> common = CrashCauses.inAll(
                     recentlyBroken.values().stream().map(Broken::suspects).toList());
             context.log()
                     .logState(LogFields.event("connections to many upstreams broke at once")
-                            .field("incarnations", recentlyBroken.keySet())
+                            .field("upstreams", recentlyBroken.keySet())
                             .field("commonSuspects", common.size()));
-            addTo(pending, Collections.min(recentlyBroken.keySet()), common);
+            addTo(pending, Collections.min(unclassified.keySet()), common);
         }
         unclassified.clear();
         writePending();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -467,7 +467,7 @@
             rejections++;
         }
         if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
-            suspects.reportBroken(server.incarnation(), failed.sentMillis);
+            suspects.reportBroken(server, failed.sentMillis);
         }
         splitter.discardIncompleteEvent();
         if (mayRetry()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -130,7 +130,8 @@
         this.originReports = new StreamOriginReports(controlContext, origins);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
-        this.connections = new UpstreamConnectionPool(codec, clocks.monotonic(), turns, loops, loop);
+        this.connections =
+                new UpstreamConnectionPool(codec, clocks.monotonic(), turns, loops, loop, crashReports::onIdleReset);
         CacheIndex cacheIndex = new CacheIndex();
         CacheStoreFollower.Sources sources = new CacheStoreFollower.Sources(platform.engines(), hubFeed, this::hasHub);
         this.cacheStores = new CacheStoreFollower(sources, cacheIndex, watcher::view, loop, clocks, log);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -14,6 +14,7 @@
 import org.cowslipbank.model.TeamId;
 import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
+import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.RelayRequest;
 
 /**
@@ -89,11 +90,11 @@
     /**
      * Reports that an answer to the request broke off.
      *
-     * @param incarnation the upstream's incarnation
+     * @param server the upstream
      * @param sentMillis when the request was sent
      */
-    void reportBroken(String incarnation, long sentMillis) {
-        context.crashReports().reportBroken(incarnation, suspects(), sentMillis);
+    void reportBroken(UpstreamServer server, long sentMillis) {
+        context.crashReports().reportBroken(server, suspects(), sentMillis);
     }
 
     /** Clears the suspects, since an answer to the request went on well. */
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -244,6 +244,9 @@
     public void channelInactive(ChannelHandlerContext context) {
         pool.onEvent();
         pool.onClosed(this);
+        if (listener == null && error != null) {
+            pool.onIdleReset(address);
+        }
         fail(UpstreamListener.Failure.BROKEN, error == null ? "closed" : String.valueOf(error.getMessage()));
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -37,10 +38,27 @@
     private final LoopTurnTracker turns;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
+    private final Consumer<String> idleResets;
     private long openedCount;
 
+    /**
+     * Creates an empty pool.
+     *
+     * @param codec encoding of requests and answers
+     * @param clock the clock
+     * @param turns the turns of the traffic thread
+     * @param loops event loops
+     * @param loop the traffic thread
+     * @param idleResets receives the address of an upstream that has reset an idle connection
+     */
     UpstreamConnectionPool(
-            RelayCodec codec, MonotonicClock clock, LoopTurnTracker turns, LoopResources loops, EventLoop loop) {
+            RelayCodec codec,
+            MonotonicClock clock,
+            LoopTurnTracker turns,
+            LoopResources loops,
+            EventLoop loop,
+            Consumer<String> idleResets) {
+        this.idleResets = idleResets;
         this.codec = codec;
         this.clock = clock;
         this.turns = turns;
@@ -122,6 +140,10 @@
         }
     }
 
+    void onIdleReset(String address) {
+        idleResets.accept(address);
+    }
+
     /** Closes connections that have been idle for too long; called twice a second. */
     void closeExpired() {
         long nowMillis = clock.nowMillis();
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -264,6 +264,46 @@
         }
     }
 
+    /** Failure guarded against: a part in progress at one engine is refused, because the node lost all connections often. */
+    @Example
+    void partIsAnsweredAfterTheNodeOftenLostItsConnections() throws Exception {
+        for (int round = 0; round < 4; round++) {
+            openIdleConnections(round);
+            List<Socket> waiting = new CopyOnWriteArrayList<>();
+            engines.forEach(engine -> engine.setScript((request, socket) -> waiting.add(socket)));
+            int number = round;
+            Thread client = new Thread(() -> sendSound(number));
+            client.start();
+            RelaySystem.await("the request is at an engine", () -> !waiting.isEmpty());
+            engines.forEach(engine -> engine.setScript(this::answerOrCrash));
+            for (ScriptedUpstream engine : engines) {
+                for (Socket socket : engine.sockets) {
+                    ScriptedUpstream.reset(socket);
+                }
+                engine.sockets.clear();
+            }
+            client.join();
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+            // A break at a later incarnation is another crash.
+            for (int engine = 0; engine < ENGINES; engine++) {
+                system.register(
+                        "llm", "i-" + engine, engines.get(engine).address(), "ready", restarts.incrementAndGet());
+            }
+            system.awaitStoreApplied();
+        }
+        String answer = sendSound(100);
+        assert answer.startsWith("HTTP/1.1 200") : answer;
+    }
+
+    /** Answers requests that prefer different engines, so that the node keeps a connection to each. */
+    private void openIdleConnections(int round) {
+        for (int number = 0; number < 16; number++) {
+            String id = "i" + round + "." + number;
+            sendPrompt(id, "f" + number + ":100," + "g" + number + ":100,h" + number + ":100");
+        }
+        assert engines.stream().allMatch(engine -> !engine.sockets.isEmpty());
+    }
+
     /** Failure guarded against: reports on an engine that breaks off answers now and then grow with each of them. */
     @Example
     void reportsOnOneEngineDoNotGrow() throws Exception {
