Open connections to all engines before they are reset in a test

partIsAnsweredAfterTheNodeOftenLostItsConnections failed once in eight plays: sixteen prompts do not always prefer all four engines, whose ports are random.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -295,13 +295,14 @@
         assert answer.startsWith("HTTP/1.1 200") : answer;
     }
 
-    /** Answers requests that prefer different engines, so that the node keeps a connection to each. */
+    /** Answers requests that prefer different engines, until the node keeps a connection to each. */
     private void openIdleConnections(int round) {
-        for (int number = 0; number < 16; number++) {
-            String id = "i" + round + "." + number;
-            sendPrompt(id, "f" + number + ":100," + "g" + number + ":100,h" + number + ":100");
-        }
-        assert engines.stream().allMatch(engine -> !engine.sockets.isEmpty());
+        AtomicLong sent = new AtomicLong();
+        RelaySystem.await("the node has a connection to each engine", () -> {
+            String id = round + "." + sent.incrementAndGet();
+            sendPrompt("i" + id, "f" + id + ":100,g" + id + ":100,h" + id + ":100");
+            return engines.stream().noneMatch(engine -> engine.sockets.isEmpty());
+        });
     }
 
     /** Failure guarded against: reports on an engine that breaks off answers now and then grow with each of them. */
