--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,8 +29,8 @@
     /** Delay after a break; the connections that break for one reason do so within this time. */
     static final long CLASSIFY_DELAY_MILLIS = 60;
 
-    /** Delay of the write for a break whose reason is known, so that one crash causes few writes. */
-    static final long WRITE_DELAY_MILLIS = 25;
+    /** Delay after the first break for breaks of requests that were sent later, so that one crash causes few writes. */
+    static final long SENT_LATER_DELAY_MILLIS = 10;
 
     /**
      * Longest delay of a report on sound suspects. The delays of nodes differ, so that the first report spares the others
@@ -156,9 +157,12 @@
                             .field("pending", pending.size()));
             return;
         }
-        if (recentlyBroken.values().stream().anyMatch(broken -> broken.firstMillis() <= sentMillis)) {
+        OptionalLong firstBreakMillis =
+                recentlyBroken.values().stream().mapToLong(Broken::firstMillis).min();
+        if (firstBreakMillis.isPresent() && firstBreakMillis.getAsLong() <= sentMillis) {
             addTo(sentLater, incarnation, suspects);
-            context.control().schedule(this::classifySentLater, WRITE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            long delayMillis = firstBreakMillis.getAsLong() + SENT_LATER_DELAY_MILLIS - brokenMillis;
+            context.control().schedule(this::classifySentLater, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
             return;
         }
         recordBreak(server.address(), suspects, brokenMillis);
