Share one bounded map, and the start of a node in a test

RestoredStoreTest started its node in two places with the same lines. CrashReports forgot old breaks twice for each request that broke.

No change of behaviour; limits, bounds and assertions are the same.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamNotices.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamNotices.java
@@ -5,12 +5,12 @@
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.cowslipbank.model.BoundedMap;
 import org.cowslipbank.model.relay.UpstreamNotice;
 
 /**
@@ -35,14 +35,8 @@
 
     private final UpstreamLimits limits = new UpstreamLimits();
     private final Map<String, Pause> pauses = new HashMap<>();
-    private final Map<Integer, Long> leavingSinceMillis = Collections.synchronizedMap(new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Long> eldest) {
-            return size() > MAX_LEAVING;
-        }
-    });
+    private final Map<Integer, Long> leavingSinceMillis =
+            Collections.synchronizedMap(BoundedMap.byAddition(MAX_LEAVING));
 
     /** A pause that an upstream has asked this node for. */
     private static final class Pause {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CrashReports.java
@@ -119,11 +119,13 @@
      */
     void onIdleReset(String address) {
         long brokenMillis = context.clocks().nowMillis();
-        context.control().schedule(() -> recordBreak(address, Set.of(), brokenMillis));
+        context.control().schedule(() -> {
+            forgetBreaksBefore(brokenMillis - OWN_FAULT_WINDOW_MILLIS);
+            recordBreak(address, Set.of(), brokenMillis);
+        });
     }
 
     private void recordBreak(String address, Set<Suspect> suspects, long brokenMillis) {
-        forgetBreaksBefore(brokenMillis - OWN_FAULT_WINDOW_MILLIS);
         recentlyBroken
                 .computeIfAbsent(address, key -> new Broken(brokenMillis, new HashSet<>()))
                 .suspects()
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RegistrationHistory.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RegistrationHistory.java
@@ -1,9 +1,9 @@
 package org.cowslipbank.entry.relay;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 
+import org.cowslipbank.model.BoundedMap;
 import org.cowslipbank.model.relay.PlatformRecord;
 
 /**
@@ -15,14 +15,7 @@
     /** Upstreams that are remembered; the ones that were seen first are forgotten. */
     static final int MAX_UPSTREAMS = 4_000;
 
-    private final Map<String, Seen> newestById = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Seen> eldest) {
-            return size() > MAX_UPSTREAMS;
-        }
-    };
+    private final Map<String, Seen> newestById = BoundedMap.byAddition(MAX_UPSTREAMS);
 
     /** Number of the newest heartbeat seen of an incarnation. */
     private record Seen(long startedAtMillis, long sequence) {}
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RestoredStoreTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RestoredStoreTest.java
@@ -49,11 +49,15 @@
                         .formatted(upstream.address(), state, sequence));
     }
 
-    private void start(String keys) throws IOException, PeerException {
+    private void startNode(String keys) throws IOException, PeerException {
         store.put("op/config", RelaySystem.configuration(1, keys));
         upstream = new ScriptedUpstream(ScriptedUpstream.ok("hello"));
         register("i-1", "ready", 1);
         system = new RelaySystem(store).start();
+    }
+
+    private void start(String keys) throws IOException, PeerException {
+        startNode(keys);
         // The mark of the era is written by the leader.
         RelaySystem.await("the store's era is marked", () -> store.value("cowslipbank/complete-era")
                 .equals(Optional.of("1")));
@@ -106,10 +110,7 @@
     @Example
     void configurationIsAppliedAfterRevisionsFell() throws Exception {
         store.setEraNamed(false);
-        store.put("op/config", RelaySystem.configuration(1, KEY));
-        upstream = new ScriptedUpstream(ScriptedUpstream.ok("hello"));
-        register("i-1", "ready", 1);
-        system = new RelaySystem(store).start();
+        startNode(KEY);
         StandInStore.Copy copy = store.copy();
         for (int version = 2; version <= 20; version++) {
             store.put("op/config", RelaySystem.configuration(version, KEY));
