Separate an attempt's target from the relay of its answer

An attempt of an exchange held both the state of the upstream that it was sent to (load, notices, stream origins, weight versions) and the relay of the answer to the client. The former is UpstreamTarget now, behind AttemptTarget, so that an attempt can be sent to something else than an upstream. The plan of a send uses the newest view of the platform instead of that of the choice.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -14,7 +14,6 @@
 import org.cowslipbank.decision.relay.EventSplitter;
 import org.cowslipbank.decision.relay.RetryDelay;
 import org.cowslipbank.decision.relay.RouteTable;
-import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
 import org.cowslipbank.decision.relay.UpstreamSelector;
 import org.cowslipbank.decision.relay.WaitingQueue;
@@ -31,7 +30,6 @@
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.RelayRequest;
-import org.cowslipbank.ports.relay.SendPlan;
 
 /**
  * One client request from its arrival to the end of its answer, over all attempts at upstreams. Runs on the traffic
@@ -332,7 +330,8 @@
             return false;
         }
         lastChoice = choice.get();
-        attempt = new Attempt(lastChoice);
+        triedIncarnations.add(lastChoice.server().incarnation());
+        attempt = new Attempt(new UpstreamTarget(context, placement, request, route, lastChoice));
         attempt.start();
         return true;
     }
@@ -455,8 +454,7 @@
 
     private void onAttemptFailed(Outcome outcome, boolean mayHaveRun, String message) {
         Attempt failed = attempt;
-        UpstreamServer server = failed.server;
-        lastFailure = outcome + " at " + server.address() + ": " + message;
+        lastFailure = outcome + " at " + failed.target.address() + ": " + message;
         context.log().logRequest(failed.failureLine(outcome, message));
         failed.settle(outcome);
         attempt = null;
@@ -467,7 +465,7 @@
             rejections++;
         }
         if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
-            suspects.reportBroken(server, failed.sentMillis);
+            suspects.reportBroken(failed.target.server(), failed.sentMillis);
         }
         splitter.discardIncompleteEvent();
         if (mayRetry()) {
@@ -574,19 +572,14 @@
 
     /** One send of the request to one upstream. */
     private final class Attempt implements UpstreamListener {
-        private final UpstreamServer server;
-        private final int unreadTokens;
+        private final UpstreamTarget target;
         private final CompositeByteBuf bufferedBody = Unpooled.compositeBuffer();
-        private final int tokens = promptTokens();
         private UpstreamConnection connection;
         private AnswerHead head;
-        private OptionalLong expectedVersion = OptionalLong.empty();
         private boolean sent;
         private boolean settled;
         private boolean streaming;
         private Future<?> checkTimer;
-
-        private final boolean inPause;
         private boolean promptRead;
         private long sentMillis;
         private long answerBeganMillis = -1;
@@ -594,30 +587,18 @@
         private long progressMillis;
         private int rejectionBytes;
 
-        Attempt(UpstreamSelector.Choice choice) {
-            this.server = choice.server();
-            this.unreadTokens = choice.unreadTokens();
-            this.inPause = context.notices()
-                    .pauseEndMillis(server.incarnation(), now())
-                    .isPresent();
+        Attempt(UpstreamTarget target) {
+            this.target = target;
         }
 
         void start() {
-            triedIncarnations.add(server.incarnation());
-            long silenceMillis = placement.targetsEngines()
-                    ? UpstreamLoads.SILENCE_LIMIT_MILLIS
-                    : UpstreamLoads.plainSilenceLimitMillis(route.latencyObjectiveMillis());
-            context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
-            context.notices().onSent(server.incarnation(), now());
-            if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
-                context.originReports().onSent(service, request.id(), server.softwareVersion());
-            }
-            Optional<UpstreamConnection> idle = context.connections().takeIdle(server.address(), request.id());
+            target.onStarted();
+            Optional<UpstreamConnection> idle = context.connections().takeIdle(target.address(), request.id());
             if (idle.isPresent()) {
                 onConnection(idle.get(), null);
             } else {
                 // Clients that leave while the connection opens are noticed before the request is sent.
-                context.connections().open(server.address(), (opened, error) -> context.loop()
+                context.connections().open(target.address(), (opened, error) -> context.loop()
                         .execute(() -> onOpened(opened, error)));
             }
         }
@@ -639,32 +620,25 @@
                 onFailure(Failure.UNREACHABLE, String.valueOf(error.getMessage()));
                 return;
             }
-            if (!inPause && context.notices().isHeldBack(server.incarnation(), now())) {
-                // It said so while the connection was being opened.
+            Optional<String> heldBack = target.heldBack();
+            if (heldBack.isPresent()) {
+                // It became known while the connection was being opened.
                 context.connections().release(opened);
                 context.metrics().onKeptBack();
-                onAttemptFailed(Outcome.ABANDONED, false, "upstream leaves or wants a pause");
+                onAttemptFailed(Outcome.ABANDONED, false, heldBack.get());
                 return;
             }
             connection = opened;
             sent = true;
             sentMillis = now();
             progressMillis = sentMillis;
-            connection.send(
-                    request, context.codec().encodeRequest(request, plan(leftMillis)), body.retainedDuplicate(), this);
-            checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
-        }
-
-        private SendPlan plan(long leftMillis) {
-            expectedVersion = placement.versionOf(server);
             Optional<String> resumeAfter = splitter.lastEventId().or(request::lastEventId);
-            return placement.planSend(view, server, leftMillis, route.priority(), resumeAfter);
+            connection.send(request, target.encode(leftMillis, resumeAfter), body.retainedDuplicate(), this);
+            checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
         }
 
         boolean isSilent() {
-            return sent
-                    && context.loads()
-                            .isSilent(server.incarnation(), context.turns().lastReadMillis());
+            return sent && target.isSilent();
         }
 
         private void checkSilence() {
@@ -735,20 +709,18 @@
                 checkTimer.cancel(false);
             }
             bufferedBody.release();
-            markPromptRead();
-            context.loads().onEnded(server.incarnation(), tokens, outcome, now());
+            target.onEnded(outcome);
         }
 
         @Override
         public void onBytesReceived() {
-            context.loads().onBytesReceived(server.incarnation(), now());
+            target.onBytesReceived();
         }
 
         @Override
         public void onHead(AnswerHead answer) {
             head = answer;
-            context.noticeRecorder().record(server, answer, sentMillis);
-            answer.weightVersion().ifPresent(version -> context.loads().onVersion(server.incarnation(), version));
+            target.onHead(answer, sentMillis);
             if (answer.notExecuted()) {
                 // The rejection is read to its end, so that the connection stays usable.
                 return;
@@ -801,14 +773,12 @@
         private LogFields failureLine(Outcome outcome, String message) {
             LogFields line = LogFields.event("attempt failed")
                     .field("request", request.id())
-                    .peer(server.address())
-                    .field("server", server.id())
-                    .field("softwareVersion", server.softwareVersion())
                     .field("outcome", outcome)
                     .field("reason", message)
                     .field("sentAgoMillis", sent ? now() - sentMillis : -1)
                     .field("answerBeganAgoMillis", answerBeganMillis < 0 ? -1 : now() - answerBeganMillis)
                     .field("headReceived", head != null);
+            target.describe(line);
             request.prompt()
                     .ifPresent(prompt -> line.field(
                             "sharedParts",
@@ -816,18 +786,12 @@
             return line;
         }
 
-        private void markPromptRead() {
-            if (!promptRead) {
-                promptRead = true;
-                context.loads().onPromptComputed(server.incarnation(), unreadTokens);
-            }
-        }
-
         private void forward(ByteBuf bytes) {
             if (answerBeganMillis < 0) {
                 answerBeganMillis = now();
             }
-            markPromptRead();
+            promptRead = true;
+            target.onPromptRead();
             byte[] received = ByteBufUtil.getBytes(bytes);
             byte[] completeEvents = splitter.append(received);
             if (splitter.hasCompletedEvent()) {
@@ -860,8 +824,10 @@
 
         private void bindToVersion() {
             if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
-                placement.requireSoftwareVersion(server.softwareVersion());
-                context.origins().onBegun(service, request.id(), server.softwareVersion(), now());
+                target.softwareVersion().ifPresent(version -> {
+                    placement.requireSoftwareVersion(version);
+                    context.origins().onBegun(service, request.id(), version, now());
+                });
             }
         }
 
@@ -882,28 +848,14 @@
         }
 
         private void onRejected() {
-            boolean sameServer = head.serverId().isEmpty() || head.serverId().equals(server.id());
-            if (head.status() == 421 && sameServer && expectedVersion.isPresent()) {
-                recordLoadedVersion();
-            }
+            target.onRejected(head);
             if (placement.targetsEngines()) {
                 // Engines reject requests briefly while they load weights, so the same one may be tried again.
-                triedIncarnations.remove(server.incarnation());
+                triedIncarnations.remove(target.server().incarnation());
             }
             onAttemptFailed(Outcome.REJECTED, false, "status " + head.status());
         }
 
-        // The engine has loaded other weights than its registration says; that is updated within a second.
-        private void recordLoadedVersion() {
-            if (head.weightVersion().isPresent()) {
-                return;
-            }
-            placement
-                    .namedVersion(view)
-                    .filter(named -> named.version() != expectedVersion.getAsLong())
-                    .ifPresent(named -> context.loads().onVersion(server.incarnation(), named.version()));
-        }
-
         private void onBufferedAnswer() {
             boolean failed = head.status() >= 500;
             if (failed && route.isRepeatable() && possibleRuns + 1 < route.maxAttempts()) {
@@ -911,7 +863,7 @@
                 byte[] content = ByteBufUtil.getBytes(bufferedBody);
                 settle(Outcome.FAILED);
                 possibleRuns++;
-                lastFailure = "status " + answered.status() + " at " + server.address();
+                lastFailure = "status " + answered.status() + " at " + target.address();
                 if (mayRetry()) {
                     attempt = null;
                     context.metrics().onFurtherAttempt();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -70,6 +70,15 @@
         return key.isEmpty() ? request.id() : key;
     }
 
+    /**
+     * Returns the service that the request goes to.
+     *
+     * @return the service's name
+     */
+    String service() {
+        return target.service();
+    }
+
     /**
      * Returns whether the upstreams of the service are engines.
      *
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -0,0 +1,145 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.cowslipbank.decision.relay.UpstreamLoads;
+import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
+import org.cowslipbank.decision.relay.UpstreamSelector;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.model.relay.PromptShape;
+import org.cowslipbank.model.relay.Route;
+import org.cowslipbank.model.relay.UpstreamServer;
+import org.cowslipbank.ports.relay.AnswerHead;
+import org.cowslipbank.ports.relay.Header;
+import org.cowslipbank.ports.relay.RelayRequest;
+
+/** An attempt's target that is an upstream: keeps its load, its notices and the reports on where streams begin. */
+final class UpstreamTarget implements AttemptTarget {
+    private final RelayContext context;
+    private final RequestPlacement placement;
+    private final RelayRequest request;
+    private final Route route;
+    private final UpstreamServer server;
+    private final int unreadTokens;
+    private final int tokens;
+    private final boolean inPause;
+    private OptionalLong expectedVersion = OptionalLong.empty();
+    private boolean promptRead;
+
+    UpstreamTarget(
+            RelayContext context,
+            RequestPlacement placement,
+            RelayRequest request,
+            Route route,
+            UpstreamSelector.Choice choice) {
+        this.context = context;
+        this.placement = placement;
+        this.request = request;
+        this.route = route;
+        this.server = choice.server();
+        this.unreadTokens = choice.unreadTokens();
+        this.tokens = request.prompt().map(PromptShape::promptTokens).orElse(0);
+        this.inPause =
+                context.notices().pauseEndMillis(server.incarnation(), now()).isPresent();
+    }
+
+    UpstreamServer server() {
+        return server;
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public void onStarted() {
+        long silenceMillis = placement.targetsEngines()
+                ? UpstreamLoads.SILENCE_LIMIT_MILLIS
+                : UpstreamLoads.plainSilenceLimitMillis(route.latencyObjectiveMillis());
+        context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
+        context.notices().onSent(server.incarnation(), now());
+        if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
+            context.originReports().onSent(placement.service(), request.id(), server.softwareVersion());
+        }
+    }
+
+    @Override
+    public Optional<String> heldBack() {
+        return !inPause && context.notices().isHeldBack(server.incarnation(), now())
+                ? Optional.of("upstream leaves or wants a pause")
+                : Optional.empty();
+    }
+
+    @Override
+    public Iterable<Header> encode(long leftMillis, Optional<String> resumeAfter) {
+        expectedVersion = placement.versionOf(server);
+        PlatformView view = context.view().get();
+        return context.codec()
+                .encodeRequest(request, placement.planSend(view, server, leftMillis, route.priority(), resumeAfter));
+    }
+
+    @Override
+    public boolean isSilent() {
+        return context.loads().isSilent(server.incarnation(), context.turns().lastReadMillis());
+    }
+
+    @Override
+    public void onBytesReceived() {
+        context.loads().onBytesReceived(server.incarnation(), now());
+    }
+
+    @Override
+    public void onHead(AnswerHead head, long sentMillis) {
+        context.noticeRecorder().record(server, head, sentMillis);
+        head.weightVersion().ifPresent(version -> context.loads().onVersion(server.incarnation(), version));
+    }
+
+    @Override
+    public void onRejected(AnswerHead head) {
+        boolean sameServer = head.serverId().isEmpty() || head.serverId().equals(server.id());
+        if (head.status() == 421 && sameServer && expectedVersion.isPresent()) {
+            recordLoadedVersion(head);
+        }
+    }
+
+    // The engine has loaded other weights than its registration says; that is updated within a second.
+    private void recordLoadedVersion(AnswerHead head) {
+        if (head.weightVersion().isPresent()) {
+            return;
+        }
+        placement
+                .namedVersion(context.view().get())
+                .filter(named -> named.version() != expectedVersion.getAsLong())
+                .ifPresent(named -> context.loads().onVersion(server.incarnation(), named.version()));
+    }
+
+    @Override
+    public void onPromptRead() {
+        if (!promptRead) {
+            promptRead = true;
+            context.loads().onPromptComputed(server.incarnation(), unreadTokens);
+        }
+    }
+
+    @Override
+    public void onEnded(Outcome outcome) {
+        onPromptRead();
+        context.loads().onEnded(server.incarnation(), tokens, outcome, now());
+    }
+
+    @Override
+    public Optional<String> softwareVersion() {
+        return Optional.of(server.softwareVersion());
+    }
+
+    @Override
+    public void describe(LogFields line) {
+        line.peer(server.address()).field("server", server.id()).field("softwareVersion", server.softwareVersion());
+    }
+
+    private long now() {
+        return context.clocks().nowMillis();
+    }
+}
