Log closes of idle client connections and errors in requests

The lines could not tell a connection that the node closes as idle from a client that left, and an unexpected error in a request left its text alone, without where it was thrown. Closes by the limits are logged with what was pending on the connection, and both are counted (relay.clientConnectionsExpired, relay.unexpectedErrors).

No logic changes.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -69,10 +70,23 @@
         long idleMillis = nowMillis - lastActivityMillis;
         long limitMillis = head == null ? limits.idleTimeoutMillis() : limits.headerTimeoutMillis();
         if (idleMillis > limitMillis) {
+            context.metrics().onConnectionExpired();
+            context.log()
+                    .logRequest(LogFields.event("client connection expired; it is closed")
+                            .field("reason", head == null ? "idle" : "request incomplete")
+                            .field("idleMillis", idleMillis)
+                            .field("limitMillis", limitMillis)
+                            .field("pipelinedMessages", pipelined.size())
+                            .field("unsentBytes", unsentBytes()));
             channel.close();
         }
     }
 
+    private long unsentBytes() {
+        ChannelOutboundBuffer unsent = channel.channel().unsafe().outboundBuffer();
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+    }
+
     boolean isBusy() {
         return answering || head != null;
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -346,6 +346,7 @@
             step.run();
         } catch (RuntimeException e) {
             lastFailure = "unexpected error: " + e;
+            logUnexpectedError(e);
             if (!ended) {
                 endAttempt(Outcome.ABANDONED);
                 if (headSent) {
@@ -357,6 +358,18 @@
         }
     }
 
+    private void logUnexpectedError(RuntimeException error) {
+        context.metrics().onUnexpectedError();
+        StackTraceElement[] trace = error.getStackTrace();
+        context.log()
+                .logRequest(LogFields.event("unexpected error in a step of a request")
+                        .field("request", request.id())
+                        .field("ended", ended)
+                        .field("headSent", headSent)
+                        .field("thrownAt", trace.length == 0 ? "" : trace[0].toString())
+                        .error(error));
+    }
+
     private WaitingQueue.Times waitingTimes() {
         long nowMillis = now();
         if (headSent) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -14,6 +14,8 @@
     private final Counter resumes;
     private final Counter clientsGone;
     private final Counter keptBack;
+    private final Counter unexpectedErrors;
+    private final Counter connectionsExpired;
     private final Timer firstByte;
     private final Timer duration;
 
@@ -24,6 +26,8 @@
         this.resumes = registry.counter("relay.resumes");
         this.clientsGone = registry.counter("relay.clientsGone");
         this.keptBack = registry.counter("relay.keptBack");
+        this.unexpectedErrors = registry.counter("relay.unexpectedErrors");
+        this.connectionsExpired = registry.counter("relay.clientConnectionsExpired");
         this.firstByte = registry.timer("relay.firstByteMillis");
         this.duration = registry.timer("relay.wholeMillis");
     }
@@ -49,6 +53,16 @@
         keptBack.inc();
     }
 
+    /** Counts an unexpected error in a step of a request. */
+    void onUnexpectedError() {
+        unexpectedErrors.inc();
+    }
+
+    /** Counts a client's connection that is closed because it was idle or incomplete for too long. */
+    void onConnectionExpired() {
+        connectionsExpired.inc();
+    }
+
     void onFirstByte(long millis) {
         firstByte.update(millis, TimeUnit.MILLISECONDS);
     }
