Keep waiting for a silent upstream while no retry is left

Callers saw streams that broke off, and reads answered 502, while their upstream was silent for a second and then went on. After 600 ms of silence the node closed the upstream's connection first and asked for a retry afterwards. With the retry budget used up, or the start queue too long, it then ended the answer. All requests at an upstream fall silent at the same moment, so that they use up the budget together.

A request is moved only once a retry was taken for it, and it is started in the next turn of the loop instead of being enqueued again, so that a move is no longer refused. Otherwise the check is repeated.

UnansweredRequestTest.streamOfSilentUpstreamGoesOnWithoutRetryBudget and readOfSilentUpstreamIsAnsweredWithoutRetryBudget failed before: the stream ended after its first event, the read got 502.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -466,6 +466,16 @@
     }
 
     private void onAttemptFailed(Outcome outcome, boolean mayHaveRun, String message) {
+        recordFailure(outcome, mayHaveRun, message);
+        if (mayRetry()) {
+            countFurtherAttempt();
+            submitStart();
+        } else {
+            giveUp("attempts_failed");
+        }
+    }
+
+    private void recordFailure(Outcome outcome, boolean mayHaveRun, String message) {
         Attempt failed = attempt;
         lastFailure = outcome + " at " + failed.target.address() + ": " + message;
         context.log().logRequest(failed.failureLine(outcome, message));
@@ -481,25 +491,40 @@
             suspects.reportBroken(failed.target.server(), failed.sentMillis);
         }
         splitter.discardIncompleteEvent();
-        if (mayRetry()) {
-            context.metrics().onFurtherAttempt();
-            if (headSent) {
-                context.metrics().onResume();
-            }
-            submitStart();
-        } else {
-            giveUp("attempts_failed");
+    }
+
+    private void countFurtherAttempt() {
+        context.metrics().onFurtherAttempt();
+        if (headSent) {
+            context.metrics().onResume();
         }
     }
 
+    /**
+     * Moves the request away from an upstream that may still go on. A retry was taken for it, and another upstream is
+     * available, so it is not enqueued behind other starts, where it could be refused.
+     */
+    private void move(Outcome outcome, String message) {
+        recordFailure(outcome, true, message);
+        countFurtherAttempt();
+        // The sockets are read before, so that a close by the client is noticed.
+        schedule(() -> startAttempt(false), 0);
+    }
+
     private boolean mayRetry() {
+        return hasRetryLeft(possibleRuns) && takeRetry(possibleRuns);
+    }
+
+    private boolean hasRetryLeft(int runs) {
         boolean resumes = !headSent || route.isStream() && route.resumable();
-        boolean attemptsLeft = possibleRuns < route.maxAttempts() && rejections <= MAX_REJECTED_SENDS;
-        if (!resumes || !attemptsLeft || now() >= deadlineMillis || possibleRuns > 0 && !route.isRepeatable()) {
-            return false;
-        }
+        boolean attemptsLeft = runs < route.maxAttempts() && rejections <= MAX_REJECTED_SENDS;
+        return resumes && attemptsLeft && now() < deadlineMillis && (runs == 0 || route.isRepeatable());
+    }
+
+    /** Takes a retry from the budget, if one is left. */
+    private boolean takeRetry(int runs) {
         RetryQuestion question = new RetryQuestion(
-                2, possibleRuns > 0 ? RunState.UNKNOWN : RunState.NOT_RUN, route.isRepeatable(), headSent, false);
+                2, runs > 0 ? RunState.UNKNOWN : RunState.NOT_RUN, route.isRepeatable(), headSent, false);
         RetryVerdict verdict =
                 context.retries().decide(service, question, view.nodes().size(), now());
         return verdict == RetryVerdict.ALLOWED;
@@ -669,15 +694,14 @@
                 reportedSound = true;
                 reportSound();
             }
-            boolean canMove = route.isRepeatable() && (!headSent || route.resumable());
             boolean silent = isSilent();
-            // Without another upstream to move to, keep waiting for the silent one.
-            if (canMove && (silent || isStalled()) && possibleRuns + 1 < route.maxAttempts() && choose().isPresent()) {
+            // Without a retry and another upstream to move to, keep waiting: a sound one may be silent for a second.
+            int runs = possibleRuns + 1;
+            if ((silent || isStalled()) && hasRetryLeft(runs) && choose().isPresent() && takeRetry(runs)) {
                 // Close the connection first: this upstream must stop before another one starts.
                 connection.cancel();
-                onAttemptFailed(
+                move(
                         silent ? Outcome.SILENT : Outcome.FAILED,
-                        true,
                         silent
                                 ? "upstream silent: no bytes while an answer was due"
                                 : "stream stalled: bytes but no event");
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -41,6 +41,7 @@
 final class RelaySystem implements Closeable {
     private static final long WAIT_MILLIS = 10_000;
     private static final int SLOW_READER_BYTES = 8 * 1024;
+    private static final long RETRY_SLACK = 500;
     private static final int FIRST_PORT = 15_000;
     private static final int PORTS = 15_000;
     private static final AtomicInteger NEXT_PORT =
@@ -87,21 +88,28 @@
     }
 
     RelaySystem(Transport transport) throws IOException, PeerException {
-        this(transport, new FakeMetadataStore(), Optional.empty());
+        this(transport, new FakeMetadataStore(), Optional.empty(), RETRY_SLACK);
         configure(1, "\"key\"");
     }
 
     /** Creates a node that follows a store which another node has followed before. */
     RelaySystem(FakeMetadataStore store) throws IOException, PeerException {
-        this(Transport.PREFERRED, store, Optional.empty());
+        this(Transport.PREFERRED, store, Optional.empty(), RETRY_SLACK);
     }
 
     /** Creates a node that follows a metadata store over HTTP instead of {@link #store}. */
     RelaySystem(StandInStore remoteStore) throws IOException, PeerException {
-        this(Transport.PREFERRED, new FakeMetadataStore(), Optional.of("127.0.0.1:" + remoteStore.port()));
+        this(Transport.PREFERRED, new FakeMetadataStore(), Optional.of("127.0.0.1:" + remoteStore.port()), RETRY_SLACK);
     }
 
-    private RelaySystem(Transport transport, FakeMetadataStore store, Optional<String> remoteStore)
+    /** Creates a node whose retry budget is used up from the start. */
+    static RelaySystem withoutRetryBudget() throws IOException, PeerException {
+        RelaySystem system = new RelaySystem(Transport.PREFERRED, new FakeMetadataStore(), Optional.empty(), 0);
+        system.configure(1, "\"key\"");
+        return system;
+    }
+
+    private RelaySystem(Transport transport, FakeMetadataStore store, Optional<String> remoteStore, long retrySlack)
             throws IOException, PeerException {
         this.store = store;
         LoopResources preferred = LoopResources.create("relay-test", 1, true);
@@ -114,7 +122,7 @@
                         freeTcpAddress(), freeTcpAddress(), freeTcpAddress(), freeUdpAddress(), freeTcpAddress(), ""),
                 "unused:1",
                 1_000,
-                new RelaySettings.Bounds(5_000, true, 3_000, 0.2, 500, 3_000, 6_000),
+                new RelaySettings.Bounds(5_000, true, 3_000, 0.2, retrySlack, 3_000, 6_000),
                 430,
                 125_000_000,
                 0.75);
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -0,0 +1,44 @@
+package org.cowslipbank.entry.relay;
+
+import net.jqwik.api.Example;
+
+/** Tests that a request which was read whole ends in an answer. */
+final class UnansweredRequestTest {
+    /** Longer than the silence after which a request is moved to another upstream. */
+    private static final long SILENCE_MILLIS = 1_100;
+
+    /** Failure guarded against: a stream is cut off because its upstream is silent and the retry budget is used up. */
+    @Example
+    void streamOfSilentUpstreamGoesOnWithoutRetryBudget() throws Exception {
+        try (RelaySystem system = RelaySystem.withoutRetryBudget()) {
+            ScriptedUpstream.Script pausing = (request, socket) -> {
+                ScriptedUpstream.beginStream(request, socket, "id: 1\ndata: a\n\n");
+                Thread.sleep(SILENCE_MILLIS);
+                ScriptedUpstream.chunk(socket, "id: 2\ndata: b\n\n");
+                ScriptedUpstream.endStream(socket);
+            };
+            system.upstream("llm", "i-1", pausing);
+            system.upstream("llm", "i-2", pausing);
+            system.start();
+            String answer = system.send("/stream/", "r1", "", "");
+            assert answer.endsWith("\r\n0\r\n\r\n") : answer;
+            assert RelaySystem.joined(answer).equals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") : answer;
+        }
+    }
+
+    /** Failure guarded against: a read of a silent upstream is answered 502 because the retry budget is used up. */
+    @Example
+    void readOfSilentUpstreamIsAnsweredWithoutRetryBudget() throws Exception {
+        try (RelaySystem system = RelaySystem.withoutRetryBudget()) {
+            ScriptedUpstream.Script pausing = (request, socket) -> {
+                Thread.sleep(SILENCE_MILLIS);
+                ScriptedUpstream.ok("late").answer(request, socket);
+            };
+            system.upstream("app", "i-1", pausing);
+            system.upstream("app", "i-2", pausing);
+            system.start();
+            String answer = system.send("/read/", "r1", "", "");
+            assert answer.startsWith("HTTP/1.1 200") && RelaySystem.body(answer).equals("late") : answer;
+        }
+    }
+}
