Answer a request whose step fails with an unexpected error

A client whose request met an unexpected error got a closed connection without an answer if the error was in decoding the head or in the first step of the exchange. An error in a callback of an upstream's connection closed that connection after its listener was gone, so that the request waited for its deadline; and if the answer to the first error failed as well, nothing ended the request.

The first step and all callbacks run guarded now (GuardedListener), an undecodable request is answered 503, since it was not sent anywhere, and a request whose error answer fails is closed at once.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -211,6 +211,10 @@
             requestBody.release();
             reject(400, e.getMessage());
             return;
+        } catch (RuntimeException e) {
+            requestBody.release();
+            reject(503, "unexpected error while the request head was decoded: " + e);
+            return;
         }
         answering = true;
         chunked = false;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -97,6 +97,7 @@
     /** Time from an answer's first event after which the request is no longer suspected of crashing the upstream. */
     static final long ESTABLISHED_ANSWER_MILLIS = 1_000;
 
+    private static final String INTERNAL_ERROR = "internal_error";
     private static final String VERSION_GONE = "software_version_gone";
     private static final String CRASHED_UPSTREAMS = "crashed_upstreams";
     private static final String ANONYMOUS_TEAM = "anonymous";
@@ -140,7 +141,7 @@
     /** Starts the exchange; the answer may be complete before this returns. */
     void start() {
         context.metrics().onRequest();
-        resolveRoute();
+        guarded(this::resolveRoute);
     }
 
     private void resolveRoute() {
@@ -347,14 +348,24 @@
         } catch (RuntimeException e) {
             lastFailure = "unexpected error: " + e;
             logUnexpectedError(e);
-            if (!ended) {
-                endAttempt(Outcome.ABANDONED);
-                if (headSent) {
-                    abort("internal_error");
-                } else {
-                    fail(502, "internal_error");
-                }
+            endAfterError();
+        }
+    }
+
+    private void endAfterError() {
+        if (ended) {
+            return;
+        }
+        try {
+            endAttempt(Outcome.ABANDONED);
+            if (!headSent) {
+                fail(502, INTERNAL_ERROR);
             }
+        } catch (RuntimeException e) {
+            logUnexpectedError(e);
+        }
+        if (!ended) {
+            abort(INTERNAL_ERROR);
         }
     }
 
@@ -671,7 +682,8 @@
             sentMillis = now();
             progressMillis = sentMillis;
             Optional<String> resumeAfter = splitter.lastEventId().or(request::lastEventId);
-            connection.send(request, target.encode(leftMillis, resumeAfter), body.retainedDuplicate(), this);
+            UpstreamListener listener = new GuardedListener(this, Exchange.this::guarded);
+            connection.send(request, target.encode(leftMillis, resumeAfter), body.retainedDuplicate(), listener);
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
         }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FailingCodec.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FailingCodec.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.Header;
@@ -10,9 +12,14 @@
 import org.cowslipbank.ports.relay.RelayRequest;
 import org.cowslipbank.ports.relay.SendPlan;
 
-/** Codec with an unexpected error in the encoding of requests whose identifier begins with {@code broken}. */
+/**
+ * Codec with unexpected errors. Requests whose identifier begins with {@code broken} are not encoded, those with
+ * {@code unreadable} are not decoded; {@code unrefused} stands for refusals of which the first one is not encoded,
+ * {@code never-refused} for refusals that are never encoded.
+ */
 final class FailingCodec implements RelayCodec {
     private final RelayCodec codec;
+    private final Set<String> failedOnce = ConcurrentHashMap.newKeySet();
 
     FailingCodec(RelayCodec codec) {
         this.codec = codec;
@@ -21,14 +28,14 @@
     @Override
     public RelayRequest decodeRequest(String method, String target, Iterable<Map.Entry<String, String>> headers)
             throws MalformedHeadException {
-        return codec.decodeRequest(method, target, headers);
+        RelayRequest request = codec.decodeRequest(method, target, headers);
+        failIf(request.id().startsWith("unreadable"));
+        return request;
     }
 
     @Override
     public List<Header> encodeRequest(RelayRequest request, SendPlan plan) {
-        if (request.id().startsWith("broken")) {
-            throw new IllegalStateException("fault of the test");
-        }
+        failIf(request.id().startsWith("broken"));
         return codec.encodeRequest(request, plan);
     }
 
@@ -39,6 +46,8 @@
 
     @Override
     public List<Header> encodeRefusal(String requestId, long retryAfterMillis) {
+        failIf(requestId.startsWith("unrefused") && failedOnce.add(requestId));
+        failIf(requestId.startsWith("never-refused"));
         return codec.encodeRefusal(requestId, retryAfterMillis);
     }
 
@@ -56,4 +65,10 @@
     public byte[] encodeLookup(List<String> addresses, long ttlSeconds) {
         return codec.encodeLookup(addresses, ttlSeconds);
     }
+
+    private static void failIf(boolean fault) {
+        if (fault) {
+            throw new IllegalStateException("fault of the test");
+        }
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -1,5 +1,7 @@
 package org.cowslipbank.entry.relay;
 
+import java.util.concurrent.TimeUnit;
+
 import net.jqwik.api.Example;
 
 /** Tests that a request which was read whole ends in an answer. */
@@ -7,6 +9,8 @@
     /** Longer than the silence after which a request is moved to another upstream. */
     private static final long SILENCE_MILLIS = 1_100;
 
+    private static final long ORDER_TIMEOUT_MILLIS = 2_000;
+
     /** Failure guarded against: a stream is cut off because its upstream is silent and the retry budget is used up. */
     @Example
     void streamOfSilentUpstreamGoesOnWithoutRetryBudget() throws Exception {
@@ -41,4 +45,22 @@
             assert answer.startsWith("HTTP/1.1 200") && RelaySystem.body(answer).equals("late") : answer;
         }
     }
+
+    /** Failure guarded against: an unexpected error closes the client's connection, or leaves its request waiting. */
+    @Example
+    void unexpectedErrorIsAnsweredAtOnce() throws Exception {
+        try (RelaySystem system = new RelaySystem()) {
+            system.upstream("app", "i-1", (request, socket) -> ScriptedUpstream.reset(socket));
+            system.start();
+            String undecoded = system.send("/order/", "unreadable", "", "");
+            assert undecoded.startsWith("HTTP/1.1 503") : undecoded;
+            long sentNanos = System.nanoTime();
+            String broken = system.send("/order/", "unrefused", "", "");
+            assert broken.startsWith("HTTP/1.1 502") : broken;
+            String closed = system.send("/order/", "never-refused", "", "");
+            assert closed.isEmpty() || closed.equals("<reset>") : closed;
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+            assert millis < ORDER_TIMEOUT_MILLIS : millis;
+        }
+    }
 }
