Read pipelined requests before later messages

A client that sends its next request early got no answer to it if the request arrived in several pieces. When an answer ended, the queued pieces were read in a later task, and a piece that was read from the socket in between overtook them: a piece of the body without a head was dropped, and the request waited until the connection was closed. A stop of the node in the same gap took the connection for idle.

Messages are queued while older ones are, and a connection with queued messages is busy.

UnansweredRequestTest.pipelinedRequestThatArrivesInPiecesIsAnswered failed before: the second request never reached the upstream.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -64,7 +64,7 @@
 
     /** Closes the connection if it has been idle, or in the middle of a request, for longer than the limits allow. */
     void closeIfExpired(long nowMillis, ClientLimits limits) {
-        if (answering) {
+        if (answering || !pipelined.isEmpty()) {
             return;
         }
         long idleMillis = nowMillis - lastActivityMillis;
@@ -76,7 +76,6 @@
                             .field("reason", head == null ? "idle" : "request incomplete")
                             .field("idleMillis", idleMillis)
                             .field("limitMillis", limitMillis)
-                            .field("pipelinedMessages", pipelined.size())
                             .field("unsentBytes", unsentBytes()));
             channel.close();
         }
@@ -88,7 +87,7 @@
     }
 
     boolean isBusy() {
-        return answering || head != null;
+        return answering || head != null || !pipelined.isEmpty();
     }
 
     void close() {
@@ -107,7 +106,8 @@
     @Override
     public void channelRead(ChannelHandlerContext unused, Object message) {
         context.turns().onEvent();
-        if (answering) {
+        // Queued messages are read in a task of their own; a later one must not overtake them.
+        if (answering || !pipelined.isEmpty()) {
             pipelined.add(message);
             if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
                 channel.channel().config().setAutoRead(false);
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -1,5 +1,7 @@
 package org.cowslipbank.entry.relay;
 
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
@@ -9,6 +11,8 @@
     /** Longer than the silence after which a request is moved to another upstream. */
     private static final long SILENCE_MILLIS = 1_100;
 
+    private static final long TURN_MILLIS = 100;
+    private static final String KEPT = "Content-Length: 0\r\n\r\n";
     private static final long ORDER_TIMEOUT_MILLIS = 2_000;
 
     /** Failure guarded against: a stream is cut off because its upstream is silent and the retry budget is used up. */
@@ -63,4 +67,30 @@
             assert millis < ORDER_TIMEOUT_MILLIS : millis;
         }
     }
+
+    /** Failure guarded against: a message overtakes pipelined ones, so that a request loses its body or its head. */
+    @Example
+    void pipelinedRequestThatArrivesInPiecesIsAnswered() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch received = new CountDownLatch(1);
+        try (RelaySystem system = new RelaySystem()) {
+            ScriptedUpstream upstream = system.upstream("app", "i-1", (request, socket) -> {
+                received.countDown();
+                answered.await();
+                ScriptedUpstream.ok(request.body()).answer(request, socket);
+            });
+            system.start();
+            Socket client = system.connect();
+            String second = system.request("/read/", "r2", "Content-Length: 6\r\n\r\nsec");
+            ScriptedUpstream.write(client, system.request("/read/", "r1", KEPT) + second);
+            received.await();
+            // The answer and the rest of the second request are read in the same turn.
+            system.holdInTask(2 * TURN_MILLIS);
+            answered.countDown();
+            Thread.sleep(TURN_MILLIS);
+            ScriptedUpstream.write(client, "ond");
+            assert RelaySystem.readAnswer(client).startsWith("HTTP/1.1 200");
+            assert RelaySystem.readAnswer(client).endsWith("second") : upstream.received;
+        }
+    }
 }
