Read upstream connections again after a slow reader

A request got no answer until its deadline if it was sent on a kept connection whose last answer had ended while its client did not read: the connection was put into the pool paused, and nothing resumed it. A plain answer waited for the client to read, although it is buffered whole, and was replaced by 504. An upstream that was paused in this way also counted as silent, so that its stream was moved.

A connection is resumed before it is pooled, only streams pause it, and an upstream that is not being read is not silent.

UpstreamConnectionTest.connectionIsReadAgainAfterItsAnswerEndedWhilePaused failed before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -464,7 +464,8 @@
 
     /** Called when the client's connection becomes writable or stops being writable. */
     void onWritabilityChanged() {
-        if (attempt != null && attempt.connection != null) {
+        // Other answers are buffered whole, whether the client reads or not.
+        if (attempt != null && attempt.streaming) {
             attempt.connection.pauseReading(client.isBackpressured());
         }
     }
@@ -688,7 +689,7 @@
         }
 
         boolean isSilent() {
-            return sent && target.isSilent();
+            return sent && !client.isBackpressured() && target.isSilent();
         }
 
         private void checkSilence() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -218,6 +218,8 @@
         UpstreamListener ended = listener;
         listener = null;
         if (reusable && channel.isActive()) {
+            // The answer may have ended while its client did not read; the next answer has another client.
+            pauseReading(false);
             pool.release(this);
         } else {
             close();
