Close client connections only when nothing is pending

A request was reset without an answer if the node took its connection for idle. The idle limit was compared with the time of the last complete message, so that it cut off a request whose head arrived in pieces, and one that lay in the socket after a long turn of the loop, for example while a large configuration was applied. Answers that their client was still reading were cut off as well, also by a stop of the node.

A connection expires only if no answer is being read by its client, and after its socket was read once more. A request is incomplete, and the header limit applies, from its first byte. A client that reads nothing for 15 s is taken for gone.

UnansweredRequestTest.requestInTheSocketOfAnExpiredConnectionIsAnswered, requestWhoseHeadArrivesSlowlyIsAnswered and answersThatAreReadSlowlyAreComplete failed before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -5,13 +5,14 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -41,7 +42,11 @@
     /** Messages of pipelined requests queued while one is relayed; reading pauses beyond this number. */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
+    /** Time after which a client that has not read the end of its answer is taken for gone. */
+    private static final long STALLED_READER_MILLIS = 15_000;
+
     private final ClientHttpServer server;
+    private final StrictRequestDecoder decoder;
     private final RelayContext context;
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext channel;
@@ -52,42 +57,69 @@
     private boolean closeAfter;
     private boolean chunked;
     private boolean discardInput;
+    private boolean headBegun;
+    private ChannelFuture lastWrite;
     private long lastActivityMillis;
     private long openedTurn;
     private long earliestArrivalMillis;
 
-    ClientConnection(ClientHttpServer server, RelayContext context) {
+    ClientConnection(ClientHttpServer server, StrictRequestDecoder decoder, RelayContext context) {
         this.server = server;
+        this.decoder = decoder;
         this.context = context;
         this.lastActivityMillis = context.clocks().nowMillis();
     }
 
-    /** Closes the connection if it has been idle, or in the middle of a request, for longer than the limits allow. */
-    void closeIfExpired(long nowMillis, ClientLimits limits) {
-        if (answering || !pipelined.isEmpty()) {
-            return;
+    /**
+     * Closes the connection if it has been idle, or in the middle of a request, for longer than the limits allow. It is
+     * closed in the next turn of the loop, unless a request is read before: after a long turn one may lie in the socket.
+     */
+    void closeIfExpired() {
+        if (isExpired()) {
+            channel.executor().schedule(this::closeIfStillExpired, 0, TimeUnit.MILLISECONDS);
         }
-        long idleMillis = nowMillis - lastActivityMillis;
-        long limitMillis = head == null ? limits.idleTimeoutMillis() : limits.headerTimeoutMillis();
-        if (idleMillis > limitMillis) {
-            context.metrics().onConnectionExpired();
-            context.log()
-                    .logRequest(LogFields.event("client connection expired; it is closed")
-                            .field("reason", head == null ? "idle" : "request incomplete")
-                            .field("idleMillis", idleMillis)
-                            .field("limitMillis", limitMillis)
-                            .field("unsentBytes", unsentBytes()));
-            channel.close();
+    }
+
+    private boolean isExpired() {
+        return !answering && pipelined.isEmpty() && idleMillis() > limitMillis();
+    }
+
+    private long idleMillis() {
+        return context.clocks().nowMillis() - lastActivityMillis;
+    }
+
+    private long limitMillis() {
+        ClientLimits limits = server.limits();
+        if (isAnswerUnsent()) {
+            return Math.max(limits.idleTimeoutMillis(), STALLED_READER_MILLIS);
         }
+        return isRequestIncomplete() ? limits.headerTimeoutMillis() : limits.idleTimeoutMillis();
+    }
+
+    private boolean isRequestIncomplete() {
+        return head != null || decoder.hasPartialMessage();
     }
 
-    private long unsentBytes() {
-        ChannelOutboundBuffer unsent = channel.channel().unsafe().outboundBuffer();
-        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+    private boolean isAnswerUnsent() {
+        return lastWrite != null && !lastWrite.isDone();
+    }
+
+    private void closeIfStillExpired() {
+        if (!isExpired()) {
+            return;
+        }
+        context.metrics().onConnectionExpired();
+        context.log()
+                .logRequest(LogFields.event("client connection expired; it is closed")
+                        .field("requestIncomplete", isRequestIncomplete())
+                        .field("answerUnsent", isAnswerUnsent())
+                        .field("idleMillis", idleMillis())
+                        .field("limitMillis", limitMillis()));
+        channel.close();
     }
 
     boolean isBusy() {
-        return answering || head != null || !pipelined.isEmpty();
+        return answering || !pipelined.isEmpty() || isAnswerUnsent() || isRequestIncomplete();
     }
 
     void close() {
@@ -117,6 +149,15 @@
         read(message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext unused) {
+        boolean begun = !answering && head == null && decoder.hasPartialMessage();
+        if (begun && !headBegun) {
+            lastActivityMillis = context.clocks().nowMillis();
+        }
+        headBegun = begun;
+    }
+
     private void read(Object message) {
         try {
             lastActivityMillis = context.clocks().nowMillis();
@@ -273,16 +314,17 @@
 
     @Override
     public void end() {
-        var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        lastWrite = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         exchange = null;
         answering = false;
         lastActivityMillis = context.clocks().nowMillis();
         // The head of a long answer may have been sent before the node began to drain.
         if (closeAfter || server.isClosing()) {
             discardInput = true;
-            written.addListener(done -> channel.close());
+            lastWrite.addListener(done -> channel.close());
             return;
         }
+        lastWrite.addListener(done -> lastActivityMillis = context.clocks().nowMillis());
         // Pipelined requests are read only after the exchange that called this method has finished.
         channel.executor().execute(this::readPipelined);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientHttpServer.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientHttpServer.java
@@ -62,11 +62,12 @@
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            int headBytes = limits().maxHeaderBytes();
+                            StrictRequestDecoder decoder =
+                                    new StrictRequestDecoder(limits().maxHeaderBytes(), MAX_CHUNK_BYTES);
                             channel.pipeline()
                                     .addLast(new HttpResponseEncoder())
-                                    .addLast(new StrictRequestDecoder(headBytes, MAX_CHUNK_BYTES))
-                                    .addLast(new ClientConnection(ClientHttpServer.this, context));
+                                    .addLast(decoder)
+                                    .addLast(new ClientConnection(ClientHttpServer.this, decoder, context));
                         }
                     })
                     .bind(SocketAddresses.parse(address))
@@ -100,9 +101,7 @@
     }
 
     void closeExpired() {
-        long nowMillis = context.clocks().nowMillis();
-        ClientLimits limits = limits();
-        List.copyOf(connections).forEach(connection -> connection.closeIfExpired(nowMillis, limits));
+        List.copyOf(connections).forEach(ClientConnection::closeIfExpired);
     }
 
     /**
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongPredicate;
+import java.util.function.UnaryOperator;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
@@ -168,6 +169,16 @@
         store.put("op/config", configuration(version, keys));
     }
 
+    /** Writes the usual configuration with some text replaced. */
+    void configure(int version, UnaryOperator<String> change) {
+        store.put("op/config", change.apply(configuration(version, "\"key\"")));
+    }
+
+    /** Writes the usual configuration with another idle limit. */
+    void configureIdleLimit(int version, long idleMillis) {
+        configure(version, text -> text.replace("\"IdleTimeoutMs\":9000", "\"IdleTimeoutMs\":" + idleMillis));
+    }
+
     /** Returns the value of a configuration with stated API keys of the only team. */
     static String configuration(int version, String keys) {
         return CONFIGURATION.formatted(version, keys);
@@ -224,15 +235,38 @@
         CountDownLatch begun = new CountDownLatch(1);
         eventLoop.execute(() -> {
             begun.countDown();
-            try {
-                Thread.sleep(millis);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            sleep(millis);
         });
         begun.await();
     }
 
+    /**
+     * Holds the event loop twice, the second time before the timers that became due the first time; the sockets are not
+     * read between the second time and these timers. Returns once the second time has begun.
+     */
+    void holdBeforeTimers(long firstMillis, long secondMillis) throws InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        eventLoop.execute(() -> {
+            eventLoop.schedule(
+                    () -> {
+                        begun.countDown();
+                        sleep(secondMillis);
+                    },
+                    0,
+                    TimeUnit.MILLISECONDS);
+            sleep(firstMillis);
+        });
+        begun.await();
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private long nowMillis() {
         long nowMillis = MonotonicClock.SYSTEM.nowMillis();
         Hold pending = eventLoop.inEventLoop() ? hold.getAndSet(null) : null;
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.entry.relay;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -93,4 +94,61 @@
             assert RelaySystem.readAnswer(client).endsWith("second") : upstream.received;
         }
     }
+
+    /** Failure guarded against: a connection is closed as idle while a request lies in its socket. */
+    @Example
+    void requestInTheSocketOfAnExpiredConnectionIsAnswered() throws Exception {
+        try (RelaySystem system = new RelaySystem()) {
+            system.configureIdleLimit(2, 1_500);
+            system.upstream("app", "i-1", ScriptedUpstream.ok("hello"));
+            system.start();
+            Socket client = system.connect();
+            ScriptedUpstream.write(client, system.request("/read/", "r1", KEPT));
+            assert RelaySystem.readAnswer(client).startsWith("HTTP/1.1 200");
+            // The sweep is due in the first time, and the limit ends in the second one.
+            system.holdBeforeTimers(700, 1_000);
+            ScriptedUpstream.write(client, system.request("/read/", "r2", KEPT));
+            String answer = RelaySystem.readAnswer(client);
+            assert answer.startsWith("HTTP/1.1 200") : answer;
+        }
+    }
+
+    /** Failure guarded against: a connection is closed as idle while a request is being received. */
+    @Example
+    void requestWhoseHeadArrivesSlowlyIsAnswered() throws Exception {
+        try (RelaySystem system = new RelaySystem()) {
+            system.configureIdleLimit(2, 500);
+            system.upstream("app", "i-1", ScriptedUpstream.ok("hello"));
+            system.start();
+            Socket client = system.connect();
+            String request = system.request("/read/", "r1", KEPT);
+            int half = request.length() / 2;
+            ScriptedUpstream.write(client, request.substring(0, half));
+            Thread.sleep(1_200);
+            ScriptedUpstream.write(client, request.substring(half));
+            String answer = RelaySystem.readAnswer(client);
+            assert answer.startsWith("HTTP/1.1 200") : answer;
+        }
+    }
+
+    /** Failure guarded against: answers are cut off because their client reads them for longer than the idle limit. */
+    @Example
+    void answersThatAreReadSlowlyAreComplete() throws Exception {
+        String body = "x".repeat(250_000);
+        int requests = 40;
+        try (RelaySystem system = new RelaySystem()) {
+            system.configureIdleLimit(2, 500);
+            system.upstream("app", "i-1", ScriptedUpstream.ok(body));
+            system.start();
+            Socket client = system.connectSlowReader();
+            for (int number = 1; number < requests; number++) {
+                ScriptedUpstream.write(client, system.request("/read/", "r" + number, KEPT));
+            }
+            ScriptedUpstream.write(client, system.request("/read/", "last", "Connection: close\r\n" + KEPT));
+            Thread.sleep(2_500);
+            client.setSoTimeout(10_000);
+            String answers = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assert answers.length() > requests * body.length() : answers.replaceAll("x{9,}", "");
+        }
+    }
 }
