Take no retry for an attempt that was not sent

Streams were cut off, and requests refused, after tries that had reached no upstream: an attempt whose connection could not be opened, or that was held back, drew on the retry budget like one that had run. The budget limits what arrives at upstreams. While upstreams can't be reached, such tries use it up, and what was sent before is ended with it.

A request needs a retry only once all that it was allowed to send has been sent.

UnansweredRequestTest.unreachableUpstreamsDoNotUseTheRetryBudget failed before: an order that met closed ports got 503 although an upstream was free.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -124,6 +124,8 @@
     private Attempt attempt;
     private int possibleRuns;
     private int rejections;
+    private int sends;
+    private int retriesTaken;
     private boolean headSent;
     private boolean ended;
     private String lastFailure = "";
@@ -533,13 +535,20 @@
         return resumes && attemptsLeft && now() < deadlineMillis && (runs == 0 || route.isRepeatable());
     }
 
-    /** Takes a retry from the budget, if one is left. */
+    /** Takes a retry from the budget, if one is left. Attempts that ended before they were sent have used none. */
     private boolean takeRetry(int runs) {
+        if (sends <= retriesTaken) {
+            return true;
+        }
         RetryQuestion question = new RetryQuestion(
                 2, runs > 0 ? RunState.UNKNOWN : RunState.NOT_RUN, route.isRepeatable(), headSent, false);
         RetryVerdict verdict =
                 context.retries().decide(service, question, view.nodes().size(), now());
-        return verdict == RetryVerdict.ALLOWED;
+        if (verdict != RetryVerdict.ALLOWED) {
+            return false;
+        }
+        retriesTaken++;
+        return true;
     }
 
     private void refuse(String reason, long retryAfterMillis) {
@@ -680,6 +689,7 @@
             }
             connection = opened;
             sent = true;
+            sends++;
             sentMillis = now();
             progressMillis = sentMillis;
             Optional<String> resumeAfter = splitter.lastEventId().or(request::lastEventId);
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -51,6 +51,22 @@
         }
     }
 
+    /** Failure guarded against: requests fail because tries that reached no upstream have used up the retry budget. */
+    @Example
+    void unreachableUpstreamsDoNotUseTheRetryBudget() throws Exception {
+        try (RelaySystem system = RelaySystem.withoutRetryBudget()) {
+            for (int port = 1; port <= 5; port++) {
+                system.register("app", "closed-" + port, "127.0.0.1:" + port, "ready");
+            }
+            system.upstream("app", "i-1", ScriptedUpstream.ok("ran"));
+            system.start();
+            for (int number = 1; number <= 5; number++) {
+                String answer = system.send("/order/", "r" + number, "", "");
+                assert answer.startsWith("HTTP/1.1 200") : answer;
+            }
+        }
+    }
+
     /** Failure guarded against: an unexpected error closes the client's connection, or leaves its request waiting. */
     @Example
     void unexpectedErrorIsAnsweredAtOnce() throws Exception {
