--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -378,7 +378,8 @@
         return answer.toString();
     }
 
-    private static boolean isComplete(StringBuilder answer) {
+    /** Returns whether an answer has ended, by its stated length or its last chunk. */
+    static boolean isComplete(StringBuilder answer) {
         int end = answer.indexOf("\r\n\r\n");
         if (end < 0) {
             return false;
