Apply a lower idle limit from the next answer on

A change of the configuration that lowers the idle limit closed all connections that had been idle for longer than the new limit at once, while their clients still counted on the earlier one: a request that was sent meanwhile met the close and got neither an answer nor a refusal.

A connection keeps the limit that was in force when it became idle, as its client does; a higher one applies at once.

UnansweredRequestTest.lowerIdleLimitSparesConnectionsThatAreIdleAlready failed before with an empty answer.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -60,6 +60,7 @@
     private boolean headBegun;
     private ChannelFuture lastWrite;
     private long lastActivityMillis;
+    private long idleLimitMillis;
     private long openedTurn;
     private long earliestArrivalMillis;
 
@@ -93,7 +94,10 @@
         if (isAnswerUnsent()) {
             return Math.max(limits.idleTimeoutMillis(), STALLED_READER_MILLIS);
         }
-        return isRequestIncomplete() ? limits.headerTimeoutMillis() : limits.idleTimeoutMillis();
+        // Clients keep to the limit that was in force when the connection became idle.
+        return isRequestIncomplete()
+                ? limits.headerTimeoutMillis()
+                : Math.max(idleLimitMillis, limits.idleTimeoutMillis());
     }
 
     private boolean isRequestIncomplete() {
@@ -132,9 +136,15 @@
         context.turns().onEvent();
         openedTurn = context.turns().turn();
         earliestArrivalMillis = context.turns().earliestArrivalMillis();
+        onIdle();
         server.onOpened(this);
     }
 
+    private void onIdle() {
+        lastActivityMillis = context.clocks().nowMillis();
+        idleLimitMillis = server.limits().idleTimeoutMillis();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext unused, Object message) {
         context.turns().onEvent();
@@ -324,7 +334,7 @@
             lastWrite.addListener(done -> channel.close());
             return;
         }
-        lastWrite.addListener(done -> lastActivityMillis = context.clocks().nowMillis());
+        lastWrite.addListener(done -> onIdle());
         // Pipelined requests are read only after the exchange that called this method has finished.
         channel.executor().execute(this::readPipelined);
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -167,4 +167,23 @@
             assert answers.length() > requests * body.length() : answers.replaceAll("x{9,}", "");
         }
     }
+
+    /** Failure guarded against: a lower idle limit closes connections whose clients still count on the earlier one. */
+    @Example
+    void lowerIdleLimitSparesConnectionsThatAreIdleAlready() throws Exception {
+        try (RelaySystem system = new RelaySystem()) {
+            system.upstream("app", "i-1", ScriptedUpstream.ok("hello"));
+            system.start();
+            Socket client = system.connect();
+            ScriptedUpstream.write(client, system.request("/read/", "r1", KEPT));
+            assert RelaySystem.readAnswer(client).startsWith("HTTP/1.1 200");
+            system.configureIdleLimit(2, 300);
+            Thread.sleep(1_200);
+            ScriptedUpstream.write(client, system.request("/read/", "r2", KEPT));
+            String answer = RelaySystem.readAnswer(client);
+            assert answer.startsWith("HTTP/1.1 200") : answer;
+            Thread.sleep(1_200);
+            assert RelaySystem.readAnswer(client).isEmpty() : "the new limit holds after the next answer";
+        }
+    }
 }
