--- a/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayRehearsal.java
@@ -31,7 +31,7 @@
 final class RelayRehearsal {
     // Time for the first read of the metadata store, which the requests need.
     private static final long STARTUP_WAIT_MILLIS = 700;
-    private static final int PORT_COUNT = 5;
+    private static final int PORT_COUNT = 6;
     private static final int FIRST_PORT = 15_000;
     private static final int LAST_PORT = 30_000;
     private static final int MAX_TRIES = 200;
--- a/decision/src/main/java/org/cowslipbank/decision/relay/LookupNodes.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/LookupNodes.java
@@ -10,7 +10,8 @@
  *
  * <p>The load patterns that this answers are a fleet of unequal VMs and its start with cold code: every node that takes
  * requests has to warm its code up and open connections to all upstreams by itself, and a slow VM needs seconds for that
- * in which its requests become late. So slow nodes are left out while the fast ones have enough capacity.
+ * in which its requests become late. So slow nodes are left out while the fast ones have enough capacity. Nodes that are
+ * cut off from the upstreams are left out in the same way, because another node has to serve their requests.
  */
 public final class LookupNodes {
     /** Largest number of addresses in an answer; stated by the platform. */
@@ -22,7 +23,7 @@
     /** Share of the fastest node's processor from which a node counts as fast. */
     static final double FAST_SHARE = 0.5;
 
-    /** Share of the data centre's processors that the fast nodes must have for the slow ones to be left out. */
+    /** Share of the processors that the nodes that are named must have for the slow or cut-off ones to be left out. */
     static final double MIN_FAST_CAPACITY_SHARE = 0.3;
 
     /** With at least this many nodes in the client's data centre, an answer names only these. */
@@ -37,8 +38,9 @@
      * @param address its address for clients as {@code IP:port}
      * @param dataCentre where it runs
      * @param processorCores processor time that it gets, in seconds of a reference core per second; zero if not known
+     * @param cutOff true if it reaches no upstream, so that it passes its requests to other nodes
      */
-    public record Node(String name, String address, String dataCentre, double processorCores) {}
+    public record Node(String name, String address, String dataCentre, double processorCores, boolean cutOff) {}
 
     /**
      * Chooses the addresses of an answer.
@@ -48,10 +50,11 @@
      * @return the addresses, in an order that does not depend on that of the nodes; empty if no node is registered
      */
     public static List<String> addresses(Collection<Node> nodes, String dataCentre) {
-        List<Node> local = nodes.stream()
+        List<Node> reaching = preferReaching(List.copyOf(nodes));
+        List<Node> local = reaching.stream()
                 .filter(node -> node.dataCentre().equals(dataCentre))
                 .toList();
-        List<Node> candidates = local.size() >= MIN_LOCAL_NODES ? local : List.copyOf(nodes);
+        List<Node> candidates = local.size() >= MIN_LOCAL_NODES ? local : reaching;
         return preferFast(candidates).stream()
                 .sorted(Comparator.comparingDouble(Node::processorCores)
                         .reversed()
@@ -61,12 +64,22 @@
                 .toList();
     }
 
+    // Nodes that are cut off still take connections off the others, so they are named while few others are left.
+    private static List<Node> preferReaching(List<Node> nodes) {
+        List<Node> reaching = nodes.stream().filter(node -> !node.cutOff()).toList();
+        return hasCapacityFor(reaching, nodes) ? reaching : nodes;
+    }
+
+    private static boolean hasCapacityFor(List<Node> some, List<Node> all) {
+        return !some.isEmpty() && capacity(some) >= MIN_FAST_CAPACITY_SHARE * capacity(all);
+    }
+
     private static List<Node> preferFast(List<Node> nodes) {
         double fastest = nodes.stream().mapToDouble(Node::processorCores).max().orElse(0);
         List<Node> fast = nodes.stream()
                 .filter(node -> node.processorCores() >= FAST_SHARE * fastest)
                 .toList();
-        boolean enough = fast.size() >= MIN_FAST_NODES && capacity(fast) >= MIN_FAST_CAPACITY_SHARE * capacity(nodes);
+        boolean enough = fast.size() >= MIN_FAST_NODES && hasCapacityFor(fast, nodes);
         return enough ? fast : nodes;
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -251,6 +251,29 @@
                 && nowMillis - load.silentSinceMillis >= load.silenceLimitMillis;
     }
 
+    /**
+     * Returns for how long all upstreams with requests in flight have sent nothing.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return the time in milliseconds, zero without requests in flight
+     */
+    public long allSilentMillis(long nowMillis) {
+        return loads.values().stream()
+                .filter(load -> load.silentSinceMillis != UpstreamLoad.NEVER)
+                .mapToLong(load -> Math.max(0, nowMillis - load.silentSinceMillis))
+                .min()
+                .orElse(0);
+    }
+
+    /** Ends all quarantines, because the failures that led to them were those of this node's own links. */
+    public void endQuarantines() {
+        for (UpstreamLoad load : loads.values()) {
+            load.quarantinedUntilMillis = UpstreamLoad.NEVER;
+            load.halfOpen = false;
+            load.consecutiveBroken = 0;
+        }
+    }
+
     /**
      * Returns the load that this node has in flight at an upstream, reservations included.
      *
--- /dev/null
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamReachability.java
@@ -0,0 +1,337 @@
+package org.cowslipbank.decision.relay;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Decides whether this node is cut off from the upstreams: it can open a connection to none of them while other nodes
+ * exchange data with them.
+ *
+ * <p>Load pattern: the links of some nodes to all upstreams fail at once, while clients, the metadata store and the other
+ * nodes still reach these nodes. Such a node sees the same failures as if the upstreams were down, but the opposite answer
+ * is right: when the upstreams are down it keeps or refuses its requests, and when it is cut off it passes them to another
+ * node. So own failures only lead to probes. The state begins once probes to all upstreams, or to {@link #MAX_PROBED} of
+ * them, have failed and another node had contact with an upstream after the failures began. Data on connections that were
+ * open before does not speak against it, because these may live on while new ones fail. The state ends when connections to
+ * {@link #PROBES_TO_END} upstreams could be opened. Confined to the traffic thread.
+ */
+public final class UpstreamReachability {
+    /** Largest number of upstreams that must be unreachable before the state begins. */
+    static final int MAX_PROBED = 8;
+
+    /** Upstreams that must be unreachable before the others are probed. */
+    static final int SUSPICIOUS_FAILURES = 2;
+
+    /** Silence of all upstreams with requests in flight after which {@link #SUSPICIOUS_FAILURES} of them are probed. */
+    static final long SILENT_MILLIS = 500;
+
+    /** Time without contact after which one failure is enough for probes. */
+    static final long QUIET_MILLIS = 200;
+
+    /** Time after a connection was opened in which silence leads to no further probes. */
+    static final long SILENCE_EXCUSED_MILLIS = 1_000;
+
+    /** Interval at which one upstream is probed while all that were probed are unreachable. */
+    static final long REPEATED_PROBE_INTERVAL_MILLIS = 250;
+
+    /** Upstreams that must have been reached before the state ends. */
+    static final int PROBES_TO_END = 2;
+
+    /** Time for which a failed or successful probe counts. */
+    static final long PROBE_VALID_MILLIS = 3_000;
+
+    /**
+     * Time by which the contact of another node must be later than this node's first failure. What nodes tell is older by
+     * the way of the digest, which a slow node reads late.
+     */
+    static final long CONTACT_MARGIN_MILLIS = 250;
+
+    /** Age up to which the contact of other nodes counts. */
+    static final long CONTACT_VALID_MILLIS = 1_500;
+
+    /** Told instead of an age by a node that reaches no upstream, so that nodes without requests probe one. */
+    public static final long ASKS = -1;
+
+    /** Time for which a question of another node is answered, and age of a contact that needs no probe for it. */
+    static final long ASKED_MILLIS = 500;
+
+    /** Time of an event that has not happened. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final Map<String, Long> failedAtMillis = new HashMap<>();
+    private final Map<String, Long> reachedAtMillis = new HashMap<>();
+    private final Map<String, Long> probedAtMillis = new HashMap<>();
+    private final Set<String> probing = new HashSet<>();
+    private long contactMillis = NEVER;
+    private long connectedMillis = NEVER;
+    private final Map<FleetLoads.Source, Long> toldMillisBySource = new HashMap<>();
+    private long brokenMillis = NEVER;
+    private long lastProbeMillis = NEVER;
+    private long askedMillis = NEVER;
+    private boolean unconfirmed;
+    private boolean cutOff;
+
+    /**
+     * What a step has changed, and what it asks for.
+     *
+     * @param probes addresses of upstreams to which a connection should be opened
+     * @param begun true if the node is cut off since this step
+     * @param ended true if it is no longer cut off since this step
+     */
+    public record Step(List<String> probes, boolean begun, boolean ended) {
+        private static final Step NONE = new Step(List.of(), false, false);
+    }
+
+    /**
+     * The inputs of the decision.
+     *
+     * @param unreachable number of upstreams to which no connection could be opened lately
+     * @param contactAgeMillis time since this node had contact with an upstream, -1 if it never had
+     * @param othersContactAgeMillis time since another node had contact, as far as this node knows, -1 if unknown
+     * @param failingMillis time since the first of the failures that count, -1 without one
+     */
+    public record Evidence(int unreachable, long contactAgeMillis, long othersContactAgeMillis, long failingMillis) {}
+
+    /**
+     * Returns whether the node is cut off.
+     *
+     * @return true if its requests should be passed to other nodes
+     */
+    public boolean isCutOff() {
+        return cutOff;
+    }
+
+    /**
+     * Returns whether connections that were opened before still bring data.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return true if an upstream has sent something lately
+     */
+    public boolean hasContact(long nowMillis) {
+        return nowMillis - contactMillis < SILENT_MILLIS;
+    }
+
+    /**
+     * Returns the inputs of the decision, for the log.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return the inputs
+     */
+    public Evidence evidence(long nowMillis) {
+        return new Evidence(
+                failedAtMillis.size(),
+                ageMillis(contactMillis, nowMillis),
+                ageMillis(newestTold(source -> true), nowMillis),
+                ageMillis(failingSinceMillis(), nowMillis));
+    }
+
+    private static long ageMillis(long sinceMillis, long nowMillis) {
+        return sinceMillis == NEVER ? -1 : nowMillis - sinceMillis;
+    }
+
+    private long failingSinceMillis() {
+        return failedAtMillis.values().stream().mapToLong(Long::longValue).min().orElse(NEVER);
+    }
+
+    /**
+     * Records that data arrived from an upstream.
+     *
+     * @param nowMillis the time in milliseconds
+     */
+    public void onData(long nowMillis) {
+        contactMillis = nowMillis;
+    }
+
+    /**
+     * Records that a connection was opened.
+     *
+     * @param address the upstream's address
+     * @param nowMillis the time in milliseconds
+     */
+    public void onConnected(String address, long nowMillis) {
+        contactMillis = nowMillis;
+        connectedMillis = nowMillis;
+        probing.remove(address);
+        if (cutOff) {
+            failedAtMillis.remove(address);
+            reachedAtMillis.put(address, nowMillis);
+        } else {
+            failedAtMillis.clear();
+        }
+    }
+
+    /**
+     * Records that a connection could not be opened.
+     *
+     * @param address the upstream's address
+     * @param nowMillis the time in milliseconds
+     */
+    public void onConnectFailed(String address, long nowMillis) {
+        probing.remove(address);
+        reachedAtMillis.remove(address);
+        failedAtMillis.putIfAbsent(address, nowMillis);
+    }
+
+    /**
+     * Records that a connection broke while a request was in progress on it.
+     *
+     * @param nowMillis the time in milliseconds
+     */
+    public void onBroken(long nowMillis) {
+        brokenMillis = nowMillis;
+    }
+
+    /**
+     * Records what another node has told.
+     *
+     * @param source origin of the digest
+     * @param ageMillis what {@link #ageToTell} returned there
+     * @param nowMillis the time in milliseconds
+     */
+    public void onTold(FleetLoads.Source source, long ageMillis, long nowMillis) {
+        if (ageMillis == ASKS) {
+            askedMillis = nowMillis;
+        } else {
+            toldMillisBySource.merge(source, nowMillis - Math.max(0, ageMillis), Math::max);
+        }
+    }
+
+    /**
+     * Returns the time since this node, or some of those that have told it, had contact with an upstream.
+     *
+     * @param included the nodes that count beside this one; not those that will be told, which would take their own contact
+     *     for that of another node
+     * @param nowMillis the time in milliseconds
+     * @return the time in milliseconds; {@link #ASKS} if this node reaches no upstream and knows of none that does; empty
+     *     if there is nothing to tell
+     */
+    public OptionalLong ageToTell(Predicate<FleetLoads.Source> included, long nowMillis) {
+        long toldMillis = newestTold(included);
+        if (unconfirmed && toldMillis == NEVER) {
+            return OptionalLong.of(ASKS);
+        }
+        long newestMillis = cutOff ? toldMillis : Math.max(contactMillis, toldMillis);
+        long ageMillis = nowMillis - newestMillis;
+        return ageMillis < CONTACT_VALID_MILLIS ? OptionalLong.of(ageMillis) : OptionalLong.empty();
+    }
+
+    private long newestTold(Predicate<FleetLoads.Source> included) {
+        return toldMillisBySource.entrySet().stream()
+                .filter(told -> included.test(told.getKey()))
+                .mapToLong(Map.Entry::getValue)
+                .max()
+                .orElse(NEVER);
+    }
+
+    /**
+     * Decides anew. Called several times a second.
+     *
+     * @param upstreams addresses of the upstreams that accept requests
+     * @param silentMillis time for which all upstreams with requests in flight have been silent, zero without any
+     * @param nowMillis the time in milliseconds
+     * @return what has changed, and the upstreams to probe
+     */
+    public Step step(Collection<String> upstreams, long silentMillis, long nowMillis) {
+        forget(upstreams, nowMillis);
+        unconfirmed = false;
+        if (cutOff) {
+            return stepWhileCutOff(upstreams, nowMillis);
+        }
+        int wanted = unreachableToCheck(upstreams.size(), silentMillis, nowMillis);
+        if (wanted == 0) {
+            return new Step(isAskedInVain(nowMillis) ? probeRepeatedly(upstreams, nowMillis) : List.of(), false, false);
+        }
+        if (failedAtMillis.size() < wanted) {
+            int missing = wanted - failedAtMillis.size() - probing.size();
+            List<String> probes = probe(upstreams, address -> !failedAtMillis.containsKey(address), missing, nowMillis);
+            return new Step(probes, false, false);
+        }
+        if (failedAtMillis.size() < Math.min(MAX_PROBED, upstreams.size())) {
+            // The silence has led to the first failures; the next step probes the others.
+            return Step.NONE;
+        }
+        if (othersHadContactSinceTheFailures(nowMillis)) {
+            cutOff = true;
+            reachedAtMillis.clear();
+            return new Step(List.of(), true, false);
+        }
+        unconfirmed = true;
+        return new Step(probeRepeatedly(upstreams, nowMillis), false, false);
+    }
+
+    private boolean isAskedInVain(long nowMillis) {
+        return nowMillis - askedMillis < ASKED_MILLIS && nowMillis - contactMillis >= ASKED_MILLIS;
+    }
+
+    private Step stepWhileCutOff(Collection<String> upstreams, long nowMillis) {
+        if (reachedAtMillis.size() >= Math.min(PROBES_TO_END, upstreams.size())) {
+            cutOff = false;
+            failedAtMillis.clear();
+            return new Step(List.of(), false, true);
+        }
+        // The first success is confirmed at once.
+        List<String> probes = reachedAtMillis.isEmpty() || !probing.isEmpty()
+                ? probeRepeatedly(upstreams, nowMillis)
+                : probe(upstreams, address -> !reachedAtMillis.containsKey(address), 1, nowMillis);
+        return new Step(probes, false, false);
+    }
+
+    /** Returns how many upstreams should be found unreachable or be probed, zero if nothing is suspicious. */
+    private int unreachableToCheck(int upstreams, long silentMillis, long nowMillis) {
+        int suspicious = Math.min(SUSPICIOUS_FAILURES, upstreams);
+        if (failedAtMillis.size() >= suspicious) {
+            return Math.min(MAX_PROBED, upstreams);
+        }
+        boolean silent = silentMillis >= SILENT_MILLIS && nowMillis - connectedMillis >= SILENCE_EXCUSED_MILLIS;
+        boolean failed = !failedAtMillis.isEmpty() || brokenMillis >= contactMillis && brokenMillis != NEVER;
+        boolean quiet = nowMillis - contactMillis >= QUIET_MILLIS;
+        return silent || failed && quiet ? suspicious : 0;
+    }
+
+    private boolean othersHadContactSinceTheFailures(long nowMillis) {
+        long toldMillis = newestTold(source -> true);
+        return nowMillis - toldMillis < CONTACT_VALID_MILLIS
+                && toldMillis - failingSinceMillis() >= CONTACT_MARGIN_MILLIS;
+    }
+
+    private void forget(Collection<String> upstreams, long nowMillis) {
+        Set<String> known = new HashSet<>(upstreams);
+        failedAtMillis.keySet().retainAll(known);
+        reachedAtMillis.keySet().retainAll(known);
+        probedAtMillis.keySet().retainAll(known);
+        probing.retainAll(known);
+        toldMillisBySource.values().removeIf(millis -> nowMillis - millis >= CONTACT_VALID_MILLIS);
+        reachedAtMillis.values().removeIf(millis -> nowMillis - millis >= PROBE_VALID_MILLIS);
+        if (!cutOff) {
+            failedAtMillis.values().removeIf(millis -> nowMillis - millis >= PROBE_VALID_MILLIS);
+        }
+    }
+
+    private List<String> probeRepeatedly(Collection<String> upstreams, long nowMillis) {
+        return nowMillis - lastProbeMillis < REPEATED_PROBE_INTERVAL_MILLIS
+                ? List.of()
+                : probe(upstreams, address -> !reachedAtMillis.containsKey(address), 1, nowMillis);
+    }
+
+    /** Takes the upstreams that have not been probed for longest. */
+    private List<String> probe(Collection<String> upstreams, Predicate<String> useful, int count, long nowMillis) {
+        List<String> next = upstreams.stream()
+                .filter(address -> !probing.contains(address))
+                .filter(useful)
+                .sorted(Comparator.comparingLong((String address) -> probedAtMillis.getOrDefault(address, NEVER))
+                        .thenComparing(Comparator.naturalOrder()))
+                .limit(Math.max(0, count))
+                .toList();
+        next.forEach(address -> probedAtMillis.put(address, nowMillis));
+        probing.addAll(next);
+        lastProbeMillis = next.isEmpty() ? lastProbeMillis : nowMillis;
+        return next;
+    }
+}
--- a/decision/src/test/java/org/cowslipbank/decision/relay/LookupNodesTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/LookupNodesTest.java
@@ -13,7 +13,7 @@
     private void add(int count, String dataCentre, double cores) {
         for (int index = 0; index < count; index++) {
             String name = dataCentre + "-" + cores + "-" + index;
-            nodes.add(new LookupNodes.Node(name, name + ":80", dataCentre, cores));
+            nodes.add(new LookupNodes.Node(name, name + ":80", dataCentre, cores, false));
         }
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/AttemptTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/AttemptTarget.java
@@ -4,11 +4,26 @@
 
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
 import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.Header;
 
 /** Where one attempt of an exchange sends the request. Used on the traffic thread. */
 interface AttemptTarget {
+    /**
+     * Returns the upstream.
+     *
+     * @return the upstream, or empty if the target is another node
+     */
+    Optional<UpstreamServer> upstream();
+
+    /**
+     * Returns the connections to targets of this kind.
+     *
+     * @return the connections
+     */
+    UpstreamConnectionPool connections();
+
     /**
      * Returns the address of the target.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientHttpServer.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientHttpServer.java
@@ -20,7 +20,7 @@
 import org.cowslipbank.model.relay.ClientLimits;
 import reactor.netty.resources.LoopResources;
 
-/** HTTP server for clients. Owned by the traffic thread. */
+/** HTTP server for clients, or for nodes that pass on requests of their clients. Owned by the traffic thread. */
 final class ClientHttpServer {
     // Clients reconnect in bursts when another node has failed or left.
     private static final int ACCEPT_BACKLOG = 1_024;
@@ -30,14 +30,37 @@
     // Used until the first configuration is known.
     private static final ClientLimits DEFAULT_LIMITS = new ClientLimits(16_384, 4L << 20, 5_000, 30_000);
 
+    // A request that another node passes on has headers of its own beside those of the client.
+    private static final int FORWARDING_HEADER_BYTES = 2_048;
+
+    /** Who sends requests to a server. */
+    enum Callers {
+        /** Clients. */
+        CLIENTS,
+        /** Other nodes, which pass on requests of their clients. */
+        NODES
+    }
+
     private final RelayContext context;
+    private final Callers callers;
     private final Set<ClientConnection> connections = new HashSet<>();
     private Channel listener;
     private volatile boolean draining;
     private boolean closing;
 
-    ClientHttpServer(RelayContext context) {
+    /**
+     * Creates a server.
+     *
+     * @param context the node's shared state
+     * @param callers who sends the requests
+     */
+    ClientHttpServer(RelayContext context, Callers callers) {
         this.context = context;
+        this.callers = callers;
+    }
+
+    boolean servesNodes() {
+        return callers == Callers.NODES;
     }
 
     void listen(String address, LoopResources loops, EventLoop loop) throws PeerException {
@@ -62,8 +85,8 @@
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            StrictRequestDecoder decoder =
-                                    new StrictRequestDecoder(limits().maxHeaderBytes(), MAX_CHUNK_BYTES);
+                            int headBytes = limits().maxHeaderBytes() + (servesNodes() ? FORWARDING_HEADER_BYTES : 0);
+                            StrictRequestDecoder decoder = new StrictRequestDecoder(headBytes, MAX_CHUNK_BYTES);
                             channel.pipeline()
                                     .addLast(new HttpResponseEncoder())
                                     .addLast(decoder)
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -1,6 +1,8 @@
 package org.cowslipbank.entry.relay;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -12,6 +14,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import org.cowslipbank.decision.relay.EventSplitter;
+import org.cowslipbank.decision.relay.ForwardingNodes;
 import org.cowslipbank.decision.relay.RetryDelay;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
@@ -29,6 +32,9 @@
 import org.cowslipbank.model.relay.Route;
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.AnswerHead;
+import org.cowslipbank.ports.relay.ForwardedAnswer;
+import org.cowslipbank.ports.relay.Forwarding;
+import org.cowslipbank.ports.relay.Header;
 import org.cowslipbank.ports.relay.RelayRequest;
 
 /**
@@ -98,6 +104,7 @@
     static final long ESTABLISHED_ANSWER_MILLIS = 1_000;
 
     private static final String INTERNAL_ERROR = "internal_error";
+    private static final int HTTP_UNAVAILABLE = 503;
     private static final String VERSION_GONE = "software_version_gone";
     private static final String CRASHED_UPSTREAMS = "crashed_upstreams";
     private static final String ANONYMOUS_TEAM = "anonymous";
@@ -105,10 +112,12 @@
     private final RelayContext context;
     private final ResponseWriter client;
     private final RelayRequest request;
+    private final Optional<Forwarding> forwarding;
     private final ByteBuf body;
     private final long arrivedMillis;
     private final long readMillis;
     private final Set<String> triedIncarnations = new HashSet<>();
+    private final Set<String> triedNodes = new HashSet<>();
     private final EventSplitter splitter = new EventSplitter();
 
     private PlatformView view;
@@ -131,10 +140,28 @@
     private String lastFailure = "";
     private UpstreamSelector.Choice lastChoice;
 
-    Exchange(RelayContext context, ResponseWriter client, RelayRequest request, ByteBuf body, long arrivedMillis) {
+    /**
+     * Creates an exchange.
+     *
+     * @param context the node's shared state
+     * @param client writes the answer
+     * @param request the request
+     * @param forwarding what the node says that has passed the request on, empty if a client sent it
+     * @param body the request's body; released at the end of the exchange
+     * @param arrivedMillis the earliest time at which the request can have arrived, in milliseconds
+     */
+    Exchange(
+            RelayContext context,
+            ResponseWriter client,
+            RelayRequest request,
+            Optional<Forwarding> forwarding,
+            ByteBuf body,
+            long arrivedMillis) {
         this.context = context;
         this.client = client;
         this.request = request;
+        this.forwarding = forwarding;
+        this.possibleRuns = forwarding.map(Forwarding::runs).orElse(0);
         this.body = body;
         this.arrivedMillis = arrivedMillis;
         this.readMillis = context.clocks().nowMillis();
@@ -156,6 +183,11 @@
             return;
         }
         RouteTable routes = view.routes().get();
+        if (forwarding.isPresent()
+                && routes.configuration().version() < forwarding.get().configurationVersion()) {
+            waitOrRefuse("configuration_older", CONFIRMATION_WAIT_MILLIS);
+            return;
+        }
         Optional<Route> found = routes.route(request.host(), request.path());
         if (found.isEmpty() && !context.isConfirmed()) {
             // A newer configuration may have the route.
@@ -197,7 +229,9 @@
         long waitMillis = Math.min(request.timeoutMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
         deadlineMillis = arrivedMillis + waitMillis;
         deadlineTimer = schedule(this::onDeadline, deadlineMillis - now());
-        context.retries().onRequest(service, now());
+        if (possibleRuns == 0) {
+            context.retries().onRequest(service, now());
+        }
         submitStart();
     }
 
@@ -206,8 +240,9 @@
         if (!request.takesUpStream() || !route.isStream() || !route.resumable()) {
             return true;
         }
-        Optional<String> version =
-                context.origins().find(service, request.resumes().orElse(""), now());
+        Optional<String> version = forwarding
+                .flatMap(Forwarding::softwareVersion)
+                .or(() -> context.origins().find(service, request.resumes().orElse(""), now()));
         if (version.isEmpty()) {
             waitOrRefuse("stream_origin_unknown", ORIGIN_WAIT_MILLIS);
             return false;
@@ -328,6 +363,44 @@
 
     private boolean tryStartAttempt() {
         view = context.view().get();
+        if (context.reachability().isCutOff()) {
+            return forward() || startAtUpstream();
+        }
+        return startAtUpstream();
+    }
+
+    /** Passes the request to another node, or refuses it at once if this node has no way to the upstreams. */
+    private boolean forward() {
+        if (forwarding.isPresent()) {
+            unable("node_cut_off");
+            return true;
+        }
+        Optional<ForwardingNodes.Node> node = chooseNode();
+        if (node.isPresent()) {
+            triedNodes.add(node.get().name());
+            Forwarding about = new Forwarding(
+                    view.routes()
+                            .map(routes -> routes.configuration().version())
+                            .orElse(0L),
+                    possibleRuns,
+                    placement.requiredSoftwareVersion());
+            attempt = new Attempt(new NodeTarget(context, request, node.get(), about));
+            attempt.start();
+            return true;
+        }
+        if (context.reachability().hasContact(now())) {
+            // Connections that were opened before go on, and no other node is better off.
+            return false;
+        }
+        giveUp("no_way_to_upstreams");
+        return true;
+    }
+
+    private Optional<ForwardingNodes.Node> chooseNode() {
+        return context.forwarding().choose(triedNodes, RequestPlacement.affinityKey(request));
+    }
+
+    private boolean startAtUpstream() {
         Optional<UpstreamSelector.Choice> choice = choose().or(() -> placement.chooseInPause(view, triedIncarnations));
         if (choice.isEmpty()) {
             return false;
@@ -402,6 +475,13 @@
                 arrivedMillis, arrivedMillis + route.latencyObjectiveMillis() - serviceMillis, giveUpMillis);
     }
 
+    private boolean canSendElsewhere() {
+        boolean toNode = context.reachability().isCutOff()
+                && forwarding.isEmpty()
+                && chooseNode().isPresent();
+        return toNode || choose().isPresent();
+    }
+
     private Optional<UpstreamSelector.Choice> choose() {
         return placement.choose(view, triedIncarnations);
     }
@@ -502,7 +582,7 @@
             rejections++;
         }
         if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
-            suspects.reportBroken(failed.target.server(), failed.sentMillis);
+            failed.target.upstream().ifPresent(server -> suspects.reportBroken(server, failed.sentMillis));
         }
         splitter.discardIncompleteEvent();
     }
@@ -551,20 +631,42 @@
         return true;
     }
 
+    /** Refuses a request of another node so that it may be passed to a third one. */
+    private void unable(String reason) {
+        if (headSent || possibleRuns > forwarding.map(Forwarding::runs).orElse(0)) {
+            giveUp(reason);
+            return;
+        }
+        answerWithoutBody(503, reason, RETRY_ELSEWHERE_AFTER_MILLIS, ForwardedAnswer.Kind.UNABLE);
+    }
+
     private void refuse(String reason, long retryAfterMillis) {
-        answerWithoutBody(503, reason, RetryDelay.spreadMillis(retryAfterMillis, request.id()));
+        answerWithoutBody(
+                503, reason, RetryDelay.spreadMillis(retryAfterMillis, request.id()), ForwardedAnswer.Kind.OWN);
     }
 
     private void fail(int status, String reason) {
-        answerWithoutBody(status, reason, 0);
+        answerWithoutBody(status, reason, 0, ForwardedAnswer.Kind.OWN);
     }
 
-    private void answerWithoutBody(int status, String reason, long retryAfterMillis) {
-        client.writeHead(status, context.codec().encodeRefusal(request.id(), retryAfterMillis), OptionalLong.of(0));
+    private void answerWithoutBody(int status, String reason, long retryAfterMillis, ForwardedAnswer.Kind kind) {
+        List<Header> headers = context.codec().encodeRefusal(request.id(), retryAfterMillis);
+        ForwardedAnswer about = new ForwardedAnswer(kind, possibleRuns, Optional.empty(), reason);
+        client.writeHead(status, forwardedHeaders(headers, about), OptionalLong.of(0));
         client.end();
         finish(reason, status);
     }
 
+    /** Adds what a node that has passed the request on must know about the answer. */
+    private List<Header> forwardedHeaders(List<Header> headers, ForwardedAnswer about) {
+        if (forwarding.isEmpty()) {
+            return headers;
+        }
+        List<Header> all = new ArrayList<>(headers);
+        all.add(context.codec().encodeForwardedAnswer(about));
+        return all;
+    }
+
     private void abort(String reason) {
         client.abort();
         finish(reason, 0);
@@ -600,6 +702,10 @@
             line.field("route", route.name()).field("service", service);
         }
         team.ifPresent(known -> line.field("team", known.name()));
+        forwarding.ifPresent(from -> line.field("forwarded", true));
+        if (!triedNodes.isEmpty()) {
+            line.field("passedTo", triedNodes);
+        }
         if (lastChoice != null) {
             line.peer(lastChoice.server().address())
                     .field("server", lastChoice.server().id())
@@ -631,7 +737,7 @@
 
     /** One send of the request to one upstream. */
     private final class Attempt implements UpstreamListener {
-        private final UpstreamTarget target;
+        private final AttemptTarget target;
         private final CompositeByteBuf bufferedBody = Unpooled.compositeBuffer();
         private UpstreamConnection connection;
         private AnswerHead head;
@@ -643,21 +749,22 @@
         private long sentMillis;
         private long answerBeganMillis = -1;
         private boolean reportedSound;
+        private boolean ownAnswer;
         private long progressMillis;
         private int rejectionBytes;
 
-        Attempt(UpstreamTarget target) {
+        Attempt(AttemptTarget target) {
             this.target = target;
         }
 
         void start() {
             target.onStarted();
-            Optional<UpstreamConnection> idle = context.connections().takeIdle(target.address(), request.id());
+            Optional<UpstreamConnection> idle = target.connections().takeIdle(target.address(), request.id());
             if (idle.isPresent()) {
                 onConnection(idle.get(), null);
             } else {
                 // Clients that leave while the connection opens are noticed before the request is sent.
-                context.connections().open(target.address(), (opened, error) -> context.loop()
+                target.connections().open(target.address(), (opened, error) -> context.loop()
                         .execute(() -> onOpened(opened, error)));
             }
         }
@@ -671,7 +778,7 @@
             long leftMillis = deadlineMillis - now();
             if (settled || error == null && (leftMillis <= 0 || !client.isOpen())) {
                 if (error == null) {
-                    context.connections().release(opened);
+                    target.connections().release(opened);
                 }
                 return;
             }
@@ -682,7 +789,7 @@
             Optional<String> heldBack = target.heldBack();
             if (heldBack.isPresent()) {
                 // It became known while the connection was being opened.
-                context.connections().release(opened);
+                target.connections().release(opened);
                 context.metrics().onKeptBack();
                 onAttemptFailed(Outcome.ABANDONED, false, heldBack.get());
                 return;
@@ -720,7 +827,7 @@
             boolean silent = isSilent();
             // Without a retry and another upstream to move to, keep waiting: a sound one may be silent for a second.
             int runs = possibleRuns + 1;
-            if ((silent || isStalled()) && hasRetryLeft(runs) && choose().isPresent() && takeRetry(runs)) {
+            if ((silent || isStalled()) && hasRetryLeft(runs) && canSendElsewhere() && takeRetry(runs)) {
                 // Close the connection first: this upstream must stop before another one starts.
                 connection.cancel();
                 move(
@@ -781,6 +888,9 @@
         public void onHead(AnswerHead answer) {
             head = answer;
             target.onHead(answer, sentMillis);
+            if (target.upstream().isEmpty() && !onForwardedHead(answer)) {
+                return;
+            }
             if (answer.notExecuted()) {
                 // The rejection is read to its end, so that the connection stays usable.
                 return;
@@ -800,10 +910,60 @@
             }
         }
 
+        /**
+         * Handles what another node says about its answer.
+         *
+         * @return true if the answer is an upstream's
+         */
+        private boolean onForwardedHead(AnswerHead answer) {
+            if (answer.forwarded().isEmpty()) {
+                connection.cancel();
+                onAttemptFailed(Outcome.FAILED, true, "answer of another node without a statement about its origin");
+                return false;
+            }
+            ForwardedAnswer about = answer.forwarded().get();
+            if (about.kind() != ForwardedAnswer.Kind.UPSTREAM) {
+                ownAnswer = true;
+                return false;
+            }
+            // The run that this answer belongs to is counted when the attempt fails.
+            possibleRuns = Math.max(possibleRuns, about.runs() - 1);
+            return true;
+        }
+
+        /** Handles the refusal or failure of another node, which has tried what it could. */
+        private void onOwnAnswerOfNode() {
+            ForwardedAnswer about = head.forwarded().get();
+            if (about.kind() == ForwardedAnswer.Kind.UNABLE) {
+                target.onRejected(head);
+                // It has reached no upstream.
+                sends--;
+                onAttemptFailed(Outcome.REJECTED, false, "another node refused: " + about.reason());
+                return;
+            }
+            context.log().logRequest(failureLine(Outcome.REJECTED, "another node answered: " + about.reason()));
+            settle(Outcome.ANSWERED);
+            attempt = null;
+            possibleRuns = Math.max(possibleRuns, about.runs());
+            boolean unserved = head.status() == HTTP_UNAVAILABLE || headSent;
+            if (unserved) {
+                giveUp(about.reason(), head.notice().pauseMillis().orElse(RETRY_AFTER_MILLIS));
+            } else {
+                fail(head.status(), about.reason());
+            }
+        }
+
+        private ForwardedAnswer aboutAnswer() {
+            return new ForwardedAnswer(ForwardedAnswer.Kind.UPSTREAM, possibleRuns + 1, target.softwareVersion(), "");
+        }
+
         private void startStream(AnswerHead answer) {
             if (!headSent) {
                 headSent = true;
-                client.writeHead(answer.status(), answer.endToEndHeaders(), OptionalLong.empty());
+                client.writeHead(
+                        answer.status(),
+                        forwardedHeaders(answer.endToEndHeaders(), aboutAnswer()),
+                        OptionalLong.empty());
                 firstByteMillis = now() - arrivedMillis;
                 context.metrics().onFirstByte(firstByteMillis);
             }
@@ -811,11 +971,11 @@
 
         @Override
         public void onBody(ByteBuf bytes) {
-            if (head.notExecuted()) {
+            if (head.notExecuted() || ownAnswer) {
                 rejectionBytes += bytes.readableBytes();
                 if (rejectionBytes > MAX_REJECTION_BYTES) {
                     connection.cancel();
-                    onRejected();
+                    onUnservedEnd();
                 }
                 return;
             }
@@ -893,8 +1053,8 @@
 
         @Override
         public void onEnd() {
-            if (head.notExecuted()) {
-                onRejected();
+            if (head.notExecuted() || ownAnswer) {
+                onUnservedEnd();
             } else if (streaming && splitter.hasIncompleteEvent()) {
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
             } else if (streaming) {
@@ -907,20 +1067,30 @@
             }
         }
 
+        private void onUnservedEnd() {
+            if (ownAnswer) {
+                onOwnAnswerOfNode();
+            } else {
+                onRejected();
+            }
+        }
+
         private void onRejected() {
             target.onRejected(head);
             if (placement.targetsEngines()) {
                 // Engines reject requests briefly while they load weights, so the same one may be tried again.
-                triedIncarnations.remove(target.server().incarnation());
+                target.upstream().ifPresent(server -> triedIncarnations.remove(server.incarnation()));
             }
             onAttemptFailed(Outcome.REJECTED, false, "status " + head.status());
         }
 
         private void onBufferedAnswer() {
             boolean failed = head.status() >= 500;
-            if (failed && route.isRepeatable() && possibleRuns + 1 < route.maxAttempts()) {
+            boolean finalAnswer = target.upstream().isEmpty();
+            if (failed && !finalAnswer && route.isRepeatable() && possibleRuns + 1 < route.maxAttempts()) {
                 AnswerHead answered = head;
                 byte[] content = ByteBufUtil.getBytes(bufferedBody);
+                ForwardedAnswer about = aboutAnswer();
                 settle(Outcome.FAILED);
                 possibleRuns++;
                 lastFailure = "status " + answered.status() + " at " + target.address();
@@ -930,21 +1100,25 @@
                     submitStart();
                     return;
                 }
-                deliver(answered, Unpooled.wrappedBuffer(content));
+                deliver(answered, Unpooled.wrappedBuffer(content), about);
                 return;
             }
             ByteBuf content = bufferedBody.copy();
+            ForwardedAnswer about = aboutAnswer();
             settle(failed ? Outcome.FAILED : Outcome.ANSWERED);
             if (!failed) {
                 reportSound();
             }
-            deliver(head, content);
+            deliver(head, content, about);
         }
 
-        private void deliver(AnswerHead answer, ByteBuf content) {
+        private void deliver(AnswerHead answer, ByteBuf content, ForwardedAnswer about) {
             firstByteMillis = now() - arrivedMillis;
             context.metrics().onFirstByte(firstByteMillis);
-            client.writeHead(answer.status(), answer.endToEndHeaders(), OptionalLong.of(content.readableBytes()));
+            client.writeHead(
+                    answer.status(),
+                    forwardedHeaders(answer.endToEndHeaders(), about),
+                    OptionalLong.of(content.readableBytes()));
             client.writeBody(content);
             client.end();
             finish("answered", answer.status());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -28,6 +29,7 @@
 import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
+import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.PeerException;
@@ -55,6 +57,7 @@
     private final UpstreamLoads ownLoads;
     private final FleetLoads fleetLoads;
     private final UpstreamNotices notices;
+    private final UpstreamReachability reachability;
     private final Clocks clocks;
     private final LoopTurnTracker turns;
     private final DecisionLog log;
@@ -68,12 +71,17 @@
      * @param ownLoads this node's load
      * @param fleetLoads load of the other nodes
      * @param notices what upstreams say of themselves
+     * @param reachability when nodes had contact with upstreams
      */
-    record Exchanged(UpstreamLoads ownLoads, FleetLoads fleetLoads, UpstreamNotices notices) {}
+    record Exchanged(
+            UpstreamLoads ownLoads,
+            FleetLoads fleetLoads,
+            UpstreamNotices notices,
+            UpstreamReachability reachability) {}
 
     /** A digest, encoded as an array; {@code node} is a hash of the sender's name. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving"})
+    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving", "contactAgeMillis"})
     @JsonIgnoreProperties(ignoreUnknown = true)
     record LoadDigest(
             FleetLoads.Scope scope,
@@ -81,7 +89,8 @@
             int part,
             List<Entry> work,
             List<LimitEntry> limits,
-            List<Integer> leaving) {}
+            List<Integer> leaving,
+            Long contactAgeMillis) {}
 
     /** Limit of one upstream, encoded as an array; a rate below zero says that it no longer names one. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -117,6 +126,7 @@
         this.ownLoads = exchanged.ownLoads();
         this.fleetLoads = exchanged.fleetLoads();
         this.notices = exchanged.notices();
+        this.reachability = exchanged.reachability();
         this.clocks = clocks;
         this.turns = turns;
         this.log = log;
@@ -165,7 +175,11 @@
         FleetTree tree = platform.tree();
         boolean hub = tree.isHub(self.name());
         Map<Integer, FleetLoads.Load> group = hub ? fleetLoads.groupTotal(work) : work;
-        boolean idle = hub ? fleetLoads.total(work).isEmpty() : work.isEmpty();
+        boolean withoutWork = hub ? fleetLoads.total(work).isEmpty() : work.isEmpty();
+        boolean idle = withoutWork
+                && reachability
+                        .ageToTell(source -> hub && source.scope() == FleetLoads.Scope.NODE, clocks.nowMillis())
+                        .isEmpty();
         // An idle node sends one empty digest and then none; the empty one expires at the receivers.
         if (idle && wasIdle) {
             return;
@@ -212,6 +226,8 @@
                 .add(new Entry(server, load.requests(), load.tokens(), load.unreadTokens())));
         List<List<LimitEntry>> limitEntries = limitEntries(datagrams);
         List<Integer> leaving = notices.leavingToTell(clocks.nowMillis());
+        OptionalLong contact = reachability.ageToTell(source -> isTold(source, scope, name), clocks.nowMillis());
+        Long contactAgeMillis = contact.isPresent() ? contact.getAsLong() : null;
         for (int part = 0; part < datagrams; part++) {
             LoadDigest digest = new LoadDigest(
                     scope,
@@ -219,13 +235,23 @@
                     part,
                     entries.get(part),
                     limitEntries.get(part),
-                    leavingOfPart(leaving, part, datagrams));
+                    leavingOfPart(leaving, part, datagrams),
+                    contactAgeMillis);
             ByteBuf content = Unpooled.wrappedBuffer(encode(digest));
             channel.write(
                     new DatagramPacket(content, SocketAddresses.parse(node.digestAddress())), channel.voidPromise());
         }
     }
 
+    /** Returns whether what a source has told is passed on in a digest. */
+    private static boolean isTold(FleetLoads.Source source, FleetLoads.Scope scope, String receiver) {
+        return switch (scope) {
+            case NODE -> false;
+            case GROUP -> source.scope() == FleetLoads.Scope.NODE;
+            case OTHERS -> source.node() != FleetLoads.shortHash(receiver);
+        };
+    }
+
     private static List<Integer> leavingOfPart(List<Integer> leaving, int part, int datagrams) {
         return leaving.stream()
                 .filter(key -> Math.floorMod(key, datagrams) == part)
@@ -263,6 +289,12 @@
             named.forEach(entry -> notices.limits().onObservation(entry.decode(), clocks.nowMillis()));
             List<Integer> leaving = digest.leaving() == null ? List.of() : digest.leaving();
             leaving.forEach(key -> notices.onLeavingTold(key, clocks.nowMillis()));
+            if (digest.contactAgeMillis() != null) {
+                reachability.onTold(
+                        new FleetLoads.Source(digest.scope(), digest.node(), digest.part()),
+                        digest.contactAgeMillis(),
+                        clocks.nowMillis());
+            }
         } catch (IOException e) {
             log.logRequest(LogFields.event("cannot decode load digest; ignored")
                     .peer(String.valueOf(packet.sender()))
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -118,8 +118,10 @@
                 .put("dataCentre", node.dataCentre())
                 .put("digestAddress", node.digestAddress())
                 .put("feedAddress", node.feedAddress())
+                .put("forwardingAddress", node.forwardingAddress())
                 .put("linkBytesPerSecond", node.linkBytesPerSecond())
-                .put("processorCores", node.processorCores());
+                .put("processorCores", node.processorCores())
+                .put("cutOff", node.cutOff());
         return encodeJson(value);
     }
 
@@ -131,8 +133,10 @@
                 tree.path("dataCentre").asText(),
                 tree.path("digestAddress").asText(),
                 tree.path("feedAddress").asText(),
+                tree.path("forwardingAddress").asText(),
                 tree.path("linkBytesPerSecond").asLong(),
-                tree.path("processorCores").asDouble());
+                tree.path("processorCores").asDouble(),
+                tree.path("cutOff").asBoolean());
     }
 
     static byte[] encodeRollout(RolloutAnnouncement rollout) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -34,6 +34,7 @@
     private final long ttlMillis;
     private long lease;
     private boolean registered;
+    private boolean cutOff;
     private long registeredRevision;
     private boolean released;
     private boolean callInFlight;
@@ -86,6 +87,19 @@
         });
     }
 
+    /**
+     * Tells the other nodes whether this one reaches the upstreams. May be called by any thread.
+     *
+     * @param isCutOff true if it reaches none
+     */
+    void setCutOff(boolean isCutOff) {
+        context.control().schedule(() -> {
+            cutOff = isCutOff;
+            registered = false;
+            renewOrGrant();
+        });
+    }
+
     /**
      * Returns the lease under which this node may send orders to engines.
      *
@@ -154,9 +168,12 @@
 
     private Mono<Boolean> register() {
         MetadataStore.Write write = new MetadataStore.Write(
-                context.items().nodeKey(context.self().name()), NodeItems.encodeNode(context.self()), lease);
+                context.items().nodeKey(context.self().name()),
+                NodeItems.encodeNode(context.self().withCutOff(cutOff)),
+                lease);
+        boolean written = cutOff;
         return context.store().write(write).publishOn(context.control()).map(revision -> {
-            registered = revision.isPresent();
+            registered = revision.isPresent() && written == cutOff;
             registeredRevision = revision.orElse(0L);
             return registered;
         });
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -73,8 +73,11 @@
      * @param dataCentre its data centre
      * @param digestAddress its UDP address for load digests as {@code IP:port}
      * @param feedAddress its address for polls by members of its group as {@code IP:port}
+     * @param forwardingAddress its address for requests that other nodes pass on, as {@code IP:port}; empty text for a
+     *     node of an earlier release
      * @param linkBytesPerSecond rate of its network link in bytes per second
      * @param processorCores processor time that it gets, in seconds of a reference core per second, zero if not known
+     * @param cutOff true if it reaches no upstream
      */
     public record RegisteredNode(
             String name,
@@ -82,8 +85,29 @@
             String dataCentre,
             String digestAddress,
             String feedAddress,
+            String forwardingAddress,
             long linkBytesPerSecond,
-            double processorCores) {}
+            double processorCores,
+            boolean cutOff) {
+        /**
+         * Returns the same node with another state of its links to the upstreams.
+         *
+         * @param isCutOff true if it reaches no upstream
+         * @return the node
+         */
+        RegisteredNode withCutOff(boolean isCutOff) {
+            return new RegisteredNode(
+                    name,
+                    address,
+                    dataCentre,
+                    digestAddress,
+                    feedAddress,
+                    forwardingAddress,
+                    linkBytesPerSecond,
+                    processorCores,
+                    isCutOff);
+        }
+    }
 
     /**
      * Groups the upstreams that accept new requests by service.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -12,6 +12,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
+import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.ports.relay.RelayCodec;
 import org.cowslipbank.ports.relay.RelaySettings;
@@ -27,6 +28,8 @@
  * @param clocks the clocks
  * @param loop the traffic thread
  * @param connections connections to upstreams
+ * @param reachability whether this node is cut off from the upstreams
+ * @param forwarding other nodes to which requests are passed while it is
  * @param loads load and availability of upstreams as seen by this node
  * @param notices what upstreams say of themselves: limits, leaving, pauses
  * @param noticeRecorder records and logs what upstreams say of themselves
@@ -52,6 +55,8 @@
         Clocks clocks,
         EventLoop loop,
         UpstreamConnectionPool connections,
+        UpstreamReachability reachability,
+        RequestForwarding forwarding,
         UpstreamLoads loads,
         UpstreamNotices notices,
         NoticeRecorder noticeRecorder,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -16,6 +16,9 @@
     private final Counter keptBack;
     private final Counter unexpectedErrors;
     private final Counter connectionsExpired;
+    private final Counter cutOffs;
+    private final Counter forwarded;
+    private final Counter servedForOthers;
     private final Timer firstByte;
     private final Timer duration;
 
@@ -28,6 +31,9 @@
         this.keptBack = registry.counter("relay.keptBack");
         this.unexpectedErrors = registry.counter("relay.unexpectedErrors");
         this.connectionsExpired = registry.counter("relay.clientConnectionsExpired");
+        this.cutOffs = registry.counter("relay.cutOffs");
+        this.forwarded = registry.counter("relay.forwarded");
+        this.servedForOthers = registry.counter("relay.servedForOthers");
         this.firstByte = registry.timer("relay.firstByteMillis");
         this.duration = registry.timer("relay.wholeMillis");
     }
@@ -63,6 +69,21 @@
         connectionsExpired.inc();
     }
 
+    /** Counts the times at which the node found itself cut off from the upstreams. */
+    void onCutOff() {
+        cutOffs.inc();
+    }
+
+    /** Counts an attempt that is passed to another node. */
+    void onForwarded() {
+        forwarded.inc();
+    }
+
+    /** Counts a request that another node has passed to this one. */
+    void onServedForOther() {
+        servedForOthers.inc();
+    }
+
     void onFirstByte(long millis) {
         firstByte.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -19,6 +20,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
+import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.entry.admin.PrometheusText;
 import org.cowslipbank.entry.log.LogFields;
@@ -75,6 +77,10 @@
     private final LoadDigests digests;
     private final RelayContext context;
     private final ClientHttpServer clientServer;
+    private final ClientHttpServer nodeServer;
+    private final UpstreamReachability reachability = new UpstreamReachability();
+    private final RequestForwarding forwarding;
+    private final ReachabilityMonitor monitor;
     private final List<DisposableServer> servers = new ArrayList<>();
     private Set<String> sharingNodes = Set.of();
     private volatile boolean shuttingDown;
@@ -120,8 +126,10 @@
                 settings.dataCentre(),
                 settings.listeners().digests(),
                 settings.listeners().cache(),
+                settings.listeners().forwarding(),
                 settings.linkBytesPerSecond(),
-                settings.processorCores());
+                settings.processorCores(),
+                false);
         ControlContext controlContext =
                 new ControlContext(self, platform.store(), items, watcher::view, clocks, control, log);
         this.lease = new NodeLease(controlContext, state, settings.minLeaseMillis());
@@ -131,7 +139,10 @@
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
         this.connections =
-                new UpstreamConnectionPool(codec, clocks.monotonic(), turns, loops, loop, crashReports::onIdleReset);
+                new UpstreamConnectionPool(codec, clocks.monotonic(), turns, loops, loop, upstreamEvents(crashReports));
+        UpstreamConnectionPool nodeConnections = new UpstreamConnectionPool(
+                codec, clocks.monotonic(), turns, loops, loop, UpstreamConnectionPool.Events.IGNORED);
+        this.forwarding = new RequestForwarding(self, watcher::view, clocks, nodeConnections);
         CacheIndex cacheIndex = new CacheIndex();
         CacheStoreFollower.Sources sources = new CacheStoreFollower.Sources(platform.engines(), hubFeed, this::hasHub);
         this.cacheStores = new CacheStoreFollower(sources, cacheIndex, watcher::view, loop, clocks, log);
@@ -143,7 +154,12 @@
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, turns, loads);
         this.digests = new LoadDigests(
-                self, watcher::view, new LoadDigests.Exchanged(loads, fleetLoads, notices), clocks, turns, log);
+                self,
+                watcher::view,
+                new LoadDigests.Exchanged(loads, fleetLoads, notices, reachability),
+                clocks,
+                turns,
+                log);
         this.context = new RelayContext(
                 settings,
                 codec,
@@ -153,6 +169,8 @@
                 clocks,
                 loop,
                 connections,
+                reachability,
+                forwarding,
                 loads,
                 notices,
                 new NoticeRecorder(notices, watcher::view, clocks, log),
@@ -169,7 +187,15 @@
                 originReports,
                 new RelayMetrics(metrics),
                 log);
-        this.clientServer = new ClientHttpServer(context);
+        this.clientServer = new ClientHttpServer(context, ClientHttpServer.Callers.CLIENTS);
+        this.nodeServer = new ClientHttpServer(context, ClientHttpServer.Callers.NODES);
+        this.monitor = new ReachabilityMonitor(
+                reachability,
+                new ReachabilityMonitor.Node(watcher::view, connections, loads, context.metrics(), lease::setCutOff),
+                loop,
+                clocks,
+                turns,
+                log);
         registerGauges(cacheIndex);
         metrics.register("relay.waiting", (Gauge<Integer>) waiting::size);
         metrics.register("relay.unstarted", (Gauge<Integer>) starter::size);
@@ -183,6 +209,7 @@
     public void start() throws PeerException {
         watcher.start();
         clientServer.listen(settings.listeners().clients(), loops, loop);
+        nodeServer.listen(settings.listeners().forwarding(), loops, loop);
         digests.listen(loops, loop);
         servers.add(listen(settings.listeners().readiness(), this::answerReadiness));
         servers.add(listen(settings.listeners().lookups(), this::answerLookup));
@@ -196,6 +223,7 @@
                 SWEEP_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         hubClient.start();
+        monitor.start();
         lease.start();
         rollouts.start();
         originReports.start();
@@ -219,10 +247,12 @@
                 .field("graceMillis", settings.bounds().graceMillis()));
         lease.release();
         clientServer.startDraining();
+        nodeServer.startDraining();
         long endMillis = startMillis + settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
         long servingMillis = LOOKUP_TTL_SECONDS * LOOKUP_MAX_LIFETIMES * 1_000 + SWEEP_INTERVAL_MILLIS;
         Thread.sleep(Math.max(0, Math.min(servingMillis, endMillis - clocks.nowMillis())));
         loop.submit(clientServer::closeIdle).syncUninterruptibly();
+        loop.submit(nodeServer::closeIdle).syncUninterruptibly();
         while (busyConnections() > 0 && clocks.nowMillis() < endMillis) {
             Thread.sleep(DRAIN_CHECK_INTERVAL_MILLIS);
         }
@@ -230,7 +260,9 @@
     }
 
     private int busyConnections() {
-        return loop.submit(clientServer::busyConnections).syncUninterruptibly().getNow();
+        return loop.submit(() -> clientServer.busyConnections() + nodeServer.busyConnections())
+                .syncUninterruptibly()
+                .getNow();
     }
 
     private boolean isReady() {
@@ -242,17 +274,49 @@
         cacheStores.refresh();
         loads.retain(view.incarnations());
         notices.retain(view.incarnations());
-        if (!view.nodes().keySet().equals(sharingNodes)) {
-            sharingNodes = view.nodes().keySet();
+        forwarding.retain(view.nodes().keySet());
+        Set<String> sending = nodesThatSend(view);
+        if (!sending.equals(sharingNodes)) {
+            sharingNodes = sending;
             List<String> names = sharingNodes.stream().sorted().toList();
             notices.limits().setShare(names.size(), Math.max(0, names.indexOf(settings.nodeName())));
         }
     }
 
+    /** Returns the nodes that share the limits of upstreams: those that reach them, or all if none does. */
+    private static Set<String> nodesThatSend(PlatformView view) {
+        Set<String> reaching = view.nodes().values().stream()
+                .filter(node -> !node.cutOff())
+                .map(RegisteredNode::name)
+                .collect(Collectors.toSet());
+        return reaching.isEmpty() ? view.nodes().keySet() : reaching;
+    }
+
+    private UpstreamConnectionPool.Events upstreamEvents(CrashReports crashReports) {
+        return new UpstreamConnectionPool.Events() {
+            @Override
+            public void onConnected(String address) {
+                reachability.onConnected(address, clocks.nowMillis());
+            }
+
+            @Override
+            public void onConnectFailed(String address) {
+                reachability.onConnectFailed(address, clocks.nowMillis());
+            }
+
+            @Override
+            public void onIdleReset(String address) {
+                crashReports.onIdleReset(address);
+            }
+        };
+    }
+
     private void sweep() {
         context.turns().onEvent();
         clientServer.closeExpired();
+        nodeServer.closeExpired();
         connections.closeExpired();
+        forwarding.connections().closeExpired();
         cleaner.freeUnusedParts();
         notices.takeEndedPauses(clocks.nowMillis())
                 .forEach(incarnation -> log.logState(
@@ -310,7 +374,7 @@
     }
 
     private boolean hasRequests() {
-        return clientServer.busyConnections() > 0;
+        return clientServer.busyConnections() + nodeServer.busyConnections() > 0;
     }
 
     private boolean hasHub() {
@@ -379,8 +443,8 @@
     private List<String> addresses(String dataCentre) {
         List<LookupNodes.Node> nodes = watcher.view().nodes().values().stream()
                 .filter(node -> !shuttingDown || !node.name().equals(settings.nodeName()))
-                .map(node ->
-                        new LookupNodes.Node(node.name(), node.address(), node.dataCentre(), node.processorCores()))
+                .map(node -> new LookupNodes.Node(
+                        node.name(), node.address(), node.dataCentre(), node.processorCores(), node.cutOff()))
                 .toList();
         return LookupNodes.addresses(nodes, dataCentre);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -3,10 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -21,7 +21,7 @@
 import org.cowslipbank.ports.relay.RelayCodec;
 import reactor.netty.resources.LoopResources;
 
-/** Pool of idle connections to upstreams. Owned by the traffic thread. */
+/** Pool of idle connections to upstreams, or to other nodes. Owned by the traffic thread. */
 final class UpstreamConnectionPool {
     /** Limit on opening a connection, which takes a few milliseconds; a dead VM does not answer at all. */
     static final int CONNECT_TIMEOUT_MILLIS = 350;
@@ -38,9 +38,51 @@
     private final LoopTurnTracker turns;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
-    private final Consumer<String> idleResets;
+    private final Events events;
     private long openedCount;
 
+    /** Receives what the pool learns about its targets, on the traffic thread. */
+    interface Events {
+        /** Ignores everything: failures of connections to other nodes are seen by the requests on them. */
+        Events IGNORED = new Events() {
+            @Override
+            public void onConnected(String address) {
+                // Nothing to keep.
+            }
+
+            @Override
+            public void onConnectFailed(String address) {
+                // The request on it is told.
+            }
+
+            @Override
+            public void onIdleReset(String address) {
+                // Says nothing about an upstream.
+            }
+        };
+
+        /**
+         * Called when a connection has been opened.
+         *
+         * @param address the target as {@code IP:port}
+         */
+        void onConnected(String address);
+
+        /**
+         * Called when a connection could not be opened.
+         *
+         * @param address the target as {@code IP:port}
+         */
+        void onConnectFailed(String address);
+
+        /**
+         * Called when a target has reset an idle connection.
+         *
+         * @param address the target as {@code IP:port}
+         */
+        void onIdleReset(String address);
+    }
+
     /**
      * Creates an empty pool.
      *
@@ -49,7 +91,7 @@
      * @param turns the turns of the traffic thread
      * @param loops event loops
      * @param loop the traffic thread
-     * @param idleResets receives the address of an upstream that has reset an idle connection
+     * @param events receives what the pool learns
      */
     UpstreamConnectionPool(
             RelayCodec codec,
@@ -57,8 +99,8 @@
             LoopTurnTracker turns,
             LoopResources loops,
             EventLoop loop,
-            Consumer<String> idleResets) {
-        this.idleResets = idleResets;
+            Events events) {
+        this.events = events;
         this.codec = codec;
         this.clock = clock;
         this.turns = turns;
@@ -125,7 +167,14 @@
                     }
                 })
                 .connect(SocketAddresses.parse(address));
-        connecting.addListener(done -> callback.accept(connection, done.cause()));
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                events.onConnected(address);
+            } else {
+                events.onConnectFailed(address);
+            }
+            callback.accept(connection, done.cause());
+        });
     }
 
     void release(UpstreamConnection connection) {
@@ -141,7 +190,15 @@
     }
 
     void onIdleReset(String address) {
-        idleResets.accept(address);
+        events.onIdleReset(address);
+    }
+
+    /** Closes all idle connections. */
+    void closeIdle() {
+        List<UpstreamConnection> all =
+                idle.values().stream().flatMap(Deque::stream).toList();
+        idle.clear();
+        all.forEach(UpstreamConnection::close);
     }
 
     /** Closes connections that have been idle for too long; called twice a second. */
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -44,8 +44,14 @@
                 context.notices().pauseEndMillis(server.incarnation(), now()).isPresent();
     }
 
-    UpstreamServer server() {
-        return server;
+    @Override
+    public Optional<UpstreamServer> upstream() {
+        return Optional.of(server);
+    }
+
+    @Override
+    public UpstreamConnectionPool connections() {
+        return context.connections();
     }
 
     @Override
@@ -88,6 +94,7 @@
     @Override
     public void onBytesReceived() {
         context.loads().onBytesReceived(server.incarnation(), now());
+        context.reachability().onData(now());
     }
 
     @Override
@@ -127,6 +134,9 @@
     public void onEnded(Outcome outcome) {
         onPromptRead();
         context.loads().onEnded(server.incarnation(), tokens, outcome, now());
+        if (outcome == Outcome.BROKEN) {
+            context.reachability().onBroken(now());
+        }
     }
 
     @Override
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FailingCodec.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FailingCodec.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.cowslipbank.ports.relay.AnswerHead;
+import org.cowslipbank.ports.relay.ForwardedAnswer;
+import org.cowslipbank.ports.relay.Forwarding;
 import org.cowslipbank.ports.relay.Header;
 import org.cowslipbank.ports.relay.RelayCodec;
 import org.cowslipbank.ports.relay.RelayRequest;
@@ -39,6 +41,22 @@
         return codec.encodeRequest(request, plan);
     }
 
+    @Override
+    public List<Header> encodeForwarded(
+            RelayRequest request, Forwarding forwarding, long timeoutMillis, Optional<String> resumeAfter) {
+        return codec.encodeForwarded(request, forwarding, timeoutMillis, resumeAfter);
+    }
+
+    @Override
+    public Forwarding decodeForwarding(Iterable<Map.Entry<String, String>> headers) throws MalformedHeadException {
+        return codec.decodeForwarding(headers);
+    }
+
+    @Override
+    public Header encodeForwardedAnswer(ForwardedAnswer answer) {
+        return codec.encodeForwardedAnswer(answer);
+    }
+
     @Override
     public AnswerHead decodeAnswer(int status, Iterable<Map.Entry<String, String>> headers) {
         return codec.decodeAnswer(status, headers);
--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubMemberTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubMemberTest.java
@@ -29,7 +29,7 @@
         });
         for (int index = 0; index < OTHER_NODES; index++) {
             RegisteredNode node = new RegisteredNode(
-                    "h" + index, "127.0.0.1:9", "a", "", hub.address(), 1_000_000_000L + index, 0.75);
+                    "h" + index, "127.0.0.1:9", "a", "", hub.address(), "", 1_000_000_000L + index, 0.75, false);
             String value = new String(NodeItems.encodeNode(node), StandardCharsets.UTF_8);
             system.store.put("cowslipbank/nodes/h" + index, value);
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.function.UnaryOperator;
 
@@ -89,38 +90,69 @@
     }
 
     RelaySystem(Transport transport) throws IOException, PeerException {
-        this(transport, new FakeMetadataStore(), Optional.empty(), RETRY_SLACK);
+        this(transport, "n1", new FakeMetadataStore(), Optional.empty(), RETRY_SLACK);
         configure(1, "\"key\"");
     }
 
     /** Creates a node that follows a store which another node has followed before. */
     RelaySystem(FakeMetadataStore store) throws IOException, PeerException {
-        this(Transport.PREFERRED, store, Optional.empty(), RETRY_SLACK);
+        this(Transport.PREFERRED, "n1", store, Optional.empty(), RETRY_SLACK);
+    }
+
+    /** Creates one of several nodes, which sees the upstreams at the addresses of its own links to them. */
+    RelaySystem(FakeMetadataStore store, String name, UpstreamLinks links) throws IOException, PeerException {
+        this(Transport.PREFERRED, name, store, Optional.of(links.seenIn(store)), RETRY_SLACK);
     }
 
     /** Creates a node that follows a metadata store over HTTP instead of {@link #store}. */
     RelaySystem(StandInStore remoteStore) throws IOException, PeerException {
-        this(Transport.PREFERRED, new FakeMetadataStore(), Optional.of("127.0.0.1:" + remoteStore.port()), RETRY_SLACK);
+        this(
+                Transport.PREFERRED,
+                "n1",
+                new FakeMetadataStore(),
+                loops -> new MetadataStoreClient(new PlatformHttp(loops), "127.0.0.1:" + remoteStore.port()),
+                RETRY_SLACK);
     }
 
     /** Creates a node whose retry budget is used up from the start. */
     static RelaySystem withoutRetryBudget() throws IOException, PeerException {
-        RelaySystem system = new RelaySystem(Transport.PREFERRED, new FakeMetadataStore(), Optional.empty(), 0);
+        RelaySystem system = new RelaySystem(Transport.PREFERRED, "n1", new FakeMetadataStore(), Optional.empty(), 0);
         system.configure(1, "\"key\"");
         return system;
     }
 
-    private RelaySystem(Transport transport, FakeMetadataStore store, Optional<String> remoteStore, long retrySlack)
+    private RelaySystem(
+            Transport transport,
+            String name,
+            FakeMetadataStore store,
+            Optional<MetadataStore> followed,
+            long retrySlack)
+            throws IOException, PeerException {
+        this(transport, name, store, loops -> followed.orElse(store), retrySlack);
+    }
+
+    private RelaySystem(
+            Transport transport,
+            String name,
+            FakeMetadataStore store,
+            Function<LoopResources, MetadataStore> followed,
+            long retrySlack)
             throws IOException, PeerException {
         this.store = store;
         LoopResources preferred = LoopResources.create("relay-test", 1, true);
         loops = transport == Transport.PORTABLE ? new PortableLoops(preferred) : preferred;
         eventLoop = (EventLoop) loops.onServer(true).next();
         settings = new RelaySettings(
-                "n1",
+                name,
                 "a",
                 new RelaySettings.Listeners(
-                        freeTcpAddress(), freeTcpAddress(), freeTcpAddress(), freeUdpAddress(), freeTcpAddress(), ""),
+                        freeTcpAddress(),
+                        freeTcpAddress(),
+                        freeTcpAddress(),
+                        freeUdpAddress(),
+                        freeTcpAddress(),
+                        freeTcpAddress(),
+                        ""),
                 "unused:1",
                 1_000,
                 new RelaySettings.Bounds(5_000, true, 3_000, 0.2, retrySlack, 3_000, 6_000),
@@ -131,10 +163,7 @@
         node = new RelayNode(
                 settings,
                 new RelayNode.Platform(
-                        remoteStore
-                                .<MetadataStore>map(
-                                        address -> new MetadataStoreClient(new PlatformHttp(loops), address))
-                                .orElse(store),
+                        followed.apply(loops),
                         new MetadataItemDecoder(),
                         engines,
                         new FailingCodec(new HttpRelayCodec())),
@@ -317,6 +346,11 @@
         return node;
     }
 
+    /** Returns the value of one of the node's counters. */
+    long metric(String name) {
+        return metrics.counter(name).getCount();
+    }
+
     RelaySettings settings() {
         return settings;
     }
@@ -435,6 +469,12 @@
         return findFreeAddress(port -> new ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close());
     }
 
+    /** Returns a free port below the ephemeral range. */
+    static int freeTcpPort() throws IOException {
+        String address = freeTcpAddress();
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+
     private static String freeUdpAddress() throws IOException {
         return findFreeAddress(port -> new DatagramSocket(port, InetAddress.getLoopbackAddress()).close());
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
@@ -29,8 +29,8 @@
             EventLoop loop = (EventLoop) loops.onServer(true).next();
             Clocks clocks = new Clocks(MonotonicClock.SYSTEM, System::currentTimeMillis);
             LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, (unreadMillis, nowMillis) -> {});
-            UpstreamConnectionPool pool =
-                    new UpstreamConnectionPool(codec, MonotonicClock.SYSTEM, turns, loops, loop, address -> {});
+            UpstreamConnectionPool pool = new UpstreamConnectionPool(
+                    codec, MonotonicClock.SYSTEM, turns, loops, loop, UpstreamConnectionPool.Events.IGNORED);
             UpstreamConnection connection = new UpstreamConnection(codec, pool, ADDRESS);
             EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
             RelayRequest request =
--- a/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.ports.relay;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.cowslipbank.model.relay.UpstreamNotice;
@@ -20,6 +21,7 @@
  * @param contentBytes length of the body in bytes, if stated
  * @param eventStream false if the body is stated to be something else than a stream of events
  * @param notice what the upstream says of itself
+ * @param forwarded what the node says that served the request for this one, empty if an upstream answered directly
  * @param endToEndHeaders the end-to-end headers, to be forwarded to the client
  */
 public record AnswerHead(
@@ -35,6 +37,7 @@
         OptionalLong contentBytes,
         boolean eventStream,
         UpstreamNotice notice,
+        Optional<ForwardedAnswer> forwarded,
         List<Header> endToEndHeaders) {
     private static final int OK = 200;
 
--- a/ports/src/main/java/org/cowslipbank/ports/relay/RelayCodec.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/RelayCodec.java
@@ -41,6 +41,35 @@
      */
     List<Header> encodeRequest(RelayRequest request, SendPlan plan);
 
+    /**
+     * Returns the headers of a request to another node that serves it for this one, except the length of its body.
+     *
+     * @param request the request
+     * @param forwarding what this node says about it
+     * @param timeoutMillis time that the other node has to answer, in milliseconds
+     * @param resumeAfter identifier of the last event that the client has, empty at the beginning
+     * @return the headers
+     */
+    List<Header> encodeForwarded(
+            RelayRequest request, Forwarding forwarding, long timeoutMillis, Optional<String> resumeAfter);
+
+    /**
+     * Decodes what another node says about a request that it passes on. Must be used on the listener for nodes only.
+     *
+     * @param headers the header lines as received
+     * @return what it says
+     * @throws MalformedHeadException if it is missing or malformed
+     */
+    Forwarding decodeForwarding(Iterable<Map.Entry<String, String>> headers) throws MalformedHeadException;
+
+    /**
+     * Returns the header by which a node tells another one about its answer to a request that was passed on.
+     *
+     * @param answer what it says
+     * @return the header
+     */
+    Header encodeForwardedAnswer(ForwardedAnswer answer);
+
     /**
      * Decodes an answer's head.
      *
--- a/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
@@ -31,10 +31,17 @@
      * @param lookups for endpoint lookups
      * @param digests for load digests from other nodes, over UDP
      * @param cache for polls of the hub feed by other nodes
+     * @param forwarding for requests of clients that other nodes pass on
      * @param metrics for metrics; empty text for none
      */
     public record Listeners(
-            String clients, String readiness, String lookups, String digests, String cache, String metrics) {}
+            String clients,
+            String readiness,
+            String lookups,
+            String digests,
+            String cache,
+            String forwarding,
+            String metrics) {}
 
     /**
      * Limits set by the platform's rules.
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -43,7 +43,7 @@
     /** Length of the measurement of the served share after recovery. */
     private static final long FINAL_MEASUREMENT_MILLIS = 3_000;
 
-    private static final int PORTS_PER_NODE = 5;
+    private static final int PORTS_PER_NODE = 6;
     private static final int FIRST_PORT = 15_000;
     private static final int LAST_PORT = 30_000;
     private static final int CLIENTS_PER_NODE = 4;
