Keep the body limit of a request that has begun

A request whose body was being read when a change of the configuration lowered the limit was refused with 413, which clients do not retry, although it kept to the configuration under which it had begun.

The limit that was in force at the head holds for the body; a higher one applies at once.

UnansweredRequestTest.lowerBodyLimitSparesARequestThatHasBegun failed before with 413.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -65,6 +65,7 @@
     private ChannelFuture lastWrite;
     private long lastActivityMillis;
     private long idleLimitMillis;
+    private long maxBodyBytes;
     private long openedTurn;
     private long earliestArrivalMillis;
 
@@ -209,7 +210,8 @@
         }
         body = Unpooled.compositeBuffer();
         closeAfter = !HttpUtil.isKeepAlive(request);
-        if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
+        maxBodyBytes = server.limits().maxBodyBytes();
+        if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
             reject(413, "body too long");
         } else if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -235,8 +237,9 @@
             reject(400, "malformed body");
             return;
         }
-        if (body.readableBytes() + content.content().readableBytes()
-                > server.limits().maxBodyBytes()) {
+        // The limit may be lowered while the body is read, and the client keeps to the one that it knew.
+        long limitBytes = Math.max(maxBodyBytes, server.limits().maxBodyBytes());
+        if (body.readableBytes() + content.content().readableBytes() > limitBytes) {
             reject(413, "body too long");
             return;
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -186,4 +186,23 @@
             assert RelaySystem.readAnswer(client).isEmpty() : "the new limit holds after the next answer";
         }
     }
+
+    /** Failure guarded against: a request is refused as too long because the limit was lowered while it was read. */
+    @Example
+    void lowerBodyLimitSparesARequestThatHasBegun() throws Exception {
+        try (RelaySystem system = new RelaySystem()) {
+            system.upstream("app", "i-1", ScriptedUpstream.ok("hello"));
+            system.start();
+            Socket client = system.connect();
+            String request = system.request("/read/", "r1", "Content-Length: 3000\r\n\r\n") + "x".repeat(3_000);
+            int split = request.length() - 1_500;
+            ScriptedUpstream.write(client, request.substring(0, split));
+            Thread.sleep(TURN_MILLIS);
+            system.configure(2, text -> text.replace("\"MaxBodyBytes\":10000", "\"MaxBodyBytes\":1000"));
+            system.awaitStoreApplied();
+            ScriptedUpstream.write(client, request.substring(split));
+            String answer = RelaySystem.readAnswer(client);
+            assert answer.startsWith("HTTP/1.1 200") : answer;
+        }
+    }
 }
