Move requests to upstreams that registered after they were sent

A read at an upstream that fell silent for good got 504 although another one had registered half a second after it was sent. The check whether a request can be moved asked the view of the platform that was current when the request was sent; only the start of an attempt took the newest one. The choice always asks the newest view now.

SilentUpstreamTest.movesToUpstreamThatRegisteredMeanwhile failed before (504 after 2 s). The other tests of the class passed before: the only upstream of a service falls silent for 1.2 s (streams, reads, orders, before and within the answer), and a server at the last allowed attempt; each request runs once and is answered, and no crash is reported.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -483,6 +483,7 @@
     }
 
     private Optional<UpstreamSelector.Choice> choose() {
+        view = context.view().get();
         return placement.choose(view, triedIncarnations);
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
@@ -0,0 +1,147 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.cowslipbank.model.PeerException;
+
+/** Tests a whole node with sound upstreams that fall silent for a second or so and go on. */
+final class SilentUpstreamTest {
+    private static final long PAUSE_MILLIS = 1_200;
+
+    private static final String FIRST_EVENT = "id: 0\ndata: %s\n\n";
+    private static final String LAST_EVENT = "id: 1\ndata: %s\n\n";
+
+    private final List<Socket> clients = new ArrayList<>();
+    private RelaySystem system;
+
+    /** Where a stream's engine falls silent. */
+    enum Moment {
+        BEFORE_THE_HEAD,
+        WITHIN_THE_STREAM
+    }
+
+    @BeforeTry
+    void setUp() throws IOException, PeerException {
+        system = new RelaySystem();
+    }
+
+    @AfterTry
+    void tearDown() throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+        system.close();
+    }
+
+    private static String events(String id) {
+        return FIRST_EVENT.formatted(id) + LAST_EVENT.formatted(id);
+    }
+
+    /** Returns a script that streams two events and is silent once, for a stated time. */
+    private static ScriptedUpstream.Script stream(Moment moment, long silentMillis) {
+        return (request, socket) -> {
+            String id = request.header("X-Request-Id");
+            boolean resumed = request.header("Last-Event-Id").equals("0");
+            if (moment == Moment.BEFORE_THE_HEAD) {
+                Thread.sleep(silentMillis);
+            }
+            ScriptedUpstream.beginStream(request, socket, resumed ? "" : FIRST_EVENT.formatted(id));
+            if (moment == Moment.WITHIN_THE_STREAM) {
+                Thread.sleep(silentMillis);
+            }
+            ScriptedUpstream.chunk(socket, LAST_EVENT.formatted(id));
+            ScriptedUpstream.endStream(socket);
+        };
+    }
+
+    private static ScriptedUpstream.Script plain(String id, long silentMillis) {
+        return (request, socket) -> {
+            Thread.sleep(silentMillis);
+            ScriptedUpstream.ok(id).answer(request, socket);
+        };
+    }
+
+    private Socket begin(String path, String id) throws IOException {
+        Socket client = system.connect();
+        clients.add(client);
+        ScriptedUpstream.write(client, system.request(path, id, "Content-Length: 0\r\n\r\n"));
+        return client;
+    }
+
+    private static int received(ScriptedUpstream... upstreams) {
+        int received = 0;
+        for (ScriptedUpstream upstream : upstreams) {
+            received += upstream.received.size();
+        }
+        return received;
+    }
+
+    private void assertComplete(Socket client, String id) throws IOException {
+        String answer = RelaySystem.readAnswer(client);
+        assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n0\r\n\r\n") : answer;
+        assert RelaySystem.joined(answer).equals(events(id)) : answer;
+    }
+
+    private void assertNoCrashReported() {
+        assert system.store.keys().stream().noneMatch(key -> key.contains("crashes/")) : system.store.keys();
+    }
+
+    /** Failure guarded against: a request is given up, run again or crossed because its only upstream paused. */
+    @Property(generation = GenerationMode.EXHAUSTIVE)
+    void onlyUpstreamGoesOn(@ForAll Moment moment) throws Exception {
+        ScriptedUpstream engine = system.upstream("llm", "i-1", stream(moment, PAUSE_MILLIS));
+        ScriptedUpstream server = system.upstream("app", "i-2", plain("ok", PAUSE_MILLIS));
+        system.start();
+        Socket stream = begin("/stream/", "s1");
+        Socket once = begin("/once/", "s2");
+        Socket order = begin("/order/", "r1");
+        Socket read = begin("/read/", "r2");
+        assertComplete(stream, "s1");
+        assertComplete(once, "s2");
+        assert RelaySystem.body(RelaySystem.readAnswer(order)).equals("ok");
+        assert RelaySystem.body(RelaySystem.readAnswer(read)).equals("ok");
+        assert received(engine) == 2 && received(server) == 2;
+        assertNoCrashReported();
+    }
+
+    /** Failure guarded against: a request is cut off at its last allowed attempt because the upstream paused. */
+    @Example
+    void lastAttemptWaits() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        ScriptedUpstream.Script failsThenPauses = (request, socket) -> {
+            if (runs.getAndIncrement() == 0) {
+                ScriptedUpstream.status(500, "X-Server-Stamp: s\r\n").answer(request, socket);
+            } else {
+                plain("ok", PAUSE_MILLIS).answer(request, socket);
+            }
+        };
+        for (int server = 0; server < 3; server++) {
+            system.upstream("app", "i-" + server, failsThenPauses);
+        }
+        system.start();
+        String answer = RelaySystem.readAnswer(begin("/read/", "r1"));
+        assert RelaySystem.body(answer).equals("ok") : answer;
+        assert runs.get() == 2 : runs;
+    }
+
+    /** Failure guarded against: a request stays at a dead upstream because the other one registered after it was sent. */
+    @Example
+    void movesToUpstreamThatRegisteredMeanwhile() throws Exception {
+        ScriptedUpstream dead = system.upstream("app", "i-1", plain("late", 60_000));
+        system.start();
+        Socket read = begin("/read/", "read");
+        RelaySystem.await("the request has arrived", () -> received(dead) == 1);
+        system.upstream("app", "i-2", ScriptedUpstream.ok("other"));
+        assert RelaySystem.readAnswer(read).endsWith("other");
+    }
+}
