End the quarantine for silence when the upstream sends bytes

A request that was moved away after 400 ms of silence quarantined the upstream for 1.5 s. When it went on after 1.2 s and answered a request that may not be repeated, new requests still waited for the end of the quarantine, and were refused if no other upstream was left.

Bytes on any connection end a quarantine for silence. One for connections that cannot be opened stays: connections that are open may live on while new ones are refused.

UpstreamLoadsTest.bytesEndTheQuarantineForSilenceAlone and SilentUpstreamTest.bytesEndTheQuarantine failed before (503 for a read 360 ms after the upstream had answered).

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -16,6 +16,9 @@
     long silenceLimitMillis;
     /** End of the quarantine; no new requests before this time. */
     long quarantinedUntilMillis = NEVER;
+
+    /** End of the quarantine for silence, unless bytes arrive before. */
+    long silenceQuarantinedUntilMillis = NEVER;
     /** Half-open circuit breaker: from a failure until the next bytes only one request at a time is sent. */
     boolean halfOpen;
 
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -121,7 +121,8 @@
     }
 
     /**
-     * Records that bytes arrived from an upstream.
+     * Records that bytes arrived from an upstream. They end a quarantine for silence, but not one for connections that
+     * could not be opened: those that are open may go on all the same.
      *
      * @param incarnation the upstream's incarnation
      * @param nowMillis the time in milliseconds
@@ -129,6 +130,7 @@
     public void onBytesReceived(String incarnation, long nowMillis) {
         UpstreamLoad load = load(incarnation);
         load.silentSinceMillis = load.inFlight > 0 ? nowMillis : UpstreamLoad.NEVER;
+        load.silenceQuarantinedUntilMillis = UpstreamLoad.NEVER;
         load.halfOpen = false;
     }
 
@@ -176,10 +178,14 @@
                     load.halfOpen = true;
                 }
             }
-            case UNREACHABLE, SILENT -> {
+            case UNREACHABLE -> {
                 quarantine(load, nowMillis + SILENT_QUARANTINE_MILLIS);
                 load.halfOpen = true;
             }
+            case SILENT -> {
+                load.silenceQuarantinedUntilMillis = nowMillis + SILENT_QUARANTINE_MILLIS;
+                load.halfOpen = true;
+            }
             default -> {
                 // A client that disconnects says nothing about the upstream.
             }
@@ -231,7 +237,10 @@
             return true;
         }
         boolean trialInFlight = load.halfOpen && load.inFlight > 0;
-        return nowMillis >= load.quarantinedUntilMillis && !trialInFlight && !isSilent(load, nowMillis);
+        return nowMillis >= load.quarantinedUntilMillis
+                && nowMillis >= load.silenceQuarantinedUntilMillis
+                && !trialInFlight
+                && !isSilent(load, nowMillis);
     }
 
     /**
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamLoadsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamLoadsTest.java
@@ -59,6 +59,20 @@
         assert loads.isAvailable("u", later + 6);
     }
 
+    /** Failure guarded against: an upstream that goes on after a pause stays quarantined while it answers other requests. */
+    @Example
+    void bytesEndTheQuarantineForSilenceAlone() {
+        for (Outcome outcome : new Outcome[] {Outcome.SILENT, Outcome.UNREACHABLE}) {
+            String upstream = outcome.name();
+            loads.onSent(upstream, 0, 0, UpstreamLoads.SILENCE_LIMIT_MILLIS, 0);
+            loads.onSent(upstream, 0, 0, UpstreamLoads.SILENCE_LIMIT_MILLIS, 0);
+            loads.onEnded(upstream, 0, outcome, 700);
+            assert !loads.isAvailable(upstream, 1_000);
+            loads.onBytesReceived(upstream, 1_000);
+            assert loads.isAvailable(upstream, 1_000) == (outcome == Outcome.SILENT) : outcome;
+        }
+    }
+
     /** Failure guarded against: a server that fails half of its requests but passes health checks keeps its traffic. */
     @Example
     void failingUpstreamIsQuarantined() {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
@@ -134,6 +134,31 @@
         assert runs.get() == 2 : runs;
     }
 
+    /** Failure guarded against: an upstream that answers again gets no requests until its quarantine has passed. */
+    @Example
+    void bytesEndTheQuarantine() throws Exception {
+        ScriptedUpstream paused = system.upstream("app", "i-1", (request, socket) -> {
+            if (request.header("X-Request-Id").equals("order")) {
+                plain("order", PAUSE_MILLIS).answer(request, socket);
+            } else if (request.header("X-Request-Id").equals("moved")) {
+                Thread.sleep(60_000);
+            } else {
+                ScriptedUpstream.ok("again").answer(request, socket);
+            }
+        });
+        system.start();
+        Socket order = begin("/order/", "order");
+        Socket moved = begin("/read/", "moved");
+        RelaySystem.await("both requests have arrived", () -> received(paused) == 2);
+        system.upstream("app", "i-2", ScriptedUpstream.ok("other"));
+        assert RelaySystem.readAnswer(moved).endsWith("other");
+        system.store.remove("servers/i-2");
+        system.awaitStoreApplied();
+        assert RelaySystem.body(RelaySystem.readAnswer(order)).equals("order");
+        String again = system.send("/read/", "again", "", "");
+        assert again.startsWith("HTTP/1.1 200") && RelaySystem.body(again).equals("again") : again;
+    }
+
     /** Failure guarded against: a request stays at a dead upstream because the other one registered after it was sent. */
     @Example
     void movesToUpstreamThatRegisteredMeanwhile() throws Exception {
