Try an upstream again half a second after it was silent

A server of a service was silent for 1.2 s, and all its requests reached their deadlines of 600 ms meanwhile. It was then quarantined for another 1.5 s from the last deadline on, so that for 0.9 s reads were refused (503, no room) although it was sound; no bytes can end the quarantine where no request is in flight.

The first quarantine for silence lasts 500 ms and is doubled up to the 1.5 s of before while no bytes arrive. As before one request at a time is tried. All requests that end for one silence count once.

SilentUpstreamTest.upstreamIsUsedAgainAfterAllDeadlinesPassed failed before (503 at 1.6 s).

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoad.java
@@ -19,6 +19,8 @@
 
     /** End of the quarantine for silence, unless bytes arrive before. */
     long silenceQuarantinedUntilMillis = NEVER;
+    /** Requests that ended for silence since the last bytes, counted once for each quarantine. */
+    int consecutiveSilences;
     /** Half-open circuit breaker: from a failure until the next bytes only one request at a time is sent. */
     boolean halfOpen;
 
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -46,9 +46,12 @@
     /** Consecutive broken connections before an upstream is quarantined; a single one may be just a lost answer. */
     static final int CONSECUTIVE_BROKEN_LIMIT = 2;
 
-    /** Quarantine after an upstream was unreachable or silent; a trial request follows. */
+    /** Quarantine after an upstream was unreachable, and longest one after it was silent; a trial request follows. */
     static final long SILENT_QUARANTINE_MILLIS = 1_500;
 
+    /** First quarantine for silence, doubled until bytes arrive; a sound upstream may be silent for a second. */
+    static final long FIRST_SILENT_QUARANTINE_MILLIS = 500;
+
     /** Quarantine after a rejection: an engine that loads weights or is full rejects for some hundred milliseconds. */
     static final long REJECTED_QUARANTINE_MILLIS = 150;
 
@@ -131,6 +134,7 @@
         UpstreamLoad load = load(incarnation);
         load.silentSinceMillis = load.inFlight > 0 ? nowMillis : UpstreamLoad.NEVER;
         load.silenceQuarantinedUntilMillis = UpstreamLoad.NEVER;
+        load.consecutiveSilences = 0;
         load.halfOpen = false;
     }
 
@@ -183,7 +187,7 @@
                 load.halfOpen = true;
             }
             case SILENT -> {
-                load.silenceQuarantinedUntilMillis = nowMillis + SILENT_QUARANTINE_MILLIS;
+                quarantineForSilence(load, nowMillis);
                 load.halfOpen = true;
             }
             default -> {
@@ -200,6 +204,18 @@
         }
     }
 
+    // All requests in flight end for one silence, some of them later than others.
+    private static void quarantineForSilence(UpstreamLoad load, long nowMillis) {
+        if (nowMillis >= load.silenceQuarantinedUntilMillis) {
+            load.consecutiveSilences++;
+        }
+        long millis = FIRST_SILENT_QUARANTINE_MILLIS;
+        for (int silence = 1; silence < load.consecutiveSilences && millis < SILENT_QUARANTINE_MILLIS; silence++) {
+            millis *= 2;
+        }
+        load.silenceQuarantinedUntilMillis = nowMillis + Math.min(SILENT_QUARANTINE_MILLIS, millis);
+    }
+
     private static void quarantine(UpstreamLoad load, long untilMillis) {
         load.quarantinedUntilMillis = Math.max(load.quarantinedUntilMillis, untilMillis);
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
@@ -4,6 +4,8 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import net.jqwik.api.Example;
@@ -78,6 +80,14 @@
         return client;
     }
 
+    /** Sends a request with a deadline of half the pause. */
+    private String sendBriefly(String path, String id) {
+        return RelaySystem.exchange(
+                system.settings().listeners().clients(),
+                system.request(path, id, "Content-Length: 0\r\n\r\n")
+                        .replace("X-Deadline-Ms: 4000", "X-Deadline-Ms: " + PAUSE_MILLIS / 2));
+    }
+
     private static int received(ScriptedUpstream... upstreams) {
         int received = 0;
         for (ScriptedUpstream upstream : upstreams) {
@@ -159,6 +169,24 @@
         assert again.startsWith("HTTP/1.1 200") && RelaySystem.body(again).equals("again") : again;
     }
 
+    /** Failure guarded against: an upstream whose requests all ended while it paused is not used when it goes on. */
+    @Example
+    void upstreamIsUsedAgainAfterAllDeadlinesPassed() throws Exception {
+        CountDownLatch goesOn = new CountDownLatch(1);
+        system.upstream("app", "i-1", (request, socket) -> {
+            goesOn.await();
+            ScriptedUpstream.ok("ok").answer(request, socket);
+        });
+        system.start();
+        long startNanos = System.nanoTime();
+        String late = sendBriefly("/order/", "order");
+        assert late.startsWith("HTTP/1.1 504") : late;
+        Thread.sleep(PAUSE_MILLIS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+        goesOn.countDown();
+        String again = system.send("/read/", "again", "", "");
+        assert again.startsWith("HTTP/1.1 200") : again;
+    }
+
     /** Failure guarded against: a request stays at a dead upstream because the other one registered after it was sent. */
     @Example
     void movesToUpstreamThatRegisteredMeanwhile() throws Exception {
