--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -27,6 +27,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.platform.HttpRelayCodec;
@@ -106,8 +107,12 @@
 
     /** Creates a node that follows a metadata store over HTTP instead of {@link #store}. */
     RelaySystem(StandInStore remoteStore) throws IOException, PeerException {
+        this(Transport.PREFERRED, remoteStore);
+    }
+
+    RelaySystem(Transport transport, StandInStore remoteStore) throws IOException, PeerException {
         this(
-                Transport.PREFERRED,
+                transport,
                 "n1",
                 new FakeMetadataStore(),
                 loops -> new MetadataStoreClient(new PlatformHttp(loops), "127.0.0.1:" + remoteStore.port()),
@@ -342,6 +347,17 @@
         void run() throws InterruptedException;
     }
 
+    /** Returns the channels of the node, listening ones too. */
+    List<Channel> channels() {
+        List<Channel> channels = new ArrayList<>();
+        eventLoop
+                .submit(() -> ((SingleThreadEventLoop) eventLoop)
+                        .registeredChannelsIterator()
+                        .forEachRemaining(channels::add))
+                .syncUninterruptibly();
+        return channels;
+    }
+
     RelayNode node() {
         return node;
     }
