Close idle connections to a node's listeners after 30 s

Connections to the listeners for readiness checks, look-ups, hub members and metrics had no idle limit. One whose peer vanished without a close (loss of power, a partition) was kept until the process ended, and with enough of them the node would have no descriptors left.

Peers ask more often than once a second, or open a connection for each call, so 30 s does not race with them.

SocketOptionsTest.idleConnectionsToListenersExpire failed before on both transports' cases (no idle limit within 10 s).

--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -50,6 +50,9 @@
 
     private static final long LOOKUP_MAX_LIFETIMES = 3;
     private static final long SWEEP_INTERVAL_MILLIS = 500;
+
+    // Readiness is asked for each second and members poll more often; the peer of a longer idle connection may be gone.
+    private static final Duration LISTENER_IDLE_TIME = Duration.ofSeconds(30);
     private static final int HTTP_UNAVAILABLE = HttpResponseStatus.SERVICE_UNAVAILABLE.code();
     private static final long DRAIN_CHECK_INTERVAL_MILLIS = 50;
     /** Part of the grace period left unused, so that the process ends before it is killed. */
@@ -327,6 +330,7 @@
         return HttpServer.create()
                 .runOn(loops)
                 .bindAddress(() -> SocketAddresses.parse(address))
+                .idleTimeout(LISTENER_IDLE_TIME)
                 .handle(handler::answer)
                 .bindNow(Duration.ofSeconds(5));
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SocketOptionsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SocketOptionsTest.java
@@ -8,8 +8,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -23,6 +25,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.platform.StandInStore;
+import reactor.netty.NettyPipeline;
 import reactor.netty.resources.LoopResources;
 
 /**
@@ -150,6 +153,26 @@
         }
     }
 
+    /**
+     * Failure guarded against: connections whose peers vanished without a close are kept until the node has no descriptors
+     * left.
+     */
+    @Property(generation = GenerationMode.EXHAUSTIVE)
+    void idleConnectionsToListenersExpire(@ForAll RelaySystem.Transport transport) throws Exception {
+        start(transport);
+        Set<Peer> expiring = EnumSet.noneOf(Peer.class);
+        RelaySystem.await("answered connections are going to expire", () -> {
+            Map<Peer, Channel> seen = new EnumMap<>(Peer.class);
+            collect(seen);
+            seen.forEach((peer, channel) -> {
+                if (channel.pipeline().get(NettyPipeline.IdleTimeoutHandler) != null) {
+                    expiring.add(peer);
+                }
+            });
+            return expiring.containsAll(EnumSet.of(Peer.READINESS_CHECK, Peer.LOOKUP, Peer.HUB_MEMBER));
+        });
+    }
+
     /** Failure guarded against: a library's default decides when a connection that went silent is given up. */
     @Property(generation = GenerationMode.EXHAUSTIVE)
     void noUserTimeoutAndNoKeepAliveProbes(@ForAll RelaySystem.Transport transport) throws Exception {
