Take an answer that ends within its headers for a broken connection

Operators of a similar system saw answers whose head was cut off arrive as whole ones. Callers here never did: Netty's decoder marks such a head as a failure, no cut head was judged or passed on, and the JSON clients report an error.

From the end of the status line on, the attempt counted as malformed instead of broken, so an engine that crashed within its answer's head was no evidence against the request that crashed it, and further engines got that request.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -151,7 +152,7 @@
 
     private void onResponse(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            fail(UpstreamListener.Failure.MALFORMED, "malformed HTTP status line or headers");
+            failHead(response.decoderResult().cause());
             return;
         }
         int status = response.status().code();
@@ -185,6 +186,14 @@
         listener.onHead(decoded);
     }
 
+    private void failHead(Throwable cause) {
+        if (cause instanceof PrematureChannelClosureException) {
+            fail(UpstreamListener.Failure.BROKEN, "connection closed within the headers of the answer");
+        } else {
+            fail(UpstreamListener.Failure.MALFORMED, "malformed HTTP status line or headers");
+        }
+    }
+
     private void onContent(HttpContent content) {
         if (listener == null) {
             return;
