Ask the store before a stream is taken for one of the only version

A stream that began at an engine of a new version through another node was taken up at a node whose view was behind, and went on at an engine of another version. The node knew one software version only, so it assumed that every stream of the service had begun there. That is false while it has been cut off from the metadata store, was suspended, or waits for a watch that gets no answer.

A stream that the node did not carry, and of which no report is known, now waits until an answer of the store has been applied that was asked for after the request was read. Engines that began the stream had registered before that, so their version is known then. Calls are numbered instead of timed, because the monotonic clock stops with the VM. The node makes such a call at once instead of waiting for its watch, at most one at a time and every 50 ms, so that all streams that are taken up together share it. Without an answer of the store the stream is refused as not run.

StreamOrigins.find is split into what is known of a stream and the only version of its service; StreamOriginsTest asks for both as before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -16,7 +16,8 @@
  * <p>Load pattern: two versions serve side by side, some or all nodes are lost, and clients take their streams up at nodes
  * that did not carry them. While a service has one version, and had no other one for the life of a stream, every stream
  * began there and nothing is exchanged. Otherwise each node reports where its requests are sent, so that the report is
- * usually known before the first event, and a stream without a report may not go on. Thread-safe: used by the traffic thread
+ * usually known before the first event, and a stream without a report may not go on. A node whose view is behind may know
+ * of one version only although others do, so it has to ask the metadata store first. Thread-safe: used by the traffic thread
  * and the control thread.
  */
 public final class StreamOrigins {
@@ -180,18 +181,27 @@
     }
 
     /**
-     * Returns the version at which a stream may go on.
+     * Returns the version at which a stream began, as far as it was carried by this node or reported.
      *
      * @param service the service
      * @param request identifier of the request that brought its first event, empty if not stated
-     * @param nowMillis the time in milliseconds
      * @return the version, or empty if it is not known
      */
-    public synchronized Optional<String> find(String service, String request, long nowMillis) {
-        Origin origin = originByRequest.get(request);
-        if (origin != null && origin.service().equals(service)) {
-            return Optional.of(origin.softwareVersion());
-        }
+    public synchronized Optional<String> find(String service, String request) {
+        return Optional.ofNullable(originByRequest.get(request))
+                .filter(origin -> origin.service().equals(service))
+                .map(Origin::softwareVersion);
+    }
+
+    /**
+     * Returns the version at which every stream of a service must have begun, as far as the registrations are known. A
+     * caller must make sure that no registration from before the end of the stream is missing.
+     *
+     * @param service the service
+     * @param nowMillis the time in milliseconds
+     * @return the version, or empty if there may have been several for the life of a stream
+     */
+    public synchronized Optional<String> onlyVersion(String service, long nowMillis) {
         Versions versions = versionsByService.get(service);
         if (versions == null || nowMillis < uncertainUntilMillis) {
             return Optional.empty();
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -15,7 +15,7 @@
     private final StreamOrigins origins = new StreamOrigins();
 
     private Optional<String> find(String request, long nowMillis) {
-        return origins.find(SERVICE, request, nowMillis);
+        return origins.find(SERVICE, request).or(() -> origins.onlyVersion(SERVICE, nowMillis));
     }
 
     @Example
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -119,6 +119,8 @@
     private final Set<String> triedIncarnations = new HashSet<>();
     private final Set<String> triedNodes = new HashSet<>();
     private final EventSplitter splitter = new EventSplitter();
+    /** Number of the first call to the metadata store that is sent after this request was read. */
+    private final long stateReading;
 
     private PlatformView view;
     private RequestSuspects suspects;
@@ -165,6 +167,7 @@
         this.body = body;
         this.arrivedMillis = arrivedMillis;
         this.readMillis = context.clocks().nowMillis();
+        this.stateReading = context.readings().next();
     }
 
     /** Starts the exchange; the answer may be complete before this returns. */
@@ -240,18 +243,35 @@
         if (!request.takesUpStream() || !route.isStream() || !route.resumable()) {
             return true;
         }
-        Optional<String> version = forwarding
+        // Read first, so that the versions below include all that it stands for.
+        boolean current = context.readings().isApplied(stateReading);
+        Optional<String> known = forwarding
                 .flatMap(Forwarding::softwareVersion)
-                .or(() -> context.origins().find(service, request.resumes().orElse(""), now()));
+                .or(() -> context.origins().find(service, request.resumes().orElse("")));
+        Optional<String> version = known.or(() -> context.origins().onlyVersion(service, now()));
         if (version.isEmpty()) {
             waitOrRefuse("stream_origin_unknown", ORIGIN_WAIT_MILLIS);
             return false;
         }
+        if (known.isEmpty() && !current) {
+            waitForRegistrations();
+            return false;
+        }
         placement.requireSoftwareVersion(version.get());
         request.lastEventId().ifPresent(splitter::resumeAfter);
         return true;
     }
 
+    /** Waits until engines of another version that may have begun the stream would be known. */
+    private void waitForRegistrations() {
+        if (context.canConfirm().getAsBoolean()) {
+            context.refresh().run();
+            waitOrRefuse("software_versions_unconfirmed", ORIGIN_WAIT_MILLIS);
+        } else {
+            refuse("software_versions_unconfirmed", RETRY_ELSEWHERE_AFTER_MILLIS);
+        }
+    }
+
     private boolean authenticate(RouteTable routes) {
         if (route.anonymous() || !routes.hasTeams()) {
             return true;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
@@ -44,6 +45,15 @@
     /** How often a node that follows a hub checks whether it has to read the metadata store directly. */
     static final long HUB_CHECK_MILLIS = 100;
 
+    /** Wait of a watch that asks for the present state. */
+    static final long REFRESH_WATCH_MILLIS = 1;
+
+    /** Shortest time between two such calls, so that the streams of a lost node that are taken up share them. */
+    static final long MIN_REFRESH_INTERVAL_MILLIS = 50;
+
+    /** The same per registered node; a large fleet stays within half of the store's 2,000 reads a second. */
+    static final long REFRESH_INTERVAL_MILLIS_PER_NODE = 1;
+
     /** Interval of the check for vanished registrations and old reports to drop. */
     static final long EXPIRY_CHECK_MILLIS = 150;
 
@@ -56,12 +66,15 @@
     private final Listener listener;
     private volatile PlatformView view = PlatformView.EMPTY;
     private volatile Optional<ConfigurationConfirmation> confirmation = Optional.empty();
+    private final StateReadings readings = new StateReadings();
+    private final AtomicBoolean refreshing = new AtomicBoolean();
     private Disposable call;
     private volatile boolean connected;
     private volatile boolean settled;
     private boolean stopped;
     private long retryPauseMillis = MIN_RETRY_PAUSE_MILLIS;
     private long lastAnswerMillis;
+    private long nextRefreshMillis = Long.MIN_VALUE / 2;
 
     PlatformWatcher(
             MetadataStore store,
@@ -134,6 +147,47 @@
         return confirmation;
     }
 
+    StateReadings readings() {
+        return readings;
+    }
+
+    /**
+     * Reads the newest changes from the metadata store with a call of its own, because a watch returns late, or never after
+     * a disturbance. May be called by any thread; while such a call is in progress, nothing happens.
+     */
+    void refresh() {
+        if (refreshing.compareAndSet(false, true)) {
+            control.schedule(() -> {
+                long delayMillis = Math.max(0, nextRefreshMillis - clocks.nowMillis());
+                control.schedule(this::readChanges, delayMillis, TimeUnit.MILLISECONDS);
+            });
+        }
+    }
+
+    private void readChanges() {
+        if (stopped || view.revision() == 0) {
+            refreshing.set(false);
+            return;
+        }
+        LeaderLease.ClockReading sentAt = clocks.now();
+        nextRefreshMillis = sentAt.monotonicMillis()
+                + Math.max(
+                        MIN_REFRESH_INTERVAL_MILLIS,
+                        REFRESH_INTERVAL_MILLIS_PER_NODE * view.nodes().size());
+        long reading = readings.begin();
+        store.watch(decoder.watchedPrefix(), view.revision(), REFRESH_WATCH_MILLIS)
+                .publishOn(control)
+                .doFinally(signal -> refreshing.set(false))
+                .subscribe(
+                        changes -> changes.ifPresent(known -> {
+                            onContact();
+                            applyChanges(known, sentAt, reading);
+                        }),
+                        // The watch notices it as well if the store is lost.
+                        error -> log.logRequest(LogFields.event("metadata store does not tell its newest changes")
+                                .error(error)));
+    }
+
     void start() {
         lastAnswerMillis = clocks.nowMillis();
         control.schedule(this::readAll);
@@ -161,14 +215,15 @@
 
     private void readAll() {
         LeaderLease.ClockReading sentAt = clocks.now();
+        long reading = readings.begin();
         long revisionAtSend = view.revision();
         callStore(
                 store.range(decoder.watchedPrefix()),
-                range -> onSnapshot(range, revisionAtSend, sentAt),
+                range -> onSnapshot(range, revisionAtSend, sentAt, reading),
                 this::readAll);
     }
 
-    private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt) {
+    private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt, long reading) {
         onContact();
         boolean firstReading = view.routes().isEmpty();
         if (state.applySnapshot(range, revisionAtSend, clocks.nowMillis())) {
@@ -176,9 +231,17 @@
         }
         confirm(sentAt);
         publish();
+        onApplied(reading);
         watch();
     }
 
+    private void onApplied(long reading) {
+        // A restored store may lack registrations.
+        if (settled) {
+            readings.onApplied(reading);
+        }
+    }
+
     /** Applies a hub's answer. */
     void onHubAnswer(FeedMessages.PollAnswer answer, LeaderLease.ClockReading sentAt) {
         control.schedule(() -> {
@@ -202,11 +265,12 @@
             return;
         }
         LeaderLease.ClockReading sentAt = clocks.now();
+        long reading = readings.begin();
         Mono<Optional<Changes>> watch = store.watch(decoder.watchedPrefix(), view.revision(), MAX_WATCH_MILLIS);
-        callStore(watch, changes -> onWatched(changes, sentAt), this::watch);
+        callStore(watch, changes -> onWatched(changes, sentAt, reading), this::watch);
     }
 
-    private void onWatched(Optional<Changes> changes, LeaderLease.ClockReading sentAt) {
+    private void onWatched(Optional<Changes> changes, LeaderLease.ClockReading sentAt, long reading) {
         onContact();
         if (changes.isEmpty()) {
             log.logState(LogFields.event("metadata store does not have the changes since revision; reading all items")
@@ -216,17 +280,9 @@
             return;
         }
         boolean unchanged = changes.get().items().isEmpty();
-        long fromRevision = view.revision();
-        List<StoreItem> different =
-                state.applyChanges(changes.get().items(), changes.get().revision(), clocks.nowMillis());
         // A watch without changes confirms the state at the end of its wait, less a margin of a tenth of the wait.
         long waitedMillis = Math.min(MAX_WATCH_MILLIS, clocks.nowMillis() - sentAt.monotonicMillis());
-        confirm(unchanged ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt);
-        publish();
-        Changes passedOn = new Changes(different, changes.get().revision());
-        confirmation.ifPresentOrElse(
-                confirmed -> listener.onChanges(fromRevision, passedOn, confirmed, state.reconnectedMillis()),
-                listener::onChangesMissed);
+        applyChanges(changes.get(), unchanged ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt, reading);
         if (unchanged) {
             watch();
         } else {
@@ -235,6 +291,22 @@
         }
     }
 
+    private void applyChanges(Changes changes, LeaderLease.ClockReading confirmedAt, long reading) {
+        long fromRevision = view.revision();
+        List<StoreItem> different = state.applyChanges(changes.items(), changes.revision(), clocks.nowMillis());
+        confirm(confirmedAt);
+        publish();
+        onApplied(reading);
+        if (listener.followsHub()) {
+            return;
+        }
+        // Another call may have brought later changes before this answer.
+        Changes passedOn = new Changes(different, Math.max(fromRevision, changes.revision()));
+        confirmation.ifPresentOrElse(
+                confirmed -> listener.onChanges(fromRevision, passedOn, confirmed, state.reconnectedMillis()),
+                listener::onChangesMissed);
+    }
+
     private void confirm(LeaderLease.ClockReading at) {
         ConfigurationConfirmation next = new ConfigurationConfirmation(at.monotonicMillis(), at.wallMillis());
         settled = state.isSettled(clocks.nowMillis());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -24,6 +24,8 @@
  * @param codec encoding of requests and answers
  * @param view the newest view of the platform
  * @param confirmation the last confirmation of the configuration, empty before the first
+ * @param readings the calls by which the platform's state is read
+ * @param refresh reads the platform's state at once
  * @param canConfirm returns whether the metadata store can confirm the configuration with its next answer
  * @param clocks the clocks
  * @param loop the traffic thread
@@ -51,6 +53,8 @@
         RelayCodec codec,
         Supplier<PlatformView> view,
         Supplier<Optional<ConfigurationConfirmation>> confirmation,
+        StateReadings readings,
+        Runnable refresh,
         BooleanSupplier canConfirm,
         Clocks clocks,
         EventLoop loop,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -168,6 +168,8 @@
                 codec,
                 watcher::view,
                 watcher::confirmation,
+                watcher.readings(),
+                watcher::refresh,
                 watcher::canConfirm,
                 clocks,
                 loop,
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.ProcessingStep;
@@ -19,12 +20,21 @@
 final class FakeMetadataStore implements MetadataStore {
     private static final Duration POLL = Duration.ofMillis(5);
 
+    /** Limit that the client of a store has on the time without an answer. */
+    private static final Duration UNANSWERED = Duration.ofMillis(900);
+
+    /** Wait from which a watch is held; shorter ones ask for the present state. */
+    private static final long HELD_WAIT_MILLIS = 100;
+
     private final TreeMap<String, StoreItem> items = new TreeMap<>();
     private final List<StoreItem> history = new ArrayList<>();
     private long revision = 1;
     private long leases;
+    private final AtomicLong watches = new AtomicLong();
     private volatile boolean down;
     private volatile boolean historyLost;
+    private volatile boolean silent;
+    private volatile boolean watchesHeld;
 
     synchronized void put(String key, String value) {
         put(key, value.getBytes(StandardCharsets.UTF_8), 0);
@@ -49,11 +59,25 @@
         down = isDown;
     }
 
+    /** Leaves all calls without an answer, as behind a partition; they fail after a while. */
+    void setSilent(boolean isSilent) {
+        silent = isSilent;
+    }
+
+    /** Leaves watches that wait for changes without an answer; other calls are answered. */
+    void holdWatches(boolean areHeld) {
+        watchesHeld = areHeld;
+    }
+
     /** Makes the next watch report that the changes since its revision are no longer known. */
     void loseHistory() {
         historyLost = true;
     }
 
+    long watches() {
+        return watches.get();
+    }
+
     synchronized long revision() {
         return revision;
     }
@@ -68,6 +92,9 @@
 
     private <T> Mono<T> call(java.util.function.Supplier<T> answer) {
         return Mono.defer(() -> {
+            if (silent) {
+                return Mono.<T>never().timeout(UNANSWERED);
+            }
             if (down) {
                 return Mono.error(new PeerException(
                         ProcessingStep.KEY_VALUE, "store", RunState.NOT_RUN, "store is set down by the test"));
@@ -85,11 +112,17 @@
 
     @Override
     public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis) {
+        watches.incrementAndGet();
         return call(() -> changes(afterRevision))
                 .repeatWhen(again -> again.delayElements(POLL))
                 .filter(found -> found.isEmpty() || !found.get().items().isEmpty())
+                .filter(found -> !watchesHeld)
                 .next()
-                .timeout(Duration.ofMillis(waitMillis), call(() -> changes(afterRevision)));
+                .timeout(
+                        Duration.ofMillis(waitMillis),
+                        Mono.defer(() -> watchesHeld && waitMillis >= HELD_WAIT_MILLIS
+                                ? Mono.<Optional<Changes>>never().timeout(UNANSWERED)
+                                : call(() -> changes(afterRevision))));
     }
 
     private Optional<Changes> changes(long afterRevision) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -17,6 +18,9 @@
     /** Time that an engine takes for a long prompt. */
     private static final long SLOW_FIRST_EVENT_MILLIS = 600;
 
+    /** Streams that are taken up at about the same time. */
+    private static final int STREAMS = 24;
+
     private RelaySystem system;
     private RelaySystem restarted;
 
@@ -181,4 +185,53 @@
         answer = takeUp(node, "t2", "not known");
         assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n") : answer;
     }
+
+    /**
+     * The node has been cut off from the metadata store, or was suspended, while engines of another version registered;
+     * the stream began there through another node.
+     */
+    @Example
+    void unknownStreamIsRefusedWhileNewRegistrationsMayBeMissing() throws Exception {
+        ScriptedUpstream first = system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        system.store.setSilent(true);
+        system.engine("i-2", "v2", MixedVersionsTest::beginOrGoOn);
+        String answer = takeUp(system, "t1", "began at v2");
+        assert answer.startsWith("HTTP/1.1 503") : answer;
+        assert resumedAt(first).isEmpty() : resumedAt(first);
+        system.store.setSilent(false);
+        system.store.remove("servers/i-2");
+        system.awaitStoreApplied();
+    }
+
+    /** The node's watch is behind, but the metadata store answers other calls; the stream was reported meanwhile. */
+    @Example
+    void unknownStreamGoesOnAtItsVersionOnceTheStoreHasBeenAsked() throws Exception {
+        ScriptedUpstream first = system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        system.store.holdWatches(true);
+        ScriptedUpstream second = system.engine("i-2", "v2", MixedVersionsTest::beginOrGoOn);
+        system.store.put("cowslipbank/streams/n2/1.0", "{\"llm\":{\"v2\":[\"r1\"],\"v1\":[]}}");
+        String answer = takeUp(system, "t1", "r1");
+        assert answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n") : answer;
+        assert resumedAt(first).isEmpty() && resumedAt(second).equals(List.of("t1")) : resumedAt(first);
+        assert takeUp(system, "t2", "not known").startsWith("HTTP/1.1 503");
+        assert resumedAt(first).isEmpty() && resumedAt(second).size() == 1 : resumedAt(second);
+    }
+
+    /** Failure guarded against: asking the metadata store keeps sound streams from being taken up. */
+    @Example
+    void manyUnknownStreamsGoOnAtTheOnlyVersionWithFewCalls() throws Exception {
+        system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.engine("i-2", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        long callsBefore = system.store.watches();
+        List<String> answers = IntStream.range(0, STREAMS)
+                .parallel()
+                .mapToObj(number -> takeUp(system, "t" + number, "began elsewhere " + number))
+                .toList();
+        assert answers.stream().allMatch(answer -> answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"))
+                : answers;
+        assert system.store.watches() - callsBefore <= STREAMS / 2 : system.store.watches() - callsBefore;
+    }
 }
