Count a software version whose engines registered and left unseen

Engines of a second version that registered and left between two answers of the metadata store were applied and dropped before the versions were recorded. The node went on as if the service had had one version, and resumed their streams at the other one.

All registrations since the last record count now, also those that have been removed again, so the version is remembered for the life of its streams.

MixedVersionsTest.versionThatCameAndLeftUnseenCounts failed before with an answer of 200 instead of 503 (mvn -pl entry -am -Dtest=MixedVersionsTest test) and passes now.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -65,6 +66,9 @@
 
     private Optional<RouteTable> routes = Optional.empty();
     private Set<String> streamServices = Set.of();
+    /** Registrations since the software versions were recorded last; some may have been removed again. */
+    private final List<UpstreamServer> unrecorded = new ArrayList<>();
+
     private Optional<NodeItems.RolloutAnnouncement> rollout = Optional.empty();
     private Optional<String> leader = Optional.empty();
     private FleetTree tree = FleetTree.EMPTY;
@@ -97,13 +101,25 @@
     void recordSoftwareVersions(long nowMillis) {
         Map<String, Set<String>> versions = new HashMap<>();
         streamServices.forEach(service -> versions.put(service, new HashSet<>()));
-        for (UpstreamServer server : servers.values()) {
+        addVersions(versions, servers.values());
+        if (!servers.values().containsAll(unrecorded)) {
+            // An upstream that has left meanwhile may have begun streams.
+            Map<String, Set<String>> passed = new HashMap<>();
+            versions.forEach((service, registered) -> passed.put(service, new HashSet<>(registered)));
+            addVersions(passed, unrecorded);
+            passed.forEach((service, seen) -> origins.onRegistered(service, seen, nowMillis));
+        }
+        unrecorded.clear();
+        versions.forEach((service, registered) -> origins.onRegistered(service, registered, nowMillis));
+    }
+
+    private static void addVersions(Map<String, Set<String>> versions, Collection<UpstreamServer> upstreams) {
+        for (UpstreamServer server : upstreams) {
             Set<String> ofService = versions.get(server.service());
             if (ofService != null) {
                 ofService.add(server.softwareVersion());
             }
         }
-        versions.forEach((service, registered) -> origins.onRegistered(service, registered, nowMillis));
     }
 
     /** Returns a snapshot; one that differs from the previous one in the revision alone shares its content. */
@@ -380,6 +396,7 @@
         }
         dropVanishedAtMillis.remove(server.id());
         servers.put(server.id(), server);
+        unrecorded.add(server);
         if (known == null
                 || !known.incarnation().equals(server.incarnation())
                 || known.draining() != server.draining()) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/MixedVersionsTest.java
@@ -219,6 +219,18 @@
         assert resumedAt(first).isEmpty() && resumedAt(second).size() == 1 : resumedAt(second);
     }
 
+    /** The engines of another version have registered and left between two answers of the metadata store. */
+    @Example
+    void versionThatCameAndLeftUnseenCounts() throws Exception {
+        ScriptedUpstream first = system.engine("i-1", "v1", MixedVersionsTest::beginOrGoOn);
+        system.start();
+        system.store.holdWatches(true);
+        system.engine("i-2", "v2", MixedVersionsTest::beginOrGoOn);
+        system.store.remove("servers/i-2");
+        assert takeUp(system, "t1", "began at v2").startsWith("HTTP/1.1 503");
+        assert resumedAt(first).isEmpty() : resumedAt(first);
+    }
+
     /** Failure guarded against: asking the metadata store keeps sound streams from being taken up. */
     @Example
     void manyUnknownStreamsGoOnAtTheOnlyVersionWithFewCalls() throws Exception {
