Skip an item of the store that cannot be used, and follow the others

An item among those of the nodes without addresses, or with ones that cannot be parsed, was taken for a node: clients were told its address, and load digests to all nodes after it were not sent, because parsing its address failed in that round. An unexpected error in any item failed the whole answer of the metadata store, and the watch met it again at once.

Registrations of nodes need usable addresses now, by the same check as those of upstreams, and an error in one item is logged and skips that item alone.

The drawn items alone found no error that the guard catches, so it is for errors that no decoder is known to have.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -19,6 +19,7 @@
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
+import org.cowslipbank.model.relay.IpPort;
 
 /** Keys and encoding of the items that nodes themselves write into the metadata store. */
 final class NodeItems {
@@ -28,6 +29,7 @@
     private static final String SOUND = "sound/";
     private static final String PROBES = "probes/";
     private static final String ORIGINS = "streams/";
+    private static final double MAX_CORES = 100_000;
 
     private final String prefix;
 
@@ -127,6 +129,7 @@
 
     static RegisteredNode decodeNode(String name, byte[] value) throws IOException {
         JsonNode tree = MAPPER.readTree(value);
+        requireUsable(name, tree);
         return new RegisteredNode(
                 name,
                 tree.path("address").asText(),
@@ -139,6 +142,24 @@
                 tree.path("cutOff").asBoolean());
     }
 
+    private static void requireUsable(String name, JsonNode tree) throws IOException {
+        if (name.isEmpty()
+                || name.contains("/")
+                || !IpPort.isValid(tree.path("address").asText())) {
+            throw new IOException("registration of a node lacks its name, or its address is not IP:port");
+        }
+        for (String field : List.of("digestAddress", "feedAddress")) {
+            String address = tree.path(field).asText();
+            if (!address.isEmpty() && !IpPort.isValid(address)) {
+                throw new IOException(field + " of a node is not IP:port");
+            }
+        }
+        double cores = tree.path("processorCores").asDouble();
+        if (!(cores >= 0 && cores <= MAX_CORES)) {
+            throw new IOException("processorCores of a node is no number of cores");
+        }
+    }
+
     static byte[] encodeRollout(RolloutAnnouncement rollout) {
         ObjectNode value = MAPPER.createObjectNode();
         value.put("by", rollout.by());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -242,7 +242,7 @@
 
     private OptionalLong markedEra(List<StoreItem> all) {
         for (StoreItem item : all) {
-            if (item.key().equals(items.completeEraKey())) {
+            if (item.key().equals(items.completeEraKey()) && !item.isRemoved()) {
                 return NodeItems.decodeEra(item.value());
             }
         }
@@ -329,8 +329,20 @@
         return changed;
     }
 
-    /** Returns false for a heartbeat of an upstream, which changes nothing that is known. */
+    /** Returns false for a heartbeat of an upstream, which changes nothing that is known, and for an item that fails. */
     private boolean apply(StoreItem item, long nowMillis) {
+        try {
+            return applyDecoded(item, nowMillis);
+        } catch (RuntimeException | StackOverflowError e) {
+            // The watch would fail at this item again and again.
+            log.logState(LogFields.event("unexpected error in item; ignored")
+                    .field("key", item.key())
+                    .error(e));
+            return false;
+        }
+    }
+
+    private boolean applyDecoded(StoreItem item, long nowMillis) {
         PlatformRecord decoded = decoder.decode(item);
         if (decoded instanceof PlatformRecord.Registered registered) {
             return registrations.isNew(
