Reject messages of other nodes that cannot be decoded safely

A load digest or a message of the hub feed with a length beyond its end made the decoder allocate that length: 2 GB for a datagram of a few bytes, at which the process ran out of memory. Other malformed MessagePack raised unchecked exceptions where only IOException was expected. A null among the items or positions failed later, in the hub while it answered polls, or in the member, whose polls then ended although it read nothing else. A limit that is not a number kept all requests from its upstream.

A message is skipped through before it is mapped, which checks every length without allocating, and all errors become IOException. Entries that are null, not finite or beyond any load are malformed. A member polls on after an error in what it does with an answer.

OddItemsTest.messagesAreDecodedOrMalformed puts 13 odd pieces at each byte of three messages and cuts them everywhere. Before: "Cannot convert NEVER_USED to ValueType", MessageInsufficientBufferException, and with those caught "Java heap space", which ended the test's process (mvn -pl entry -am -Dtest=OddItemsTest test). It passes now. The guard of the member's polls has no test: no valid message is known to fail there.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/FeedMessages.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/FeedMessages.java
@@ -78,6 +78,12 @@
                     changes.changes().stream().map(CacheChangeMessage::of).toList());
         }
 
+        boolean isComplete() {
+            return changes != null
+                    && changes.stream()
+                            .allMatch(change -> change != null && change.scope() != null && change.partId() != null);
+        }
+
         CacheChanges decode() {
             OptionalLong clock = clockMillis == UNKNOWN_CLOCK ? OptionalLong.empty() : OptionalLong.of(clockMillis);
             return new CacheChanges(
@@ -111,18 +117,24 @@
     }
 
     static PollRequest decodePollRequest(byte[] bytes) throws IOException {
-        PollRequest poll = MAPPER.readValue(bytes, PollRequest.class);
-        if (poll == null || poll.stores() == null) {
-            throw new IOException("hub feed poll lacks the field stores");
+        PollRequest poll = MessagePackReader.read(MAPPER, bytes, PollRequest.class);
+        if (poll.stores() == null || poll.stores().containsValue(null)) {
+            throw new IOException("hub feed poll lacks the field stores, or a position in one");
         }
         return poll;
     }
 
     static PollAnswer decodePollAnswer(byte[] bytes) throws IOException {
-        PollAnswer answer = MAPPER.readValue(bytes, PollAnswer.class);
-        if (answer == null || answer.items() == null || answer.stores() == null) {
+        PollAnswer answer = MessagePackReader.read(MAPPER, bytes, PollAnswer.class);
+        if (answer.items() == null || answer.stores() == null) {
             throw new IOException("hub feed answer lacks the field items or stores");
         }
+        if (!answer.items().stream().allMatch(item -> item != null && item.key() != null)) {
+            throw new IOException("hub feed answer has an item without a key");
+        }
+        if (!answer.stores().values().stream().allMatch(changes -> changes != null && changes.isComplete())) {
+            throw new IOException("hub feed answer has incomplete changes of a cache store");
+        }
         return answer;
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
@@ -219,12 +219,17 @@
             fallBackToStore(HISTORY_GAP_FALLBACK_MILLIS);
             return;
         }
-        handlers.onMetadata().accept(answer.get(), sentAt);
-        handlers.onCacheStores().accept(from, poll, answer.get());
+        // Without the guard, an error would end the polls, while the node does not read the metadata store either.
+        new GuardedTask("hub answer", () -> deliver(from, poll, answer.get(), sentAt), log).run();
         long pauseMillis = handlers.hasRequests().getAsBoolean() ? POLL_PAUSE_MILLIS : IDLE_POLL_PAUSE_MILLIS;
         loop.schedule(this::pollNext, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
+    private void deliver(String from, PollRequest poll, PollAnswer answer, LeaderLease.ClockReading sentAt) {
+        handlers.onMetadata().accept(answer, sentAt);
+        handlers.onCacheStores().accept(from, poll, answer);
+    }
+
     private void onPollFailed(Throwable error) {
         log.logState(LogFields.event("hub has no answer; asking the metadata store")
                 .field("hub", hub)
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -103,6 +103,10 @@
                     observation.upstream(), observation.requestsPerSecond().orElse(NONE), observation.ageMillis());
         }
 
+        boolean isPlausible() {
+            return Double.isFinite(requestsPerSecond);
+        }
+
         UpstreamLimits.Observation decode() {
             OptionalDouble rate = requestsPerSecond < 0 ? OptionalDouble.empty() : OptionalDouble.of(requestsPerSecond);
             return new UpstreamLimits.Observation(upstream, rate, ageMillis);
@@ -112,7 +116,21 @@
     /** Load at one upstream, encoded as an array; {@code server} is a hash of the upstream's identifier. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({"server", "requests", "tokens", "unreadTokens"})
-    record Entry(int server, int requests, long tokens, long unreadTokens) {}
+    record Entry(int server, int requests, long tokens, long unreadTokens) {
+        /** Far above the load of one upstream; sums over all nodes do not overflow. */
+        private static final long MAX_TOKENS = 1L << 40;
+
+        private static final int MAX_REQUESTS = 1_000_000;
+
+        boolean isPlausible() {
+            return requests >= 0
+                    && requests <= MAX_REQUESTS
+                    && tokens >= 0
+                    && tokens <= MAX_TOKENS
+                    && unreadTokens >= 0
+                    && unreadTokens <= MAX_TOKENS;
+        }
+    }
 
     LoadDigests(
             RegisteredNode self,
@@ -273,10 +291,7 @@
     private void onPacket(DatagramPacket packet) {
         turns.onEvent();
         try {
-            LoadDigest digest = MAPPER.readValue(ByteBufUtil.getBytes(packet.content()), LoadDigest.class);
-            if (digest == null || digest.scope() == null || digest.work() == null) {
-                throw new IOException("load digest lacks the field scope or work");
-            }
+            LoadDigest digest = decode(ByteBufUtil.getBytes(packet.content()));
             Map<Integer, FleetLoads.Load> byServer = new HashMap<>();
             digest.work()
                     .forEach(entry -> byServer.put(
@@ -302,6 +317,24 @@
         }
     }
 
+    static LoadDigest decode(byte[] bytes) throws IOException {
+        LoadDigest digest = MessagePackReader.read(MAPPER, bytes, LoadDigest.class);
+        if (digest.scope() == null || digest.work() == null) {
+            throw new IOException("load digest lacks the field scope or work");
+        }
+        if (!digest.work().stream().allMatch(entry -> entry != null && entry.isPlausible())) {
+            throw new IOException("load digest has an entry without a plausible load");
+        }
+        if (digest.limits() != null
+                && !digest.limits().stream().allMatch(entry -> entry != null && entry.isPlausible())) {
+            throw new IOException("load digest has a limit that is no number");
+        }
+        if (digest.leaving() != null && digest.leaving().contains(null)) {
+            throw new IOException("load digest names no upstream that leaves");
+        }
+        return digest;
+    }
+
     private static byte[] encode(LoadDigest digest) {
         try {
             return MAPPER.writeValueAsBytes(digest);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -244,7 +244,7 @@
 
     /** Applies a hub's answer. */
     void onHubAnswer(FeedMessages.PollAnswer answer, LeaderLease.ClockReading sentAt) {
-        control.schedule(() -> {
+        Runnable applying = () -> {
             onContact();
             state.onReconnected(clocks.nowMillis() - answer.contactBackAgeMillis());
             state.applyChanges(
@@ -255,7 +255,8 @@
                     clocks.nowMillis());
             confirm(sentAt.plus(answer.heldMillis() - answer.confirmedAgeMillis()));
             publish();
-        });
+        };
+        control.schedule(new GuardedTask("changes of the hub", applying, log));
     }
 
     private void watch() {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
@@ -1,8 +1,12 @@
 package org.cowslipbank.entry.relay;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import net.jqwik.api.Arbitraries;
@@ -12,6 +16,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.entry.traffic.MonotonicClock;
@@ -192,4 +197,117 @@
         InetSocketAddress parsed = SocketAddresses.parse(address);
         assert !parsed.isUnresolved() && parsed.getPort() > 0 : address;
     }
+
+    /** Decodes a message; only the stated exception is allowed. */
+    private interface Decoder {
+        Object decode(byte[] bytes) throws IOException;
+    }
+
+    private static final List<Decoder> DECODERS = List.of(
+            LoadDigests::decode,
+            FeedMessages::decodePollRequest,
+            bytes -> FeedMessages.decodePollAnswer(bytes).items().stream()
+                    .map(FeedMessages.ItemMessage::decode)
+                    .toList(),
+            bytes -> FeedMessages.decodePollAnswer(bytes).stores().values().stream()
+                    .map(FeedMessages.CacheChangesMessage::decode)
+                    .toList());
+
+    private static final List<byte[]> MESSAGES = List.of(
+            FeedMessages.encode(new LoadDigests.LoadDigest(
+                    FleetLoads.Scope.NODE,
+                    1,
+                    0,
+                    List.of(new LoadDigests.Entry(7, 1, 2, 3)),
+                    List.of(new LoadDigests.LimitEntry(7, 2.5, 10)),
+                    List.of(9))),
+            FeedMessages.encode(new FeedMessages.PollRequest(5, Map.of("st", 3L))),
+            FeedMessages.encode(new FeedMessages.PollAnswer(
+                    5,
+                    List.of(new FeedMessages.ItemMessage("k", new byte[] {1}, 4, 4, 0)),
+                    1,
+                    2,
+                    3,
+                    Map.of(
+                            "st",
+                            new FeedMessages.CacheChangesMessage(
+                                    1,
+                                    2,
+                                    false,
+                                    3,
+                                    List.of(new FeedMessages.CacheChangeMessage(true, "s", "p", 4)))))));
+
+    /** MessagePack for nil, lengths without contents, nested arrays and maps, numbers at the limits, and NaN. */
+    private static final List<byte[]> PIECES = List.of(
+            bytes(0xc0),
+            bytes(0xc1),
+            bytes(0xc6, 0x7f, 0xff, 0xff, 0xff),
+            bytes(0xc9, 0x7f, 0xff, 0xff, 0xff, 1),
+            bytes(0xdb, 0x7f, 0xff, 0xff, 0xff),
+            bytes(0xdd, 0xff, 0xff, 0xff, 0xff),
+            bytes(0xdf, 0x7f, 0xff, 0xff, 0xff),
+            bytes(0xcf, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff),
+            bytes(0xd3, 0x80, 0, 0, 0, 0, 0, 0, 0),
+            bytes(0xcb, 0x7f, 0xf8, 0, 0, 0, 0, 0, 0),
+            bytes(0xcb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0),
+            nested(0x91),
+            nested(0x81));
+
+    private static byte[] bytes(int... values) {
+        byte[] bytes = new byte[values.length];
+        for (int index = 0; index < values.length; index++) {
+            bytes[index] = (byte) values[index];
+        }
+        return bytes;
+    }
+
+    private static byte[] nested(int header) {
+        byte[] bytes = new byte[DEEP];
+        Arrays.fill(bytes, (byte) header);
+        return bytes;
+    }
+
+    private static byte[] replaceAt(byte[] message, int index, byte[] piece) {
+        byte[] changed = new byte[message.length - 1 + piece.length];
+        System.arraycopy(message, 0, changed, 0, index);
+        System.arraycopy(piece, 0, changed, index, piece.length);
+        System.arraycopy(message, index + 1, changed, index + piece.length, message.length - index - 1);
+        return changed;
+    }
+
+    @Example
+    void messagesAreDecodedOrMalformed() {
+        List<byte[]> odd = new ArrayList<>(PIECES);
+        for (byte[] message : MESSAGES) {
+            for (int index = 0; index < message.length; index++) {
+                odd.add(Arrays.copyOf(message, index));
+                for (byte[] piece : PIECES) {
+                    odd.add(replaceAt(message, index, piece));
+                }
+            }
+        }
+        odd.forEach(OddItemsTest::decodeAll);
+    }
+
+    @Property(tries = 300, seed = "33")
+    void bytesAreDecodedOrMalformed(@ForAll byte[] bytes) {
+        decodeAll(bytes);
+    }
+
+    private static void decodeAll(byte[] bytes) {
+        for (Decoder decoder : DECODERS) {
+            try {
+                Object decoded = decoder.decode(bytes);
+                if (decoded instanceof LoadDigests.LoadDigest digest && digest.limits() != null) {
+                    digest.limits().forEach(limit -> {
+                        double rate = limit.decode().requestsPerSecond().orElse(0);
+                        assert Double.isFinite(rate) : rate;
+                    });
+                }
+            } catch (IOException e) {
+                // Malformed, which callers expect.
+                continue;
+            }
+        }
+    }
 }
