Keep all nodes together from overrunning brittle upstreams

Upstreams may say in their answers that they fall over once they have to reject more than N requests in a second (Server-Brittle). Nodes did not read it. Callers saw services whose upstreams fell over again and again: each node sent as many requests as came, and each upstream that came back was filled by all nodes at once.

BrittleUpstreamTest plays three upstreams of 6 slots without a queue that state 2, before three nodes with 12 clients each; one node starts under load.

The notice is decoded, kept by incarnation, ended and shared in digests as the others are, and is not forwarded. Digests are older than a plain request lasts, so the bound does not depend on them: each node has a fixed share of an upstream's slots and of a quarter of N, and a rejected or unanswered request keeps its slot for 1.1 s. The shares add up to the slots and N/4, so no more than N/4 can be rejected in a second while the nodes agree on their list, and 3N/4 are left for when they do not. An upstream that has not answered yet counts as its service does, because those that fall over come back in the same need; a node that has heard nothing of a service keeps within its share of it. A plain service with fewer slots than nodes is shared in turns.

BrittleUpstreamsTest checks the bound for 1 to 90 nodes at every moment of 4 s under overload.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamNotices.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamNotices.java
@@ -15,7 +15,7 @@
 
 /**
  * What upstreams say of themselves in their answers, and whether they may get a request: a limit on their requests
- * ({@link UpstreamLimits}), that they leave, or that they want a pause.
+ * ({@link UpstreamLimits}), that they leave, that they want a pause, or that they are brittle ({@link BrittleUpstreams}).
  *
  * <p>Load pattern: an upstream in need is relieved by its own word, before its registration or its failures tell. A limit
  * counts the requests of all nodes and its end matters as well, so nodes tell each other both. Leaving is true for all nodes,
@@ -34,6 +34,7 @@
     static final int MAX_LEAVING = 4_000;
 
     private final UpstreamLimits limits = new UpstreamLimits();
+    private final BrittleUpstreams brittle = new BrittleUpstreams();
     private final Map<String, Pause> pauses = new HashMap<>();
     private final Map<Integer, Long> leavingSinceMillis =
             Collections.synchronizedMap(BoundedMap.byAddition(MAX_LEAVING));
@@ -53,7 +54,13 @@
         /** The upstream leaves. */
         LEAVING,
         /** The upstream asks for a pause, or for a longer one. */
-        PAUSED
+        PAUSED,
+        /** The upstream begins to say that it is brittle. */
+        BRITTLE,
+        /** The upstream can reject another number of requests than before. */
+        BRITTLE_CHANGED,
+        /** The upstream no longer says that it is brittle. */
+        BRITTLE_ENDED
     }
 
     /**
@@ -77,9 +84,20 @@
                 && pause(incarnation, notice.pauseMillis().getAsLong(), nowMillis)) {
             changes.add(Change.PAUSED);
         }
+        brittle.onAnswer(incarnation, notice.maxRejectionsPerSecond(), sentMillis, nowMillis)
+                .map(UpstreamNotices::changeOf)
+                .ifPresent(changes::add);
         return changes;
     }
 
+    private static Change changeOf(BrittleUpstreams.Change change) {
+        return switch (change) {
+            case BEGUN -> Change.BRITTLE;
+            case CHANGED -> Change.BRITTLE_CHANGED;
+            case ENDED -> Change.BRITTLE_ENDED;
+        };
+    }
+
     private boolean pause(String incarnation, long pauseMillis, long nowMillis) {
         long untilMillis = nowMillis + Math.min(MAX_PAUSE_MILLIS, pauseMillis);
         Pause pause = pauses.computeIfAbsent(incarnation, key -> new Pause());
@@ -185,6 +203,15 @@
         return limits;
     }
 
+    /**
+     * Returns what is known of brittle upstreams, as nodes exchange it.
+     *
+     * @return the brittle upstreams
+     */
+    public BrittleUpstreams brittle() {
+        return brittle;
+    }
+
     /**
      * Returns which upstreams this node has recently learned to be leaving, for the other nodes.
      *
--- a/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamNoticesTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/UpstreamNoticesTest.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -18,12 +19,13 @@
 final class UpstreamNoticesTest {
     private static final String SERVER = "i-1@1";
     private static final UpstreamNotice LEAVES =
-            new UpstreamNotice(OptionalDouble.empty(), true, OptionalLong.empty(), List.of());
+            new UpstreamNotice(OptionalDouble.empty(), true, OptionalLong.empty(), OptionalInt.empty(), List.of());
 
     private final UpstreamNotices notices = new UpstreamNotices();
 
     private static UpstreamNotice pause(long millis) {
-        return new UpstreamNotice(OptionalDouble.empty(), false, OptionalLong.of(millis), List.of());
+        return new UpstreamNotice(
+                OptionalDouble.empty(), false, OptionalLong.of(millis), OptionalInt.empty(), List.of());
     }
 
     /** Failure guarded against: an answer to an earlier request, without the header, ends a pause. */
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -245,9 +245,8 @@
         }
         // Read first, so that the versions below include all that it stands for.
         boolean current = context.readings().isApplied(stateReading);
-        Optional<String> known = forwarding
-                .flatMap(Forwarding::softwareVersion)
-                .or(() -> context.origins().find(service, request.resumes().orElse("")));
+        Optional<String> known = forwarding.flatMap(Forwarding::softwareVersion).or(() -> context.origins()
+                .find(service, request.resumes().orElse("")));
         Optional<String> version = known.or(() -> context.origins().onlyVersion(service, now()));
         if (version.isEmpty()) {
             waitOrRefuse("stream_origin_unknown", ORIGIN_WAIT_MILLIS);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -24,6 +25,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
+import org.cowslipbank.decision.relay.BrittleUpstreams;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.UpstreamLimits;
@@ -81,7 +83,7 @@
 
     /** A digest, encoded as an array; {@code node} is a hash of the sender's name. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving", "contactAgeMillis"})
+    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving", "contactAgeMillis", "brittle"})
     @JsonIgnoreProperties(ignoreUnknown = true)
     record LoadDigest(
             FleetLoads.Scope scope,
@@ -90,7 +92,8 @@
             List<Entry> work,
             List<LimitEntry> limits,
             List<Integer> leaving,
-            Long contactAgeMillis) {}
+            Long contactAgeMillis,
+            List<BrittleEntry> brittle) {}
 
     /** Limit of one upstream, encoded as an array; a rate below zero says that it no longer names one. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -113,6 +116,29 @@
         }
     }
 
+    /** Rejections that one upstream withstands, encoded as an array; below zero if it no longer names a number. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"upstream", "maxRejectionsPerSecond", "ageMillis"})
+    record BrittleEntry(int upstream, int maxRejectionsPerSecond, long ageMillis) {
+        private static final int NONE = -1;
+
+        private boolean isPlausible() {
+            return maxRejectionsPerSecond >= NONE && ageMillis >= 0;
+        }
+
+        static BrittleEntry of(BrittleUpstreams.Observation observation) {
+            return new BrittleEntry(
+                    observation.upstream(), observation.maxRejectionsPerSecond().orElse(NONE), observation.ageMillis());
+        }
+
+        BrittleUpstreams.Observation decode() {
+            return new BrittleUpstreams.Observation(
+                    upstream,
+                    maxRejectionsPerSecond < 0 ? OptionalInt.empty() : OptionalInt.of(maxRejectionsPerSecond),
+                    ageMillis);
+        }
+    }
+
     /** Load at one upstream, encoded as an array; {@code server} is a hash of the upstream's identifier. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({"server", "requests", "tokens", "unreadTokens"})
@@ -246,6 +272,7 @@
         List<Integer> leaving = notices.leavingToTell(clocks.nowMillis());
         OptionalLong contact = reachability.ageToTell(source -> isTold(source, scope, name), clocks.nowMillis());
         Long contactAgeMillis = contact.isPresent() ? contact.getAsLong() : null;
+        List<BrittleUpstreams.Observation> brittle = notices.brittle().observations(clocks.nowMillis());
         for (int part = 0; part < datagrams; part++) {
             LoadDigest digest = new LoadDigest(
                     scope,
@@ -254,7 +281,8 @@
                     entries.get(part),
                     limitEntries.get(part),
                     leavingOfPart(leaving, part, datagrams),
-                    contactAgeMillis);
+                    contactAgeMillis,
+                    brittleOfPart(brittle, part, datagrams));
             ByteBuf content = Unpooled.wrappedBuffer(encode(digest));
             channel.write(
                     new DatagramPacket(content, SocketAddresses.parse(node.digestAddress())), channel.voidPromise());
@@ -277,6 +305,14 @@
                 .toList();
     }
 
+    private static List<BrittleEntry> brittleOfPart(
+            List<BrittleUpstreams.Observation> observations, int part, int datagrams) {
+        return observations.stream()
+                .filter(observation -> Math.floorMod(observation.upstream(), datagrams) == part)
+                .map(BrittleEntry::of)
+                .toList();
+    }
+
     private List<List<LimitEntry>> limitEntries(int datagrams) {
         List<List<LimitEntry>> byPart = new ArrayList<>();
         for (int part = 0; part < datagrams; part++) {
@@ -299,7 +335,7 @@
                             new FleetLoads.Load(entry.requests(), entry.tokens(), entry.unreadTokens())));
             fleetLoads.onDigest(
                     new FleetLoads.Source(digest.scope(), digest.node(), digest.part()), byServer, clocks.nowMillis());
-            // Nodes of an earlier release send no limits and no leaving upstreams.
+            // Nodes of an earlier release send no limits, no leaving and no brittle upstreams.
             List<LimitEntry> named = digest.limits() == null ? List.of() : digest.limits();
             named.forEach(entry -> notices.limits().onObservation(entry.decode(), clocks.nowMillis()));
             List<Integer> leaving = digest.leaving() == null ? List.of() : digest.leaving();
@@ -310,6 +346,8 @@
                         digest.contactAgeMillis(),
                         clocks.nowMillis());
             }
+            List<BrittleEntry> brittle = digest.brittle() == null ? List.of() : digest.brittle();
+            brittle.forEach(entry -> notices.brittle().onObservation(entry.decode(), clocks.nowMillis()));
         } catch (IOException e) {
             log.logRequest(LogFields.event("cannot decode load digest; ignored")
                     .peer(String.valueOf(packet.sender()))
@@ -329,6 +367,13 @@
                 && !digest.limits().stream().allMatch(entry -> entry != null && entry.isPlausible())) {
             throw new IOException("load digest has a limit that is no number");
         }
+        if (digest.brittle() != null
+                && !digest.brittle().stream().allMatch(entry -> entry != null && entry.isPlausible())) {
+            throw new IOException("load digest has a limit of rejections that is no number");
+        }
+        if (digest.contactAgeMillis() != null && digest.contactAgeMillis() < UpstreamReachability.ASKS) {
+            throw new IOException("load digest has a contact age below zero");
+        }
         if (digest.leaving() != null && digest.leaving().contains(null)) {
             throw new IOException("load digest names no upstream that leaves");
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -148,7 +148,7 @@
                 || !IpPort.isValid(tree.path("address").asText())) {
             throw new IOException("registration of a node lacks its name, or its address is not IP:port");
         }
-        for (String field : List.of("digestAddress", "feedAddress")) {
+        for (String field : List.of("digestAddress", "feedAddress", "forwardingAddress")) {
             String address = tree.path(field).asText();
             if (!address.isEmpty() && !IpPort.isValid(address)) {
                 throw new IOException(field + " of a node is not IP:port");
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NoticeRecorder.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NoticeRecorder.java
@@ -42,6 +42,9 @@
                     .field("source", "answer")
                     .field("requestsPerSecond", notice.requestsPerSecond().orElse(-1))
                     .field("pauseMillis", notice.pauseMillis().orElse(-1))
+                    .field(
+                            "maxRejectionsPerSecond",
+                            notice.maxRejectionsPerSecond().orElse(-1))
                     .field("nodes", view.get().nodes().size()));
         }
         if (!notice.ignored().isEmpty()) {
@@ -58,6 +61,9 @@
             case UNLIMITED -> "upstream no longer names a request limit";
             case LEAVING -> "upstream leaves";
             case PAUSED -> "upstream asks for a pause";
+            case BRITTLE -> "upstream says that it is brittle";
+            case BRITTLE_CHANGED -> "upstream can reject another number of requests";
+            case BRITTLE_ENDED -> "upstream is no longer brittle";
         };
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -279,12 +279,15 @@
         cacheStores.refresh();
         loads.retain(view.incarnations());
         notices.retain(view.incarnations());
+        notices.brittle().setUpstreams(view.servers().values());
         forwarding.retain(view.nodes().keySet());
         Set<String> sending = nodesThatSend(view);
         if (!sending.equals(sharingNodes)) {
             sharingNodes = sending;
             List<String> names = sharingNodes.stream().sorted().toList();
-            notices.limits().setShare(names.size(), Math.max(0, names.indexOf(settings.nodeName())));
+            int index = Math.max(0, names.indexOf(settings.nodeName()));
+            notices.limits().setShare(names.size(), index);
+            notices.brittle().setShare(names.size(), index);
         }
     }
 
@@ -463,6 +466,8 @@
         metrics.register("platform.upstreams", (Gauge<Integer>)
                 () -> watcher.view().servers().size());
         metrics.register("upstream.connectionsOpened", (Gauge<Long>) connections::openedCount);
+        metrics.register("upstream.brittle", (Gauge<Integer>) notices.brittle()::size);
+        metrics.register("upstream.brittleRejections", (Gauge<Long>) notices.brittle()::rejections);
         metrics.register("cache.partsInStores", (Gauge<Integer>) cacheIndex::size);
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -268,6 +268,12 @@
                 && (probing
                         ? context.notices().mayProbe(server.incarnation(), now())
                         : context.notices().maySend(server.incarnation(), now()))
+                && context.notices()
+                        .brittle()
+                        .maySend(
+                                server,
+                                context.loads().inFlight(server.incarnation()).requests(),
+                                context.clocks().now())
                 && context.loads()
                         .isAvailable(server.incarnation(), context.turns().lastReadMillis());
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -134,6 +134,7 @@
     public void onEnded(Outcome outcome) {
         onPromptRead();
         context.loads().onEnded(server.incarnation(), tokens, outcome, now());
+        context.notices().brittle().onEnded(server.incarnation(), outcome, now());
         if (outcome == Outcome.BROKEN) {
             context.reachability().onBroken(now());
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CutHeadTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CutHeadTest.java
@@ -95,8 +95,8 @@
         EmbeddedChannel channel = new EmbeddedChannel();
         EventLoop loop = channel.eventLoop();
         LoopTurnTracker turns = new LoopTurnTracker(loop, Clocks.SYSTEM, (unreadMillis, nowMillis) -> {});
-        UpstreamConnectionPool pool =
-                new UpstreamConnectionPool(codec, Clocks.SYSTEM.monotonic(), turns, LOOPS, loop, address -> {});
+        UpstreamConnectionPool pool = new UpstreamConnectionPool(
+                codec, Clocks.SYSTEM.monotonic(), turns, LOOPS, loop, UpstreamConnectionPool.Events.IGNORED);
         UpstreamConnection connection = new UpstreamConnection(codec, pool, "10.0.0.1:80");
         channel.pipeline().addLast(new HttpClientCodec(), connection);
         Recorder recorder = new Recorder();
--- a/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
@@ -220,7 +220,9 @@
                     0,
                     List.of(new LoadDigests.Entry(7, 1, 2, 3)),
                     List.of(new LoadDigests.LimitEntry(7, 2.5, 10)),
-                    List.of(9))),
+                    List.of(9),
+                    120L,
+                    List.of(new LoadDigests.BrittleEntry(7, 2, 10)))),
             FeedMessages.encode(new FeedMessages.PollRequest(5, Map.of("st", 3L))),
             FeedMessages.encode(new FeedMessages.PollAnswer(
                     5,
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -97,7 +97,12 @@
 
     /** Creates a node that follows a store which another node has followed before. */
     RelaySystem(FakeMetadataStore store) throws IOException, PeerException {
-        this(Transport.PREFERRED, "n1", store, Optional.empty(), RETRY_SLACK);
+        this("n1", store);
+    }
+
+    /** Creates one of several nodes that follow the same store. */
+    RelaySystem(String name, FakeMetadataStore store) throws IOException, PeerException {
+        this(Transport.PREFERRED, name, store, Optional.empty(), RETRY_SLACK);
     }
 
     /** Creates one of several nodes, which sees the upstreams at the addresses of its own links to them. */
--- a/entry/src/test/java/org/cowslipbank/entry/relay/ScriptedUpstream.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/ScriptedUpstream.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 /** An upstream on a loopback socket that answers requests with the script of a test. */
 final class ScriptedUpstream implements Closeable {
@@ -35,6 +36,7 @@
     final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private volatile Script script;
+    private volatile long downUntilNanos = System.nanoTime();
 
     ScriptedUpstream(Script script) throws IOException {
         this.script = script;
@@ -57,10 +59,27 @@
         script = next;
     }
 
+    /** Resets all connections, and new ones for a while, as a process does that falls over and is started again. */
+    void fallOver(long millis) throws IOException {
+        downUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        for (Socket socket : sockets) {
+            sockets.remove(socket);
+            reset(socket);
+        }
+    }
+
+    private boolean isDown() {
+        return downUntilNanos - System.nanoTime() > 0;
+    }
+
     private void accept() {
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                if (isDown()) {
+                    reset(socket);
+                    continue;
+                }
                 sockets.add(socket);
                 Thread serving = new Thread(() -> serve(socket), "upstream-connection");
                 serving.setDaemon(true);
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SocketOptionsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SocketOptionsTest.java
@@ -84,7 +84,7 @@
         send(system.settings().listeners().clients(), system.request("/read/", "r", "Content-Length: 0\r\n\r\n"));
         for (int index = 0; index < HUBS; index++) {
             RegisteredNode node = new RegisteredNode(
-                    "h" + index, "127.0.0.1:9", "a", "", hub.address(), 1_000_000_000L + index, 0.75);
+                    "h" + index, "127.0.0.1:9", "a", "", hub.address(), "", 1_000_000_000L + index, 0.75, false);
             String value = new String(NodeItems.encodeNode(node), StandardCharsets.UTF_8);
             store.put("cowslipbank/nodes/h" + index, value);
         }
