Drop pipelined requests of a connection that is to be closed

Requests that are queued behind an answer which announces the close are never read. They were kept until the connection was closed, and since a connection with queued requests does not expire, a client that reads nothing could have kept it open for good.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -73,7 +73,6 @@
         this.server = server;
         this.decoder = decoder;
         this.context = context;
-        this.lastActivityMillis = context.clocks().nowMillis();
     }
 
     /**
@@ -360,6 +359,7 @@
         // The head of a long answer may have been sent before the node began to drain.
         if (closeAfter || server.isClosing()) {
             discardInput = true;
+            releasePipelined();
             lastWrite.addListener(done -> channel.close());
             return;
         }
@@ -368,6 +368,11 @@
         channel.executor().execute(this::readPipelined);
     }
 
+    private void releasePipelined() {
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+    }
+
     private void readPipelined() {
         while (!answering && !pipelined.isEmpty()) {
             read(pipelined.poll());
@@ -407,8 +412,7 @@
         context.turns().onEvent();
         server.onClosed(this);
         discard();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        releasePipelined();
         if (exchange != null) {
             Exchange abandoned = exchange;
             exchange = null;
