Read the options of a node's connections on its event loop

SocketOptionsTest.idleConnectionsToListenersExpire failed once in `mvn verify` ("Socket is closed"): the test read an option from its own thread while the node closed the connection of a finished readiness check. The connections are visited on the event loop now, where none is closed meanwhile. The assertions are unchanged.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.function.UnaryOperator;
@@ -352,15 +353,13 @@
         void run() throws InterruptedException;
     }
 
-    /** Returns the channels of the node, listening ones too. */
-    List<Channel> channels() {
-        List<Channel> channels = new ArrayList<>();
+    /** Visits the channels of the node, listening ones too, on its event loop, so that none of them is closed meanwhile. */
+    void forEachChannel(Consumer<Channel> visitor) {
         eventLoop
                 .submit(() -> ((SingleThreadEventLoop) eventLoop)
                         .registeredChannelsIterator()
-                        .forEachRemaining(channels::add))
+                        .forEachRemaining(visitor))
                 .syncUninterruptibly();
-        return channels;
     }
 
     RelayNode node() {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SocketOptionsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SocketOptionsTest.java
@@ -129,8 +129,8 @@
 
     /** Adds the connections that are open now to those seen before. */
     private void collect(Map<Peer, Channel> seen) {
-        for (Channel channel : system.channels()) {
-            if (channel instanceof SocketChannel) {
+        system.forEachChannel(channel -> {
+            if (channel instanceof SocketChannel && channel.isActive()) {
                 Peer peer = peersByRemotePort()
                         .getOrDefault(
                                 port(channel.remoteAddress()),
@@ -140,7 +140,7 @@
                     assertOptions(peer, channel);
                 }
             }
-        }
+        });
     }
 
     private static void assertOptions(Peer peer, Channel channel) {
