Count a failing upstream from its last failure, and test the cut's decision

Failures to connect expired 3 s after the first one, so that the evidence of a node that asks others in vain began anew every three seconds. They expire after the last one now.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamReachability.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamReachability.java
@@ -45,7 +45,7 @@
     static final int PROBES_TO_END = 2;
 
     /** Time for which a failed or successful probe counts. */
-    static final long PROBE_VALID_MILLIS = 3_000;
+    static final long PROBE_VALID_MILLIS = 4_000;
 
     /**
      * Time by which the contact of another node must be later than this node's first failure. What nodes tell is older by
@@ -65,7 +65,7 @@
     /** Time of an event that has not happened. */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final Map<String, Long> failedAtMillis = new HashMap<>();
+    private final Map<String, Failures> failures = new HashMap<>();
     private final Map<String, Long> reachedAtMillis = new HashMap<>();
     private final Map<String, Long> probedAtMillis = new HashMap<>();
     private final Set<String> probing = new HashSet<>();
@@ -78,6 +78,9 @@
     private boolean unconfirmed;
     private boolean cutOff;
 
+    /** Connections to an upstream that could not be opened, since the last one that could. */
+    private record Failures(long firstMillis, long lastMillis) {}
+
     /**
      * What a step has changed, and what it asks for.
      *
@@ -126,7 +129,7 @@
      */
     public Evidence evidence(long nowMillis) {
         return new Evidence(
-                failedAtMillis.size(),
+                failures.size(),
                 ageMillis(contactMillis, nowMillis),
                 ageMillis(newestTold(source -> true), nowMillis),
                 ageMillis(failingSinceMillis(), nowMillis));
@@ -137,7 +140,7 @@
     }
 
     private long failingSinceMillis() {
-        return failedAtMillis.values().stream().mapToLong(Long::longValue).min().orElse(NEVER);
+        return failures.values().stream().mapToLong(Failures::firstMillis).min().orElse(NEVER);
     }
 
     /**
@@ -160,10 +163,10 @@
         connectedMillis = nowMillis;
         probing.remove(address);
         if (cutOff) {
-            failedAtMillis.remove(address);
+            failures.remove(address);
             reachedAtMillis.put(address, nowMillis);
         } else {
-            failedAtMillis.clear();
+            failures.clear();
         }
     }
 
@@ -176,7 +179,10 @@
     public void onConnectFailed(String address, long nowMillis) {
         probing.remove(address);
         reachedAtMillis.remove(address);
-        failedAtMillis.putIfAbsent(address, nowMillis);
+        failures.merge(
+                address,
+                new Failures(nowMillis, nowMillis),
+                (earlier, last) -> new Failures(earlier.firstMillis(), last.lastMillis()));
     }
 
     /**
@@ -248,12 +254,12 @@
         if (wanted == 0) {
             return new Step(isAskedInVain(nowMillis) ? probeRepeatedly(upstreams, nowMillis) : List.of(), false, false);
         }
-        if (failedAtMillis.size() < wanted) {
-            int missing = wanted - failedAtMillis.size() - probing.size();
-            List<String> probes = probe(upstreams, address -> !failedAtMillis.containsKey(address), missing, nowMillis);
+        if (failures.size() < wanted) {
+            int missing = wanted - failures.size() - probing.size();
+            List<String> probes = probe(upstreams, address -> !failures.containsKey(address), missing, nowMillis);
             return new Step(probes, false, false);
         }
-        if (failedAtMillis.size() < Math.min(MAX_PROBED, upstreams.size())) {
+        if (failures.size() < Math.min(MAX_PROBED, upstreams.size())) {
             // The silence has led to the first failures; the next step probes the others.
             return Step.NONE;
         }
@@ -273,7 +279,7 @@
     private Step stepWhileCutOff(Collection<String> upstreams, long nowMillis) {
         if (reachedAtMillis.size() >= Math.min(PROBES_TO_END, upstreams.size())) {
             cutOff = false;
-            failedAtMillis.clear();
+            failures.clear();
             return new Step(List.of(), false, true);
         }
         // The first success is confirmed at once.
@@ -286,11 +292,11 @@
     /** Returns how many upstreams should be found unreachable or be probed, zero if nothing is suspicious. */
     private int unreachableToCheck(int upstreams, long silentMillis, long nowMillis) {
         int suspicious = Math.min(SUSPICIOUS_FAILURES, upstreams);
-        if (failedAtMillis.size() >= suspicious) {
+        if (failures.size() >= suspicious) {
             return Math.min(MAX_PROBED, upstreams);
         }
         boolean silent = silentMillis >= SILENT_MILLIS && nowMillis - connectedMillis >= SILENCE_EXCUSED_MILLIS;
-        boolean failed = !failedAtMillis.isEmpty() || brokenMillis >= contactMillis && brokenMillis != NEVER;
+        boolean failed = !failures.isEmpty() || brokenMillis >= contactMillis && brokenMillis != NEVER;
         boolean quiet = nowMillis - contactMillis >= QUIET_MILLIS;
         return silent || failed && quiet ? suspicious : 0;
     }
@@ -303,14 +309,14 @@
 
     private void forget(Collection<String> upstreams, long nowMillis) {
         Set<String> known = new HashSet<>(upstreams);
-        failedAtMillis.keySet().retainAll(known);
+        failures.keySet().retainAll(known);
         reachedAtMillis.keySet().retainAll(known);
         probedAtMillis.keySet().retainAll(known);
         probing.retainAll(known);
         toldMillisBySource.values().removeIf(millis -> nowMillis - millis >= CONTACT_VALID_MILLIS);
         reachedAtMillis.values().removeIf(millis -> nowMillis - millis >= PROBE_VALID_MILLIS);
         if (!cutOff) {
-            failedAtMillis.values().removeIf(millis -> nowMillis - millis >= PROBE_VALID_MILLIS);
+            failures.values().removeIf(failed -> nowMillis - failed.lastMillis() >= PROBE_VALID_MILLIS);
         }
     }
 
--- a/decision/src/test/java/org/cowslipbank/decision/relay/LookupNodesTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/LookupNodesTest.java
@@ -75,4 +75,19 @@
         assert addresses("c").size() == 4;
         assert LookupNodes.addresses(List.of(), "a").isEmpty();
     }
+
+    /** Failure guarded against: clients come to nodes that are cut off, or all to the last one that is not. */
+    @Example
+    void nodesThatAreCutOffAreLeftOutWhileTheOthersHaveCapacity() {
+        add(4, "a", 0.75);
+        add(3, "b", 0.75);
+        nodes.replaceAll(node -> node.dataCentre().equals("a") ? cutOff(node) : node);
+        assert addresses("a").stream().allMatch(address -> address.startsWith("b-")) : addresses("a");
+        nodes.replaceAll(node -> node.name().startsWith("b-0.75-0") ? node : cutOff(node));
+        assert addresses("a").size() == 4 : addresses("a");
+    }
+
+    private static LookupNodes.Node cutOff(LookupNodes.Node node) {
+        return new LookupNodes.Node(node.name(), node.address(), node.dataCentre(), node.processorCores(), true);
+    }
 }
