--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamReachability.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamReachability.java
@@ -14,7 +14,7 @@
  * Decides whether this node is cut off from the upstreams: it can open a connection to none of them while other nodes
  * exchange data with them.
  *
- * <p>Load pattern: the links of some nodes to all upstreams fail at once, while clients, the metadata store and the other
+ * <p>It answers a load pattern in which the links of some nodes to all upstreams fail at once, while clients, the metadata store and the other
  * nodes still reach these nodes. Such a node sees the same failures as if the upstreams were down, but the opposite answer
  * is right: when the upstreams are down it keeps or refuses its requests, and when it is cut off it passes them to another
  * node. So own failures only lead to probes. The state begins once probes to all upstreams, or to {@link #MAX_PROBED} of
@@ -52,15 +52,15 @@
     static final long PROBE_VALID_MILLIS = 4_000;
 
     /**
-     * Time by which the contact of another node must be later than this node's first failure. What nodes tell is older by
-     * the way of the digest, which a slow node reads late.
+     * Time by which the contact of another node must be later than this node's first failure. Reports
+     * are older by the delay of the digest, which a slow node reads late.
      */
     static final long CONTACT_MARGIN_MILLIS = 250;
 
     /** Age up to which the contact of other nodes counts. */
     static final long CONTACT_VALID_MILLIS = 1_500;
 
-    /** Told instead of an age by a node that reaches no upstream, so that nodes without requests probe one. */
+    /** Reported instead of an age by a node that reaches no upstream, so that nodes without requests probe one. */
     public static final long QUERY = -1;
 
     /** Time for which a question of another node is answered, and age of a contact that needs no probe for it. */
@@ -203,7 +203,7 @@
     }
 
     /**
-     * Records what another node has told.
+     * Records the report of another node.
      *
      * @param source origin of the digest
      * @param ageMillis what {@link #ageToReport} returned there
@@ -220,11 +220,11 @@
     /**
      * Returns the time since this node, or some of those that have told it, had contact with an upstream.
      *
-     * @param included the nodes that count beside this one; not those that will be told, which would take their own contact
-     *     for that of another node
+     * @param included the sources that count beside this node; not the receiver, which would take its own contact for that of
+     *     another node
      * @param nowMillis the time in milliseconds
      * @return the time in milliseconds; {@link #QUERY} if this node reaches no upstream and knows of none that does; empty
-     *     if there is nothing to tell
+     *     without a recent contact
      */
     public OptionalLong ageToReport(Predicate<FleetLoads.Source> included, long nowMillis) {
         long reportedMillis = newestReport(included);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -403,7 +403,7 @@
         return startAtUpstream();
     }
 
-    /** Passes the request to another node, or refuses it at once if this node has no way to the upstreams. */
+    /** Passes the request to another node, or refuses it at once if no upstream can be reached at all. */
     private boolean forward() {
         if (forwarding.isPresent()) {
             unable("node_cut_off");
@@ -423,10 +423,10 @@
             return true;
         }
         if (context.reachability().hasContact(now())) {
-            // Connections that were opened before go on, and no other node is better off.
+            // Connections that were opened before still bring data.
             return false;
         }
-        giveUp("no_way_to_upstreams");
+        giveUp("no_reachable_upstream");
         return true;
     }
 
@@ -976,7 +976,7 @@
             return true;
         }
 
-        /** Handles the refusal or failure of another node, which has tried what it could. */
+        /** Handles a refusal or an error that another node has generated itself. */
         private void onOwnAnswerOfNode() {
             ForwardedAnswer about = head.forwarded().get();
             if (about.kind() == ForwardedAnswer.Kind.UNABLE) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -270,7 +270,7 @@
                 .add(new Entry(server, load.requests(), load.tokens(), load.unreadTokens())));
         List<List<LimitEntry>> limitEntries = limitEntries(datagrams);
         List<Integer> leaving = notices.leavingToTell(clocks.nowMillis());
-        OptionalLong contact = reachability.ageToReport(source -> isTold(source, scope, name), clocks.nowMillis());
+        OptionalLong contact = reachability.ageToReport(source -> isPassedOn(source, scope, name), clocks.nowMillis());
         Long contactAgeMillis = contact.isPresent() ? contact.getAsLong() : null;
         List<BrittleUpstreams.Observation> brittle = notices.brittle().observations(clocks.nowMillis());
         for (int part = 0; part < datagrams; part++) {
@@ -289,8 +289,8 @@
         }
     }
 
-    /** Returns whether what a source has told is passed on in a digest. */
-    private static boolean isTold(FleetLoads.Source source, FleetLoads.Scope scope, String receiver) {
+    /** Returns whether the contact reported by a source is passed on in a digest. */
+    private static boolean isPassedOn(FleetLoads.Source source, FleetLoads.Scope scope, String receiver) {
         return switch (scope) {
             case NODE -> false;
             case GROUP -> source.scope() == FleetLoads.Scope.NODE;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -43,21 +43,21 @@
 
     /** Receives what the pool learns about its targets, on the traffic thread. */
     interface Events {
-        /** Ignores everything: failures of connections to other nodes are seen by the requests on them. */
+        /** Ignores all events; used for connections to other nodes, whose failures the requests on them handle. */
         Events IGNORED = new Events() {
             @Override
             public void onConnected(String address) {
-                // Nothing to keep.
+                // No state depends on it.
             }
 
             @Override
             public void onConnectFailed(String address) {
-                // The request on it is told.
+                // The listener of the request handles it.
             }
 
             @Override
             public void onBroken(String address) {
-                // The request on it is told.
+                // The listener of the request handles it.
             }
 
             @Override
@@ -81,7 +81,8 @@
         void onConnectFailed(String address);
 
         /**
-         * Called when a connection has been closed while a request was in progress on it, before the request is told.
+         * Called when a connection has been closed while a request was in progress on it, before the
+         * request's listener is called.
          *
          * @param address the target as {@code IP:port}
          */
