review: case 5, parts of a tenant that was isolated are used by another

Cause: the cache scope of teams that are not isolated is the same before and after a configuration that isolates one of them.

--- a/review/stand-ins/Rig.java
+++ b/review/stand-ins/Rig.java
@@ -271,6 +271,9 @@
         final Socket socket = new Socket();
         private final InputStream in;
 
+        /** The API key that its requests bear. */
+        String key = KEY;
+
         Channel(String address) throws IOException {
             socket.connect(StandIn.socketAddress(address), 1_000);
             socket.setTcpNoDelay(true);
@@ -286,7 +289,7 @@
             StandIn.write(
                     socket.getOutputStream(),
                     "POST " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: "
-                            + deadlineMs + "\r\nAuthorization: Bearer " + KEY + "\r\n" + moreHeaders
+                            + deadlineMs + "\r\nAuthorization: Bearer " + key + "\r\n" + moreHeaders
                             + "Content-Length: " + bodyBytes + "\r\n\r\n");
         }
 
