review: case 4, a request that crashes plain servers is sent on for ever

Cause: only broken attempts at engines are reported as crashes, so a request that crashes plain servers is never refused (docs/incidents names the gap).

--- a/review/stand-ins/StandIn.java
+++ b/review/stand-ins/StandIn.java
@@ -57,6 +57,19 @@
         }
     }
 
+    /** Ends as a crashed process does: the listener is gone and all channels are reset. */
+    void crash() {
+        try {
+            listener.close();
+            for (Socket socket : sockets) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        } catch (IOException e) {
+            System.err.println("cannot reset the channels of " + id + ": " + e);
+        }
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
