Refuse requests that a stopping node cannot finish

Callers of a node that had got SIGTERM lost streams: requests that were read up to 3.5 s after the signal were passed on whatever time they needed, and cut off when the node ended at 7.1 s. Orders with long time-outs were cut off likewise, and queued requests got no answer.

Cause: the node took requests by the phase of the stop alone. StopPolicy now compares the time that a request needs (its deadline, or the longest recent answer of its route while clients may still hold the address) with the time that is left, when the request is read and before each send. Requests without an answer at the end are answered 503 or 504.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -32,7 +31,6 @@
 import io.netty.util.ReferenceCountUtil;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.relay.ClientLimits;
-import org.cowslipbank.ports.relay.ForwardedAnswer;
 import org.cowslipbank.ports.relay.Forwarding;
 import org.cowslipbank.ports.relay.Header;
 import org.cowslipbank.ports.relay.RelayCodec.MalformedHeadException;
@@ -134,6 +132,12 @@
         channel.close();
     }
 
+    void answerUnfinished() {
+        if (exchange != null) {
+            exchange.onNodeEnding();
+        }
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         channel = added;
@@ -255,12 +259,6 @@
         CompositeByteBuf requestBody = body;
         head = null;
         body = null;
-        if (server.isClosing() && !server.servesNodes()) {
-            // Part of the request was read before; it could not end within the grace period.
-            requestBody.release();
-            reject(503, "node is stopping");
-            return;
-        }
         RelayRequest decoded;
         Optional<Forwarding> forwarding;
         try {
@@ -277,11 +275,6 @@
             reject(503, "unexpected error while the request head was decoded: " + e);
             return;
         }
-        if (server.isClosing()) {
-            requestBody.release();
-            refuseForwarded(decoded.id());
-            return;
-        }
         answering = true;
         chunked = false;
         Exchange started = new Exchange(context, this, decoded, forwarding, requestBody, earliestArrivalMillis);
@@ -289,20 +282,7 @@
         started.start();
     }
 
-    /** Refuses a request of another node so that it is passed to a third one. */
-    private void refuseForwarded(String requestId) {
-        List<Header> headers = new ArrayList<>(context.codec().encodeRefusal(requestId, 0));
-        headers.add(context.codec()
-                .encodeForwardedAnswer(
-                        new ForwardedAnswer(ForwardedAnswer.Kind.UNABLE, 0, Optional.empty(), "node is stopping")));
-        reject(503, "node is stopping", headers);
-    }
-
     private void reject(int status, String reason) {
-        reject(status, reason, List.of());
-    }
-
-    private void reject(int status, String reason, List<Header> headers) {
         context.log()
                 .logRequest(LogFields.event("request rejected")
                         .field("status", status)
@@ -310,7 +290,7 @@
         discard();
         discardInput = true;
         closeAfter = true;
-        writeHead(status, headers, OptionalLong.of(0));
+        writeHead(status, List.of(), OptionalLong.of(0));
         end();
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/ClientHttpServer.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ClientHttpServer.java
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Returns whether the node has stopped accepting requests because little of its grace period is left.
+     * Returns whether the node has stopped listening because clients know by now that it stops.
      *
      * @return true after {@link #closeIdle}
      */
@@ -136,7 +136,7 @@
         return closing;
     }
 
-    /** Stops accepting requests: stops listening and closes the connections without a request in progress. */
+    /** Stops listening, and closes the connections without a request in progress. */
     void closeIdle() {
         closing = true;
         listener.close();
@@ -145,6 +145,11 @@
                 .forEach(ClientConnection::close);
     }
 
+    /** Answers the requests without an answer that the node has no time to wait for. */
+    void answerUnfinished() {
+        List.copyOf(connections).forEach(ClientConnection::answerUnfinished);
+    }
+
     void onOpened(ClientConnection connection) {
         connections.add(connection);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -103,6 +103,9 @@
     /** Time from an answer's first event after which the request is no longer suspected of crashing the upstream. */
     static final long ESTABLISHED_ANSWER_MILLIS = 1_000;
 
+    /** Retry delay sent by a node that stops; the other nodes serve. */
+    static final long RETRY_AT_OTHER_NODE_AFTER_MILLIS = 10;
+
     private static final String INTERNAL_ERROR = "internal_error";
     /** Limit on nodes to which a request is passed. */
     static final int MAX_NODES = 3;
@@ -110,12 +113,15 @@
     private static final int HTTP_UNAVAILABLE = 503;
     private static final String VERSION_GONE = "software_version_gone";
     private static final String CRASHED_UPSTREAMS = "crashed_upstreams";
+    private static final String ANSWERED = "answered";
+    private static final String NODE_STOPPING = "node_stopping";
     /** Reasons of refusals that do not hold for another node. */
     private static final Set<String> NODE_REASONS = Set.of(
             "configuration_older",
             "configuration_unconfirmed",
             "no_configuration",
             "no_room",
+            NODE_STOPPING,
             "overloaded",
             "software_versions_unconfirmed",
             "stream_origin_unknown");
@@ -245,6 +251,10 @@
         }
         long waitMillis = Math.min(request.timeoutMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
         deadlineMillis = arrivedMillis + waitMillis;
+        if (!context.stop().mayServe(route, deadlineMillis)) {
+            refuse(NODE_STOPPING, RETRY_AT_OTHER_NODE_AFTER_MILLIS);
+            return;
+        }
         deadlineTimer = schedule(this::onDeadline, deadlineMillis - now());
         boolean countedElsewhere = context.reachability().isCutOff() && forwarding.isEmpty();
         if (possibleRuns == 0 && !countedElsewhere) {
@@ -342,6 +352,8 @@
             onDeadline();
         } else if (suspects.areRefused()) {
             giveUp(CRASHED_UPSTREAMS);
+        } else if (isTooLateToSend()) {
+            giveUp(NODE_STOPPING, RETRY_AT_OTHER_NODE_AFTER_MILLIS);
         } else if (expired) {
             giveUp("overloaded", RETRY_AFTER_MILLIS);
         } else if (!placement.isPossible(context.view().get())) {
@@ -352,6 +364,11 @@
         }
     }
 
+    /** Returns whether the node ends before a send could. A stream that was broken off loses nothing by a late one. */
+    private boolean isTooLateToSend() {
+        return !headSent && !context.stop().mayServe(route, deadlineMillis);
+    }
+
     /** Gives the request up at once if all upstreams want a pause beyond its time. */
     private boolean refuseInPause() {
         OptionalLong endMillis = placement.pauseEndMillis(context.view().get());
@@ -375,6 +392,11 @@
             giveUp(CRASHED_UPSTREAMS);
             return true;
         }
+        if (!ended && isTooLateToSend()) {
+            queued = false;
+            giveUp(NODE_STOPPING, RETRY_AT_OTHER_NODE_AFTER_MILLIS);
+            return true;
+        }
         if (!ended && !placement.isPossible(context.view().get())) {
             queued = false;
             giveUp(VERSION_GONE);
@@ -558,17 +580,28 @@
     }
 
     private void onDeadline() {
+        endWithoutUpstream("timeout", 0);
+    }
+
+    /** Called when the node ends. A stream that has begun goes on until the process is gone. */
+    void onNodeEnding() {
+        if (!headSent) {
+            guarded(() -> endWithoutUpstream(NODE_STOPPING, RETRY_AT_OTHER_NODE_AFTER_MILLIS));
+        }
+    }
+
+    private void endWithoutUpstream(String reason, long retryAfterMillis) {
         if (ended) {
             return;
         }
         boolean mayHaveRun = possibleRuns > 0 || attempt != null && attempt.sent;
         endAttempt(attempt != null && attempt.isSilent() ? Outcome.SILENT : Outcome.ABANDONED);
         if (headSent) {
-            abort("timeout");
+            abort(reason);
         } else if (mayHaveRun) {
-            fail(504, "timeout");
+            fail(504, reason);
         } else {
-            refuse("timeout", 0);
+            refuse(reason, retryAfterMillis);
         }
     }
 
@@ -728,6 +761,9 @@
         }
         long millis = now() - arrivedMillis;
         context.metrics().onEnd(outcome, millis);
+        if (outcome.equals(ANSWERED)) {
+            context.stop().onAnswered(route, millis);
+        }
         context.log().logRequest(logLine(outcome, status, millis));
     }
 
@@ -746,6 +782,7 @@
             line.field("route", route.name()).field("service", service);
         }
         team.ifPresent(known -> line.field("team", known.name()));
+        context.stop().leftMillis().ifPresent(leftMillis -> line.field("stopLeftMillis", leftMillis));
         forwarding.ifPresent(from -> line.field("forwarded", true));
         if (!triedNodes.isEmpty()) {
             line.field("passedTo", triedNodes);
@@ -1110,7 +1147,7 @@
                 settle(Outcome.ANSWERED);
                 reportSound();
                 client.end();
-                finish("answered", head.status());
+                finish(ANSWERED, head.status());
             } else {
                 onBufferedAnswer();
             }
@@ -1170,7 +1207,7 @@
                     OptionalLong.of(content.readableBytes()));
             client.writeBody(content);
             client.end();
-            finish("answered", answer.status());
+            finish(ANSWERED, answer.status());
         }
 
         @Override
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -45,6 +45,7 @@
  * @param probes requests that are sent although they are refused because of crashes
  * @param origins software versions at which streams began
  * @param originReports reports to all nodes where streams begin
+ * @param stop whether the node is stopping, and what it still serves then
  * @param metrics counters and timers of requests
  * @param log the structured log
  */
@@ -74,6 +75,7 @@
         RefusalProbes probes,
         StreamOrigins origins,
         StreamOriginReports originReports,
+        NodeStop stop,
         RelayMetrics metrics,
         DecisionLog log) {
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -17,6 +17,7 @@
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LookupNodes;
+import org.cowslipbank.decision.relay.StopPolicy;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
@@ -49,6 +50,10 @@
     public static final long LOOKUP_TTL_SECONDS = 1;
 
     private static final long LOOKUP_MAX_LIFETIMES = 3;
+
+    /** Longest time for which clients go on to use a node that is no longer in the look-up answers. */
+    private static final long CLIENTS_LEAVE_MILLIS = LOOKUP_TTL_SECONDS * LOOKUP_MAX_LIFETIMES * 1_000;
+
     private static final long SWEEP_INTERVAL_MILLIS = 500;
 
     // Readiness is asked for each second and members poll more often; the peer of a longer idle connection may be gone.
@@ -57,6 +62,8 @@
     private static final long DRAIN_CHECK_INTERVAL_MILLIS = 50;
     /** Part of the grace period left unused, so that the process ends before it is killed. */
     private static final long GRACE_MARGIN_MILLIS = 900;
+    /** Part of that margin in which answers to requests that did not end are written. */
+    private static final long LAST_ANSWERS_MILLIS = 300;
 
     private final RelaySettings settings;
     private final RelayCodec codec;
@@ -190,6 +197,7 @@
                 probes,
                 origins,
                 originReports,
+                new NodeStop(clocks),
                 new RelayMetrics(metrics),
                 log);
         this.clientServer = new ClientHttpServer(context, ClientHttpServer.Callers.CLIENTS);
@@ -241,7 +249,7 @@
     /**
      * Shuts down without cutting a request off. The node removes itself from the look-up answers, serves for as long as
      * clients may keep an answer that names it, then waits for requests in progress until shortly before the grace
-     * period ends.
+     * period ends. Requests that could not end by then are refused from the start.
      *
      * @throws InterruptedException if the thread is interrupted while it waits
      */
@@ -251,17 +259,25 @@
         log.logState(LogFields.event("node stopping")
                 .field("graceMillis", settings.bounds().graceMillis()));
         lease.release();
+        long endMillis = startMillis + settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
+        context.stop().begin(new StopPolicy.Stop(startMillis + CLIENTS_LEAVE_MILLIS, endMillis));
         clientServer.startDraining();
         nodeServer.startDraining();
-        long endMillis = startMillis + settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
-        long servingMillis = LOOKUP_TTL_SECONDS * LOOKUP_MAX_LIFETIMES * 1_000 + SWEEP_INTERVAL_MILLIS;
+        long servingMillis = CLIENTS_LEAVE_MILLIS + SWEEP_INTERVAL_MILLIS;
         Thread.sleep(Math.max(0, Math.min(servingMillis, endMillis - clocks.nowMillis())));
         loop.submit(clientServer::closeIdle).syncUninterruptibly();
         loop.submit(nodeServer::closeIdle).syncUninterruptibly();
-        while (busyConnections() > 0 && clocks.nowMillis() < endMillis) {
+        awaitIdle(endMillis);
+        loop.submit(clientServer::answerUnfinished).syncUninterruptibly();
+        loop.submit(nodeServer::answerUnfinished).syncUninterruptibly();
+        awaitIdle(endMillis + LAST_ANSWERS_MILLIS);
+        log.logState(LogFields.event("node stopped").field("busyConnections", busyConnections()));
+    }
+
+    private void awaitIdle(long untilMillis) throws InterruptedException {
+        while (busyConnections() > 0 && clocks.nowMillis() < untilMillis) {
             Thread.sleep(DRAIN_CHECK_INTERVAL_MILLIS);
         }
-        log.logState(LogFields.event("node stopped").field("busyConnections", busyConnections()));
     }
 
     private int busyConnections() {
