Keep parts of teams that become isolated apart

Callers of other teams got answers that were computed from cached prompt parts of a team that the configuration in force isolates.

Cause: the common cache scope was the same whichever teams were isolated, so what a team made before it became isolated was found afterwards. The scope now names a group that depends on the set of isolated teams, taken when a request is sent; no node needs to know earlier configurations. Parts of groups that no configuration uses are freed after all nodes have left them, and nodes without a confirmed configuration fetch no parts.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -267,6 +267,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the scopes that have parts in any store.
+     *
+     * @return the scopes
+     */
+    public Set<String> scopes() {
+        Set<String> scopes = new HashSet<>();
+        indexByAddress.values().forEach(store -> store.tokensByPart.keySet().forEach(key -> scopes.add(key.scope())));
+        return scopes;
+    }
+
     /**
      * Returns the epoch for which a store's index was built.
      *
--- a/decision/src/main/java/org/cowslipbank/decision/relay/RouteTable.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/RouteTable.java
@@ -20,6 +20,7 @@
     private static final int HASH_SHIFT = 11;
 
     private final RelayConfiguration configuration;
+    private final CacheSharing sharing;
     private final Map<RouteKey, Route> routes = new HashMap<>();
     private final Map<String, RelayTeam> teams = new HashMap<>();
     private final Map<String, RelayService> services = new HashMap<>();
@@ -31,6 +32,7 @@
      */
     public RouteTable(RelayConfiguration configuration) {
         this.configuration = configuration;
+        this.sharing = CacheSharing.of(configuration.teams());
         configuration.routes().forEach(route -> routes.put(new RouteKey(route.host(), route.pathPrefix()), route));
         configuration.teams().forEach(team -> team.keys().forEach(key -> teams.put(key, team)));
         configuration.services().forEach(service -> services.put(service.name(), service));
@@ -45,6 +47,15 @@
         return configuration;
     }
 
+    /**
+     * Returns which teams share cached prompt parts.
+     *
+     * @return the sharing
+     */
+    public CacheSharing sharing() {
+        return sharing;
+    }
+
     /**
      * Finds the host's route with the longest path prefix that matches.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.cowslipbank.decision.relay.CacheIndex;
 import org.cowslipbank.decision.relay.CacheScope;
+import org.cowslipbank.decision.relay.CacheSharing;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.relay.CacheStore;
 import org.cowslipbank.model.relay.UpstreamServer;
@@ -16,8 +18,9 @@
 import org.cowslipbank.ports.relay.EngineControl.CachedPart;
 
 /**
- * Frees the parts of weight versions that no engine has loaded any more. Stores evict nothing by themselves, so the
- * parts of old versions would fill them. Runs on the traffic thread; only the leader frees parts.
+ * Frees the parts of weight versions that no engine has loaded any more, and of groups of teams that no longer share
+ * parts. Stores evict nothing by themselves, so these parts would fill them. Runs on the traffic thread; only the leader
+ * frees parts.
  */
 final class CacheStoreCleaner {
     /**
@@ -37,6 +40,10 @@
     private final DecisionLog log;
     /** The oldest weight version loaded by any engine, by model. */
     private final Map<String, OldestVersion> oldestVersions = new HashMap<>();
+    /** Since when each group in a store belongs to no configuration in force, in milliseconds. */
+    private final Map<String, Long> groupsUnusedSinceMillis = new HashMap<>();
+
+    private final long minGroupUnusedMillis;
 
     /**
      * The oldest loaded version of a model.
@@ -46,14 +53,27 @@
      */
     private record OldestVersion(long version, long sinceMillis) {}
 
+    /**
+     * Creates a cleaner.
+     *
+     * @param engines calls to the stores
+     * @param cacheIndex index of the parts in the stores
+     * @param view the newest view of the platform
+     * @param isLeader returns whether this node frees parts
+     * @param configurationValidMillis longest time for which other nodes use an earlier configuration, in milliseconds
+     * @param clocks the clocks
+     * @param log the structured log
+     */
     CacheStoreCleaner(
             EngineControl engines,
             CacheIndex cacheIndex,
             Supplier<PlatformView> view,
             BooleanSupplier isLeader,
+            long configurationValidMillis,
             Clocks clocks,
             DecisionLog log) {
         this.engines = engines;
+        this.minGroupUnusedMillis = configurationValidMillis + MIN_UNUSED_MILLIS;
         this.cacheIndex = cacheIndex;
         this.view = view;
         this.isLeader = isLeader;
@@ -67,6 +87,7 @@
         if (!isLeader.getAsBoolean() || platform.routes().isEmpty()) {
             return;
         }
+        updateUnusedGroups(platform.routes().get().sharing());
         for (CacheStore store : platform.routes().get().configuration().stores()) {
             List<CachedPart> unused =
                     cacheIndex.partsOfUnusedScopes(store.address(), this::isUsed, MAX_PARTS_PER_CALL).stream()
@@ -92,31 +113,48 @@
         });
     }
 
+    private void updateUnusedGroups(CacheSharing sharing) {
+        groupsUnusedSinceMillis.keySet().removeIf(sharing::uses);
+        for (String scope : cacheIndex.scopes()) {
+            oldestVersions.keySet().stream()
+                    .flatMap(model -> CacheScope.group(scope, model).stream())
+                    .filter(group -> !sharing.uses(group))
+                    .forEach(group -> groupsUnusedSinceMillis.putIfAbsent(group, clocks.nowMillis()));
+        }
+    }
+
     private boolean isUsed(String scope) {
         for (Map.Entry<String, OldestVersion> entry : oldestVersions.entrySet()) {
             OptionalLong version = CacheScope.version(scope, entry.getKey());
             if (version.isPresent()) {
-                boolean unusedLongEnough = clocks.nowMillis() - entry.getValue().sinceMillis() >= MIN_UNUSED_MILLIS;
-                return !unusedLongEnough
-                        || version.getAsLong() >= entry.getValue().version();
+                boolean replaced = version.getAsLong() < entry.getValue().version()
+                        && isPast(entry.getValue().sinceMillis(), MIN_UNUSED_MILLIS);
+                return !replaced && isGroupUsed(CacheScope.group(scope, entry.getKey()));
             }
         }
         return true;
     }
 
+    private boolean isGroupUsed(Optional<String> group) {
+        return group.map(groupsUnusedSinceMillis::get)
+                .filter(sinceMillis -> isPast(sinceMillis, minGroupUnusedMillis))
+                .isEmpty();
+    }
+
+    private boolean isPast(long sinceMillis, long delayMillis) {
+        return clocks.nowMillis() - sinceMillis >= delayMillis;
+    }
+
     private void free(CacheStore store, List<CachedPart> parts) {
         long epoch = cacheIndex.storeEpoch(store.address()).orElse(0L);
         // Remove the parts from the index first, so that no fetch is planned while the call is under way.
         parts.forEach(part -> cacheIndex.onPartEvent(store.address(), part.scope(), part.partId(), 0));
-        log.logState(LogFields.event("parts of old versions freed")
-                .peer(store.address())
-                .field("parts", parts.size()));
+        log.logState(LogFields.event("unused parts freed").peer(store.address()).field("parts", parts.size()));
         engines.free(store.address(), epoch, parts)
                 .subscribe(
                         done -> {},
-                        error -> log.logState(
-                                LogFields.event("cannot free parts of old versions; cache store keeps them")
-                                        .peer(store.address())
-                                        .error(error)));
+                        error -> log.logState(LogFields.event("cannot free unused parts; cache store keeps them")
+                                .peer(store.address())
+                                .error(error)));
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -159,8 +159,14 @@
         HubFeedClient.Handlers handlers = new HubFeedClient.Handlers(
                 cacheStores::cursors, watcher::onHubAnswer, this::onCacheChangesOfHub, this::hasRequests);
         this.hubClient = new HubFeedClient(watcher::view, self.name(), loops, loop, clocks, log, handlers);
-        this.cleaner =
-                new CacheStoreCleaner(platform.engines(), cacheIndex, watcher::view, lease::isLeader, clocks, log);
+        this.cleaner = new CacheStoreCleaner(
+                platform.engines(),
+                cacheIndex,
+                watcher::view,
+                lease::isLeader,
+                settings.bounds().revokeMillis(),
+                clocks,
+                log);
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, turns, loads);
         this.digests = new LoadDigests(
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -11,8 +11,10 @@
 
 import org.cowslipbank.decision.relay.CacheIndex;
 import org.cowslipbank.decision.relay.CacheScope;
+import org.cowslipbank.decision.relay.CacheSharing;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.OldWeightsPolicy;
+import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamSelector;
 import org.cowslipbank.model.relay.CacheStore;
 import org.cowslipbank.model.relay.EngineTraits;
@@ -234,7 +236,7 @@
     }
 
     private int storedTokens(PlatformView view, OptionalLong version) {
-        Optional<String> scope = scope(version);
+        Optional<String> scope = scope(view, version);
         if (scope.isEmpty()) {
             return 0;
         }
@@ -313,13 +315,15 @@
         return version == 0 ? OptionalLong.empty() : OptionalLong.of(version);
     }
 
-    private Optional<String> scope(OptionalLong version) {
+    private Optional<String> scope(PlatformView view, OptionalLong version) {
         if (version.isEmpty()) {
             return Optional.empty();
         }
-        String isolatedTeam =
-                target.team().filter(RelayTeam::isolated).map(RelayTeam::name).orElse("");
-        return Optional.of(CacheScope.of(request.prompt().get().model(), version.getAsLong(), isolatedTeam));
+        String group = view.routes()
+                .map(RouteTable::sharing)
+                .orElse(CacheSharing.NONE_ISOLATED)
+                .groupOf(target.team());
+        return Optional.of(CacheScope.of(request.prompt().get().model(), version.getAsLong(), group));
     }
 
     private static List<CacheStore> stores(PlatformView view) {
@@ -343,7 +347,7 @@
             int routePriority,
             Optional<String> resumeAfter) {
         OptionalLong version = versionOf(server);
-        Optional<String> scope = scope(version);
+        Optional<String> scope = scope(view, version);
         CacheIndex.Plan cache =
                 scope.map(name -> planCache(view, name)).orElse(new CacheIndex.Plan(List.of(), List.of()));
         OptionalInt teamPriority = target.team().map(RelayTeam::priority).orElse(OptionalInt.empty());
@@ -362,6 +366,10 @@
     }
 
     private CacheIndex.Plan planCache(PlatformView view, String scope) {
+        if (!context.isConfirmed()) {
+            // The parts of a scope that a newer configuration no longer uses may be freed during the fetch.
+            return new CacheIndex.Plan(List.of(), List.of());
+        }
         List<PromptPart> parts = request.prompt().get().parts();
         CacheIndex.Plan plan = context.cacheIndex().plan(scope, parts, stores(view), now());
         context.cacheIndex().onSavesRequested(scope, parts, plan, now());
