Give each named weight version its own bound

Callers got answers of weights that had been replaced more than VersionMs before when operators named versions in quick succession, when a request waited in a busy or silent engine, and from nodes that had just started.

Cause: the age of old weights was counted from the newest name; the leader took engines by identifier, so that the ones just switched came first with each name; a request that was sent in time could begin late.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/VersionRollout.java
@@ -90,44 +90,64 @@
         private long selectedAtMillis = NEVER;
         private long announcedAtMillis = NEVER;
         private long orderedAtMillis = NEVER;
+        private long orderedVersion = NEVER;
         private long polledAtMillis = NEVER;
         private long deferredUntilMillis = NEVER;
     }
 
+    /**
+     * An engine that has not loaded the newest version.
+     *
+     * @param engine the engine
+     * @param version the version that it has loaded
+     * @param remainingMillis time until it must have a newer one, in milliseconds; zero or less if it is overdue
+     */
+    private record Outdated(UpstreamServer engine, long version, long remainingMillis) {
+        private static final Comparator<Outdated> MOST_URGENT_FIRST = Comparator.comparingLong(
+                        Outdated::remainingMillis)
+                .thenComparingLong(Outdated::version)
+                .thenComparing(outdated -> outdated.engine().id());
+    }
+
     private final Map<String, Progress> byIncarnation = new HashMap<>();
     private Set<String> batch = Set.of();
 
     /**
      * Advances the rollout.
      *
-     * @param model the model
-     * @param target the weight version to roll out
+     * @param names the weight versions named for the model, of which the last is rolled out
      * @param engines the engines that serve the model, without leaving ones
      * @param announced identifiers of the engines whose announcement has reached all nodes
-     * @param remainingMillis time until the version must be in force, in milliseconds; zero or less if it is overdue
+     * @param boundMillis time from a version's name until it must be in force, in milliseconds
      * @param nowMillis the time in milliseconds
      * @return actions for the caller to carry out
      */
     public List<Effect> tick(
-            String model,
-            long target,
+            NamedVersions names,
             Collection<UpstreamServer> engines,
             Set<String> announced,
-            long remainingMillis,
+            long boundMillis,
             long nowMillis) {
-        List<UpstreamServer> outdated = new ArrayList<>();
+        String model = names.model();
+        long target = names.latest();
+        List<Outdated> outdated = new ArrayList<>();
         for (UpstreamServer engine : engines) {
-            if (versionOf(engine, model) < target) {
-                outdated.add(engine);
-            } else {
-                progress(engine).selectedAtMillis = NEVER;
+            long version = versionOf(engine, model);
+            Progress progress = progress(engine);
+            if (version >= target || progress.orderedVersion != NEVER && version >= progress.orderedVersion) {
+                // The switch has ended. If a newer version is named meanwhile, engines that wait for longer come first.
+                progress.selectedAtMillis = NEVER;
+                progress.orderedVersion = NEVER;
             }
+            names.outdatedSinceMillis(version)
+                    .ifPresent(sinceMillis ->
+                            outdated.add(new Outdated(engine, version, sinceMillis + boundMillis - nowMillis)));
         }
+        outdated.sort(Outdated.MOST_URGENT_FIRST);
         byIncarnation.keySet().retainAll(incarnations(engines));
         Set<String> batchIds = new TreeSet<>();
         List<Effect> effects = new ArrayList<>();
-        for (UpstreamServer engine :
-                selectBatch(outdated, batchSize(outdated.size(), engines.size(), remainingMillis), nowMillis)) {
+        for (UpstreamServer engine : selectBatch(outdated, batchSize(outdated, engines.size()), nowMillis)) {
             batchIds.add(engine.id());
             if (announced.contains(engine.id())) {
                 advance(engine, model, target, nowMillis, effects);
@@ -155,22 +175,27 @@
         boolean drained = state.requests() == 0 && nowMillis - progress.announcedAtMillis >= STATE_POLL_MILLIS;
         if (drained || nowMillis - progress.announcedAtMillis >= DRAIN_MILLIS) {
             progress.orderedAtMillis = nowMillis;
+            progress.orderedVersion = target;
             effects.add(new Effect.Order(engine, model, target, state.acceptedOrders(), !drained));
         }
     }
 
     // After a leader change little time may be left. Past the bound, engines with old weights get no requests anyway.
-    private static int batchSize(int outdated, int engines, long remainingMillis) {
-        long rounds = Math.max(1, (remainingMillis + OVERDUE_TOLERANCE_MILLIS) / SWITCH_DURATION_MILLIS);
-        int needed = (int) Math.ceil(outdated / (double) rounds);
+    private static int batchSize(List<Outdated> outdated, int engines) {
+        int needed = 0;
+        for (int index = 0; index < outdated.size(); index++) {
+            long remainingMillis = outdated.get(index).remainingMillis();
+            long rounds = Math.max(1, (remainingMillis + OVERDUE_TOLERANCE_MILLIS) / SWITCH_DURATION_MILLIS);
+            needed = Math.max(needed, (int) Math.ceil((index + 1) / (double) rounds));
+        }
         return Math.max(needed, Math.max(MIN_SWITCHING, (int) (engines * SWITCHING_SHARE)));
     }
 
-    private Set<UpstreamServer> selectBatch(List<UpstreamServer> outdated, int batchSize, long nowMillis) {
+    private Set<UpstreamServer> selectBatch(List<Outdated> outdated, int batchSize, long nowMillis) {
         // Engines already in the batch stay in it.
-        List<UpstreamServer> order = new ArrayList<>(outdated);
-        order.sort(Comparator.comparing((UpstreamServer engine) -> progress(engine).selectedAtMillis == NEVER)
-                .thenComparing(UpstreamServer::id));
+        List<UpstreamServer> order =
+                new ArrayList<>(outdated.stream().map(Outdated::engine).toList());
+        order.sort(Comparator.comparing(engine -> progress(engine).selectedAtMillis == NEVER));
         Set<UpstreamServer> batch = new HashSet<>();
         for (UpstreamServer engine : order) {
             Progress progress = progress(engine);
@@ -191,6 +216,7 @@
             progress.selectedAtMillis = nowMillis;
             progress.announcedAtMillis = NEVER;
             progress.orderedAtMillis = NEVER;
+            progress.orderedVersion = NEVER;
             progress.state = null;
         }
     }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/OldWeightsPolicyTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/OldWeightsPolicyTest.java
@@ -13,8 +13,19 @@
     /** Failure guarded against: a request begins on old weights after the version's bound. */
     @Example
     void oldEnginesAreExcludedBeforeTheBound() {
-        assert !OldWeightsPolicy.isExcluded(5_000, 6_000);
-        assert OldWeightsPolicy.isExcluded(6_000 - OldWeightsPolicy.EXCLUSION_LEAD_MILLIS, 6_000);
-        assert !OldWeightsPolicy.isExcluded(100_000, 0);
+        assert !OldWeightsPolicy.isExcluded(5_000, 6_000, true);
+        assert OldWeightsPolicy.isExcluded(6_000 - OldWeightsPolicy.EXCLUSION_LEAD_MILLIS, 6_000, true);
+        assert !OldWeightsPolicy.isExcluded(100_000, 0, true);
+        assert !OldWeightsPolicy.isExcluded(3_700, 6_000, false);
+        assert OldWeightsPolicy.isExcluded(6_000 - OldWeightsPolicy.SINGLE_RUN_EXCLUSION_LEAD_MILLIS, 6_000, false);
+        assert !OldWeightsPolicy.isExcluded(100_000, 0, false);
+    }
+
+    /** Failure guarded against: a request waits in a busy or silent engine and begins after the bound. */
+    @Example
+    void requestsThatHaveNotBegunAreTakenBackBeforeTheBound() {
+        assert !OldWeightsPolicy.isTakenBack(5_500, 6_000);
+        assert OldWeightsPolicy.isTakenBack(6_000 - OldWeightsPolicy.TAKE_BACK_LEAD_MILLIS, 6_000);
+        assert !OldWeightsPolicy.isTakenBack(100_000, 0);
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/AttemptTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/AttemptTarget.java
@@ -57,6 +57,13 @@
      */
     boolean isSilent();
 
+    /**
+     * Returns whether a request that has not begun there must not begin any more.
+     *
+     * @return true if an engine's weights are too old
+     */
+    boolean isTooOldToBegin();
+
     /** Called for every message received. */
     void onBytesReceived();
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -238,7 +238,11 @@
         placement = new RequestPlacement(
                 context,
                 request,
-                new RequestPlacement.Target(service, routes.service(service).flatMap(RelayService::engine), team),
+                new RequestPlacement.Target(
+                        service,
+                        routes.service(service).flatMap(RelayService::engine),
+                        team,
+                        route.isRepeatable() && route.maxAttempts() > 1),
                 server -> context.waiting().reservedTokens(this, server));
         if (!bindToOrigin()) {
             return;
@@ -908,7 +912,7 @@
             boolean silent = isSilent();
             // Without a retry and another upstream to move to, keep waiting: a sound one may be silent for a second.
             int runs = possibleRuns + 1;
-            if ((silent || isStalled()) && hasRetryLeft(runs) && canSendElsewhere() && takeRetry(runs)) {
+            if ((silent || isStalled()) && mayMove(runs)) {
                 // Close the connection first: this upstream must stop before another one starts.
                 connection.cancel();
                 move(
@@ -918,9 +922,19 @@
                                 : "stream stalled: bytes but no event");
                 return;
             }
+            if (!promptRead && target.isTooOldToBegin() && mayMove(runs)) {
+                connection.cancel();
+                context.metrics().onTakenBack();
+                move(Outcome.ABANDONED, "did not begin before the bound of a newer weight version");
+                return;
+            }
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
         }
 
+        private boolean mayMove(int runs) {
+            return hasRetryLeft(runs) && canSendElsewhere() && takeRetry(runs);
+        }
+
         private void reportSound() {
             if (placement.targetsEngines()) {
                 suspects.reportSound();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/LoadDigests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
@@ -28,6 +30,7 @@
 import org.cowslipbank.decision.relay.BrittleUpstreams;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.FleetTree;
+import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.UpstreamLimits;
 import org.cowslipbank.decision.relay.UpstreamLoads;
 import org.cowslipbank.decision.relay.UpstreamNotices;
@@ -52,6 +55,9 @@
     /** Upstreams per datagram; at 17 bytes per entry or less it stays below 1,400 bytes and is not fragmented. */
     static final int MAX_ENTRIES_PER_DATAGRAM = 80;
 
+    /** Names of weight versions per digest; further ones follow with the next names. */
+    static final int MAX_NAMES = 10;
+
     private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
     private final RegisteredNode self;
@@ -60,6 +66,7 @@
     private final FleetLoads fleetLoads;
     private final UpstreamNotices notices;
     private final UpstreamReachability reachability;
+    private final Names names;
     private final Clocks clocks;
     private final LoopTurnTracker turns;
     private final DecisionLog log;
@@ -81,9 +88,17 @@
             UpstreamNotices notices,
             UpstreamReachability reachability) {}
 
+    /**
+     * Weight versions that operators named.
+     *
+     * @param boundMillis time within which a version must be in force, in milliseconds
+     * @param onTold takes over what another node tells: hash of the model's name, and the name
+     */
+    record Names(long boundMillis, BiConsumer<Integer, NamedVersions.Name> onTold) {}
+
     /** A digest, encoded as an array; {@code node} is a hash of the sender's name. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving", "contactAgeMillis", "brittle"})
+    @JsonPropertyOrder({"scope", "node", "part", "work", "limits", "leaving", "contactAgeMillis", "brittle", "names"})
     @JsonIgnoreProperties(ignoreUnknown = true)
     record LoadDigest(
             FleetLoads.Scope scope,
@@ -93,7 +108,17 @@
             List<LimitEntry> limits,
             List<Integer> leaving,
             Long contactAgeMillis,
-            List<BrittleEntry> brittle) {}
+            List<BrittleEntry> brittle,
+            List<NameEntry> names) {}
+
+    /** A weight version that operators named, encoded as an array; {@code model} is a hash of the model's name. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"model", "version", "ageMillis"})
+    record NameEntry(int model, long version, long ageMillis) {
+        private boolean isPlausible() {
+            return version >= 0 && ageMillis >= 0;
+        }
+    }
 
     /** Limit of one upstream, encoded as an array; a rate below zero says that it no longer names one. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -162,6 +187,7 @@
             RegisteredNode self,
             Supplier<PlatformView> view,
             Exchanged exchanged,
+            Names names,
             Clocks clocks,
             LoopTurnTracker turns,
             DecisionLog log) {
@@ -171,6 +197,7 @@
         this.fleetLoads = exchanged.fleetLoads();
         this.notices = exchanged.notices();
         this.reachability = exchanged.reachability();
+        this.names = names;
         this.clocks = clocks;
         this.turns = turns;
         this.log = log;
@@ -282,7 +309,8 @@
                     limitEntries.get(part),
                     leavingOfPart(leaving, part, datagrams),
                     contactAgeMillis,
-                    brittleOfPart(brittle, part, datagrams));
+                    brittleOfPart(brittle, part, datagrams),
+                    part == 0 ? nameEntries(platform) : List.of());
             ByteBuf content = Unpooled.wrappedBuffer(encode(digest));
             channel.write(
                     new DatagramPacket(content, SocketAddresses.parse(node.digestAddress())), channel.voidPromise());
@@ -305,6 +333,17 @@
                 .toList();
     }
 
+    private List<NameEntry> nameEntries(PlatformView platform) {
+        long nowMillis = clocks.nowMillis();
+        return platform.versions().values().stream()
+                .flatMap(versions -> versions.namesToTell(names.boundMillis(), nowMillis).stream()
+                        .map(name -> new NameEntry(
+                                FleetLoads.shortHash(versions.model()), name.version(), nowMillis - name.atMillis())))
+                .sorted(Comparator.comparingLong(NameEntry::ageMillis))
+                .limit(MAX_NAMES)
+                .toList();
+    }
+
     private static List<BrittleEntry> brittleOfPart(
             List<BrittleUpstreams.Observation> observations, int part, int datagrams) {
         return observations.stream()
@@ -335,9 +374,9 @@
                             new FleetLoads.Load(entry.requests(), entry.tokens(), entry.unreadTokens())));
             fleetLoads.onDigest(
                     new FleetLoads.Source(digest.scope(), digest.node(), digest.part()), byServer, clocks.nowMillis());
-            // Nodes of an earlier release send no limits, no leaving and no brittle upstreams.
-            List<LimitEntry> named = digest.limits() == null ? List.of() : digest.limits();
-            named.forEach(entry -> notices.limits().onObservation(entry.decode(), clocks.nowMillis()));
+            // Nodes of an earlier release send no limits, no leaving and no brittle upstreams, and no names.
+            List<LimitEntry> limits = digest.limits() == null ? List.of() : digest.limits();
+            limits.forEach(entry -> notices.limits().onObservation(entry.decode(), clocks.nowMillis()));
             List<Integer> leaving = digest.leaving() == null ? List.of() : digest.leaving();
             leaving.forEach(key -> notices.onLeavingTold(key, clocks.nowMillis()));
             if (digest.contactAgeMillis() != null) {
@@ -348,6 +387,12 @@
             }
             List<BrittleEntry> brittle = digest.brittle() == null ? List.of() : digest.brittle();
             brittle.forEach(entry -> notices.brittle().onObservation(entry.decode(), clocks.nowMillis()));
+            List<NameEntry> named = digest.names() == null ? List.of() : digest.names();
+            long receivedMillis = clocks.nowMillis();
+            named.forEach(entry -> names.onTold()
+                    .accept(
+                            entry.model(),
+                            new NamedVersions.Name(entry.version(), receivedMillis - entry.ageMillis(), true)));
         } catch (IOException e) {
             log.logRequest(LogFields.event("cannot decode load digest; ignored")
                     .peer(String.valueOf(packet.sender()))
@@ -371,6 +416,10 @@
                 && !digest.brittle().stream().allMatch(entry -> entry != null && entry.isPlausible())) {
             throw new IOException("load digest has a limit of rejections that is no number");
         }
+        if (digest.names() != null
+                && !digest.names().stream().allMatch(entry -> entry != null && entry.isPlausible())) {
+            throw new IOException("load digest has a weight version without a plausible age");
+        }
         if (digest.contactAgeMillis() != null && digest.contactAgeMillis() < UpstreamReachability.QUERY) {
             throw new IOException("load digest has a contact age below zero");
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeTarget.java
@@ -94,6 +94,12 @@
         answer = head.forwarded();
     }
 
+    // The other node takes the request back from the engine.
+    @Override
+    public boolean isTooOldToBegin() {
+        return false;
+    }
+
     @Override
     public void onRejected(AnswerHead head) {
         context.forwarding().onUnable(node.name());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -12,7 +12,9 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.FleetTree;
+import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.RestoreSettling;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.StreamOrigins;
@@ -56,7 +58,7 @@
     private final RefusalProbes probes;
     private final DecisionLog log;
     private final Map<String, UpstreamServer> servers = new HashMap<>();
-    private final Map<String, TargetVersion> versions = new HashMap<>();
+    private final Map<String, NamedVersions> versions = new HashMap<>();
     private final Map<String, RegisteredNode> nodes = new HashMap<>();
     private final CrashEvidence crashes = new CrashEvidence();
     private final RegistrationHistory registrations = new RegistrationHistory();
@@ -354,8 +356,7 @@
         } else if (decoded instanceof PlatformRecord.Unregistered unregistered) {
             onUnregistered(unregistered.serverId(), nowMillis);
         } else if (decoded instanceof PlatformRecord.VersionNamed named) {
-            onVersionNamed(named.version()
-                    .withSeenAtMillis(revision == 0 ? nowMillis - INITIAL_VERSION_AGE_MILLIS : nowMillis));
+            onVersionNamed(named.version(), nowMillis);
         } else if (decoded instanceof PlatformRecord.NodeItem own) {
             onNodeItem(own.item(), nowMillis);
         } else if (decoded instanceof PlatformRecord.Unreadable unreadable) {
@@ -443,10 +444,14 @@
         return nowMillis - reconnectedMillis < OUTAGE_EXPIRY_MILLIS;
     }
 
-    private void onVersionNamed(TargetVersion version) {
-        TargetVersion known = versions.get(version.model());
-        if (known == null || known.version() < version.version()) {
-            versions.put(version.model(), version);
+    private void onVersionNamed(TargetVersion version, long nowMillis) {
+        boolean firstReading = revision == 0;
+        NamedVersions.Name name = new NamedVersions.Name(
+                version.version(), firstReading ? nowMillis - INITIAL_VERSION_AGE_MILLIS : nowMillis, !firstReading);
+        NamedVersions known = versions.get(version.model());
+        NamedVersions updated = known == null ? NamedVersions.of(version.model(), name) : known.with(name);
+        if (updated != known) {
+            versions.put(version.model(), updated);
             log.logState(LogFields.event("weight version named")
                     .field("model", version.model())
                     .field("version", version.version())
@@ -454,6 +459,29 @@
         }
     }
 
+    /**
+     * Takes over what another node knows about a weight version of a model that is known here.
+     *
+     * @param modelHash {@link FleetLoads#shortHash} of the model's name
+     * @param told the version with its time on this node's clock
+     * @return true if the node did not know it
+     */
+    boolean onVersionTold(int modelHash, NamedVersions.Name told) {
+        for (NamedVersions known : List.copyOf(versions.values())) {
+            NamedVersions updated = FleetLoads.shortHash(known.model()) == modelHash ? known.withTold(told) : known;
+            if (updated != known) {
+                versions.put(known.model(), updated);
+                viewOutdated = true;
+                log.logState(LogFields.event("time of a weight version told by another node")
+                        .field("model", known.model())
+                        .field("version", told.version())
+                        .field("namedAtMillis", told.atMillis()));
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void onNodeItem(StoreItem item, long nowMillis) {
         try {
             applyNodeItem(item, nowMillis);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -10,9 +10,9 @@
 import java.util.Set;
 
 import org.cowslipbank.decision.relay.FleetTree;
+import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.suspects.CrashVerdicts;
-import org.cowslipbank.model.relay.TargetVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
 
 /**
@@ -34,7 +34,7 @@
         Optional<RouteTable> routes,
         Map<String, UpstreamServer> servers,
         Map<String, List<UpstreamServer>> activeByService,
-        Map<String, TargetVersion> versions,
+        Map<String, NamedVersions> versions,
         Map<String, RegisteredNode> nodes,
         Set<String> switchingEngines,
         Optional<String> leader,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -7,7 +7,9 @@
 import java.util.function.Consumer;
 
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
+import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.LeaderLease;
+import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.relay.StoreItem;
 import org.cowslipbank.ports.relay.MetadataStore;
@@ -242,6 +244,27 @@
         }
     }
 
+    /**
+     * Takes over what another node tells about a weight version. May be called by any thread.
+     *
+     * @param modelHash {@link FleetLoads#shortHash} of the model's name
+     * @param told the version with its time on this node's clock
+     */
+    void onVersionTold(int modelHash, NamedVersions.Name told) {
+        boolean isNews = view.versions().values().stream()
+                .filter(known -> FleetLoads.shortHash(known.model()) == modelHash)
+                .anyMatch(known -> known.withTold(told) != known);
+        if (!isNews) {
+            return;
+        }
+        Runnable applying = () -> {
+            if (state.onVersionTold(modelHash, told)) {
+                publish();
+            }
+        };
+        control.schedule(new GuardedTask("weight version told", applying, log));
+    }
+
     /** Applies a hub's answer. */
     void onHubAnswer(FeedMessages.PollAnswer answer, LeaderLease.ClockReading sentAt) {
         Runnable applying = () -> {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -14,6 +14,7 @@
     private final Counter resumes;
     private final Counter clientsGone;
     private final Counter keptBack;
+    private final Counter takenBack;
     private final Counter unexpectedErrors;
     private final Counter connectionsExpired;
     private final Counter cutOffs;
@@ -29,6 +30,7 @@
         this.resumes = registry.counter("relay.resumes");
         this.clientsGone = registry.counter("relay.clientsGone");
         this.keptBack = registry.counter("relay.keptBack");
+        this.takenBack = registry.counter("relay.takenBack");
         this.unexpectedErrors = registry.counter("relay.unexpectedErrors");
         this.connectionsExpired = registry.counter("relay.clientConnectionsExpired");
         this.cutOffs = registry.counter("relay.cutOffs");
@@ -59,6 +61,11 @@
         keptBack.inc();
     }
 
+    /** Counts a request that is taken back from an engine with old weights before it has begun. */
+    void onTakenBack() {
+        takenBack.inc();
+    }
+
     /** Counts an unexpected error in a step of a request. */
     void onUnexpectedError() {
         unexpectedErrors.inc();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -173,6 +173,7 @@
                 self,
                 watcher::view,
                 new LoadDigests.Exchanged(loads, fleetLoads, notices, reachability),
+                new LoadDigests.Names(settings.bounds().versionMillis(), watcher::onVersionTold),
                 clocks,
                 turns,
                 log);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -13,6 +13,7 @@
 import org.cowslipbank.decision.relay.CacheScope;
 import org.cowslipbank.decision.relay.CacheSharing;
 import org.cowslipbank.decision.relay.FleetLoads;
+import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.OldWeightsPolicy;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamSelector;
@@ -21,7 +22,6 @@
 import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
 import org.cowslipbank.model.relay.RelayTeam;
-import org.cowslipbank.model.relay.TargetVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.RelayRequest;
 import org.cowslipbank.ports.relay.SendPlan;
@@ -43,8 +43,9 @@
      * @param service the service
      * @param engine properties of its engines, empty for a plain service
      * @param team the client's team, empty on anonymous routes
+     * @param mayBeTakenBack true if the request may be sent to another engine while it has not begun
      */
-    record Target(String service, Optional<EngineTraits> engine, Optional<RelayTeam> team) {}
+    record Target(String service, Optional<EngineTraits> engine, Optional<RelayTeam> team, boolean mayBeTakenBack) {}
 
     /**
      * Creates a placement.
@@ -265,7 +266,7 @@
     private boolean isEligible(PlatformView view, UpstreamServer server) {
         long boundMillis = context.settings().bounds().versionMillis();
         boolean closed = versionAgeIfOld(view, server).stream()
-                .anyMatch(ageMillis -> OldWeightsPolicy.isExcluded(ageMillis, boundMillis));
+                .anyMatch(ageMillis -> OldWeightsPolicy.isExcluded(ageMillis, boundMillis, target.mayBeTakenBack()));
         return !closed
                 && (probing
                         ? context.notices().mayProbe(server.incarnation(), now())
@@ -280,22 +281,34 @@
                         .isAvailable(server.incarnation(), context.turns().lastReadMillis());
     }
 
-    /** Returns how long ago a newer version was named, in milliseconds; empty if the engine is up to date. */
+    /**
+     * Returns whether the request must not begin at an engine any more, because its weights are too old.
+     *
+     * @param view the platform
+     * @param server the engine
+     * @return true shortly before the bound of the earliest newer version, and after it
+     */
+    boolean isTooOldToBegin(PlatformView view, UpstreamServer server) {
+        long boundMillis = context.settings().bounds().versionMillis();
+        return versionAgeIfOld(view, server).stream()
+                .anyMatch(ageMillis -> OldWeightsPolicy.isTakenBack(ageMillis, boundMillis));
+    }
+
+    /** Returns how long ago the first newer version was named, in milliseconds; empty if the engine is up to date. */
     private OptionalLong versionAgeIfOld(PlatformView view, UpstreamServer server) {
-        Optional<TargetVersion> named = namedVersion(view);
-        if (named.isEmpty() || versionOf(server).orElse(0) >= named.get().version()) {
-            return OptionalLong.empty();
-        }
-        return OptionalLong.of(now() - named.get().seenAtMillis());
+        OptionalLong sinceMillis = namedVersions(view)
+                .map(names -> names.outdatedSinceMillis(versionOf(server).orElse(0)))
+                .orElse(OptionalLong.empty());
+        return sinceMillis.isEmpty() ? sinceMillis : OptionalLong.of(now() - sinceMillis.getAsLong());
     }
 
     /**
-     * Returns the weight version that the operators want for the prompt's model.
+     * Returns the weight versions that the operators have named for the prompt's model.
      *
      * @param view the platform
-     * @return the version, or empty if none was named
+     * @return the versions, or empty if none was named
      */
-    Optional<TargetVersion> namedVersion(PlatformView view) {
+    Optional<NamedVersions> namedVersions(PlatformView view) {
         return request.prompt().map(prompt -> view.versions().get(prompt.model()));
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RolloutController.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RolloutController.java
@@ -10,10 +10,10 @@
 import java.util.concurrent.TimeUnit;
 
 import org.cowslipbank.decision.relay.LeaderLease;
+import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.VersionRollout;
 import org.cowslipbank.entry.log.LogFields;
-import org.cowslipbank.model.relay.TargetVersion;
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.EngineControl.CommandOutcome;
@@ -70,18 +70,16 @@
         }
         PlatformView platform = context.view().get();
         Set<String> enginesToSwitch = new TreeSet<>();
-        for (TargetVersion version : platform.versions().values()) {
-            VersionRollout rollout = rollouts.computeIfAbsent(version.model(), key -> new VersionRollout());
-            List<UpstreamServer> modelEngines = enginesOf(platform, version.model());
+        for (NamedVersions names : platform.versions().values()) {
+            VersionRollout rollout = rollouts.computeIfAbsent(names.model(), key -> new VersionRollout());
             List<VersionRollout.Effect> effects = rollout.tick(
-                    version.model(),
-                    version.version(),
-                    modelEngines,
+                    names,
+                    enginesOf(platform, names.model()),
                     platform.switchingEngines(),
-                    version.seenAtMillis() + versionMillis - context.clocks().nowMillis(),
+                    versionMillis,
                     context.clocks().nowMillis());
             enginesToSwitch.addAll(rollout.enginesToAnnounce());
-            effects.forEach(effect -> execute(effect, version, rollout));
+            effects.forEach(effect -> execute(effect, names.model(), rollout));
         }
         if (!enginesToSwitch.equals(platform.switchingEngines()) && !announcing) {
             announce(enginesToSwitch);
@@ -113,9 +111,9 @@
                                 .error(error)));
     }
 
-    private void execute(VersionRollout.Effect effect, TargetVersion version, VersionRollout rollout) {
+    private void execute(VersionRollout.Effect effect, String model, VersionRollout rollout) {
         if (effect instanceof VersionRollout.Effect.ReadState read) {
-            readReport(read.server(), version.model(), rollout);
+            readReport(read.server(), model, rollout);
         } else if (effect instanceof VersionRollout.Effect.Order order) {
             order(order, rollout);
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -91,6 +91,11 @@
         return context.loads().isSilent(server.incarnation(), context.turns().lastReadMillis());
     }
 
+    @Override
+    public boolean isTooOldToBegin() {
+        return placement.isTooOldToBegin(context.view().get(), server);
+    }
+
     @Override
     public void onBytesReceived() {
         context.loads().onBytesReceived(server.incarnation(), now());
@@ -117,9 +122,9 @@
             return;
         }
         placement
-                .namedVersion(context.view().get())
-                .filter(named -> named.version() != expectedVersion.getAsLong())
-                .ifPresent(named -> context.loads().onVersion(server.incarnation(), named.version()));
+                .namedVersions(context.view().get())
+                .map(names -> names.nextAfter(expectedVersion.getAsLong()))
+                .ifPresent(next -> next.ifPresent(version -> context.loads().onVersion(server.incarnation(), version)));
     }
 
     @Override
--- a/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
@@ -222,7 +222,8 @@
                     List.of(new LoadDigests.LimitEntry(7, 2.5, 10)),
                     List.of(9),
                     120L,
-                    List.of(new LoadDigests.BrittleEntry(7, 2, 10)))),
+                    List.of(new LoadDigests.BrittleEntry(7, 2, 10)),
+                    List.of(new LoadDigests.NameEntry(7, 2, 10)))),
             FeedMessages.encode(new FeedMessages.PollRequest(5, Map.of("st", 3L))),
             FeedMessages.encode(new FeedMessages.PollAnswer(
                     5,
