Refuse requests that crash plain servers

Callers lost accepted orders whenever another client's order came again that crashes each plain server that runs it: it was sent on for ever.

Cause: only broken answers of engines were reported as crashes, and only answers of engines cleared suspects. Plain servers are now treated alike; the fingerprint of team, path and body, the cover over crashes and the evidence of sound answers were there.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -656,7 +656,7 @@
         } else {
             rejections++;
         }
-        if (outcome == Outcome.BROKEN && placement.targetsEngines() && !failed.isEstablished()) {
+        if (outcome == Outcome.BROKEN && !failed.isEstablished()) {
             failed.target.upstream().ifPresent(server -> suspects.reportBroken(server, failed.sentMillis));
         }
         splitter.discardIncompleteEvent();
@@ -907,7 +907,7 @@
             }
             if (isEstablished() && !reportedSound) {
                 reportedSound = true;
-                reportSound();
+                suspects.reportSound();
             }
             boolean silent = isSilent();
             // Without a retry and another upstream to move to, keep waiting: a sound one may be silent for a second.
@@ -935,12 +935,6 @@
             return hasRetryLeft(runs) && canSendElsewhere() && takeRetry(runs);
         }
 
-        private void reportSound() {
-            if (placement.targetsEngines()) {
-                suspects.reportSound();
-            }
-        }
-
         private boolean isEstablished() {
             return answerBeganMillis >= 0 && now() - answerBeganMillis >= ESTABLISHED_ANSWER_MILLIS;
         }
@@ -1159,7 +1153,7 @@
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
             } else if (streaming) {
                 settle(Outcome.ANSWERED);
-                reportSound();
+                suspects.reportSound();
                 client.end();
                 finish(ANSWERED, head.status());
             } else {
@@ -1207,7 +1201,7 @@
             ForwardedAnswer about = aboutAnswer();
             settle(failed ? Outcome.FAILED : Outcome.ANSWERED);
             if (!failed) {
-                reportSound();
+                suspects.reportSound();
             }
             deliver(head, content, about);
         }
