Add a soak without faults that checks more guarantees

The soak had no sound upstream that is silent for a second, no late second answer, no changes of limits or isolation and no versions in succession, and did not check for lost requests, old weights or the retry budget.

--- a/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -16,6 +17,10 @@
 final class SoakCommand implements Command {
     private static final long SECONDS_PER_MINUTE = 60;
 
+    /** Further limits of {@code deploy/system.toml}. */
+    private static final List<String> JVM_LIMITS =
+            List.of("-XX:MaxDirectMemorySize=48m", "-Dio.netty.maxDirectMemory=0");
+
     @Override
     public String name() {
         return "soak";
@@ -40,6 +45,8 @@
                 .withRequiredArg()
                 .ofType(Integer.class)
                 .defaultsTo(3);
+        OptionSpec<Void> calm = parser.accepts(
+                "calm", "Instead of faults: silent upstreams, second answers, changes, versions and planned stops.");
         Optional<OptionSet> options = new Options(parser).parse(arguments, console);
         if (options.isEmpty()) {
             return ExitCode.DONE;
@@ -52,10 +59,19 @@
         if (seconds <= 0 || parsed.valueOf(nodes) < 1) {
             throw new UsageException("minutes and nodes must be above zero");
         }
-        return runSoak(chosenSeed, seconds, parsed.valueOf(nodes), console);
+        SoakRun.Kind kind = parsed.has(calm) ? SoakRun.Kind.CALM : SoakRun.Kind.FAULTS;
+        return runSoak(kind, chosenSeed, seconds, parsed.valueOf(nodes), console);
+    }
+
+    /** Returns the JVM's arguments, with the limits of the deploy file. */
+    private static List<String> program(String jar) {
+        List<String> arguments = new ArrayList<>(JVM_LIMITS);
+        arguments.addAll(List.of("-jar", jar));
+        return arguments;
     }
 
-    private static ExitCode runSoak(long seed, long seconds, int nodes, Console console) throws UsageException {
+    private static ExitCode runSoak(SoakRun.Kind kind, long seed, long seconds, int nodes, Console console)
+            throws UsageException {
         try {
             Path directory = Files.createTempDirectory("cowslipbank-soak-" + seed + "-");
             String jar = Path.of(SoakCommand.class
@@ -66,7 +82,7 @@
                     .toString();
             console.out().println("seed " + seed + ", logs in " + directory);
             SoakRun.Outcome outcome = new SoakRun(
-                            new SoakRun.Plan(seed, seconds, nodes, List.of("-jar", jar), directory),
+                            new SoakRun.Plan(kind, seed, seconds, nodes, program(jar), directory),
                             console.err()::println)
                     .run();
             console.out()
--- a/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
+++ b/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
@@ -16,9 +16,19 @@
     /** Failure guarded against: a guarantee is violated while nodes and their connections fail. */
     @Example
     void guaranteesHoldUnderFaults() throws Exception {
+        assertGuaranteesHold(SoakRun.Kind.FAULTS);
+    }
+
+    /** Failure guarded against: a request is lost or late beside silent upstreams, changes and planned stops. */
+    @Example
+    void guaranteesHoldInCalm() throws Exception {
+        assertGuaranteesHold(SoakRun.Kind.CALM);
+    }
+
+    private static void assertGuaranteesHold(SoakRun.Kind kind) throws Exception {
         Path directory = Files.createTempDirectory("soak-test-");
         List<String> program = List.of("-cp", System.getProperty("java.class.path"), Main.class.getName());
-        SoakRun.Plan plan = new SoakRun.Plan(SEED, SECONDS, NODES, program, directory);
+        SoakRun.Plan plan = new SoakRun.Plan(kind, SEED, SECONDS, NODES, program, directory);
         SoakRun.Outcome outcome = new SoakRun(plan, line -> {}).run();
         assert outcome.guaranteesHeld() : "logs in " + directory + ": " + outcome.violations();
         assert !outcome.faults().isEmpty() && outcome.served() > 0 : outcome;
--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 
@@ -20,6 +22,10 @@
  * each event once; requests reach upstreams with the team's name and without its key; a revoked key is refused
  * everywhere within a bound; no request reaches an upstream after its drain period; an engine receives no commands
  * from two nodes within one lease period, and no lower fencing token after a higher one.
+ *
+ * <p>Without faults also: a request that was read whole is answered whole, or refused; none begins on a weight version past
+ * the bound of a newer one; arrivals beyond the first of each request stay within the retry budget; no cached part is shared
+ * with an isolated team.
  */
 final class GuaranteeChecker {
     /** Runs of an idempotent request: the first attempt and one retry. */
@@ -36,6 +42,28 @@
 
     private final StandInFormats.Bounds bounds;
     private final long drainMillis;
+    /** Share and number of the repeats that the platform's rules allow, and the window in which they count. */
+    private static final double REPEAT_SHARE = 0.2;
+
+    private static final int REPEAT_SLACK = 50;
+    private static final long REPEAT_WINDOW_MILLIS = 10_000;
+
+    /** Time after a planned stop in which a request that the node has not read may get no answer. */
+    private static final long STOP_MILLIS = 10_000;
+
+    /** Time after which a configuration is in force everywhere, from the platform's rules. */
+    private static final long CONFIGURATION_MILLIS = 2_000;
+
+    private final boolean calm;
+    private final Map<Long, Long> namedAtMillis = new HashMap<>();
+    private final Map<String, List<Long>> arrivals = new HashMap<>();
+    private final Map<String, List<Long>> repeats = new HashMap<>();
+    private final Set<String> arrived = new HashSet<>();
+    private final Map<String, Set<String>> teamsByScope = new HashMap<>();
+    private String isolatedTeam = "";
+    private long isolatedAtMillis;
+    private long plannedStopMillis;
+    private int shortestTimeoutMillis = Integer.MAX_VALUE;
     private final LongSupplier clock;
     private final List<String> violations = new ArrayList<>();
     private final Map<String, List<Run>> runs = new HashMap<>();
@@ -57,10 +85,12 @@
      *
      * @param bounds the time bounds in the settings of the nodes
      * @param drainMillis time after which no request may reach a draining upstream, in milliseconds
+     * @param calm true if there are no faults, so that more is guaranteed
      * @param clock supplies the current time in milliseconds
      */
-    GuaranteeChecker(StandInFormats.Bounds bounds, long drainMillis, LongSupplier clock) {
+    GuaranteeChecker(StandInFormats.Bounds bounds, long drainMillis, boolean calm, LongSupplier clock) {
         this.bounds = bounds;
+        this.calm = calm;
         this.drainMillis = drainMillis;
         this.clock = clock;
     }
@@ -105,6 +135,9 @@
                 sentMillis == null || revokedMillis == null || sentMillis <= revokedMillis + bounds.revokeMillis(),
                 run.id() + " ran with an API key that was revoked "
                         + (revokedMillis == null ? 0 : nowMillis - revokedMillis) + " ms earlier");
+        if (!run.cacheScope().isEmpty()) {
+            checkSharing(run, sentMillis);
+        }
         Long leavingMillis = leavingSinceMillis.get(run.serverId());
         boolean faultFree = leavingMillis != null && lastFaultMillis < leavingMillis;
         check(
@@ -131,6 +164,95 @@
                 "lower fencing token in " + command + " after " + previous);
     }
 
+    /** Records the only team that is isolated from now on, empty if none is. */
+    synchronized void onIsolated(String team) {
+        if (!team.equals(isolatedTeam)) {
+            isolatedTeam = team;
+            isolatedAtMillis = clock.getAsLong();
+        }
+    }
+
+    private void checkSharing(Run run, Long sentMillis) {
+        Set<String> teams = teamsByScope.computeIfAbsent(run.cacheScope(), key -> new HashSet<>());
+        teams.add(run.team());
+        boolean inForce = sentMillis != null && sentMillis > isolatedAtMillis + CONFIGURATION_MILLIS;
+        check(
+                !calm || !inForce || teams.size() == 1 || !teams.contains(isolatedTeam),
+                run.id() + " shares cached parts with an isolated team, teams " + teams + ", isolated " + isolatedTeam);
+    }
+
+    synchronized void onPlannedStop() {
+        plannedStopMillis = clock.getAsLong();
+    }
+
+    synchronized void onVersionNamed(long version) {
+        namedAtMillis.put(version, clock.getAsLong());
+    }
+
+    /** Checks that a stream begins on weights that have not been replaced for too long. */
+    synchronized void onBegun(Run run, long version) {
+        long nowMillis = clock.getAsLong();
+        long oldestMillis = namedAtMillis.entrySet().stream()
+                .filter(named -> named.getKey() > version)
+                .mapToLong(Map.Entry::getValue)
+                .min()
+                .orElse(nowMillis);
+        check(
+                !calm || nowMillis - oldestMillis <= bounds.versionMillis(),
+                run.id() + " began on version " + version + " at " + run.serverId() + ", " + (nowMillis - oldestMillis)
+                        + " ms after a newer one was named");
+    }
+
+    synchronized void onArrival(String service, String id) {
+        long nowMillis = clock.getAsLong();
+        Map<String, List<Long>> kind = arrived.add(id) ? arrivals : repeats;
+        kind.computeIfAbsent(service, key -> new ArrayList<>()).add(nowMillis);
+    }
+
+    /** Checks the arrivals beyond the first of each request, in the windows that end with one. */
+    synchronized void checkRetryBudget() {
+        repeats.forEach((service, millis) -> {
+            for (long endMillis : millis) {
+                long count = countIn(millis, endMillis);
+                List<Long> first = arrivals.getOrDefault(service, List.of());
+                long requests = Math.max(
+                        countIn(first, endMillis),
+                        Math.max(
+                                countIn(first, endMillis - REPEAT_WINDOW_MILLIS),
+                                countIn(first, endMillis - REPEAT_WINDOW_MILLIS / 2)));
+                if (calm && count > requests * REPEAT_SHARE + REPEAT_SLACK) {
+                    check(
+                            false,
+                            service + " got " + count + " repeats of " + requests + " requests until " + endMillis);
+                    return;
+                }
+            }
+        });
+    }
+
+    private static long countIn(List<Long> millis, long endMillis) {
+        return millis.stream()
+                .filter(at -> at > endMillis - REPEAT_WINDOW_MILLIS && at <= endMillis)
+                .count();
+    }
+
+    /** Records the shortest time-out that requests may have from now on, also those sent a little before. */
+    synchronized void onTimeout(int timeoutMillis) {
+        shortestTimeoutMillis = Math.min(shortestTimeoutMillis, timeoutMillis);
+    }
+
+    /** Checks a request that was written whole and got no whole answer, before its time-out was reached. */
+    synchronized void onUnanswered(String id, boolean keptConnection, String detail) {
+        if (clock.getAsLong() - sentAtMillis.getOrDefault(id, 0L) >= shortestTimeoutMillis) {
+            return;
+        }
+        boolean ran = runs.containsKey(id);
+        boolean stopping = clock.getAsLong() - plannedStopMillis < STOP_MILLIS;
+        // A request that crosses the close of a kept connection, or of a node that ends, may be unread.
+        boolean mayBeUnread = !ran && (keptConnection || stopping);
+        check(!calm || mayBeUnread, id + " got no whole answer, ran: " + ran + ", " + detail);
+    }
+
     synchronized void onServed(String id, boolean complete, String detail) {
         served++;
         check(complete, id + " got a success response that is incomplete or belongs to another request: " + detail);
--- a/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
@@ -24,6 +24,9 @@
     /** Requests sent on one connection, on average. */
     private static final int REQUESTS_PER_CONNECTION = 12;
 
+    /** Requests, on average, after which a client leaves its connection idle for long. */
+    private static final int REQUESTS_PER_LONG_PAUSE = 60;
+
     private static final String[] PATHS = {
         StandInFormats.READ_PATH, StandInFormats.ORDER_PATH, StandInFormats.STREAM_PATH
     };
@@ -32,7 +35,9 @@
     private final Random random;
     private final Supplier<Credentials> credentials;
     private final Supplier<Integer> ports;
+    private final int longPauseMillis;
     private final BooleanSupplier stopped;
+    private int requestsOnConnection;
     private Socket socket;
     private InputStream in;
 
@@ -53,6 +58,7 @@
      * @param random chooses paths, pauses and reconnects
      * @param credentials supplies the team and key of the next request
      * @param ports supplies the client port of a node for a new connection
+     * @param longPauseMillis longest time for which a connection is left idle, in milliseconds, zero to send soon always
      * @param stopped returns true once the client must stop
      */
     SoakClient(
@@ -60,11 +66,13 @@
             Random random,
             Supplier<Credentials> credentials,
             Supplier<Integer> ports,
+            int longPauseMillis,
             BooleanSupplier stopped) {
         this.guarantees = guarantees;
         this.random = random;
         this.credentials = credentials;
         this.ports = ports;
+        this.longPauseMillis = longPauseMillis;
         this.stopped = stopped;
     }
 
@@ -73,7 +81,8 @@
         while (!stopped.getAsBoolean()) {
             sendRequest();
             try {
-                Thread.sleep(random.nextInt((int) MEAN_PAUSE_MILLIS * 2));
+                boolean longPause = longPauseMillis > 0 && random.nextInt(REQUESTS_PER_LONG_PAUSE) == 0;
+                Thread.sleep(random.nextInt(longPause ? longPauseMillis : (int) MEAN_PAUSE_MILLIS * 2));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -86,14 +95,20 @@
         Credentials credential = credentials.get();
         String path = PATHS[random.nextInt(PATHS.length)];
         String id = guarantees.onSent(path, credential.team(), credential.key());
+        boolean written = false;
         try {
             connect();
             String body = "{\"n\":1}";
             String text = StandInFormats.request(path + id, id, credential.key(), body.length()) + body;
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            written = true;
+            requestsOnConnection++;
             recordOutcome(id, path, readResponse());
         } catch (IOException e) {
             close();
+            if (written) {
+                guarantees.onUnanswered(id, requestsOnConnection > 1, String.valueOf(e.getMessage()));
+            }
             guarantees.onFailed();
         }
     }
@@ -104,6 +119,7 @@
             socket = new Socket(InetAddress.getLoopbackAddress(), ports.get());
             socket.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
             in = new BufferedInputStream(socket.getInputStream());
+            requestsOnConnection = 0;
         }
     }
 
@@ -120,6 +136,9 @@
         } else if (response.status() == 200 && response.complete()) {
             guarantees.onServed(id, isExpected(id, path, response), response.head() + response.body());
         } else {
+            if (!response.complete()) {
+                guarantees.onUnanswered(id, requestsOnConnection > 1, "answer is incomplete");
+            }
             guarantees.onFailed();
         }
     }
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -30,7 +30,7 @@
     private static final long REVOCATION_LIMIT_MILLIS = 5_000;
     private static final long LEASE_MILLIS = 3_000;
     private static final long GRACE_SECONDS = 8;
-    private static final long VERSION_LIMIT_MILLIS = 10_000;
+    private static final long VERSION_LIMIT_MILLIS = 6_000;
     private static final StandInFormats.Bounds BOUNDS =
             new StandInFormats.Bounds(REVOCATION_LIMIT_MILLIS, LEASE_MILLIS, GRACE_SECONDS, VERSION_LIMIT_MILLIS);
     private static final long DRAIN_MILLIS = 3_000;
@@ -47,6 +47,9 @@
     private static final int FIRST_PORT = 15_000;
     private static final int LAST_PORT = 30_000;
     private static final int CLIENTS_PER_NODE = 4;
+    /** The same without faults: a silence then meets enough requests to use up a retry budget. */
+    private static final int CALM_CLIENTS_PER_NODE = 12;
+
     /** Threads that end faults; the end of a fault may block until a node exits. */
     private static final int TIMER_THREADS = 16;
 
@@ -63,16 +66,40 @@
     private static final int MAX_FAULT_MILLIS = 4_000;
     private static final int LARGE_CONFIGURATION_ROUTES = 800;
 
+    /** Shortest silence of a sound upstream, from the platform's pages, and the range up to the longest. */
+    private static final int SILENCE_MILLIS = 1_000;
+
+    private static final int SILENCE_RANGE_MILLIS = 300;
+
+    /** Range of the pause between two names of weight versions in quick succession. */
+    private static final int MAX_NAME_PAUSE_MILLIS = 2_500;
+
+    private static final int SHORT_IDLE_LIMIT_MILLIS = 8_000;
+    private static final int SHORT_TIMEOUT_MILLIS = 3_000;
+
+    /** What disturbs the nodes. */
+    public enum Kind {
+        /** Faults of processes, connections, upstreams and the metadata store. */
+        FAULTS,
+        /**
+         * Nothing that the platform's rules count as a fault: sound upstreams that are silent for a second, second copies of
+         * answers, configuration changes, versions in quick succession and planned stops. More is guaranteed than beside
+         * faults.
+         */
+        CALM
+    }
+
     /**
      * Parameters of a soak test.
      *
+     * @param kind what disturbs the nodes
      * @param seed seed of the faults and requests
      * @param seconds time during which faults are injected, in seconds
      * @param nodes number of nodes
      * @param program JVM arguments that select the program, such as {@code -jar FILE}
      * @param directory directory for the settings and logs of the nodes
      */
-    public record Plan(long seed, long seconds, int nodes, List<String> program, Path directory) {}
+    public record Plan(Kind kind, long seed, long seconds, int nodes, List<String> program, Path directory) {}
 
     /**
      * Result of a soak test.
@@ -135,7 +162,7 @@
     private final Consumer<String> progress;
     private final LoopResources loops = LoopResources.create("soak", 2, true);
     private final StandInStore metadataStore = new StandInStore(loops);
-    private final GuaranteeChecker guarantees = new GuaranteeChecker(BOUNDS, DRAIN_MILLIS, System::currentTimeMillis);
+    private final GuaranteeChecker guarantees;
     private final ScheduledExecutorService timer =
             Executors.newScheduledThreadPool(TIMER_THREADS, SoakRun::newDaemonThread);
     private final List<NodeProcess> nodes = new ArrayList<>();
@@ -155,6 +182,7 @@
         return new StandInUpstream.Observer() {
             @Override
             public StandInUpstream.RunOutcome onRun(StandInUpstream.Run run) {
+                guarantees.onArrival(upstream.service, run.id());
                 StandInUpstream.RunOutcome outcome = drawFate();
                 if (outcome != StandInUpstream.RunOutcome.REJECTED) {
                     guarantees.onRun(run);
@@ -162,6 +190,11 @@
                 return outcome;
             }
 
+            @Override
+            public void onBegun(StandInUpstream.Run run, long version) {
+                guarantees.onBegun(run, version);
+            }
+
             @Override
             public void onOrder(StandInUpstream.Order order) {
                 guarantees.onOrder(order);
@@ -183,6 +216,8 @@
     public SoakRun(Plan plan, Consumer<String> progress) {
         this.plan = plan;
         this.random = new Random(plan.seed());
+        this.guarantees =
+                new GuaranteeChecker(BOUNDS, DRAIN_MILLIS, plan.kind() == Kind.CALM, System::currentTimeMillis);
         this.progress = progress;
     }
 
@@ -192,6 +227,9 @@
         if (faultFree || draw.nextDouble() >= FAILING_SHARE) {
             return StandInUpstream.RunOutcome.ANSWERED;
         }
+        if (plan.kind() == Kind.CALM) {
+            return StandInUpstream.RunOutcome.DOUBLED;
+        }
         StandInUpstream.RunOutcome[] fates = StandInUpstream.RunOutcome.values();
         return fates[1 + draw.nextInt(fates.length - 1)];
     }
@@ -226,7 +264,7 @@
         Files.createDirectories(plan.directory());
         keysByTeam.put("a", List.of("key-a-0"));
         keysByTeam.put("b", List.of("key-b-0"));
-        configure(0);
+        configure(StandInFormats.Variant.USUAL);
         for (int index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
             upstreams.add(new Upstream(StandInFormats.PLAIN_SERVICE));
             upstreams.add(new Upstream(StandInFormats.ENGINE_SERVICE));
@@ -259,11 +297,13 @@
         }
     }
 
-    private synchronized void configure(int idleRoutes) {
+    private synchronized void configure(StandInFormats.Variant variant) {
         configurationVersion += 1 + random.nextInt(3);
         metadataStore.put(
                 StandInFormats.CONFIGURATION_KEY,
-                StandInFormats.configuration(configurationVersion, keysByTeam, idleRoutes));
+                StandInFormats.configuration(configurationVersion, keysByTeam, variant));
+        guarantees.onIsolated(variant.isolatedTeam());
+        guarantees.onTimeout(variant.timeoutMillis());
         credentials = keysByTeam.entrySet().stream()
                 .map(entry -> new SoakClient.Credentials(
                         entry.getKey(), entry.getValue().get(0)))
@@ -271,7 +311,8 @@
     }
 
     private void startClients() {
-        for (int index = 0; index < plan.nodes() * CLIENTS_PER_NODE; index++) {
+        int clientsPerNode = plan.kind() == Kind.CALM ? CALM_CLIENTS_PER_NODE : CLIENTS_PER_NODE;
+        for (int index = 0; index < plan.nodes() * clientsPerNode; index++) {
             Random own = new Random(plan.seed() * 31 + index);
             SoakClient.Credentials[] current = {credentials[0]};
             SoakClient client = new SoakClient(
@@ -285,6 +326,7 @@
                         return current[0];
                     },
                     () -> clientPorts.get(own.nextInt(clientPorts.size())),
+                    plan.kind() == Kind.CALM ? SHORT_IDLE_LIMIT_MILLIS * 4 / 5 : 0,
                     () -> stopped);
             newDaemonThread(client).start();
         }
@@ -301,7 +343,7 @@
 
     private void injectFault() {
         long durationMillis = MIN_FAULT_GAP_MILLIS + random.nextInt(MAX_FAULT_MILLIS);
-        Fault fault = drawFault();
+        Fault fault = plan.kind() == Kind.CALM ? drawCalmChange() : drawFault();
         String line = System.currentTimeMillis() + " " + fault.name() + " for " + durationMillis + " ms";
         faults.add(line);
         progress.accept(line);
@@ -337,13 +379,70 @@
             case 10 -> new Fault("compaction", metadataStore::compact, () -> {});
             case 11 -> new Fault("key rotation of a team", this::rotateKey, () -> {});
             case 12 -> new Fault(
-                    "large configuration", () -> configure(LARGE_CONFIGURATION_ROUTES), () -> configure(0));
+                    "large configuration",
+                    () -> configure(StandInFormats.Variant.withIdleRoutes(LARGE_CONFIGURATION_ROUTES)),
+                    () -> configure(StandInFormats.Variant.USUAL));
             case 13 -> new Fault("version", this::changeWeightVersion, () -> {});
             case 14 -> new Fault("restart of " + upstream.id, upstream::restart, () -> {});
             default -> new Fault("drain of " + upstream.id, () -> drain(upstream), () -> {});
         };
     }
 
+    private Fault drawCalmChange() {
+        StandInFormats.Variant usual = StandInFormats.Variant.USUAL;
+        return switch (random.nextInt(12)) {
+            case 0, 1, 2 -> silence(StandInFormats.ENGINE_SERVICE);
+            case 3, 4 -> silence(StandInFormats.PLAIN_SERVICE);
+            case 5 -> change(
+                    "idle limit", new StandInFormats.Variant(0, usual.timeoutMillis(), SHORT_IDLE_LIMIT_MILLIS, ""));
+            case 6 -> change(
+                    "time-out", new StandInFormats.Variant(0, SHORT_TIMEOUT_MILLIS, usual.idleLimitMillis(), ""));
+            case 7 -> change(
+                    "isolated team",
+                    new StandInFormats.Variant(
+                            0, usual.timeoutMillis(), usual.idleLimitMillis(), random.nextBoolean() ? "a" : "b"));
+            case 8 -> new Fault("key rotation of a team", this::rotateKey, () -> {});
+            case 9, 10 -> new Fault("versions", this::nameVersions, () -> {});
+            default -> {
+                NodeProcess node = nodes.get(random.nextInt(nodes.size()));
+                Fault stop = termination(node, "TERM");
+                yield new Fault(
+                        "planned stop of " + node.name(),
+                        () -> {
+                            guarantees.onPlannedStop();
+                            stop.begin().run();
+                        },
+                        stop.end());
+            }
+        };
+    }
+
+    private Fault change(String what, StandInFormats.Variant variant) {
+        return new Fault(
+                "change of the " + what, () -> configure(variant), () -> configure(StandInFormats.Variant.USUAL));
+    }
+
+    /** Lets all upstreams of a service, or all but one, fall silent. */
+    private Fault silence(String service) {
+        long millis = SILENCE_MILLIS + random.nextInt(SILENCE_RANGE_MILLIS);
+        int skipped = random.nextInt(2);
+        return new Fault(
+                (skipped == 0 ? "silence of all " : "silence of most ") + service,
+                () -> upstreams.stream()
+                        .filter(upstream -> upstream.service.equals(service))
+                        .skip(skipped)
+                        .forEach(upstream -> upstream.server.fallSilent(millis)),
+                () -> {});
+    }
+
+    private void nameVersions() {
+        int count = 1 + random.nextInt(3);
+        for (int index = 0; index < count; index++) {
+            long pauseMillis = (long) index * random.nextInt(MAX_NAME_PAUSE_MILLIS);
+            timer.schedule(this::changeWeightVersion, pauseMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private Fault proxyFault(String what, FaultProxy proxy) {
         if (random.nextInt(4) == 0) {
             long delayMillis = 1L + random.nextInt(300);
@@ -392,13 +491,14 @@
         String team = random.nextBoolean() ? "a" : "b";
         String old = keysByTeam.get(team).get(0);
         keysByTeam.put(team, List.of("key-" + team + "-" + configurationVersion));
-        configure(0);
+        configure(StandInFormats.Variant.USUAL);
         guarantees.onRevoked(old);
     }
 
     private synchronized void changeWeightVersion() {
         weightVersion++;
         metadataStore.put(StandInFormats.VERSION_KEY, StandInFormats.namedVersion(weightVersion));
+        guarantees.onVersionNamed(weightVersion);
     }
 
     private void drain(Upstream upstream) {
@@ -431,6 +531,7 @@
                 servedAtEnd >= RECOVERED_SHARE,
                 "share of requests served after recovery is " + servedAtEnd + ", expected " + RECOVERED_SHARE);
         restartExitedNodes();
+        guarantees.checkRetryBudget();
         return new Outcome(
                 guarantees.violations(),
                 List.copyOf(faults),
--- a/soak/src/test/java/org/cowslipbank/soak/GuaranteeCheckerTest.java
+++ b/soak/src/test/java/org/cowslipbank/soak/GuaranteeCheckerTest.java
@@ -11,10 +11,10 @@
 final class GuaranteeCheckerTest {
     private final AtomicLong clockMillis = new AtomicLong(1_000_000);
     private final GuaranteeChecker guarantees =
-            new GuaranteeChecker(new StandInFormats.Bounds(5_000, 3_000, 8, 10_000), 3_000, clockMillis::get);
+            new GuaranteeChecker(new StandInFormats.Bounds(5_000, 3_000, 8, 10_000), 3_000, true, clockMillis::get);
 
     private Run run(String id, String path) {
-        return new Run("s1", id, path, "a", false);
+        return new Run("s1", id, path, "a", "m/1/", false);
     }
 
     private String send(String path) {
@@ -64,14 +64,14 @@
     @Example
     void foreignTeamIsFound() {
         String id = send(StandInFormats.READ_PATH);
-        guarantees.onRun(new Run("s1", id, StandInFormats.READ_PATH, "b", false));
+        guarantees.onRun(new Run("s1", id, StandInFormats.READ_PATH, "b", "m/1/", false));
         assertOneViolation("for team 'b'");
     }
 
     @Example
     void keyThatIsPassedOnIsFound() {
         String id = send(StandInFormats.READ_PATH);
-        guarantees.onRun(new Run("s1", id, StandInFormats.READ_PATH, "a", true));
+        guarantees.onRun(new Run("s1", id, StandInFormats.READ_PATH, "a", "m/1/", true));
         assertOneViolation("client's key");
     }
 
@@ -123,4 +123,59 @@
         guarantees.onServed(send(StandInFormats.READ_PATH), false, "x");
         assertOneViolation("incomplete or belongs to another request");
     }
+
+    @Example
+    void streamOnWeightsThatWereReplacedLongAgoIsFound() {
+        guarantees.onVersionNamed(2);
+        clockMillis.addAndGet(5_000);
+        guarantees.onVersionNamed(3);
+        clockMillis.addAndGet(5_000);
+        guarantees.onBegun(run(send(StandInFormats.STREAM_PATH), StandInFormats.STREAM_PATH), 1);
+        assert guarantees.violations().isEmpty();
+        clockMillis.addAndGet(1);
+        guarantees.onBegun(run(send(StandInFormats.STREAM_PATH), StandInFormats.STREAM_PATH), 2);
+        assert guarantees.violations().isEmpty();
+        guarantees.onBegun(run(send(StandInFormats.STREAM_PATH), StandInFormats.STREAM_PATH), 1);
+        assertOneViolation("began on version 1");
+    }
+
+    @Example
+    void requestWithoutAnAnswerIsFound() {
+        String crossed = send(StandInFormats.READ_PATH);
+        guarantees.onUnanswered(crossed, true, "closed");
+        assert guarantees.violations().isEmpty();
+        String ran = send(StandInFormats.READ_PATH);
+        guarantees.onRun(run(ran, StandInFormats.READ_PATH));
+        guarantees.onUnanswered(ran, true, "closed");
+        assertOneViolation("got no whole answer");
+    }
+
+    @Example
+    void repeatsBeyondTheBudgetAreFound() {
+        for (int request = 0; request < 100; request++) {
+            guarantees.onArrival("app", "r" + request);
+            if (request < 70) {
+                guarantees.onArrival("app", "r" + request);
+            }
+        }
+        guarantees.checkRetryBudget();
+        assert guarantees.violations().isEmpty();
+        guarantees.onArrival("app", "r0");
+        guarantees.checkRetryBudget();
+        assertOneViolation("71 repeats of 100 requests");
+    }
+
+    @Example
+    void partsSharedWithAnIsolatedTeamAreFound() {
+        guarantees.onRun(run(send(StandInFormats.STREAM_PATH), StandInFormats.STREAM_PATH));
+        guarantees.onIsolated("b");
+        clockMillis.addAndGet(3_000);
+        guarantees.onRun(run(send(StandInFormats.STREAM_PATH), StandInFormats.STREAM_PATH));
+        assert guarantees.violations().isEmpty();
+        guarantees.onIsolated("a");
+        clockMillis.addAndGet(3_000);
+        String other = guarantees.onSent(StandInFormats.STREAM_PATH, "b", "key-b");
+        guarantees.onRun(new Run("s1", other, StandInFormats.STREAM_PATH, "b", "m/1/", false));
+        assertOneViolation("shares cached parts");
+    }
 }
