Keep streams at engines that fall silent together

Callers lost streams when all engines were silent for a second: each stream was moved to an engine that was as silent, the moves used up the retry budget, and the next rejection cut the stream off.

The two new tests in SilentUpstreamTest and UnansweredRequestTest fail before it.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.decision.relay;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -34,6 +35,15 @@
      */
     public static final long SILENCE_LIMIT_MILLIS = 600;
 
+    /** Longest silence of a sound upstream that goes on afterwards; stated by the platform as a second or so. */
+    static final long SOUND_SILENCE_MILLIS = 1_400;
+
+    /** Silence from which on an upstream counts among those that are silent together. */
+    static final long SHARED_SILENCE_MILLIS = 300;
+
+    /** Number of upstreams that are silent together from which on the silence says nothing about one of them. */
+    static final int MIN_SILENT_TOGETHER = 2;
+
     /** Shortest silence that indicates a fault of a plain server: its slowest answers take about 110 ms. */
     static final long MIN_PLAIN_SILENCE_MILLIS = 200;
 
@@ -271,6 +281,37 @@
         return load != null && isSilent(load, nowMillis);
     }
 
+    /**
+     * Returns whether an upstream is silent together with most others that have requests in flight, and not yet for longer
+     * than a sound one may be. All of their requests would be moved to upstreams that are as silent, and would use up the
+     * retry budget.
+     *
+     * @param incarnation the upstream's incarnation
+     * @param others the incarnations of all upstreams of the service
+     * @param nowMillis the time in milliseconds
+     * @return true if the silence is no reason to move a request
+     */
+    public boolean isSilentWithOthers(String incarnation, Collection<String> others, long nowMillis) {
+        if (silenceMillis(incarnation, nowMillis) >= SOUND_SILENCE_MILLIS) {
+            return false;
+        }
+        int busy = 0;
+        int silent = 0;
+        for (String other : others) {
+            UpstreamLoad load = loads.get(other);
+            if (load != null && load.inFlight > 0) {
+                busy++;
+                silent += silenceMillis(other, nowMillis) >= SHARED_SILENCE_MILLIS ? 1 : 0;
+            }
+        }
+        return silent >= MIN_SILENT_TOGETHER && 2 * silent > busy;
+    }
+
+    private long silenceMillis(String incarnation, long nowMillis) {
+        UpstreamLoad load = loads.get(incarnation);
+        return load == null || load.silentSinceMillis == UpstreamLoad.NEVER ? 0 : nowMillis - load.silentSinceMillis;
+    }
+
     private static boolean isSilent(UpstreamLoad load, long nowMillis) {
         return load.silentSinceMillis != UpstreamLoad.NEVER
                 && nowMillis - load.silentSinceMillis >= load.silenceLimitMillis;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -156,6 +156,9 @@
     private int rejections;
     private int sends;
     private int retriesTaken;
+    /** True while a stream that was broken off waits for a retry from the budget. */
+    private boolean retryOwed;
+
     private boolean headSent;
     private boolean ended;
     private String lastFailure = "";
@@ -423,6 +426,13 @@
 
     private boolean tryStartAttempt() {
         view = context.view().get();
+        if (retryOwed) {
+            if (!canSendElsewhere() || !takeRetry(possibleRuns)) {
+                return false;
+            }
+            retryOwed = false;
+            countFurtherAttempt();
+        }
         if (context.reachability().isCutOff()) {
             return forward() || startAtUpstream();
         }
@@ -639,6 +649,11 @@
         if (mayRetry()) {
             countFurtherAttempt();
             submitStart();
+        } else if (headSent && hasRetryLeft(possibleRuns)) {
+            // The budget grows with each request; a stream that has begun is lost if it is cut off now.
+            retryOwed = true;
+            queued = true;
+            context.waiting().add(this, waitingTimes());
         } else {
             giveUp("attempts_failed");
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -281,6 +281,22 @@
                         .isAvailable(server.incarnation(), context.turns().lastReadMillis());
     }
 
+    /**
+     * Returns whether an engine's silence is shared by most engines, so that it is no reason to move the request. Requests
+     * of plain servers are short, and a second run costs less than the wait.
+     *
+     * @param view the platform
+     * @param server the engine
+     * @param nowMillis the time in milliseconds up to which the sockets were read
+     * @return false for a plain server
+     */
+    boolean isSilentWithOthers(PlatformView view, UpstreamServer server, long nowMillis) {
+        List<String> incarnations = view.activeServers(target.service()).stream()
+                .map(UpstreamServer::incarnation)
+                .toList();
+        return targetsEngines() && context.loads().isSilentWithOthers(server.incarnation(), incarnations, nowMillis);
+    }
+
     /**
      * Returns whether the request must not begin at an engine any more, because its weights are too old.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -88,7 +88,9 @@
 
     @Override
     public boolean isSilent() {
-        return context.loads().isSilent(server.incarnation(), context.turns().lastReadMillis());
+        long lastReadMillis = context.turns().lastReadMillis();
+        return context.loads().isSilent(server.incarnation(), lastReadMillis)
+                && !placement.isSilentWithOthers(context.view().get(), server, lastReadMillis);
     }
 
     @Override
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SilentUpstreamTest.java
@@ -227,4 +227,24 @@
         assert trial.startsWith("HTTP/1.1 503") : trial;
         assert received(dying) == 3 : dying.received;
     }
+
+    /** Failure guarded against: streams of engines that pause together are run again at others, which may pause as well. */
+    @Example
+    void streamsOfEnginesThatPauseTogetherAreNotMoved() throws Exception {
+        ScriptedUpstream first = system.upstream("llm", "i-1", stream(Moment.WITHIN_THE_STREAM, PAUSE_MILLIS));
+        ScriptedUpstream second = system.upstream("llm", "i-2", stream(Moment.WITHIN_THE_STREAM, PAUSE_MILLIS));
+        system.start();
+        List<Socket> streams = new ArrayList<>();
+        for (int number = 0; first.received.isEmpty() || second.received.isEmpty(); number++) {
+            streams.add(begin("/stream/", "s" + number));
+            Thread.sleep(20);
+        }
+        ScriptedUpstream third = system.upstream("llm", "i-3", stream(Moment.WITHIN_THE_STREAM, 0));
+        system.awaitStoreApplied();
+        for (int number = 0; number < streams.size(); number++) {
+            assertComplete(streams.get(number), "s" + number);
+        }
+        assert received(first, second) == streams.size() : received(first, second);
+        assert third.received.isEmpty() : third.received;
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnansweredRequestTest.java
@@ -205,4 +205,37 @@
             assert answer.startsWith("HTTP/1.1 200") : answer;
         }
     }
+
+    /** Failure guarded against: a stream is cut off at once if the retry budget is used up when its engine breaks it off. */
+    @Example
+    void brokenStreamWaitsForTheRetryBudget() throws Exception {
+        try (RelaySystem system = RelaySystem.withoutRetryBudget()) {
+            CountDownLatch broken = new CountDownLatch(1);
+            ScriptedUpstream.Script script = (request, socket) -> {
+                boolean resumed = !request.header("Last-Event-Id").isEmpty();
+                boolean first = request.header("X-Request-Id").equals("s1") && !resumed;
+                ScriptedUpstream.beginStream(request, socket, resumed ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n");
+                if (first) {
+                    Thread.sleep(100);
+                    ScriptedUpstream.reset(socket);
+                    broken.countDown();
+                    return;
+                }
+                ScriptedUpstream.endStream(socket);
+            };
+            system.upstream("llm", "i-1", script);
+            system.upstream("llm", "i-2", script);
+            system.start();
+            try (Socket client = system.connect()) {
+                ScriptedUpstream.write(client, system.request("/stream/", "s1", "Content-Length: 0\r\n\r\n"));
+                broken.await();
+                for (int request = 0; request < 10; request++) {
+                    system.send("/stream/", "other" + request, "", "");
+                }
+                String answer = RelaySystem.readAnswer(client);
+                assert RelaySystem.joined(answer).equals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") : answer;
+                assert answer.endsWith("\r\n0\r\n\r\n") : answer;
+            }
+        }
+    }
 }
