Bound the answers that nodes read to their own calls

A faulty server that sent a body without end to a report, a cache feed or a call to the metadata store filled the memory of the node that had called it until the time-out, and the requests of its clients ended with it.

Each reader now has a bound of its own; beyond it the connection is closed and counted.

--- a/adapters/src/main/java/org/cowslipbank/adapters/JsonHttpClient.java
+++ b/adapters/src/main/java/org/cowslipbank/adapters/JsonHttpClient.java
@@ -9,6 +9,7 @@
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.ProcessingStep;
 import org.cowslipbank.model.RunState;
+import org.cowslipbank.ports.BoundedBytes;
 import org.cowslipbank.ports.ServiceAnswer;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -27,6 +28,9 @@
 
     private final HttpClient client;
     private final String address;
+    /** Longest answer body that is read; values of the key-value service have up to 1 MB, and answers several. */
+    static final int MAX_ANSWER_BYTES = 8 << 20;
+
     private final ProcessingStep step;
 
     JsonHttpClient(ConnectionProvider connections, String address, ProcessingStep step) {
@@ -47,7 +51,8 @@
         return client.post()
                 .uri(path)
                 .send(ByteBufMono.fromString(Mono.fromSupplier(() -> toJson(body))))
-                .responseSingle((response, content) -> decode(response, content, type))
+                .response((response, content) -> decode(response, content, type))
+                .single()
                 .timeout(timeout)
                 .onErrorMap(error -> toPeerError(error));
     }
@@ -55,7 +60,8 @@
     <T> Mono<T> get(String path, Class<T> type, Duration timeout) {
         return client.get()
                 .uri(path)
-                .responseSingle((response, content) -> decode(response, content, type))
+                .response((response, content) -> decode(response, content, type))
+                .single()
                 .timeout(timeout)
                 .onErrorMap(error -> toPeerError(error));
     }
@@ -84,12 +90,12 @@
                 .request(HttpMethod.valueOf(method))
                 .uri(path)
                 .send(ByteBufFlux.fromInbound(Mono.just(body)))
-                .responseSingle((response, content) -> content.asByteArray()
-                        .defaultIfEmpty(new byte[0])
+                .response((response, content) -> BoundedBytes.collect(content.asByteArray(), MAX_ANSWER_BYTES)
                         .map(bytes -> new ServiceAnswer(
                                 response.status().code(),
                                 response.responseHeaders().get("content-type", "application/octet-stream"),
                                 bytes)))
+                .single()
                 .timeout(timeout)
                 .onErrorMap(error -> toPeerError(error));
     }
@@ -98,8 +104,8 @@
         return new String(WireJson.write(body), java.nio.charset.StandardCharsets.UTF_8);
     }
 
-    private <T> Mono<T> decode(HttpClientResponse response, ByteBufMono content, Class<T> type) {
-        return content.asByteArray().defaultIfEmpty(new byte[0]).flatMap(bytes -> {
+    private <T> Mono<T> decode(HttpClientResponse response, ByteBufFlux content, Class<T> type) {
+        return BoundedBytes.collect(content.asByteArray(), MAX_ANSWER_BYTES).flatMap(bytes -> {
             int status = response.status().code();
             if (status != 200) {
                 return Mono.error(statusError(status));
--- a/adapters/src/main/java/org/cowslipbank/adapters/LineSplitter.java
+++ b/adapters/src/main/java/org/cowslipbank/adapters/LineSplitter.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.adapters;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -9,6 +10,9 @@
 
 /** Splits a stream of byte chunks into the lines of newline-delimited JSON. */
 public final class LineSplitter {
+    /** Longest line that is read. */
+    static final int MAX_LINE_BYTES = 1 << 20;
+
     private final ByteArrayOutputStream partialLine = new ByteArrayOutputStream();
 
     private LineSplitter() {}
@@ -18,12 +22,19 @@
      * yield a truncated record.
      *
      * @param chunks the chunks, split at arbitrary positions
-     * @return the lines without their line ends
+     * @return the lines without their line ends; signals {@link IOException} if a line has more than 1 MiB
      */
     public static Flux<byte[]> splitLines(Flux<byte[]> chunks) {
         return Flux.defer(() -> {
             LineSplitter splitter = new LineSplitter();
-            return chunks.concatMapIterable(splitter::split);
+            return chunks.<byte[]>handle((chunk, sink) -> {
+                        if (splitter.partialLine.size() + chunk.length > MAX_LINE_BYTES) {
+                            sink.error(new IOException("line is longer than " + MAX_LINE_BYTES + " bytes"));
+                        } else {
+                            sink.next(chunk);
+                        }
+                    })
+                    .concatMapIterable(splitter::split);
         });
     }
 
--- a/cli/src/main/java/org/cowslipbank/cli/AdminClient.java
+++ b/cli/src/main/java/org/cowslipbank/cli/AdminClient.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.cli;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -17,6 +18,7 @@
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.ProcessingStep;
 import org.cowslipbank.model.RunState;
+import org.cowslipbank.ports.BoundedBytes;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
@@ -24,6 +26,9 @@
 /** HTTP client of the administration interface of a node. */
 final class AdminClient {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Longest answer that is read; a configuration has a few megabytes. */
+    private static final int MAX_ANSWER_BYTES = 64 << 20;
+
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(20);
 
     private final String address;
@@ -70,9 +75,10 @@
                     .request(method)
                     .uri("http://" + address + "/admin/v1" + path)
                     .send(ByteBufFlux.fromString(Mono.just(body)))
-                    .responseSingle((response, content) -> content.asString()
-                            .defaultIfEmpty("")
-                            .map(text -> new Answer(response.status().code(), text)))
+                    .response((response, content) -> BoundedBytes.collect(content.asByteArray(), MAX_ANSWER_BYTES)
+                            .map(bytes ->
+                                    new Answer(response.status().code(), new String(bytes, StandardCharsets.UTF_8))))
+                    .single()
                     .block(RESPONSE_TIMEOUT);
         } catch (RuntimeException e) {
             throw new PeerException(ProcessingStep.CONFIGURE, address, RunState.UNKNOWN, "the node does not answer", e);
--- a/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/RelayCommand.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -80,7 +81,9 @@
                 new MetadataItemDecoder(),
                 new EngineClient(http),
                 new HttpRelayCodec());
-        RelayNode node = new RelayNode(settings, platform, loops, Clocks.SYSTEM, new MetricRegistry());
+        MetricRegistry metrics = new MetricRegistry();
+        metrics.register("platform.oversizedAnswers", (Gauge<Long>) http::oversizedAnswers);
+        RelayNode node = new RelayNode(settings, platform, loops, Clocks.SYSTEM, metrics);
         node.start();
         return node;
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
@@ -19,6 +19,7 @@
 import org.cowslipbank.model.PeerException;
 import org.cowslipbank.model.ProcessingStep;
 import org.cowslipbank.model.RunState;
+import org.cowslipbank.ports.BoundedBytes;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.LoopResources;
@@ -59,6 +60,9 @@
     private static final Duration POLL_TIMEOUT = Duration.ofMillis(HubFeed.MAX_HOLD_MILLIS + 500);
 
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    /** Longest answer of a hub; it passes on what the metadata store and the cache stores tell. */
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+
     private static final int HTTP_OK = 200;
     /** Status if the hub no longer has every change since the member's revision. */
     static final int HTTP_GONE = 410;
@@ -183,9 +187,9 @@
         return client.post()
                 .uri("http://" + address + FEED_PATH)
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(FeedMessages.encode(poll))))
-                .responseSingle((response, body) -> body.asByteArray()
-                        .defaultIfEmpty(new byte[0])
+                .response((response, body) -> BoundedBytes.collect(body.asByteArray(), MAX_ANSWER_BYTES)
                         .flatMap(bytes -> decode(address, response.status().code(), bytes)))
+                .single()
                 .timeout(POLL_TIMEOUT)
                 .onErrorMap(
                         error -> !(error instanceof PeerException),
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -27,6 +27,7 @@
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
 import org.cowslipbank.model.PeerException;
+import org.cowslipbank.ports.BoundedBytes;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.MetadataStore;
 import org.cowslipbank.ports.relay.PlatformDecoder;
@@ -59,6 +60,9 @@
     // Readiness is asked for each second and members poll more often; the peer of a longer idle connection may be gone.
     private static final Duration LISTENER_IDLE_TIME = Duration.ofSeconds(30);
     private static final int HTTP_UNAVAILABLE = HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+    /** Longest poll of a member; it names a position in the feed of each cache store. */
+    private static final int MAX_POLL_BYTES = 64 * 1024;
+
     private static final long DRAIN_CHECK_INTERVAL_MILLIS = 50;
     /** Part of the grace period left unused, so that the process ends before it is killed. */
     private static final long GRACE_MARGIN_MILLIS = 900;
@@ -394,9 +398,7 @@
         if (!request.uri().equals(HubFeedClient.FEED_PATH)) {
             return response.status(HttpResponseStatus.NOT_FOUND).send();
         }
-        return request.receive()
-                .aggregate()
-                .asByteArray()
+        return BoundedBytes.collect(request.receive().asByteArray(), MAX_POLL_BYTES)
                 .flatMap(bytes -> Mono.fromCallable(() -> FeedMessages.decodePollRequest(bytes)))
                 .flatMap(hubFeed::poll)
                 .flatMap(answer -> answer.isPresent()
