Keep the leader key until the last order has arrived

Engines got orders of two leaders less than LeaseMs apart after a planned stop. A successor counts on the time before the end of a lease in which no orders are given, but a leader that stopped ended its lease at once.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeLease.java
@@ -74,19 +74,39 @@
         return new GuardedTask(name, task, context.log());
     }
 
-    /** Ends the lease and with it the registration, so that the other nodes stop listing this one in look-ups. */
+    /**
+     * Ends the lease and with it the registration, so that the other nodes stop listing this one in look-ups. A leader gives
+     * no more orders but keeps its key until the last one has arrived: its successor counts on that, as after a lease that
+     * ran out.
+     */
     void release() {
         context.control().schedule(() -> {
             released = true;
-            leadership = Optional.empty();
-            if (lease != 0) {
-                context.store().endLease(lease).subscribe(done -> {}, error -> context.log()
-                        .logState(
-                                LogFields.event("lease not ended; it runs out").error(error)));
+            if (leadership.isEmpty()) {
+                endLease();
+                return;
             }
+            leadership = Optional.empty();
+            removeRegistration();
+            context.control().schedule(this::endLease, LeaderLease.LEASE_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
 
+    private void removeRegistration() {
+        context.store()
+                .removeIf(context.items().nodeKey(context.self().name()), registeredRevision)
+                .subscribe(removed -> {}, error -> context.log()
+                        .logState(LogFields.event("registration not removed; it ends with the lease")
+                                .error(error)));
+    }
+
+    private void endLease() {
+        if (lease != 0) {
+            context.store().endLease(lease).subscribe(done -> {}, error -> context.log()
+                    .logState(LogFields.event("lease not ended; it runs out").error(error)));
+        }
+    }
+
     /**
      * Tells the other nodes whether this one reaches the upstreams. May be called by any thread.
      *
@@ -204,7 +224,7 @@
         if (hasLeader && !namesThisNode) {
             leadership = Optional.empty();
         }
-        if (namesThisNode && leadership.isEmpty()) {
+        if (namesThisNode && leadership.isEmpty() && !released) {
             // The leader key was written, but the answer to the write was lost.
             becomeLeader(state.leaderRevision());
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -148,6 +148,17 @@
         });
     }
 
+    @Override
+    public Mono<Boolean> removeIf(String key, long expectedRevision) {
+        return call(() -> {
+            boolean asExpected = revisionOf(key) == expectedRevision;
+            if (asExpected) {
+                remove(key);
+            }
+            return asExpected;
+        });
+    }
+
     private long revisionOf(String key) {
         return items.containsKey(key) ? items.get(key).revision() : ABSENT;
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/StoppingNodeTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/StoppingNodeTest.java
@@ -3,14 +3,19 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
+import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.model.PeerException;
 
 /** Requests that come while a node stops. Its grace period is 3 s, and it ends 900 ms before that. */
 class StoppingNodeTest {
+    /** Time between the signal and the moment from which the test counts. */
+    private static final long MEASURING_MILLIS = 50;
+
     private static final String PLAIN = "Content-Length: 0\r\n\r\n";
 
     private RelaySystem system;
@@ -81,6 +86,27 @@
         ended.countDown();
     }
 
+    /**
+     * Failure guarded against: a leader that stops gives its key away at once, and its successor's first order comes less than
+     * the minimum time after the last one.
+     */
+    @Example
+    void leaderKeepsItsKeyUntilItsLastOrderHasArrived() throws Exception {
+        system.start();
+        RelaySystem.await("the node leads", () -> hasKey("leader"));
+        stop(0);
+        long stoppedNanos = System.nanoTime();
+        RelaySystem.await("the node left the look-ups", () -> !hasKey("nodes/n1"));
+        assert hasKey("leader");
+        RelaySystem.await("the leader key is free", () -> !hasKey("leader"));
+        long heldMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNanos);
+        assert heldMillis >= LeaderLease.LEASE_MARGIN_MILLIS - MEASURING_MILLIS : heldMillis;
+    }
+
+    private boolean hasKey(String key) {
+        return system.store.item("cowslipbank/" + key).isPresent();
+    }
+
     private static void shortStream(ScriptedUpstream.Received request, Socket socket)
             throws IOException, InterruptedException {
         ScriptedUpstream.beginStream(request, socket, "id: 1\ndata: a\n\n");
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamLinks.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamLinks.java
@@ -81,6 +81,11 @@
                 return store.write(write);
             }
 
+            @Override
+            public Mono<Boolean> removeIf(String key, long expectedRevision) {
+                return store.removeIf(key, expectedRevision);
+            }
+
             @Override
             public Mono<Lease> grantLease(long ttlMillis) {
                 return store.grantLease(ttlMillis);
--- a/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
@@ -99,6 +99,15 @@
      */
     Mono<Optional<Long>> write(Write write);
 
+    /**
+     * Removes a key if it has the expected revision.
+     *
+     * @param key the key
+     * @param expectedRevision its revision
+     * @return true if it was removed, false if it has another revision or does not exist
+     */
+    Mono<Boolean> removeIf(String key, long expectedRevision);
+
     /**
      * Grants a lease.
      *
