Run two builds side by side in the soak

Nodes are replaced one after the other, so builds must read each other's items and messages; nothing showed that they do. A recorded digest of the earlier build is a case of its own.

--- a/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -47,6 +47,9 @@
                 .defaultsTo(3);
         OptionSpec<Void> calm = parser.accepts(
                 "calm", "Instead of faults: silent upstreams, second answers, changes, versions and planned stops.");
+        OptionSpec<String> otherJar = parser.accepts(
+                        "other-jar", "Jar of another build that runs on every second node; restarts change the build.")
+                .withRequiredArg();
         Optional<OptionSet> options = new Options(parser).parse(arguments, console);
         if (options.isEmpty()) {
             return ExitCode.DONE;
@@ -60,7 +63,18 @@
             throw new UsageException("minutes and nodes must be above zero");
         }
         SoakRun.Kind kind = parsed.has(calm) ? SoakRun.Kind.CALM : SoakRun.Kind.FAULTS;
-        return runSoak(kind, chosenSeed, seconds, parsed.valueOf(nodes), console);
+        List<List<String>> programs = new ArrayList<>(List.of(program(ownJar())));
+        parsed.valuesOf(otherJar).forEach(jar -> programs.add(program(jar)));
+        return runSoak(kind, chosenSeed, seconds, parsed.valueOf(nodes), programs, console);
+    }
+
+    private static String ownJar() {
+        return Path.of(SoakCommand.class
+                        .getProtectionDomain()
+                        .getCodeSource()
+                        .getLocation()
+                        .getPath())
+                .toString();
     }
 
     /** Returns the JVM's arguments, with the limits of the deploy file. */
@@ -70,20 +84,14 @@
         return arguments;
     }
 
-    private static ExitCode runSoak(SoakRun.Kind kind, long seed, long seconds, int nodes, Console console)
+    private static ExitCode runSoak(
+            SoakRun.Kind kind, long seed, long seconds, int nodes, List<List<String>> programs, Console console)
             throws UsageException {
         try {
             Path directory = Files.createTempDirectory("cowslipbank-soak-" + seed + "-");
-            String jar = Path.of(SoakCommand.class
-                            .getProtectionDomain()
-                            .getCodeSource()
-                            .getLocation()
-                            .getPath())
-                    .toString();
             console.out().println("seed " + seed + ", logs in " + directory);
             SoakRun.Outcome outcome = new SoakRun(
-                            new SoakRun.Plan(kind, seed, seconds, nodes, program(jar), directory),
-                            console.err()::println)
+                            new SoakRun.Plan(kind, seed, seconds, nodes, programs, directory), console.err()::println)
                     .run();
             console.out()
                     .printf(
--- a/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
+++ b/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
@@ -28,7 +28,7 @@
     private static void assertGuaranteesHold(SoakRun.Kind kind) throws Exception {
         Path directory = Files.createTempDirectory("soak-test-");
         List<String> program = List.of("-cp", System.getProperty("java.class.path"), Main.class.getName());
-        SoakRun.Plan plan = new SoakRun.Plan(kind, SEED, SECONDS, NODES, program, directory);
+        SoakRun.Plan plan = new SoakRun.Plan(kind, SEED, SECONDS, NODES, List.of(program), directory);
         SoakRun.Outcome outcome = new SoakRun(plan, line -> {}).run();
         assert outcome.guaranteesHeld() : "logs in " + directory + ": " + outcome.violations();
         assert !outcome.faults().isEmpty() && outcome.served() > 0 : outcome;
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/EarlierReleaseTest.java
@@ -0,0 +1,29 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.util.HexFormat;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.relay.FleetLoads;
+
+/** Messages that the release before this one has sent, as recorded, and what it has to skip in those of this one. */
+final class EarlierReleaseTest {
+    /** A digest of eight fields. */
+    private static final String DIGEST = "98a44e4f44450100919407010203919307cb40040000000000000a910978919307020a";
+
+    /** Failure guarded against: nodes that are replaced one after the other do not read each other's digests. */
+    @Example
+    void digestWithoutNamesIsRead() throws IOException {
+        LoadDigests.LoadDigest digest = LoadDigests.decode(HexFormat.of().parseHex(DIGEST));
+        assert digest.scope() == FleetLoads.Scope.NODE && digest.contactAgeMillis() == 120 : digest;
+        assert digest.work().get(0).requests() == 1 && digest.names() == null : digest;
+    }
+
+    /** Failure guarded against: a later release cannot add a field. */
+    @Example
+    void fieldsOfALaterReleaseAreSkipped() throws IOException {
+        String later = "9a" + DIGEST.substring(2) + "91930702" + "0a" + "a3616263";
+        LoadDigests.LoadDigest digest = LoadDigests.decode(HexFormat.of().parseHex(later));
+        assert digest.names().get(0).version() == 2 && digest.names().get(0).ageMillis() == 10 : digest;
+    }
+}
--- a/soak/src/main/java/org/cowslipbank/soak/NodeProcess.java
+++ b/soak/src/main/java/org/cowslipbank/soak/NodeProcess.java
@@ -14,7 +14,7 @@
 
     private final String name;
     private final Path settings;
-    private final List<String> program;
+    private final List<List<String>> programs;
     private Process process;
     /** True from the first terminating signal until the next start. */
     private boolean terminating;
@@ -28,13 +28,13 @@
      * @param name name of the node, used for its files
      * @param directory directory for its settings and logs
      * @param settings content of the settings file
-     * @param program JVM arguments that select the program, such as {@code -jar FILE}
+     * @param programs JVM arguments that select the program, such as {@code -jar FILE}; each start takes the next one
      * @throws IOException if the settings cannot be written
      */
-    NodeProcess(String name, Path directory, byte[] settings, List<String> program) throws IOException {
+    NodeProcess(String name, Path directory, byte[] settings, List<List<String>> programs) throws IOException {
         this.name = name;
         this.settings = directory.resolve(name + ".json");
-        this.program = List.copyOf(program);
+        this.programs = List.copyOf(programs);
         Files.write(this.settings, settings);
     }
 
@@ -53,7 +53,7 @@
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-Dlog4j2.loggerContextFactory=org.cowslipbank.entry.log.JsonLineLoggerContextFactory"));
-        command.addAll(program);
+        command.addAll(programs.get(starts % programs.size()));
         command.addAll(List.of("relay", "--settings", settings.toString()));
         process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -96,10 +97,11 @@
      * @param seed seed of the faults and requests
      * @param seconds time during which faults are injected, in seconds
      * @param nodes number of nodes
-     * @param program JVM arguments that select the program, such as {@code -jar FILE}
+     * @param programs JVM arguments that select the program, such as {@code -jar FILE}; with several, nodes run different
+     *     builds side by side and each start of a node takes the next one
      * @param directory directory for the settings and logs of the nodes
      */
-    public record Plan(Kind kind, long seed, long seconds, int nodes, List<String> program, Path directory) {}
+    public record Plan(Kind kind, long seed, long seconds, int nodes, List<List<String>> programs, Path directory) {}
 
     /**
      * Result of a soak test.
@@ -276,7 +278,8 @@
             int first = port + index * PORTS_PER_NODE;
             clientPorts.add(first);
             byte[] settings = StandInFormats.settings("n" + index, first, proxy.port(), BOUNDS);
-            NodeProcess node = new NodeProcess("n" + index, plan.directory(), settings, plan.program());
+            NodeProcess node =
+                    new NodeProcess("n" + index, plan.directory(), settings, rotated(plan.programs(), index));
             nodes.add(node);
             node.start();
         }
@@ -288,6 +291,12 @@
         }
     }
 
+    private static <T> List<T> rotated(List<T> list, int distance) {
+        List<T> rotated = new ArrayList<>(list);
+        Collections.rotate(rotated, distance);
+        return rotated;
+    }
+
     private static boolean accepts(int port) {
         try (java.net.Socket socket = new java.net.Socket(InetAddress.getLoopbackAddress(), port)) {
             return socket.isConnected();
