Queue a stream for the retry budget in a task of its own

The failure of an attempt may be reported while the queue of waiting requests is tried, which then removes the request it has just tried; a stream that was queued again meanwhile would wait until its deadline. Found by reading; no run shows it.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -650,12 +650,19 @@
             countFurtherAttempt();
             submitStart();
         } else if (headSent && hasRetryLeft(possibleRuns)) {
-            // The budget grows with each request; a stream that has begun is lost if it is cut off now.
+            // In a task of its own: the failure may be reported while the queue is being tried.
+            schedule(this::awaitRetryBudget, 0);
+        } else {
+            giveUp("attempts_failed");
+        }
+    }
+
+    /** Waits for a retry: the budget grows with each request, and a stream that has begun is lost if it is cut off. */
+    private void awaitRetryBudget() {
+        if (!ended) {
             retryOwed = true;
             queued = true;
             context.waiting().add(this, waitingTimes());
-        } else {
-            giveUp("attempts_failed");
         }
     }
 
