--- a/adapters/src/main/java/org/cowslipbank/adapters/JsonHttpClient.java
+++ b/adapters/src/main/java/org/cowslipbank/adapters/JsonHttpClient.java
@@ -26,11 +26,11 @@
 final class JsonHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-    private final HttpClient client;
-    private final String address;
     /** Longest answer body that is read; values of the key-value service have up to 1 MB, and answers several. */
     static final int MAX_ANSWER_BYTES = 8 << 20;
 
+    private final HttpClient client;
+    private final String address;
     private final ProcessingStep step;
 
     JsonHttpClient(ConnectionProvider connections, String address, ProcessingStep step) {
--- a/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/UpstreamLoads.java
@@ -292,7 +292,8 @@
      * @return true if the silence is no reason to move a request
      */
     public boolean isSilentWithOthers(String incarnation, Collection<String> others, long nowMillis) {
-        if (silenceMillis(incarnation, nowMillis) >= SOUND_SILENCE_MILLIS) {
+        UpstreamLoad own = loads.get(incarnation);
+        if (own == null || silenceMillis(own, nowMillis) >= SOUND_SILENCE_MILLIS) {
             return false;
         }
         int busy = 0;
@@ -301,15 +302,14 @@
             UpstreamLoad load = loads.get(other);
             if (load != null && load.inFlight > 0) {
                 busy++;
-                silent += silenceMillis(other, nowMillis) >= SHARED_SILENCE_MILLIS ? 1 : 0;
+                silent += silenceMillis(load, nowMillis) >= SHARED_SILENCE_MILLIS ? 1 : 0;
             }
         }
         return silent >= MIN_SILENT_TOGETHER && 2 * silent > busy;
     }
 
-    private long silenceMillis(String incarnation, long nowMillis) {
-        UpstreamLoad load = loads.get(incarnation);
-        return load == null || load.silentSinceMillis == UpstreamLoad.NEVER ? 0 : nowMillis - load.silentSinceMillis;
+    private static long silenceMillis(UpstreamLoad load, long nowMillis) {
+        return load.silentSinceMillis == UpstreamLoad.NEVER ? 0 : nowMillis - load.silentSinceMillis;
     }
 
     private static boolean isSilent(UpstreamLoad load, long nowMillis) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.cowslipbank.decision.relay.CacheIndex;
 import org.cowslipbank.decision.relay.CacheScope;
@@ -87,10 +89,16 @@
         if (!isLeader.getAsBoolean() || platform.routes().isEmpty()) {
             return;
         }
-        updateUnusedGroups(platform.routes().get().sharing());
+        // Parts share few scopes, so that each scope is judged once and not each part.
+        Set<String> scopes = cacheIndex.scopes();
+        updateUnusedGroups(scopes, platform.routes().get().sharing());
+        Set<String> usedScopes = scopes.stream().filter(this::isUsed).collect(Collectors.toSet());
+        if (usedScopes.size() == scopes.size()) {
+            return;
+        }
         for (CacheStore store : platform.routes().get().configuration().stores()) {
             List<CachedPart> unused =
-                    cacheIndex.partsOfUnusedScopes(store.address(), this::isUsed, MAX_PARTS_PER_CALL).stream()
+                    cacheIndex.partsOfUnusedScopes(store.address(), usedScopes::contains, MAX_PARTS_PER_CALL).stream()
                             .map(part -> new CachedPart(part.getKey(), part.getValue()))
                             .toList();
             if (!unused.isEmpty()) {
@@ -113,9 +121,9 @@
         });
     }
 
-    private void updateUnusedGroups(CacheSharing sharing) {
+    private void updateUnusedGroups(Set<String> scopes, CacheSharing sharing) {
         groupsUnusedSinceMillis.keySet().removeIf(sharing::uses);
-        for (String scope : cacheIndex.scopes()) {
+        for (String scope : scopes) {
             oldestVersions.keySet().stream()
                     .flatMap(model -> CacheScope.group(scope, model).stream())
                     .filter(group -> !sharing.uses(group))
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -291,10 +291,13 @@
      * @return false for a plain server
      */
     boolean isSilentWithOthers(PlatformView view, UpstreamServer server, long nowMillis) {
+        if (!targetsEngines()) {
+            return false;
+        }
         List<String> incarnations = view.activeServers(target.service()).stream()
                 .map(UpstreamServer::incarnation)
                 .toList();
-        return targetsEngines() && context.loads().isSilentWithOthers(server.incarnation(), incarnations, nowMillis);
+        return context.loads().isSilentWithOthers(server.incarnation(), incarnations, nowMillis);
     }
 
     /**
--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -40,8 +40,6 @@
      */
     private static final long FAULT_SETTLING_MILLIS = 300;
 
-    private final StandInFormats.Bounds bounds;
-    private final long drainMillis;
     /** Share and number of the repeats that the platform's rules allow, and the window in which they count. */
     private static final double REPEAT_SHARE = 0.2;
 
@@ -54,6 +52,8 @@
     /** Time after which a configuration is in force everywhere, from the platform's rules. */
     private static final long CONFIGURATION_MILLIS = 2_000;
 
+    private final StandInFormats.Bounds bounds;
+    private final long drainMillis;
     private final boolean calm;
     private final Map<Long, Long> namedAtMillis = new HashMap<>();
     private final Map<String, List<Long>> arrivals = new HashMap<>();
