Log and count what is unusual about upstreams' answers

The logs could not tell the hypotheses apart: a skipped second answer, bytes without a request and an answer that broke off left no line, or only the line of the attempt that failed.

Each of them now has a log line with the connection's number, its count of requests, the status, whether the answer names the request in progress, the framing and how it ended, and a counter.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -20,6 +20,10 @@
     private final Counter cutOffs;
     private final Counter forwarded;
     private final Counter servedForOthers;
+    private final Counter secondAnswers;
+    private final Counter strayBytes;
+    private final Counter answersBrokenOff;
+    private final Counter malformedAnswers;
     private final Timer firstByte;
     private final Timer duration;
 
@@ -36,6 +40,10 @@
         this.cutOffs = registry.counter("relay.cutOffs");
         this.forwarded = registry.counter("relay.forwarded");
         this.servedForOthers = registry.counter("relay.servedForOthers");
+        this.secondAnswers = registry.counter("relay.secondAnswers");
+        this.strayBytes = registry.counter("relay.strayBytes");
+        this.answersBrokenOff = registry.counter("relay.answersBrokenOff");
+        this.malformedAnswers = registry.counter("relay.malformedAnswers");
         this.firstByte = registry.timer("relay.firstByteMillis");
         this.duration = registry.timer("relay.wholeMillis");
     }
@@ -91,6 +99,18 @@
         servedForOthers.inc();
     }
 
+    /** Counts something unusual that was received in place of an answer, or within one. */
+    void onAnswerAnomaly(AnswerAnomaly.Kind kind) {
+        Counter counter =
+                switch (kind) {
+                    case SECOND_ANSWER -> secondAnswers;
+                    case STRAY_BYTES -> strayBytes;
+                    case BROKEN_OFF -> answersBrokenOff;
+                    case MALFORMED_HEAD -> malformedAnswers;
+                };
+        counter.inc();
+    }
+
     void onFirstByte(long millis) {
         firstByte.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
@@ -152,10 +153,15 @@
         this.originReports = new StreamOriginReports(controlContext, origins);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
-        this.connections =
-                new UpstreamConnectionPool(codec, clocks.monotonic(), turns, loops, loop, upstreamEvents(crashReports));
+        RelayMetrics relayMetrics = new RelayMetrics(metrics);
+        Consumer<AnswerAnomaly> anomalies = anomaly -> {
+            relayMetrics.onAnswerAnomaly(anomaly.kind());
+            log.logRequest(anomaly.describe());
+        };
+        this.connections = new UpstreamConnectionPool(
+                codec, clocks.monotonic(), turns, loops, loop, upstreamEvents(crashReports), anomalies);
         UpstreamConnectionPool nodeConnections = new UpstreamConnectionPool(
-                codec, clocks.monotonic(), turns, loops, loop, UpstreamConnectionPool.Events.IGNORED);
+                codec, clocks.monotonic(), turns, loops, loop, UpstreamConnectionPool.Events.IGNORED, anomalies);
         this.forwarding = new RequestForwarding(self, watcher::view, clocks, nodeConnections);
         CacheIndex cacheIndex = new CacheIndex();
         CacheStoreFollower.Sources sources = new CacheStoreFollower.Sources(platform.engines(), hubFeed, this::hasHub);
@@ -209,7 +215,7 @@
                 origins,
                 originReports,
                 new NodeStop(clocks),
-                new RelayMetrics(metrics),
+                relayMetrics,
                 log);
         this.clientServer = new ClientHttpServer(context, ClientHttpServer.Callers.CLIENTS);
         this.nodeServer = new ClientHttpServer(context, ClientHttpServer.Callers.NODES);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
@@ -44,10 +45,13 @@
     static final int MAX_REFUSED_REQUESTS = 64;
 
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final String MALFORMED_BODY = "malformed answer body";
 
     private final RelayCodec codec;
     private final UpstreamConnectionPool pool;
     private final String address;
+    private final long number;
+    private int requests;
     private Channel channel;
     private UpstreamListener listener;
     private String requestId = "";
@@ -57,15 +61,25 @@
     private int interimAnswers;
     private int skippedBytes;
     private boolean reusable = true;
-    private boolean bodyEndsAtClose;
+    private AnswerAnomaly.Framing framing = AnswerAnomaly.Framing.UNKNOWN;
+    private long bodyBytes;
     private Throwable error;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
     private long idleSinceMillis;
 
-    UpstreamConnection(RelayCodec codec, UpstreamConnectionPool pool, String address) {
+    /**
+     * Creates a connection that is not open yet.
+     *
+     * @param codec decodes heads of answers
+     * @param pool the pool that the connection returns to
+     * @param address the target as {@code IP:port}
+     * @param number number of the connection in its pool, for the log
+     */
+    UpstreamConnection(RelayCodec codec, UpstreamConnectionPool pool, String address, long number) {
         this.codec = codec;
         this.pool = pool;
         this.address = address;
+        this.number = number;
     }
 
     String address() {
@@ -83,7 +97,10 @@
     void send(RelayRequest request, Iterable<Header> headers, ByteBuf body, UpstreamListener answerListener) {
         listener = answerListener;
         requestId = request.id();
+        requests++;
         head = null;
+        framing = AnswerAnomaly.Framing.UNKNOWN;
+        bodyBytes = 0;
         skippingAnswer = false;
         interimAnswers = 0;
         skippedBytes = 0;
@@ -133,6 +150,9 @@
         try {
             if (listener == null) {
                 // Bytes without a request in progress cannot be assigned to any request.
+                if (reusable) {
+                    report(AnswerAnomaly.Kind.STRAY_BYTES, Optional.empty(), AnswerAnomaly.Ending.OPEN);
+                }
                 close();
                 return;
             }
@@ -168,6 +188,7 @@
             // A late or duplicate answer to an earlier request on this connection.
             skippingAnswer = true;
             reusable = false;
+            report(AnswerAnomaly.Kind.SECOND_ANSWER, Optional.of(decoded), AnswerAnomaly.Ending.OPEN);
             return;
         }
         if (decoded.requestId().isEmpty()) {
@@ -179,13 +200,24 @@
             refusedIds.add(requestId);
             reusable = reusable && refusedIds.size() < MAX_REFUSED_REQUESTS;
         }
-        bodyEndsAtClose = decoded.contentBytes().isEmpty() && !HttpUtil.isTransferEncodingChunked(response);
-        reusable = reusable && !decoded.closesConnection() && !bodyEndsAtClose && HttpUtil.isKeepAlive(response);
+        framing = framingOf(decoded, response);
+        reusable = reusable && !decoded.closesConnection() && !endsAtClose() && HttpUtil.isKeepAlive(response);
         idleMillis = decoded.idleTimeoutMillis().orElse(DEFAULT_IDLE_MILLIS) - IDLE_MARGIN_MILLIS;
         head = decoded;
         listener.onHead(decoded);
     }
 
+    private static AnswerAnomaly.Framing framingOf(AnswerHead decoded, HttpResponse response) {
+        if (HttpUtil.isTransferEncodingChunked(response)) {
+            return AnswerAnomaly.Framing.CHUNKS;
+        }
+        return decoded.contentBytes().isPresent() ? AnswerAnomaly.Framing.LENGTH : AnswerAnomaly.Framing.UNTIL_CLOSE;
+    }
+
+    private boolean endsAtClose() {
+        return framing == AnswerAnomaly.Framing.UNTIL_CLOSE;
+    }
+
     private void failHead(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
             fail(UpstreamListener.Failure.BROKEN, "connection closed within the headers of the answer");
@@ -199,7 +231,7 @@
             return;
         }
         if (content.decoderResult().isFailure()) {
-            fail(UpstreamListener.Failure.BROKEN, "malformed answer body");
+            fail(UpstreamListener.Failure.BROKEN, MALFORMED_BODY);
             return;
         }
         boolean last = content instanceof LastHttpContent;
@@ -212,6 +244,7 @@
             return;
         }
         if (content.content().isReadable()) {
+            bodyBytes += content.content().readableBytes();
             listener.onBody(content.content());
         }
         if (last && listener != null) {
@@ -220,7 +253,7 @@
     }
 
     private void completeAnswer() {
-        if (bodyEndsAtClose && error != null) {
+        if (endsAtClose() && error != null) {
             fail(UpstreamListener.Failure.BROKEN, "connection reset before the end of the answer");
             return;
         }
@@ -240,9 +273,27 @@
         UpstreamListener failed = listener;
         listener = null;
         close();
-        if (failed != null) {
-            failed.onFailure(failure, message);
+        if (failed == null) {
+            return;
+        }
+        if (head != null) {
+            report(AnswerAnomaly.Kind.BROKEN_OFF, Optional.of(head), endingOf(message));
+        } else if (failure == UpstreamListener.Failure.MALFORMED) {
+            report(AnswerAnomaly.Kind.MALFORMED_HEAD, Optional.empty(), AnswerAnomaly.Ending.MALFORMED);
         }
+        failed.onFailure(failure, message);
+    }
+
+    private AnswerAnomaly.Ending endingOf(String message) {
+        if (message.equals(MALFORMED_BODY)) {
+            return AnswerAnomaly.Ending.MALFORMED;
+        }
+        return error == null ? AnswerAnomaly.Ending.CLOSED : AnswerAnomaly.Ending.RESET;
+    }
+
+    private void report(AnswerAnomaly.Kind kind, Optional<AnswerHead> received, AnswerAnomaly.Ending ending) {
+        pool.onAnomaly(
+                new AnswerAnomaly(kind, address, number, requests, requestId, received, framing, bodyBytes, ending));
     }
 
     @Override
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -39,6 +40,7 @@
     private final Bootstrap bootstrap;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final Events events;
+    private final Consumer<AnswerAnomaly> anomalies;
     private long openedCount;
 
     /** Receives what the pool learns about its targets, on the traffic thread. */
@@ -105,6 +107,7 @@
      * @param loops event loops
      * @param loop the traffic thread
      * @param events receives what the pool learns
+     * @param anomalies receives what is unusual about answers, on the traffic thread
      */
     UpstreamConnectionPool(
             RelayCodec codec,
@@ -112,8 +115,10 @@
             LoopTurnTracker turns,
             LoopResources loops,
             EventLoop loop,
-            Events events) {
+            Events events,
+            Consumer<AnswerAnomaly> anomalies) {
         this.events = events;
+        this.anomalies = anomalies;
         this.codec = codec;
         this.clock = clock;
         this.turns = turns;
@@ -168,7 +173,7 @@
      */
     void open(String address, BiConsumer<UpstreamConnection, Throwable> callback) {
         openedCount++;
-        UpstreamConnection connection = new UpstreamConnection(codec, this, address);
+        UpstreamConnection connection = new UpstreamConnection(codec, this, address, openedCount);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
@@ -202,6 +207,10 @@
         }
     }
 
+    void onAnomaly(AnswerAnomaly anomaly) {
+        anomalies.accept(anomaly);
+    }
+
     void onBroken(String address) {
         events.onBroken(address);
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CutHeadTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CutHeadTest.java
@@ -96,8 +96,14 @@
         EventLoop loop = channel.eventLoop();
         LoopTurnTracker turns = new LoopTurnTracker(loop, Clocks.SYSTEM, (unreadMillis, nowMillis) -> {});
         UpstreamConnectionPool pool = new UpstreamConnectionPool(
-                codec, Clocks.SYSTEM.monotonic(), turns, LOOPS, loop, UpstreamConnectionPool.Events.IGNORED);
-        UpstreamConnection connection = new UpstreamConnection(codec, pool, "10.0.0.1:80");
+                codec,
+                Clocks.SYSTEM.monotonic(),
+                turns,
+                LOOPS,
+                loop,
+                UpstreamConnectionPool.Events.IGNORED,
+                anomaly -> {});
+        UpstreamConnection connection = new UpstreamConnection(codec, pool, "10.0.0.1:80", 1);
         channel.pipeline().addLast(new HttpClientCodec(), connection);
         Recorder recorder = new Recorder();
         connection.send(
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RepeatedRefusalTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RepeatedRefusalTest.java
@@ -55,6 +55,7 @@
         assert system.send("/order/", "r1", "", "").startsWith("HTTP/1.1 503");
         String answer = system.send("/order/", "r2", "", "");
         assert answer.startsWith("HTTP/1.1 200") && RelaySystem.body(answer).equals("done") : answer;
+        assert system.metric("relay.secondAnswers") == 1;
     }
 
     @Example
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
@@ -30,8 +30,14 @@
             Clocks clocks = new Clocks(MonotonicClock.SYSTEM, System::currentTimeMillis);
             LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, (unreadMillis, nowMillis) -> {});
             UpstreamConnectionPool pool = new UpstreamConnectionPool(
-                    codec, MonotonicClock.SYSTEM, turns, loops, loop, UpstreamConnectionPool.Events.IGNORED);
-            UpstreamConnection connection = new UpstreamConnection(codec, pool, ADDRESS);
+                    codec,
+                    MonotonicClock.SYSTEM,
+                    turns,
+                    loops,
+                    loop,
+                    UpstreamConnectionPool.Events.IGNORED,
+                    anomaly -> {});
+            UpstreamConnection connection = new UpstreamConnection(codec, pool, ADDRESS, 1);
             EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
             RelayRequest request =
                     codec.decodeRequest("GET", "/", Map.of("X-Request-Id", "r1").entrySet());
