Never decode bytes of a second answer as part of the next

An upstream that writes an earlier answer once more may break off within its head. Bytes that end within a line decode to no message, so the connection counted as idle and clean; the next answer's status line then became the rest of the reason or of a header, and its other headers followed. "HTTP/1.1 200 O" and a 500 gave a 200 of the right request. Likewise the head of a refusal and a 200 gave a refusal of a request that ran. A body of events made the answer whole; the text of an error is no event, so that stream was closed behind its head.

Bytes are now decoded only while an answer is awaited: any other byte, also one behind the end of an answer in the same read, closes the connection. The second part may also arrive with the next answer, so a head or trailer that holds another status line, or a status line that is not exactly one, is malformed; so is a switch to another protocol, which would pass on bytes undecoded.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.PrematureChannelClosureException;
@@ -13,7 +14,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -51,6 +54,7 @@
     private final UpstreamConnectionPool pool;
     private final String address;
     private final long number;
+    private final AnswerDecoder decoder = new AnswerDecoder(this);
     private int requests;
     private Channel channel;
     private UpstreamListener listener;
@@ -82,6 +86,15 @@
         this.number = number;
     }
 
+    /**
+     * Returns the handlers of this connection's channel.
+     *
+     * @return the handlers from the network's side on
+     */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
+    }
+
     String address() {
         return address;
     }
@@ -110,6 +123,7 @@
         if (body.isReadable() || !request.method().equals("GET")) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
+        decoder.onSent(message.method());
         // A failed write closes the channel, and channelInactive then notifies the listener.
         channel.writeAndFlush(message, channel.voidPromise());
     }
@@ -139,6 +153,18 @@
         channel.close();
     }
 
+    boolean awaitsAnswer() {
+        return listener != null;
+    }
+
+    /** Called when bytes arrive that cannot be assigned to any request. */
+    void onStrayBytes() {
+        if (reusable) {
+            report(AnswerAnomaly.Kind.STRAY_BYTES, Optional.ofNullable(head), AnswerAnomaly.Ending.OPEN);
+        }
+        close();
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -149,11 +175,6 @@
         pool.onEvent();
         try {
             if (listener == null) {
-                // Bytes without a request in progress cannot be assigned to any request.
-                if (reusable) {
-                    report(AnswerAnomaly.Kind.STRAY_BYTES, Optional.empty(), AnswerAnomaly.Ending.OPEN);
-                }
-                close();
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -175,7 +196,15 @@
             failHead(response.decoderResult().cause());
             return;
         }
+        if (!AnswerDecoder.areOfOneHead(response.headers())) {
+            fail(UpstreamListener.Failure.MALFORMED, "status line within the headers of the answer");
+            return;
+        }
         int status = response.status().code();
+        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            fail(UpstreamListener.Failure.MALFORMED, "switch to another protocol");
+            return;
+        }
         skippingAnswer = status < FIRST_FINAL_STATUS;
         if (skippingAnswer) {
             if (++interimAnswers > MAX_INTERIM_ANSWERS) {
@@ -230,11 +259,11 @@
         if (listener == null) {
             return;
         }
-        if (content.decoderResult().isFailure()) {
+        boolean last = content instanceof LastHttpContent;
+        if (content.decoderResult().isFailure() || last && !hasSoundTrailer((LastHttpContent) content)) {
             fail(UpstreamListener.Failure.BROKEN, MALFORMED_BODY);
             return;
         }
-        boolean last = content instanceof LastHttpContent;
         if (skippingAnswer || head == null) {
             skippingAnswer = skippingAnswer && !last;
             skippedBytes += content.content().readableBytes();
@@ -252,6 +281,10 @@
         }
     }
 
+    private static boolean hasSoundTrailer(LastHttpContent last) {
+        return AnswerDecoder.areOfOneHead(last.trailingHeaders());
+    }
+
     private void completeAnswer() {
         if (endsAtClose() && error != null) {
             fail(UpstreamListener.Failure.BROKEN, "connection reset before the end of the answer");
@@ -259,6 +292,9 @@
         }
         UpstreamListener ended = listener;
         listener = null;
+        if (decoder.hasUnreadBytes()) {
+            onStrayBytes();
+        }
         if (reusable && channel.isActive()) {
             // The answer may have ended while its client did not read; the next answer has another client.
             pauseReading(false);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -17,7 +17,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.ports.relay.RelayCodec;
 import reactor.netty.resources.LoopResources;
@@ -30,10 +29,6 @@
     /** Bytes read from a connection in a turn of the loop, so that endless answers do not occupy the loop. */
     private static final int READ_BYTES = 16 * 1024;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final RelayCodec codec;
     private final MonotonicClock clock;
     private final LoopTurnTracker turns;
@@ -179,9 +174,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(connection);
+                        channel.pipeline().addLast(connection.handlers());
                     }
                 })
                 .connect(SocketAddresses.parse(address));
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CutHeadTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CutHeadTest.java
@@ -12,7 +12,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -104,7 +103,7 @@
                 UpstreamConnectionPool.Events.IGNORED,
                 anomaly -> {});
         UpstreamConnection connection = new UpstreamConnection(codec, pool, "10.0.0.1:80", 1);
-        channel.pipeline().addLast(new HttpClientCodec(), connection);
+        channel.pipeline().addLast(connection.handlers());
         Recorder recorder = new Recorder();
         connection.send(
                 codec.decodeRequest("GET", "/", Map.of("X-Request-Id", ID).entrySet()),
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import net.jqwik.api.Example;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.platform.HttpRelayCodec;
@@ -38,7 +37,7 @@
                     UpstreamConnectionPool.Events.IGNORED,
                     anomaly -> {});
             UpstreamConnection connection = new UpstreamConnection(codec, pool, ADDRESS, 1);
-            EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+            EmbeddedChannel channel = new EmbeddedChannel(connection.handlers());
             RelayRequest request =
                     codec.decodeRequest("GET", "/", Map.of("X-Request-Id", "r1").entrySet());
             connection.send(request, List.of(), Unpooled.EMPTY_BUFFER, new PausingListener(connection));
