Never send a request's identifier twice on one connection

A second answer is told from the answer to the request in progress by its identifier. Only requests that had been refused were kept off their connection; one that ran and failed, or was answered, could be sent there again: by a client that repeats its identifier, or as a further send to an upstream that was registered anew meanwhile.

A connection now remembers the identifiers of all requests that it carried, and is not used again after 1,000.

SecondAnswerTest failed before: an order that got a 200 and was then answered by a 500 got the copy of the other answer, and drawn sequences told a listener of the status and signature of an earlier send.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -44,8 +44,8 @@
     /** Bytes of an answer to another request that are skipped before the connection is given up. */
     static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
-    /** Refused requests that are remembered; then the connection is not used again. */
-    static final int MAX_REFUSED_REQUESTS = 64;
+    /** Requests whose identifiers are remembered, 100 KB at most; then the connection is not used again. */
+    static final int MAX_REQUESTS = 1_000;
 
     private static final int FIRST_FINAL_STATUS = 200;
     private static final String MALFORMED_BODY = "malformed answer body";
@@ -55,11 +55,10 @@
     private final String address;
     private final long number;
     private final AnswerDecoder decoder = new AnswerDecoder(this);
-    private int requests;
     private Channel channel;
     private UpstreamListener listener;
     private String requestId = "";
-    private final Set<String> refusedIds = new HashSet<>();
+    private final Set<String> sentIds = new HashSet<>();
     private AnswerHead head;
     private boolean skippingAnswer;
     private int interimAnswers;
@@ -110,7 +109,8 @@
     void send(RelayRequest request, Iterable<Header> headers, ByteBuf body, UpstreamListener answerListener) {
         listener = answerListener;
         requestId = request.id();
-        requests++;
+        sentIds.add(requestId);
+        reusable = reusable && sentIds.size() < MAX_REQUESTS;
         head = null;
         framing = AnswerAnomaly.Framing.UNKNOWN;
         bodyBytes = 0;
@@ -136,10 +136,10 @@
      * Returns whether answers to a request can be told from copies of earlier ones on this connection.
      *
      * @param id the request's identifier
-     * @return false if the upstream has refused the request on this connection before
+     * @return false if a request with this identifier was sent on this connection before
      */
     boolean canCarry(String id) {
-        return !refusedIds.contains(id);
+        return !sentIds.contains(id);
     }
 
     /** Cancels the request; the upstream stops it when the connection closes. */
@@ -225,10 +225,6 @@
             fail(UpstreamListener.Failure.MALFORMED, "answer without a request id");
             return;
         }
-        if (decoded.notExecuted()) {
-            refusedIds.add(requestId);
-            reusable = reusable && refusedIds.size() < MAX_REFUSED_REQUESTS;
-        }
         framing = framingOf(decoded, response);
         reusable = reusable && !decoded.closesConnection() && !endsAtClose() && HttpUtil.isKeepAlive(response);
         idleMillis = decoded.idleTimeoutMillis().orElse(DEFAULT_IDLE_MILLIS) - IDLE_MARGIN_MILLIS;
@@ -328,8 +324,8 @@
     }
 
     private void report(AnswerAnomaly.Kind kind, Optional<AnswerHead> received, AnswerAnomaly.Ending ending) {
-        pool.onAnomaly(
-                new AnswerAnomaly(kind, address, number, requests, requestId, received, framing, bodyBytes, ending));
+        pool.onAnomaly(new AnswerAnomaly(
+                kind, address, number, sentIds.size(), requestId, received, framing, bodyBytes, ending));
     }
 
     @Override
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -253,7 +255,7 @@
             String between = drawCopies(random, earlier);
             disturbed = disturbed || !between.isEmpty();
             link.receive(between);
-            sent = link.sendIfTaken("r" + earlier.size());
+            sent = link.sendIfTaken("r" + random.nextInt(earlier.size() + 1));
         }
         link.end(true);
     }
@@ -298,6 +300,30 @@
         }
     }
 
+    /** A client that sends a request again with its identifier, or a further send to an upstream that is registered anew. */
+    @Property(generation = GenerationMode.EXHAUSTIVE)
+    void sameRequestIsNotSentAgainOnItsConnection(@ForAll boolean failsFirst) throws Exception {
+        Map<Socket, String> answeredOn = new ConcurrentHashMap<>();
+        int[] statuses = failsFirst ? new int[] {500, 200} : new int[] {200, 500};
+        AtomicInteger next = new AtomicInteger();
+        ScriptedUpstream.Script script = (request, socket) -> {
+            int status = statuses[next.getAndIncrement()];
+            String answer = answer(
+                    status, request.header("X-Request-Id"), "s" + status, "Keep-Alive: timeout=9\r\n", withLength("x"));
+            ScriptedUpstream.write(socket, answeredOn.getOrDefault(socket, "") + answer);
+            answeredOn.put(socket, answer);
+        };
+        try (RelaySystem system = new RelaySystem()) {
+            system.upstream("app", "i-1", script);
+            system.start();
+            for (int status : statuses) {
+                String answer = system.send("/order/", "r1", "", "");
+                assert answer.startsWith("HTTP/1.1 " + status) : answer;
+            }
+        }
+        assert answeredOn.size() == 2;
+    }
+
     private static void writeFirst(ScriptedUpstream.Received request, Socket socket, Time time, String part)
             throws IOException, InterruptedException {
         String first = answer(200, request.header("X-Request-Id"), "s1", "Keep-Alive: timeout=9\r\n", inChunks(EVENT));
