Take no close at the time limit for the end of an answer

An answer without a length ends with its connection. An upstream gets the request's time limit and stops then, so its close at that time may be a cut.

Such an answer whose close is read at or after the request's time limit is now a timeout: a stream is cut off, another request gets a 504.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -1171,6 +1171,9 @@
         public void onEnd() {
             if (head.notExecuted() || ownAnswer) {
                 onUnservedEnd();
+            } else if (connection.endsAtClose() && now() >= deadlineMillis) {
+                // The upstream stops at this time limit too, so that its close need not be the answer's end.
+                onDeadline();
             } else if (streaming && splitter.hasIncompleteEvent()) {
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
             } else if (streaming) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -239,7 +239,12 @@
         return decoded.contentBytes().isPresent() ? AnswerAnomaly.Framing.LENGTH : AnswerAnomaly.Framing.UNTIL_CLOSE;
     }
 
-    private boolean endsAtClose() {
+    /**
+     * Returns whether the close of the connection marks the end of the last answer.
+     *
+     * @return true if it has neither a length nor chunks
+     */
+    boolean endsAtClose() {
         return framing == AnswerAnomaly.Framing.UNTIL_CLOSE;
     }
 
