Keep parts of answers off the next call to an engine or store

Calls for reports, orders and cache parts go through a pooled HTTP client, which had the same fault as the relay's connections: it drops a whole answer that arrives while a connection is idle, but decodes a part of one as the beginning of the next call's answer. An order that an engine refused with 503 counted as accepted behind "HTTP/1.1 202 A".

The check is shared with the relay.

A whole second answer that is read after the next call was sent cannot be told apart, as these calls carry no identifier.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/AnswerDecoder.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/AnswerDecoder.java
@@ -1,15 +1,14 @@
 package org.cowslipbank.entry.relay;
 
-import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
 
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
+import org.cowslipbank.ports.StatusLines;
 
 /**
  * Decodes the answers on one connection. Bytes outside of an answer that is awaited are never decoded, so that a part of
@@ -22,7 +21,6 @@
 
     private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private static final Pattern STATUS = Pattern.compile("[1-9][0-9]{2}");
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] +[0-9]{3}");
 
     private final UpstreamConnection connection;
     private boolean answersHead;
@@ -50,26 +48,6 @@
         return actualReadableBytes() > 0;
     }
 
-    /**
-     * Returns whether header fields stem from one head. If an upstream breaks off within a head and writes another answer,
-     * that answer's status line stands in a field of the first one.
-     *
-     * @param fields the fields of a head, or of a trailer
-     * @return false if a field holds a status line
-     */
-    static boolean areOfOneHead(HttpHeaders fields) {
-        for (Map.Entry<String, String> field : fields) {
-            if (holdsStatusLine(field.getKey()) || holdsStatusLine(field.getValue())) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static boolean holdsStatusLine(String text) {
-        return STATUS_LINE.matcher(text).find();
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
         if (connection.awaitsAnswer()) {
@@ -84,7 +62,7 @@
     protected HttpMessage createMessage(String[] statusLine) {
         boolean wellFormed = VERSIONS.contains(statusLine[0])
                 && STATUS.matcher(statusLine[1]).matches()
-                && !holdsStatusLine(statusLine[2]);
+                && !StatusLines.isWithin(statusLine[2]);
         if (!wellFormed) {
             throw new IllegalArgumentException("malformed status line");
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.cowslipbank.ports.StatusLines;
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.Header;
 import org.cowslipbank.ports.relay.RelayCodec;
@@ -196,7 +197,7 @@
             failHead(response.decoderResult().cause());
             return;
         }
-        if (!AnswerDecoder.areOfOneHead(response.headers())) {
+        if (StatusLines.isWithin(response.headers())) {
             fail(UpstreamListener.Failure.MALFORMED, "status line within the headers of the answer");
             return;
         }
@@ -283,7 +284,7 @@
     }
 
     private static boolean hasSoundTrailer(LastHttpContent last) {
-        return AnswerDecoder.areOfOneHead(last.trailingHeaders());
+        return !StatusLines.isWithin(last.trailingHeaders());
     }
 
     private void completeAnswer() {
