Note an answer before it is written in SecondAnswerTest

The script counted the connection after it had written the answer, so the test could end before (one run of several failed at its last check). The check is the same.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
@@ -310,8 +310,9 @@
             int status = statuses[next.getAndIncrement()];
             String answer = answer(
                     status, request.header("X-Request-Id"), "s" + status, "Keep-Alive: timeout=9\r\n", withLength("x"));
-            ScriptedUpstream.write(socket, answeredOn.getOrDefault(socket, "") + answer);
+            String copy = answeredOn.getOrDefault(socket, "");
             answeredOn.put(socket, answer);
+            ScriptedUpstream.write(socket, copy + answer);
         };
         try (RelaySystem system = new RelaySystem()) {
             system.upstream("app", "i-1", script);
