Log what a node frees in cache stores and who fetches from them

Operators who saw a request fetch a part that another node had freed could not tell why the part was freed: the line about a free had neither the scope nor the reason nor the knowledge by which it was decided, and sends that fetch were not logged at all.

A free now names its scopes with the reason and the time for which each was unused, the configuration, the revision, the age of the confirmation, the store's epoch and the call's time limit (none so far). A send for which the engine fetches has a line with the request, the scope, the stores, the same knowledge and the deadline, under the limit on lines about requests. cache_fetches, cache_partsFreed and cache_freesFailed count them. A store that refuses a free is no longer taken for one that freed the parts.

No decision changes.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -6,7 +6,8 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 
-/** Counters and timers of relayed requests, registered under {@code relay.*}. */
+/** Counters and timers of relayed requests, and of parts in cache stores, registered under
+ * {@code relay.*} and {@code cache.*}. */
 final class RelayMetrics {
     private final MetricRegistry registry;
     private final Counter requests;
@@ -20,6 +21,9 @@
     private final Counter cutOffs;
     private final Counter forwarded;
     private final Counter servedForOthers;
+    private final Counter fetches;
+    private final Counter partsFreed;
+    private final Counter freesFailed;
     private final Timer firstByte;
     private final Timer duration;
 
@@ -36,6 +40,9 @@
         this.cutOffs = registry.counter("relay.cutOffs");
         this.forwarded = registry.counter("relay.forwarded");
         this.servedForOthers = registry.counter("relay.servedForOthers");
+        this.fetches = registry.counter("cache.fetches");
+        this.partsFreed = registry.counter("cache.partsFreed");
+        this.freesFailed = registry.counter("cache.freesFailed");
         this.firstByte = registry.timer("relay.firstByteMillis");
         this.duration = registry.timer("relay.wholeMillis");
     }
@@ -91,6 +98,21 @@
         servedForOthers.inc();
     }
 
+    /** Counts a send for which the engine fetches parts from cache stores. */
+    void onFetch() {
+        fetches.inc();
+    }
+
+    /** Counts parts that a cache store has freed for this node. */
+    void onPartsFreed(int parts) {
+        partsFreed.inc(parts);
+    }
+
+    /** Counts a call to free parts that a cache store refused or did not answer. */
+    void onFreeFailed() {
+        freesFailed.inc();
+    }
+
     void onFirstByte(long millis) {
         firstByte.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -163,13 +163,17 @@
         HubFeedClient.Handlers handlers = new HubFeedClient.Handlers(
                 cacheStores::cursors, watcher::onHubAnswer, this::onCacheChangesOfHub, this::hasRequests);
         this.hubClient = new HubFeedClient(watcher::view, self.name(), loops, loop, clocks, log, handlers);
+        RelayMetrics relayMetrics = new RelayMetrics(metrics);
         this.cleaner = new CacheStoreCleaner(
                 platform.engines(),
                 cacheIndex,
-                watcher::view,
-                lease::isLeader,
-                settings.bounds().revokeMillis(),
+                new CacheStoreCleaner.Knowledge(
+                        watcher::confirmation,
+                        watcher::view,
+                        lease::isLeader,
+                        settings.bounds().revokeMillis()),
                 clocks,
+                relayMetrics,
                 log);
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, turns, loads);
@@ -209,7 +213,7 @@
                 origins,
                 originReports,
                 new NodeStop(clocks),
-                new RelayMetrics(metrics),
+                relayMetrics,
                 log);
         this.clientServer = new ClientHttpServer(context, ClientHttpServer.Callers.CLIENTS);
         this.nodeServer = new ClientHttpServer(context, ClientHttpServer.Callers.NODES);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -17,6 +17,8 @@
 import org.cowslipbank.decision.relay.OldWeightsPolicy;
 import org.cowslipbank.decision.relay.RouteTable;
 import org.cowslipbank.decision.relay.UpstreamSelector;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.model.RequestId;
 import org.cowslipbank.model.relay.CacheStore;
 import org.cowslipbank.model.relay.EngineTraits;
 import org.cowslipbank.model.relay.PromptPart;
@@ -384,6 +386,8 @@
                 scope.map(name -> planCache(view, name)).orElse(new CacheIndex.Plan(List.of(), List.of()));
         OptionalInt teamPriority = target.team().map(RelayTeam::priority).orElse(OptionalInt.empty());
         int priority = teamPriority.orElse(routePriority);
+        OptionalLong fetchUntilMillis = context.cacheIndex().fetchDeadlineMillis(now());
+        logFetch(view, server, scope.orElse(""), cache, fetchUntilMillis);
         return new SendPlan(
                 server.id(),
                 leftMillis,
@@ -392,11 +396,36 @@
                 version,
                 scope,
                 cache.fetchFrom(),
-                context.cacheIndex().fetchDeadlineMillis(now()),
+                fetchUntilMillis,
                 cache.saveTo(),
                 resumeAfter);
     }
 
+    private void logFetch(
+            PlatformView view,
+            UpstreamServer server,
+            String scope,
+            CacheIndex.Plan cache,
+            OptionalLong fetchUntilMillis) {
+        List<String> sources =
+                cache.fetchFrom().stream().filter(source -> !source.isEmpty()).toList();
+        if (sources.isEmpty()) {
+            return;
+        }
+        context.metrics().onFetch();
+        context.log()
+                .logRequest(LogFields.event("send fetches parts")
+                        .request(new RequestId(request.id()))
+                        .peer(server.address())
+                        .field("server", server.id())
+                        .field("scope", scope)
+                        .field("stores", sources.stream().distinct().toList())
+                        .field("parts", sources.size())
+                        .field("storeRevision", view.revision())
+                        .field("confirmationAgeMillis", context.confirmationAgeMillis())
+                        .field("fetchUntilMillis", fetchUntilMillis.orElse(-1)));
+    }
+
     private CacheIndex.Plan planCache(PlatformView view, String scope) {
         if (!context.isConfirmed()) {
             // The parts of a scope that a newer configuration no longer uses may be freed during the fetch.
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
@@ -3,10 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.codahale.metrics.MetricRegistry;
 import net.jqwik.api.Example;
 import org.cowslipbank.decision.relay.CacheIndex;
+import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.RefusalProbes;
 import org.cowslipbank.model.relay.StoreItem;
@@ -36,9 +39,16 @@
     private final PlatformState state = new PlatformState(
             new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), new RefusalProbes(), log);
     private final CacheIndex cacheIndex = new CacheIndex();
+    private Optional<ConfigurationConfirmation> confirmation = Optional.empty();
+    private boolean leading = true;
     private final List<String> freed = new ArrayList<>();
     private final CacheStoreCleaner cleaner = new CacheStoreCleaner(
-            new RecordingStores(), cacheIndex, state::view, () -> true, CONFIGURATION_VALID_MILLIS, clocks, log);
+            new RecordingStores(),
+            cacheIndex,
+            new CacheStoreCleaner.Knowledge(() -> confirmation, state::view, () -> leading, CONFIGURATION_VALID_MILLIS),
+            clocks,
+            new RelayMetrics(new MetricRegistry()),
+            log);
 
     /** Cache stores that only record what is freed. */
     private final class RecordingStores implements EngineControl {
@@ -58,8 +68,8 @@
         }
 
         @Override
-        public Mono<Boolean> free(String address, long epoch, List<CachedPart> parts) {
-            parts.forEach(part -> freed.add(part.scope()));
+        public Mono<Boolean> free(String address, FreeCall call) {
+            call.parts().forEach(part -> freed.add(part.scope()));
             return Mono.just(true);
         }
     }
@@ -78,7 +88,7 @@
     void groupsThatNoConfigurationUsesAreFreedOnceAllNodesHaveLeftThem() {
         configure(1, true);
         String isolated = "m/3/t";
-        String common = "m/3/" + state.view().routes().get().sharing().groupOf(java.util.Optional.empty());
+        String common = "m/3/" + state.view().routes().get().sharing().groupOf(Optional.empty());
         cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
         List.of(isolated, common, "m/3/").forEach(scope -> cacheIndex.onPartEvent(STORE, scope, "p", 10));
         cleaner.freeUnusedParts();
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -76,7 +76,7 @@
         }
 
         @Override
-        public Mono<Boolean> free(String address, long epoch, List<CachedPart> parts) {
+        public Mono<Boolean> free(String address, FreeCall call) {
             return Mono.never();
         }
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeEngines.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeEngines.java
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public Mono<Boolean> free(String address, long epoch, List<CachedPart> parts) {
+    public Mono<Boolean> free(String address, FreeCall call) {
         return Mono.just(true);
     }
 }
--- a/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
@@ -93,6 +93,20 @@
      */
     record CachedPart(String scope, String partId) {}
 
+    /**
+     * Parts to free, and the conditions under which a store frees them.
+     *
+     * @param epoch epoch of the store in which the parts were listed
+     * @param untilMillis time on the upstreams' clock after which the call has no effect, in milliseconds; empty for none
+     * @param parts the parts
+     */
+    record FreeCall(long epoch, OptionalLong untilMillis, List<CachedPart> parts) {
+        /** Makes an unmodifiable copy of the list; null elements are rejected with NullPointerException. */
+        public FreeCall {
+            parts = List.copyOf(parts);
+        }
+    }
+
     /**
      * Reads an engine's state report.
      *
@@ -124,9 +138,9 @@
      * Frees several parts in one call.
      *
      * @param address the store as {@code IP:port}
-     * @param epoch epoch of the store in which the parts were listed
-     * @param parts the parts to free
-     * @return true if they were freed, false if the store has restarted since
+     * @param call the parts and the conditions under which they are freed
+     * @return true if they were freed, false if a condition did not hold; after an error they may still be freed, even
+     *     later, unless the call has a time limit
      */
-    Mono<Boolean> free(String address, long epoch, List<CachedPart> parts);
+    Mono<Boolean> free(String address, FreeCall call);
 }
