Publish a configuration before it is confirmed

A node that regained contact with the metadata store set the new confirmation first and published the configuration that came with it afterwards, and the threads of requests read the configuration first and the confirmation afterwards. Between the two steps a request found a fresh confirmation beside a configuration that may be many seconds old: it could accept a key that was revoked long ago, or fetch cached parts of a group that is no longer used and that another node frees.

The watcher now publishes the view before the confirmation, and an exchange reads the confirmation before the view, so that what is confirmed holds for a view at least as new.

PlatformWatcherTest failed before: the clock that is read between the two steps found the confirmation beside the view of revision 0. The order of the two reads in Exchange has no test of its own.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -203,6 +203,7 @@
         if (ended) {
             return;
         }
+        boolean confirmed = context.isConfirmed();
         view = context.view().get();
         if (view.routes().isEmpty()) {
             waitOrRefuse("no_configuration", FIRST_CONFIGURATION_WAIT_MILLIS);
@@ -215,7 +216,7 @@
             return;
         }
         Optional<Route> found = routes.route(request.host(), request.path());
-        if (found.isEmpty() && !context.isConfirmed()) {
+        if (found.isEmpty() && !confirmed) {
             // A newer configuration may have the route.
             waitForConfirmation();
             return;
@@ -225,7 +226,7 @@
             return;
         }
         route = found.get();
-        if (!authenticate(routes)) {
+        if (!authenticate(routes, confirmed)) {
             return;
         }
         if (request.id().isEmpty()) {
@@ -303,11 +304,11 @@
         }
     }
 
-    private boolean authenticate(RouteTable routes) {
+    private boolean authenticate(RouteTable routes, boolean confirmed) {
         if (route.anonymous() || !routes.hasTeams()) {
             return true;
         }
-        if (!context.isConfirmed()) {
+        if (!confirmed) {
             // An unconfirmed configuration may still contain revoked keys.
             waitForConfirmation();
             return false;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -145,6 +145,11 @@
         return connected && settled;
     }
 
+    /**
+     * Returns the last confirmation. It holds for the view that is read after it, but not for one that was read before.
+     *
+     * @return the confirmation, empty before the first
+     */
     Optional<ConfigurationConfirmation> confirmation() {
         return confirmation;
     }
@@ -231,8 +236,8 @@
         if (state.applySnapshot(range, revisionAtSend, clocks.nowMillis())) {
             listener.onStoreRestored(firstReading);
         }
-        confirm(sentAt);
         publish();
+        confirm(sentAt);
         onApplied(reading);
         watch();
     }
@@ -276,8 +281,8 @@
                             .toList(),
                     answer.revision(),
                     clocks.nowMillis());
-            confirm(sentAt.plus(answer.heldMillis() - answer.confirmedAgeMillis()));
             publish();
+            confirm(sentAt.plus(answer.heldMillis() - answer.confirmedAgeMillis()));
         };
         control.schedule(new GuardedTask("changes of the hub", applying, log));
     }
@@ -318,8 +323,8 @@
     private void applyChanges(Changes changes, LeaderLease.ClockReading confirmedAt, long reading) {
         long fromRevision = view.revision();
         List<StoreItem> different = state.applyChanges(changes.items(), changes.revision(), clocks.nowMillis());
-        confirm(confirmedAt);
         publish();
+        confirm(confirmedAt);
         onApplied(reading);
         if (listener.followsHub()) {
             return;
@@ -331,6 +336,7 @@
                 listener::onChangesMissed);
     }
 
+    /** Called after the view was published, so that other threads which read in the reverse order see what is confirmed. */
     private void confirm(LeaderLease.ClockReading at) {
         ConfigurationConfirmation next = new ConfigurationConfirmation(at.monotonicMillis(), at.wallMillis());
         settled = state.isSettled(clocks.nowMillis());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -79,12 +79,23 @@
         RelayMetrics metrics,
         DecisionLog log) {
     /**
-     * Returns whether API keys may be accepted, because the configuration was confirmed as the newest recently.
+     * Returns whether API keys may be accepted, because the configuration was confirmed as the newest recently. Holds for
+     * a view that is read afterwards.
      *
      * @return false before the first confirmation, and once the last one is older than the revocation bound allows
      */
     boolean isConfirmed() {
-        LeaderLease.ClockReading now = clocks.now();
+        return isConfirmed(clocks.now());
+    }
+
+    /**
+     * Returns whether the configuration was confirmed as the newest recently before a point in time. Holds for a view that
+     * is read afterwards.
+     *
+     * @param now the point in time
+     * @return false before the first confirmation, and once the last one is older than the revocation bound allows
+     */
+    boolean isConfirmed(LeaderLease.ClockReading now) {
         long revokeMillis = settings.bounds().revokeMillis();
         return confirmation
                 .get()
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
@@ -0,0 +1,82 @@
+package org.cowslipbank.entry.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.relay.ConfigurationConfirmation;
+import org.cowslipbank.decision.relay.StreamOrigins;
+import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.entry.relay.FeedMessages.ItemMessage;
+import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
+import org.cowslipbank.model.relay.StoreItem;
+import org.cowslipbank.platform.MetadataItemDecoder;
+import org.cowslipbank.ports.relay.MetadataStore;
+import reactor.core.scheduler.Schedulers;
+
+final class PlatformWatcherTest {
+    private static final byte[] CONFIGURATION =
+            RelaySystem.configuration(1, "\"key\"").getBytes(StandardCharsets.UTF_8);
+
+    private final AtomicLong nowMillis = new AtomicLong(1_000);
+    private Runnable onClockRead = () -> {};
+    private final Clocks clocks = new Clocks(this::readClock, nowMillis::get);
+    private final DecisionLog log = new DecisionLog(nowMillis::get, 1);
+    private final PlatformState state = new PlatformState(
+            new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), new RefusalProbes(), log);
+    private final PlatformWatcher watcher = new PlatformWatcher(
+            new FakeMetadataStore(),
+            new MetadataItemDecoder(),
+            state,
+            clocks,
+            Schedulers.immediate(),
+            log,
+            new IgnoringListener());
+
+    /** A listener that passes nothing on. */
+    private static final class IgnoringListener implements PlatformWatcher.Listener {
+        @Override
+        public void onView(PlatformView view) {}
+
+        @Override
+        public boolean followsHub() {
+            return true;
+        }
+
+        @Override
+        public void onChanges(
+                long fromRevision,
+                MetadataStore.Changes changes,
+                ConfigurationConfirmation confirmed,
+                long reconnectedMillis) {}
+
+        @Override
+        public void onChangesMissed() {}
+
+        @Override
+        public void onStoreRestored(boolean firstReading) {}
+    }
+
+    private long readClock() {
+        onClockRead.run();
+        return nowMillis.get();
+    }
+
+    /**
+     * Failure guarded against: another thread finds the confirmation that came with a new configuration beside the
+     * configuration before, and accepts a key that was revoked or fetches a part that is freed.
+     */
+    @Example
+    void confirmationIsNotVisibleBeforeItsConfiguration() {
+        // Other threads may read at any time; the control thread reads the clock between its steps.
+        onClockRead = () -> {
+            assert watcher.confirmation().isEmpty() || watcher.view().revision() == 2;
+        };
+        StoreItem configuration = new StoreItem("op/config", CONFIGURATION, 2, 2, 0);
+        PollAnswer answer = new PollAnswer(2, List.of(ItemMessage.of(configuration)), 0, 0, 0, Map.of());
+        watcher.onHubAnswer(answer, clocks.now());
+        assert watcher.confirmation().isPresent() && watcher.view().revision() == 2;
+    }
+}
