--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -59,7 +59,8 @@
     }
 
     private final Map<String, StoreIndex> indexByAddress = new HashMap<>();
-    private OptionalLong upstreamClockOffsetMillis = OptionalLong.empty();
+    /** Offset between the upstreams' clock, as each store states it, and this node's clock in milliseconds. */
+    private final Map<String, Long> clockOffsetMillisByAddress = new HashMap<>();
 
     /**
      * Records an answer of a store.
@@ -80,25 +81,41 @@
     }
 
     /**
-     * Records the offset between the upstreams' clock and this node's clock.
+     * Records the offset between the upstreams' clock and this node's clock. An answer that was on its way for long makes
+     * the upstreams' clock appear slow, so that deadlines err to the early side; so does a suspension of this VM.
      *
+     * @param address the store that states the clock
      * @param clockMillis the upstreams' clock as stated in an answer, in milliseconds
      * @param nowMillis the time on this node's clock at which the answer arrived, in milliseconds
      */
-    public void onUpstreamClock(long clockMillis, long nowMillis) {
-        upstreamClockOffsetMillis = OptionalLong.of(clockMillis - nowMillis);
+    public void onUpstreamClock(String address, long clockMillis, long nowMillis) {
+        clockOffsetMillisByAddress.put(address, clockMillis - nowMillis);
+    }
+
+    /**
+     * Returns an estimate of the upstreams' clock that is not ahead of it.
+     *
+     * @param address the store whose clock is estimated
+     * @param nowMillis the time on this node's clock, in milliseconds
+     * @return the time in milliseconds, or empty if the store has not stated its clock
+     */
+    public OptionalLong upstreamClockMillis(String address, long nowMillis) {
+        Long offsetMillis = clockOffsetMillisByAddress.get(address);
+        return offsetMillis == null ? OptionalLong.empty() : OptionalLong.of(nowMillis + offsetMillis);
     }
 
     /**
      * Returns the deadline of a fetch that starts now. An engine abandons a fetch that has not ended by then.
      *
+     * @param plan what is fetched
      * @param nowMillis the time in milliseconds
-     * @return the deadline on the upstreams' clock in milliseconds, or empty if that clock is not known
+     * @return the deadline on the upstreams' clock in milliseconds, or empty if nothing is fetched
      */
-    public OptionalLong fetchDeadlineMillis(long nowMillis) {
-        return upstreamClockOffsetMillis.isPresent()
-                ? OptionalLong.of(nowMillis + upstreamClockOffsetMillis.getAsLong() + FETCH_TIMEOUT_MILLIS)
-                : OptionalLong.empty();
+    public OptionalLong fetchDeadlineMillis(Plan plan, long nowMillis) {
+        return plan.fetchFrom().stream()
+                .flatMapToLong(address -> upstreamClockMillis(address, nowMillis).stream())
+                .map(clockMillis -> clockMillis + FETCH_TIMEOUT_MILLIS)
+                .min();
     }
 
     /**
@@ -149,7 +166,7 @@
             PromptPart part = parts.get(index);
             Optional<CacheStore> store = shared ? storeOf(scope, part.id(), stores) : Optional.empty();
             // Without the clock the fetch has no deadline and could still run when the part is freed.
-            String source = store.filter(found -> upstreamClockOffsetMillis.isPresent())
+            String source = store.filter(found -> clockOffsetMillisByAddress.containsKey(found.address()))
                     .filter(found -> isComplete(found.address(), scope, part, nowMillis))
                     .map(CacheStore::address)
                     .orElse("");
@@ -306,5 +323,6 @@
      */
     public void retain(Set<String> addresses) {
         indexByAddress.keySet().retainAll(new HashSet<>(addresses));
+        clockOffsetMillisByAddress.keySet().retainAll(new HashSet<>(addresses));
     }
 }
--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheSharing.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheSharing.java
@@ -75,6 +75,16 @@
         return group.isEmpty() || groups.contains(group);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof CacheSharing sharing && isolatedTeams.equals(sharing.isolatedTeams);
+    }
+
+    @Override
+    public int hashCode() {
+        return isolatedTeams.hashCode();
+    }
+
     private static String escape(String team) {
         return team.replace("%", "%25").replace("/", "%2F");
     }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheIndexTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheIndexTest.java
@@ -19,8 +19,10 @@
     private final CacheIndex cacheIndex = new CacheIndex();
 
     private void allAnswer(long epoch, long nowMillis) {
-        cacheIndex.onUpstreamClock(nowMillis, nowMillis);
-        STORES.forEach(store -> cacheIndex.onStoreAnswer(store.address(), epoch, false, nowMillis));
+        STORES.forEach(store -> {
+            cacheIndex.onUpstreamClock(store.address(), nowMillis, nowMillis);
+            cacheIndex.onStoreAnswer(store.address(), epoch, false, nowMillis);
+        });
     }
 
     private static String storeOf(PromptPart part) {
@@ -114,11 +116,19 @@
     /** Failure guarded against: an engine waits longer for a slow fetch than computing the part would take. */
     @Example
     void fetchDeadlineIsOnTheUpstreamsClock() {
-        assert cacheIndex.fetchDeadlineMillis(100).isEmpty();
         STORES.forEach(store -> cacheIndex.onStoreAnswer(store.address(), 1, false, 0));
         cacheIndex.onPartEvent(storeOf(SECOND), SCOPE, "p2", 8_000);
         assert cacheIndex.plan(SCOPE, PARTS, STORES, 10).fetchFrom().equals(List.of("", "", ""));
-        cacheIndex.onUpstreamClock(70_000, 100);
-        assert cacheIndex.fetchDeadlineMillis(300).getAsLong() == 70_200 + CacheIndex.FETCH_TIMEOUT_MILLIS;
+        cacheIndex.onUpstreamClock(storeOf(SECOND), 70_000, 100);
+        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, 300);
+        assert plan.fetchFrom().equals(List.of("", storeOf(SECOND), "")) : plan;
+        assert cacheIndex.fetchDeadlineMillis(plan, 300).getAsLong() == 70_200 + CacheIndex.FETCH_TIMEOUT_MILLIS;
+        // Of several stores the one whose clock appears slowest counts.
+        cacheIndex.onUpstreamClock("slow:80", 69_900, 100);
+        plan = new CacheIndex.Plan(List.of("slow:80", storeOf(SECOND), ""), List.of());
+        assert cacheIndex.fetchDeadlineMillis(plan, 300).getAsLong() == 70_100 + CacheIndex.FETCH_TIMEOUT_MILLIS;
+        assert cacheIndex
+                .fetchDeadlineMillis(new CacheIndex.Plan(List.of(), List.of()), 300)
+                .isEmpty();
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
@@ -1,39 +1,31 @@
 package org.cowslipbank.entry.relay;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.cowslipbank.decision.relay.CacheIndex;
-import org.cowslipbank.decision.relay.CacheScope;
-import org.cowslipbank.decision.relay.CacheSharing;
+import org.cowslipbank.decision.relay.CacheScopeUse;
+import org.cowslipbank.decision.relay.CacheScopeUse.FreeDelays;
+import org.cowslipbank.decision.relay.CacheScopeUse.Unused;
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.relay.CacheStore;
-import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.EngineControl.CachedPart;
 import org.cowslipbank.ports.relay.EngineControl.FreeCall;
 
 /**
  * Frees the parts of weight versions that no engine has loaded any more, and of groups of teams that no longer share
- * parts. Stores evict nothing by themselves, so these parts would fill them. Runs on the traffic thread; only the leader
- * frees parts.
+ * parts. Stores evict nothing by themselves, so these parts would fill them. Runs on the traffic thread. Only the leader
+ * frees parts, to save calls; that requests do not fetch parts that are freed depends on {@link CacheScopeUse} alone.
  */
 final class CacheStoreCleaner {
-    /**
-     * How long a version must be unused before its parts are freed; fetches that began earlier have ended or are
-     * discarded by then, see {@link CacheIndex#FETCH_TIMEOUT_MILLIS}.
-     */
-    static final long MIN_UNUSED_MILLIS = CacheIndex.FETCH_TIMEOUT_MILLIS + 500;
-
     /** Limit on the parts freed with one call. */
     static final int MAX_PARTS_PER_CALL = 250;
 
@@ -45,35 +37,22 @@
     private final Clocks clocks;
     private final RelayMetrics metrics;
     private final DecisionLog log;
-    /** The oldest weight version loaded by any engine, by model. */
-    private final Map<String, OldestVersion> oldestVersions = new HashMap<>();
-    /** Since when each group in a store belongs to no configuration in force, in milliseconds. */
-    private final Map<String, Long> groupsUnusedSinceMillis = new HashMap<>();
-
-    private final long minGroupUnusedMillis;
+    private final FreeDelays delays;
 
     /**
-     * The oldest loaded version of a model.
+     * What is freed, and by which knowledge.
      *
-     * @param version the weight version
-     * @param sinceMillis since when it is the oldest, in milliseconds
+     * @param platform the platform
+     * @param unused the scopes out of use
+     * @param atMillis the time in milliseconds
+     * @param validMillis for how long the knowledge allows it, in milliseconds
      */
-    private record OldestVersion(long version, long sinceMillis) {}
-
-    /** Why a scope's parts are freed. */
-    private enum Reason {
-        VERSION_REPLACED,
-        GROUP_UNUSED
+    private record Decision(PlatformView platform, Map<String, Unused> unused, long atMillis, long validMillis) {
+        long confirmationAgeMillis() {
+            return CacheScopeUse.FREE_VALID_MILLIS - validMillis;
+        }
     }
 
-    /**
-     * A scope whose parts are freed.
-     *
-     * @param reason why
-     * @param sinceMillis since when it is unused, in milliseconds
-     */
-    private record Unused(Reason reason, long sinceMillis) {}
-
     /**
      * What a cleaner knows of the platform and of its node.
      *
@@ -106,7 +85,7 @@
             RelayMetrics metrics,
             DecisionLog log) {
         this.engines = engines;
-        this.minGroupUnusedMillis = knowledge.configurationValidMillis() + MIN_UNUSED_MILLIS;
+        this.delays = FreeDelays.of(knowledge.configurationValidMillis(), PlatformState.REREGISTRATION_MILLIS);
         this.cacheIndex = cacheIndex;
         this.confirmation = knowledge.confirmation();
         this.view = knowledge.view();
@@ -117,95 +96,57 @@
     }
 
     void freeUnusedParts() {
+        if (!isLeader.getAsBoolean()) {
+            return;
+        }
+        LeaderLease.ClockReading now = clocks.now();
+        // Read before the view, so that it holds for it.
+        OptionalLong validMillis = CacheScopeUse.freeValidMillis(confirmation.get(), now);
         PlatformView platform = view.get();
-        updateOldestVersions(platform);
-        if (!isLeader.getAsBoolean() || platform.routes().isEmpty()) {
+        if (validMillis.isEmpty()) {
             return;
         }
         // Parts share few scopes, so that each scope is judged once and not each part.
-        Set<String> scopes = cacheIndex.scopes();
-        updateUnusedGroups(scopes, platform.routes().get().sharing());
         Map<String, Unused> unused = new TreeMap<>();
-        scopes.forEach(scope -> unused(scope).ifPresent(found -> unused.put(scope, found)));
+        cacheIndex.scopes().forEach(scope -> platform.scopeUse()
+                .freeable(scope, delays, now.monotonicMillis())
+                .ifPresent(found -> unused.put(scope, found)));
         if (unused.isEmpty()) {
             return;
         }
-        for (CacheStore store : platform.routes().get().configuration().stores()) {
-            freeParts(platform, store, unused);
+        Decision decision = new Decision(platform, unused, now.monotonicMillis(), validMillis.getAsLong());
+        for (CacheStore store :
+                platform.routes().map(routes -> routes.configuration().stores()).orElse(List.of())) {
+            // Without the clock the call could be carried out when the scope is in use again.
+            cacheIndex
+                    .upstreamClockMillis(store.address(), now.monotonicMillis())
+                    .ifPresent(clockMillis -> freeParts(decision, store, clockMillis + decision.validMillis()));
         }
     }
 
-    private void freeParts(PlatformView platform, CacheStore store, Map<String, Unused> unused) {
-        List<CachedPart> parts =
-                cacheIndex
-                        .partsOfUnusedScopes(store.address(), scope -> !unused.containsKey(scope), MAX_PARTS_PER_CALL)
-                        .stream()
-                        .map(part -> new CachedPart(part.getKey(), part.getValue()))
-                        .toList();
+    private void freeParts(Decision decision, CacheStore store, long untilMillis) {
+        List<CachedPart> parts = cacheIndex
+                .partsOfUnusedScopes(
+                        store.address(), scope -> !decision.unused().containsKey(scope), MAX_PARTS_PER_CALL)
+                .stream()
+                .map(part -> new CachedPart(part.getKey(), part.getValue()))
+                .toList();
         if (parts.isEmpty()) {
             return;
         }
-        FreeCall call = new FreeCall(cacheIndex.storeEpoch(store.address()).orElse(0L), OptionalLong.empty(), parts);
-        logCall(platform, store, call, unused);
+        long epoch = cacheIndex.storeEpoch(store.address()).orElse(0L);
+        FreeCall call = new FreeCall(epoch, OptionalLong.of(untilMillis), parts);
+        logCall(decision, store, call);
         free(store, call);
     }
 
-    private void updateOldestVersions(PlatformView platform) {
-        Map<String, Long> lowest = new HashMap<>();
-        for (UpstreamServer server : platform.servers().values()) {
-            server.versionByModel().forEach((model, version) -> lowest.merge(model, version, Math::min));
-        }
-        long nowMillis = clocks.nowMillis();
-        lowest.forEach((model, version) -> {
-            OldestVersion known = oldestVersions.get(model);
-            if (known == null || known.version() != version) {
-                oldestVersions.put(model, new OldestVersion(version, nowMillis));
-            }
-        });
-    }
-
-    private void updateUnusedGroups(Set<String> scopes, CacheSharing sharing) {
-        groupsUnusedSinceMillis.keySet().removeIf(sharing::uses);
-        for (String scope : scopes) {
-            oldestVersions.keySet().stream()
-                    .flatMap(model -> CacheScope.group(scope, model).stream())
-                    .filter(group -> !sharing.uses(group))
-                    .forEach(group -> groupsUnusedSinceMillis.putIfAbsent(group, clocks.nowMillis()));
-        }
-    }
-
-    private Optional<Unused> unused(String scope) {
-        for (Map.Entry<String, OldestVersion> entry : oldestVersions.entrySet()) {
-            OptionalLong version = CacheScope.version(scope, entry.getKey());
-            if (version.isPresent()) {
-                OldestVersion oldest = entry.getValue();
-                boolean replaced =
-                        version.getAsLong() < oldest.version() && isPast(oldest.sinceMillis(), MIN_UNUSED_MILLIS);
-                return replaced
-                        ? Optional.of(new Unused(Reason.VERSION_REPLACED, oldest.sinceMillis()))
-                        : unusedGroup(CacheScope.group(scope, entry.getKey()));
-            }
-        }
-        return Optional.empty();
-    }
-
-    private Optional<Unused> unusedGroup(Optional<String> group) {
-        return group.map(groupsUnusedSinceMillis::get)
-                .filter(sinceMillis -> isPast(sinceMillis, minGroupUnusedMillis))
-                .map(sinceMillis -> new Unused(Reason.GROUP_UNUSED, sinceMillis));
-    }
-
-    private boolean isPast(long sinceMillis, long delayMillis) {
-        return clocks.nowMillis() - sinceMillis >= delayMillis;
-    }
-
-    private void logCall(PlatformView platform, CacheStore store, FreeCall call, Map<String, Unused> unused) {
-        LeaderLease.ClockReading now = clocks.now();
+    private void logCall(Decision decision, CacheStore store, FreeCall call) {
         List<String> scopes = call.parts().stream()
                 .map(CachedPart::scope)
                 .distinct()
-                .map(scope -> describe(scope, unused.get(scope), now.monotonicMillis()))
+                .map(scope -> describe(scope, decision.unused().get(scope), decision.atMillis()))
                 .toList();
+        PlatformView platform = decision.platform();
         log.logState(LogFields.event("unused parts freed")
                 .peer(store.address())
                 .field("parts", call.parts().size())
@@ -214,12 +155,7 @@
                         "configurationVersion",
                         platform.routes().get().configuration().version())
                 .field("storeRevision", platform.revision())
-                .field(
-                        "confirmationAgeMillis",
-                        confirmation
-                                .get()
-                                .map(known -> known.ageMillis(now.monotonicMillis(), now.wallMillis()))
-                                .orElse(-1L))
+                .field("confirmationAgeMillis", decision.confirmationAgeMillis())
                 .field("epoch", call.epoch())
                 .field("untilMillis", call.untilMillis().orElse(-1)));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
@@ -41,6 +41,7 @@
     private final Clocks clocks;
     private final DecisionLog log;
     private final Map<String, FollowedStore> followedStores = new HashMap<>();
+    private long scopeReturns;
 
     /** State of following one store. */
     private static final class FollowedStore {
@@ -116,6 +117,11 @@
             }
         }
         cacheIndex.retain(wanted.keySet());
+        long returns = view.get().scopeUse().returns();
+        if (scopeReturns != returns) {
+            scopeReturns = returns;
+            Map.copyOf(followedStores).forEach(this::followAnew);
+        }
         wanted.forEach((address, store) -> {
             if (!followedStores.containsKey(address)) {
                 FollowedStore added = new FollowedStore(store.name());
@@ -130,6 +136,25 @@
         });
     }
 
+    /**
+     * Reads all parts of a store again. Few events of a store are lost, but while a scope was out of use its parts may have
+     * been freed, and one that is written again must not be taken for complete.
+     */
+    private void followAnew(String address, FollowedStore followed) {
+        stop(followed);
+        if (!followed.outOfSync) {
+            log.logState(LogFields.event("cache store followed anew; a scope may be in use again")
+                    .peer(address));
+        }
+        cacheIndex.onStoreLost(address);
+        if (followed.source.isEmpty()) {
+            feed.onCacheStoreLost(followed.storeName);
+        }
+        FollowedStore anew = new FollowedStore(followed.storeName);
+        followedStores.put(address, anew);
+        askStore(address, anew);
+    }
+
     /**
      * Returns the contents of a poll: the number of the next change of each store.
      *
@@ -185,6 +210,9 @@
     }
 
     private void onChanges(String address, FollowedStore followed, CacheChanges changes, long sentAtMillis) {
+        if (followedStores.get(address) != followed) {
+            return;
+        }
         // If the source is a hub by now, the store's answer is outdated.
         if (followed.source.isEmpty() && hasRestarted(address, followed, changes)) {
             // The store has restarted, so the change number is not valid any more; the next call asks for all parts.
@@ -211,7 +239,7 @@
 
     /** Applies changes; returns whether the store's part of the index was emptied first. */
     private boolean applyChanges(String address, FollowedStore followed, CacheChanges changes) {
-        changes.clockMillis().ifPresent(clock -> cacheIndex.onUpstreamClock(clock, clocks.nowMillis()));
+        changes.clockMillis().ifPresent(clock -> cacheIndex.onUpstreamClock(address, clock, clocks.nowMillis()));
         boolean otherEpoch = isOtherEpoch(address, changes);
         if (otherEpoch) {
             log.logState(LogFields.event("cache store followed")
@@ -230,6 +258,9 @@
     }
 
     private void onFailed(String address, FollowedStore followed, Throwable error) {
+        if (followedStores.get(address) != followed) {
+            return;
+        }
         if (followed.source.isEmpty()) {
             onStoreLost(address, followed, error.getMessage());
             feed.onCacheStoreLost(followed.storeName);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.cowslipbank.decision.relay.CacheScopeUse;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.NamedVersions;
@@ -62,6 +63,7 @@
     private final Map<String, RegisteredNode> nodes = new HashMap<>();
     private final CrashEvidence crashes = new CrashEvidence();
     private final RegistrationHistory registrations = new RegistrationHistory();
+    private final CacheScopeUse scopeUse = new CacheScopeUse();
     private final RestoreSettling settling = new RestoreSettling();
     /** Time in milliseconds at which a vanished registration is dropped, by name of the upstream or node. */
     private final Map<String, Long> dropVanishedAtMillis = new HashMap<>();
@@ -84,6 +86,7 @@
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private PlatformView lastView = PlatformView.EMPTY;
     private boolean viewOutdated = true;
+    private boolean upstreamsChanged;
 
     PlatformState(
             PlatformDecoder decoder, NodeItems items, StreamOrigins origins, RefusalProbes probes, DecisionLog log) {
@@ -138,7 +141,8 @@
                     switchingEngines(),
                     leader,
                     crashVerdicts(),
-                    tree());
+                    tree(),
+                    scopeUse.snapshot());
         } else if (lastView.revision() != revision) {
             lastView = lastView.withRevision(revision);
         }
@@ -218,6 +222,7 @@
                     .field("revisionBefore", revision));
         }
         viewOutdated = true;
+        scopeUse.onCompleteReading(nowMillis);
         Set<String> present = new HashSet<>();
         for (StoreItem item : all) {
             present.add(item.key());
@@ -230,6 +235,7 @@
                 onUnregistered(server.id(), nowMillis);
             }
         }
+        recordUpstreams(nowMillis);
         for (String name : List.copyOf(nodes.keySet())) {
             if (!present.contains(items.nodeKey(name))) {
                 onNodeUnregistered(name, nowMillis);
@@ -299,6 +305,7 @@
         for (StoreItem item : changed) {
             if (item.revision() > revision && apply(item, nowMillis)) {
                 different.add(item);
+                recordChangedUpstreams(nowMillis);
             }
         }
         if (configurationKnownBeforeRestore && configurationRevision > restoredAtRevision) {
@@ -326,11 +333,27 @@
                 log.logState(LogFields.event("registration did not return").field("name", entry.getKey()));
                 changed = true;
                 viewOutdated = true;
+                upstreamsChanged = true;
             }
         }
+        recordChangedUpstreams(nowMillis);
         return changed;
     }
 
+    /** Called for each item, so that a version that is registered for a moment is not missed. */
+    private void recordChangedUpstreams(long nowMillis) {
+        if (upstreamsChanged) {
+            recordUpstreams(nowMillis);
+        }
+    }
+
+    private void recordUpstreams(long nowMillis) {
+        upstreamsChanged = false;
+        Map<Boolean, List<UpstreamServer>> byKept = servers.values().stream()
+                .collect(Collectors.partitioningBy(server -> dropVanishedAtMillis.containsKey(server.id())));
+        scopeUse.onUpstreams(byKept.get(false), byKept.get(true), nowMillis);
+    }
+
     /** Returns false for a heartbeat of an upstream, which changes nothing that is known, and for an item that fails. */
     private boolean apply(StoreItem item, long nowMillis) {
         try {
@@ -352,7 +375,7 @@
                     && onRegistered(registered.server());
         }
         if (decoded instanceof PlatformRecord.Configured configured) {
-            onConfigured(configured, item);
+            onConfigured(configured, item, nowMillis);
         } else if (decoded instanceof PlatformRecord.Unregistered unregistered) {
             onUnregistered(unregistered.serverId(), nowMillis);
         } else if (decoded instanceof PlatformRecord.VersionNamed named) {
@@ -367,7 +390,7 @@
         return true;
     }
 
-    private void onConfigured(PlatformRecord.Configured configured, StoreItem item) {
+    private void onConfigured(PlatformRecord.Configured configured, StoreItem item, long nowMillis) {
         RelayConfiguration configuration = configured.configuration();
         Optional<RelayConfiguration> known = routes.map(RouteTable::configuration);
         long knownVersion = known.map(RelayConfiguration::version).orElse(Long.MIN_VALUE);
@@ -385,7 +408,9 @@
         if (known.filter(configuration::equals).isPresent()) {
             return;
         }
-        routes = Optional.of(new RouteTable(configuration));
+        RouteTable table = new RouteTable(configuration);
+        routes = Optional.of(table);
+        scopeUse.onConfigured(table.sharing(), nowMillis);
         streamServices = configuration.routes().stream()
                 .filter(route -> route.isStream() && route.resumable())
                 .flatMap(route -> route.services().stream().map(ServiceShare::service))
@@ -409,6 +434,7 @@
         }
         dropVanishedAtMillis.remove(server.id());
         servers.put(server.id(), server);
+        upstreamsChanged = true;
         unrecorded.add(server);
         if (known == null
                 || !known.incarnation().equals(server.incarnation())
@@ -433,6 +459,7 @@
                 .peer(known.address())
                 .field("server", id)
                 .field("kept", keep));
+        upstreamsChanged = true;
         if (keep) {
             dropVanishedAtMillis.put(id, reconnectedMillis + REREGISTRATION_MILLIS);
         } else {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformView.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.cowslipbank.decision.relay.CacheScopeUse;
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.RouteTable;
@@ -28,6 +29,7 @@
  * @param leader value of the leader key, empty without a leader
  * @param crashes what is suspected of crashing upstreams
  * @param tree hubs of the fleet and the members of their groups
+ * @param scopeUse since when cache scopes are in use
  */
 public record PlatformView(
         long revision,
@@ -39,7 +41,8 @@
         Set<String> switchingEngines,
         Optional<String> leader,
         CrashVerdicts crashes,
-        FleetTree tree) {
+        FleetTree tree,
+        CacheScopeUse.Snapshot scopeUse) {
     /** The view before the first answer of the metadata store. */
     static final PlatformView EMPTY = new PlatformView(
             0,
@@ -51,7 +54,8 @@
             Set.of(),
             Optional.empty(),
             CrashVerdicts.NONE,
-            FleetTree.EMPTY);
+            FleetTree.EMPTY,
+            CacheScopeUse.Snapshot.NOTHING_KNOWN);
 
     /**
      * Makes unmodifiable copies of the collections; null elements, keys and values are rejected with
@@ -151,7 +155,17 @@
      */
     PlatformView withRevision(long later) {
         return new PlatformView(
-                later, routes, servers, activeByService, versions, nodes, switchingEngines, leader, crashes, tree);
+                later,
+                routes,
+                servers,
+                activeByService,
+                versions,
+                nodes,
+                switchingEngines,
+                leader,
+                crashes,
+                tree,
+                scopeUse);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -13,6 +13,7 @@
 import org.cowslipbank.decision.relay.CacheScope;
 import org.cowslipbank.decision.relay.CacheSharing;
 import org.cowslipbank.decision.relay.FleetLoads;
+import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.OldWeightsPolicy;
 import org.cowslipbank.decision.relay.RouteTable;
@@ -31,6 +32,7 @@
 /** Chooses the upstream for the attempts of one request, and plans how the request is sent to it. */
 final class RequestPlacement {
     private static final int LOWEST_PRIORITY = 9;
+    private static final CacheIndex.Plan NO_CACHE = new CacheIndex.Plan(List.of(), List.of());
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -239,12 +241,12 @@
     }
 
     private int storedTokens(PlatformView view, OptionalLong version) {
-        Optional<String> scope = scope(view, version);
+        Optional<Scope> scope = scope(view, version).filter(known -> known.mayFetch(view, now()));
         if (scope.isEmpty()) {
             return 0;
         }
         List<PromptPart> parts = request.prompt().get().parts();
-        return context.cacheIndex().storedTokens(scope.get(), parts, stores(view), now());
+        return context.cacheIndex().storedTokens(scope.get().name(), parts, stores(view), now());
     }
 
     private long oldVersionPenaltyMillis(PlatformView view, UpstreamServer server) {
@@ -349,7 +351,24 @@
         return version == 0 ? OptionalLong.empty() : OptionalLong.of(version);
     }
 
-    private Optional<String> scope(PlatformView view, OptionalLong version) {
+    /**
+     * Scope of a request's cached parts.
+     *
+     * @param model the model
+     * @param version its weight version
+     * @param group the group of teams that share parts
+     */
+    private record Scope(String model, long version, String group) {
+        String name() {
+            return CacheScope.of(model, version, group);
+        }
+
+        boolean mayFetch(PlatformView view, long nowMillis) {
+            return view.scopeUse().mayFetch(model, version, group, nowMillis);
+        }
+    }
+
+    private Optional<Scope> scope(PlatformView view, OptionalLong version) {
         if (version.isEmpty()) {
             return Optional.empty();
         }
@@ -357,7 +376,7 @@
                 .map(RouteTable::sharing)
                 .orElse(CacheSharing.NONE_ISOLATED)
                 .groupOf(target.team());
-        return Optional.of(CacheScope.of(request.prompt().get().model(), version.getAsLong(), group));
+        return Optional.of(new Scope(request.prompt().get().model(), version.getAsLong(), group));
     }
 
     private static List<CacheStore> stores(PlatformView view) {
@@ -367,34 +386,35 @@
     /**
      * Plans the send to an upstream, and records in the cache index which parts the engine will save.
      *
-     * @param view the platform
      * @param server the upstream
      * @param leftMillis time until the request's deadline, in milliseconds
      * @param routePriority the route's priority, used if the team has none; zero is the most urgent
      * @param resumeAfter identifier of the last event that the client has, empty at the beginning
      * @return the plan
      */
-    SendPlan planSend(
-            PlatformView view,
-            UpstreamServer server,
-            long leftMillis,
-            int routePriority,
-            Optional<String> resumeAfter) {
+    SendPlan planSend(UpstreamServer server, long leftMillis, int routePriority, Optional<String> resumeAfter) {
+        // One reading of the clocks, before the check: else a pause after the check would lengthen the fetch.
+        LeaderLease.ClockReading now = context.clocks().now();
+        boolean confirmed = context.isConfirmed(now);
+        PlatformView view = context.view().get();
         OptionalLong version = versionOf(server);
-        Optional<String> scope = scope(view, version);
-        CacheIndex.Plan cache =
-                scope.map(name -> planCache(view, name)).orElse(new CacheIndex.Plan(List.of(), List.of()));
+        Optional<Scope> scope = scope(view, version);
+        // The parts of a scope that a newer configuration no longer uses may be freed during the fetch.
+        CacheIndex.Plan cache = scope.filter(known -> confirmed)
+                .map(known -> planCache(view, known, now.monotonicMillis()))
+                .orElse(NO_CACHE);
+        OptionalLong fetchUntilMillis = context.cacheIndex().fetchDeadlineMillis(cache, now.monotonicMillis());
+        Optional<String> scopeName = scope.map(Scope::name);
+        logFetch(view, server, scopeName.orElse(""), cache, fetchUntilMillis);
         OptionalInt teamPriority = target.team().map(RelayTeam::priority).orElse(OptionalInt.empty());
         int priority = teamPriority.orElse(routePriority);
-        OptionalLong fetchUntilMillis = context.cacheIndex().fetchDeadlineMillis(now());
-        logFetch(view, server, scope.orElse(""), cache, fetchUntilMillis);
         return new SendPlan(
                 server.id(),
                 leftMillis,
                 target.team().map(RelayTeam::name),
                 Math.min(LOWEST_PRIORITY, Math.max(0, priority)),
                 version,
-                scope,
+                scopeName,
                 cache.fetchFrom(),
                 fetchUntilMillis,
                 cache.saveTo(),
@@ -426,15 +446,15 @@
                         .field("fetchUntilMillis", fetchUntilMillis.orElse(-1)));
     }
 
-    private CacheIndex.Plan planCache(PlatformView view, String scope) {
-        if (!context.isConfirmed()) {
-            // The parts of a scope that a newer configuration no longer uses may be freed during the fetch.
-            return new CacheIndex.Plan(List.of(), List.of());
+    private CacheIndex.Plan planCache(PlatformView view, Scope scope, long nowMillis) {
+        if (!view.scopeUse().usesGroup(scope.group())) {
+            // The team was isolated when the request was read. Nothing keeps the parts of its group from being freed.
+            return NO_CACHE;
         }
         List<PromptPart> parts = request.prompt().get().parts();
-        CacheIndex.Plan plan = context.cacheIndex().plan(scope, parts, stores(view), now());
-        context.cacheIndex().onSavesRequested(scope, parts, plan, now());
-        return plan;
+        CacheIndex.Plan plan = context.cacheIndex().plan(scope.name(), parts, stores(view), nowMillis);
+        context.cacheIndex().onSavesRequested(scope.name(), parts, plan, nowMillis);
+        return scope.mayFetch(view, nowMillis) ? plan : new CacheIndex.Plan(List.of(), plan.saveTo());
     }
 
     private long now() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -81,9 +81,8 @@
     @Override
     public Iterable<Header> encode(long leftMillis, Optional<String> resumeAfter) {
         expectedVersion = placement.versionOf(server);
-        PlatformView view = context.view().get();
         return context.codec()
-                .encodeRequest(request, placement.planSend(view, server, leftMillis, route.priority(), resumeAfter));
+                .encodeRequest(request, placement.planSend(server, leftMillis, route.priority(), resumeAfter));
     }
 
     @Override
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
@@ -9,6 +9,7 @@
 import com.codahale.metrics.MetricRegistry;
 import net.jqwik.api.Example;
 import org.cowslipbank.decision.relay.CacheIndex;
+import org.cowslipbank.decision.relay.CacheScopeUse;
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.RefusalProbes;
@@ -30,7 +31,7 @@
     private static final String ENGINE =
             """
             {"Service":"llm","Address":"10.0.0.2:80","Zone":"a","Slots":1,"State":"ready","born":1,"Version":"v1",
-             "Models":[{"Name":"m","Version":3}]}
+             "Models":[{"Name":"m","Version":%d}]}
             """;
 
     private final AtomicLong nowMillis = new AtomicLong(1_000_000);
@@ -41,6 +42,7 @@
     private final CacheIndex cacheIndex = new CacheIndex();
     private Optional<ConfigurationConfirmation> confirmation = Optional.empty();
     private boolean leading = true;
+    private long callDelayMillis;
     private final List<String> freed = new ArrayList<>();
     private final CacheStoreCleaner cleaner = new CacheStoreCleaner(
             new RecordingStores(),
@@ -50,7 +52,7 @@
             new RelayMetrics(new MetricRegistry()),
             log);
 
-    /** Cache stores that only record what is freed. */
+    /** Cache stores that record what is freed; calls take a while to arrive. */
     private final class RecordingStores implements EngineControl {
         @Override
         public Mono<Report> report(String address) {
@@ -69,57 +71,169 @@
 
         @Override
         public Mono<Boolean> free(String address, FreeCall call) {
-            call.parts().forEach(part -> freed.add(part.scope()));
-            return Mono.just(true);
+            // The upstreams' clock and that of the node are the same.
+            long carriedOutMillis = nowMillis.get() + callDelayMillis;
+            boolean inTime = call.untilMillis().stream().allMatch(untilMillis -> carriedOutMillis <= untilMillis);
+            if (inTime) {
+                call.parts().forEach(part -> freed.add(part.scope()));
+            }
+            return Mono.just(inTime);
         }
     }
 
     private void configure(long revision, boolean isolated) {
         byte[] configuration = CONFIGURATION.formatted(revision, isolated).getBytes(StandardCharsets.UTF_8);
-        byte[] engine = ENGINE.getBytes(StandardCharsets.UTF_8);
-        List<StoreItem> items = List.of(
-                new StoreItem("op/config", configuration, revision, revision, 0),
-                new StoreItem("servers/i-1", engine, revision, revision, 0));
-        state.applySnapshot(new MetadataStore.Range(items, revision, 0), 0, nowMillis.get());
+        apply(revision, new StoreItem("op/config", configuration, revision, revision, 0));
+    }
+
+    private void register(long revision, String id, long version) {
+        byte[] engine = ENGINE.formatted(version).getBytes(StandardCharsets.UTF_8);
+        apply(revision, new StoreItem("servers/" + id, engine, revision, revision, 0));
+    }
+
+    private void unregister(long revision, String id) {
+        apply(revision, new StoreItem("servers/" + id, null, revision, 0, 0));
+    }
+
+    private void apply(long revision, StoreItem item) {
+        state.applyChanges(List.of(item), revision, nowMillis.get());
+    }
+
+    private void start(boolean isolated) {
+        state.applySnapshot(new MetadataStore.Range(List.of(), 1, 0), 0, nowMillis.get());
+        configure(2, isolated);
+        register(3, "i-1", 3);
+        cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
+        cacheIndex.onUpstreamClock(STORE, nowMillis.get(), nowMillis.get());
+    }
+
+    private void store(String... scopes) {
+        List.of(scopes).forEach(scope -> cacheIndex.onPartEvent(STORE, scope, "p", 10));
+    }
+
+    private void passMillis(long millis) {
+        nowMillis.addAndGet(millis);
+    }
+
+    /** Sweeps with knowledge that was confirmed just now. */
+    private void sweep() {
+        confirmation = Optional.of(new ConfigurationConfirmation(nowMillis.get(), nowMillis.get()));
+        cleaner.freeUnusedParts();
     }
 
     /** Failure guarded against: parts of teams that no longer share fill the stores, or are freed while in use. */
     @Example
     void groupsThatNoConfigurationUsesAreFreedOnceAllNodesHaveLeftThem() {
-        configure(1, true);
+        start(true);
         String isolated = "m/3/t";
         String common = "m/3/" + state.view().routes().get().sharing().groupOf(Optional.empty());
-        cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
-        List.of(isolated, common, "m/3/").forEach(scope -> cacheIndex.onPartEvent(STORE, scope, "p", 10));
-        cleaner.freeUnusedParts();
-        nowMillis.addAndGet(60_000);
-        cleaner.freeUnusedParts();
+        store(isolated, common, "m/3/");
+        sweep();
+        passMillis(60_000);
+        sweep();
         assert freed.isEmpty() : freed;
 
-        configure(2, false);
-        cleaner.freeUnusedParts();
-        nowMillis.addAndGet(CONFIGURATION_VALID_MILLIS + CacheStoreCleaner.MIN_UNUSED_MILLIS - 1);
-        cleaner.freeUnusedParts();
+        configure(4, false);
+        sweep();
+        passMillis(CONFIGURATION_VALID_MILLIS + CacheIndex.FETCH_TIMEOUT_MILLIS + 499);
+        sweep();
         assert freed.isEmpty() : freed;
-        nowMillis.addAndGet(1);
-        cleaner.freeUnusedParts();
+        passMillis(1);
+        sweep();
         assert freed.size() == 2 && freed.containsAll(List.of(isolated, common)) : freed;
     }
 
     /** Failure guarded against: a group that came into use again is freed because it was unused before. */
     @Example
     void groupThatIsUsedAgainIsKept() {
-        configure(1, true);
-        cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
-        cacheIndex.onPartEvent(STORE, "m/3/t", "p", 10);
-        configure(2, false);
-        cleaner.freeUnusedParts();
-        nowMillis.addAndGet(5_000);
-        configure(3, true);
-        cleaner.freeUnusedParts();
+        start(true);
+        store("m/3/t");
         configure(4, false);
-        nowMillis.addAndGet(5_000);
+        sweep();
+        passMillis(5_000);
+        configure(5, true);
+        sweep();
+        configure(6, false);
+        passMillis(5_000);
+        sweep();
+        assert freed.isEmpty() : freed;
+    }
+
+    /**
+     * Failure guarded against: a node that leads for the second time frees a group that was in use between, by the time at
+     * which it went out of use under its first lead.
+     */
+    @Example
+    void groupThatWasUsedUnderAnotherLeaderIsKept() {
+        start(false);
+        store("m/3/t");
+        sweep();
+        leading = false;
+        configure(4, true);
+        passMillis(10_000);
+        sweep();
+        configure(5, false);
+        leading = true;
+        sweep();
+        assert freed.isEmpty() : freed;
+    }
+
+    /** Failure guarded against: a leader that may have missed the return of a group frees its parts. */
+    @Example
+    void nothingIsFreedWithoutAFreshConfirmation() {
+        start(false);
+        store("m/3/t");
+        sweep();
+        passMillis(60_000);
+        cleaner.freeUnusedParts();
+        assert freed.isEmpty() : freed;
+        confirmation = Optional.empty();
         cleaner.freeUnusedParts();
         assert freed.isEmpty() : freed;
+        sweep();
+        assert freed.equals(List.of("m/3/t")) : freed;
+    }
+
+    /** Failure guarded against: a free that was long under way empties a scope that is in use again. */
+    @Example
+    void freeThatArrivesLateHasNoEffect() {
+        start(false);
+        store("m/3/t");
+        callDelayMillis = CacheScopeUse.ENTRY_DELAY_MILLIS;
+        sweep();
+        passMillis(60_000);
+        sweep();
+        assert freed.isEmpty() : freed;
+    }
+
+    /** Failure guarded against: a version is freed at once when the last entry of an engine that lives has lapsed. */
+    @Example
+    void versionOfAnEngineWhoseEntryLapsedIsKeptWhileOthersMaySendToIt() {
+        start(false);
+        register(4, "i-2", 2);
+        store("m/2/");
+        sweep();
+        passMillis(60_000);
+        unregister(5, "i-2");
+        sweep();
+        passMillis(CONFIGURATION_VALID_MILLIS + PlatformState.REREGISTRATION_MILLIS);
+        sweep();
+        assert freed.isEmpty() : freed;
+        passMillis(CacheIndex.FETCH_TIMEOUT_MILLIS + 500);
+        sweep();
+        assert freed.equals(List.of("m/2/")) : freed;
+    }
+
+    /** Failure guarded against: a version that was registered for a moment between two sweeps is freed. */
+    @Example
+    void versionThatWasRegisteredForAMomentIsKept() {
+        start(false);
+        store("m/2/");
+        sweep();
+        passMillis(60_000);
+        register(4, "i-2", 2);
+        unregister(5, "i-2");
+        sweep();
+        assert freed.isEmpty() : freed;
     }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -29,8 +29,9 @@
 final class CacheStoreFollowerTest {
     private static final String CONFIGURATION =
             """
-            {"Version":1,"Routes":[],"Services":[
-              {"Name":"kept","KvStoreAddr":"10.0.0.1:80","KvCapacity":100,"MaxInFlight":12,"Managed":true}]}
+            {"Version":%d,"Routes":[],"Services":[
+              {"Name":"kept","KvStoreAddr":"10.0.0.1:80","KvCapacity":100,"MaxInFlight":12,"Managed":true}],
+             "Tenants":[{"Name":"t","ApiKeys":["k"],"Isolated":%b}]}
             """;
     private static final CacheChange PART = new CacheChange(true, "s", "p", 10);
 
@@ -38,23 +39,27 @@
     private final List<String> asked = new CopyOnWriteArrayList<>();
     private final AtomicBoolean hasHub = new AtomicBoolean();
     private final CacheIndex cacheIndex = new CacheIndex();
+    private final PlatformState state;
     private final CacheStoreFollower follower;
 
     CacheStoreFollowerTest() {
         DecisionLog log = new DecisionLog(Clocks.SYSTEM.monotonic(), DecisionLog.LINES_PER_SECOND);
-        PlatformState state = new PlatformState(
+        state = new PlatformState(
                 new MetadataItemDecoder(),
                 new NodeItems("cowslipbank/"),
                 new StreamOrigins(),
                 new RefusalProbes(),
                 log);
-        byte[] value = CONFIGURATION.getBytes(StandardCharsets.UTF_8);
-        state.applySnapshot(new MetadataStore.Range(List.of(new StoreItem("op/config", value, 2, 2, 0)), 2, 0), 0, 0);
-        PlatformView view = state.view();
+        state.applySnapshot(new MetadataStore.Range(List.of(configuration(2, false)), 2, 0), 0, 0);
         EngineControl engines = new SilentStores();
         CacheStoreFollower.Sources sources =
                 new CacheStoreFollower.Sources(engines, new HubFeed(loop, Clocks.SYSTEM), hasHub::get);
-        follower = new CacheStoreFollower(sources, cacheIndex, () -> view, loop, Clocks.SYSTEM, log);
+        follower = new CacheStoreFollower(sources, cacheIndex, state::view, loop, Clocks.SYSTEM, log);
+    }
+
+    private static StoreItem configuration(long revision, boolean isolated) {
+        byte[] value = CONFIGURATION.formatted(revision, isolated).getBytes(StandardCharsets.UTF_8);
+        return new StoreItem("op/config", value, revision, 2, 0);
     }
 
     /** Cache stores that never answer. */
@@ -110,6 +115,36 @@
         assert asked.equals(List.of("10.0.0.1:80")) : asked;
     }
 
+    /**
+     * Failure guarded against: a scope was out of use and its parts were freed, the event was lost, and one that is written
+     * again is fetched.
+     */
+    @Example
+    void storesAreReadAgainWhenAScopeReturns() {
+        hasHub.set(true);
+        onLoop(() -> {
+            follower.refresh();
+            PollRequest poll = new PollRequest(2, follower.cursors("hub"));
+            CacheChanges changes = new CacheChanges(7, 5, true, OptionalLong.empty(), List.of(PART));
+            PollAnswer answer = new PollAnswer(2, List.of(), 0, 0, 0, Map.of("kept", CacheChangesMessage.of(changes)));
+            follower.onHubAnswer("hub", poll, answer);
+            state.applyChanges(List.of(configuration(3, false)), 3, 0);
+            follower.refresh();
+            assert cacheIndex.size() == 1;
+            state.applyChanges(List.of(configuration(4, true)), 4, 0);
+            follower.refresh();
+            assert cacheIndex.size() == 0;
+            follower.onHubAnswer("hub", poll, answer);
+            assert cacheIndex.size() == 0 : "the answer is older than the return";
+            assert follower.cursors("hub").equals(Map.of("kept", 0L));
+        });
+        hasHub.set(false);
+        onLoop(follower::refresh);
+        onLoop(() -> state.applyChanges(List.of(configuration(5, false)), 5, 0));
+        onLoop(follower::refresh);
+        assert asked.equals(List.of("10.0.0.1:80", "10.0.0.1:80")) : asked;
+    }
+
     /** Failure guarded against: a hub's changes of a store are lost, or those of an earlier hub are applied. */
     @Example
     void changesFromTheHubAreApplied() {
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -0,0 +1,241 @@
+package org.cowslipbank.entry.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.codahale.metrics.MetricRegistry;
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.relay.CacheIndex;
+import org.cowslipbank.decision.relay.CacheScopeUse;
+import org.cowslipbank.decision.relay.ConfigurationConfirmation;
+import org.cowslipbank.decision.relay.StreamOrigins;
+import org.cowslipbank.decision.relay.UpstreamLoads;
+import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.model.relay.EngineTraits;
+import org.cowslipbank.model.relay.PromptPart;
+import org.cowslipbank.model.relay.PromptShape;
+import org.cowslipbank.model.relay.RelayTeam;
+import org.cowslipbank.model.relay.StoreItem;
+import org.cowslipbank.platform.MetadataItemDecoder;
+import org.cowslipbank.ports.relay.MetadataStore;
+import org.cowslipbank.ports.relay.RelayRequest;
+import org.cowslipbank.ports.relay.RelaySettings;
+import org.cowslipbank.ports.relay.SendPlan;
+
+/** From where and until when engines fetch cached prompt parts, and where they save them. */
+final class RequestPlacementTest {
+    private static final String STORE = "10.0.0.1:80";
+    private static final long REVOKE_MILLIS = 5_000;
+    private static final RelayTeam ISOLATED = new RelayTeam("t", List.of("k"), true, OptionalInt.empty());
+    private static final String CONFIGURATION =
+            """
+            {"Version":%d,"Routes":[],"Services":[
+              {"Name":"kept","KvStoreAddr":"10.0.0.1:80","KvCapacity":100,"MaxInFlight":12,"Managed":true}],
+             "Tenants":[{"Name":"t","ApiKeys":["k"],"Isolated":%b}]}
+            """;
+    private static final String ENGINE =
+            """
+            {"Service":"llm","Address":"10.0.0.2:80","Zone":"a","Slots":1,"State":"ready","born":1,"Version":"v1",
+             "Models":[{"Name":"m","Version":%d}]}
+            """;
+
+    private final AtomicLong nowMillis = new AtomicLong(1_000_000);
+    private long millisPerReading;
+    private final Clocks clocks = new Clocks(() -> nowMillis.getAndAdd(millisPerReading), nowMillis::get);
+    private final DecisionLog log = new DecisionLog(nowMillis::get, DecisionLog.LINES_PER_SECOND);
+    private final PlatformState state = new PlatformState(
+            new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), new RefusalProbes(), log);
+    private final CacheIndex cacheIndex = new CacheIndex();
+    private Optional<ConfigurationConfirmation> confirmation = Optional.empty();
+    private Runnable onConfirmationRead = () -> {};
+    private long revision = 1;
+
+    RequestPlacementTest() {
+        state.applySnapshot(new MetadataStore.Range(List.of(), revision, 0), 0, nowMillis.get());
+    }
+
+    private void put(String key, String value) {
+        revision++;
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        state.applyChanges(List.of(new StoreItem(key, bytes, revision, revision, 0)), revision, nowMillis.get());
+    }
+
+    private void configure(boolean isolated) {
+        put("op/config", CONFIGURATION.formatted(revision, isolated));
+    }
+
+    private void register(String id, long version) {
+        put("servers/" + id, ENGINE.formatted(version));
+    }
+
+    private void store(String scope) {
+        cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
+        cacheIndex.onUpstreamClock(STORE, nowMillis.get(), nowMillis.get());
+        cacheIndex.onPartEvent(STORE, scope, "p", 10);
+    }
+
+    private void confirmAfter(long millis) {
+        nowMillis.addAndGet(millis);
+        confirmation = Optional.of(new ConfigurationConfirmation(nowMillis.get(), nowMillis.get()));
+        cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
+    }
+
+    private Optional<ConfigurationConfirmation> readConfirmation() {
+        Optional<ConfigurationConfirmation> read = confirmation;
+        onConfirmationRead.run();
+        return read;
+    }
+
+    /** Returns a context with what a placement needs. */
+    private RelayContext context() {
+        RelaySettings settings = new RelaySettings(
+                "n1",
+                "a",
+                null,
+                "",
+                1_000,
+                new RelaySettings.Bounds(REVOKE_MILLIS, true, 3_000, 0.2, 1, 3_000, 6_000),
+                430,
+                1,
+                1);
+        return new RelayContext(
+                settings,
+                null,
+                state::view,
+                this::readConfirmation,
+                null,
+                null,
+                null,
+                clocks,
+                null,
+                null,
+                null,
+                null,
+                new UpstreamLoads(),
+                null,
+                null,
+                null,
+                cacheIndex,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                new RelayMetrics(new MetricRegistry()),
+                log);
+    }
+
+    private SendPlan plan(Optional<RelayTeam> team, String engineId) {
+        PromptShape prompt = new PromptShape("m", 20, 5, List.of(new PromptPart("p", 10), new PromptPart("own", 10)));
+        RelayRequest request = new RelayRequest(
+                "r1",
+                "POST",
+                "/",
+                "h",
+                Optional.empty(),
+                OptionalLong.empty(),
+                Optional.of(prompt),
+                Optional.empty(),
+                Optional.empty(),
+                List.of());
+        RequestPlacement.Target target =
+                new RequestPlacement.Target("llm", Optional.of(new EngineTraits(1, 100, 1, 1, List.of())), team, true);
+        return new RequestPlacement(context(), request, target, incarnation -> 0)
+                .planSend(state.view().servers().get(engineId), 1_000, 0, Optional.empty());
+    }
+
+    private static boolean fetches(SendPlan plan) {
+        return plan.fetchFrom().contains(STORE);
+    }
+
+    /** Failure guarded against: a pause after the check of the configuration lengthens the fetch by as much. */
+    @Example
+    void pauseDoesNotMoveTheDeadlineOfAFetch() {
+        configure(false);
+        register("i-1", 1);
+        store("m/1/");
+        confirmAfter(60_000);
+        long confirmedMillis = nowMillis.get();
+        nowMillis.addAndGet(REVOKE_MILLIS - 1_000);
+        cacheIndex.onStoreAnswer(STORE, 1, false, nowMillis.get());
+        millisPerReading = 500;
+        SendPlan plan = plan(Optional.empty(), "i-1");
+        assert fetches(plan) : plan;
+        long endMillis = plan.fetchUntilMillis().getAsLong();
+        assert endMillis <= confirmedMillis + REVOKE_MILLIS + CacheIndex.FETCH_TIMEOUT_MILLIS : endMillis;
+    }
+
+    /**
+     * Failure guarded against: a request that was queued while its team was isolated fetches and saves parts of a group
+     * that no configuration uses any more, and that the leader frees.
+     */
+    @Example
+    void queuedRequestOfATeamThatIsNoLongerIsolatedUsesNoStore() {
+        configure(true);
+        register("i-1", 1);
+        store("m/1/t");
+        confirmAfter(60_000);
+        assert fetches(plan(Optional.of(ISOLATED), "i-1"));
+        configure(false);
+        confirmAfter(60_000);
+        SendPlan plan = plan(Optional.of(ISOLATED), "i-1");
+        assert !fetches(plan) && plan.cacheScope().equals(Optional.of("m/1/t")) : plan;
+        cacheIndex.onPartEvent(STORE, "m/1/t", "p", 0);
+        assert !plan(Optional.of(ISOLATED), "i-1").saveTo().contains(STORE);
+    }
+
+    /** Failure guarded against: parts are fetched from a group that a node frees which does not know of its return yet. */
+    @Example
+    void groupThatIsUsedAgainIsNotFetchedFromAtOnce() {
+        configure(true);
+        register("i-1", 1);
+        confirmAfter(60_000);
+        configure(false);
+        confirmAfter(60_000);
+        configure(true);
+        store("m/1/t");
+        confirmAfter(CacheScopeUse.ENTRY_DELAY_MILLIS - 1);
+        assert !fetches(plan(Optional.of(ISOLATED), "i-1"));
+        confirmAfter(1);
+        assert fetches(plan(Optional.of(ISOLATED), "i-1"));
+    }
+
+    /** Failure guarded against: parts are fetched for an engine that returned with a version that a node frees. */
+    @Example
+    void replacedVersionThatReturnsIsNotFetchedFromAtOnce() {
+        configure(false);
+        register("i-1", 2);
+        confirmAfter(60_000);
+        register("i-2", 1);
+        store("m/1/");
+        confirmAfter(CacheScopeUse.ENTRY_DELAY_MILLIS - 1);
+        assert !fetches(plan(Optional.empty(), "i-2"));
+        confirmAfter(1);
+        assert fetches(plan(Optional.empty(), "i-2"));
+        register("i-2", 3);
+        store("m/3/");
+        assert fetches(plan(Optional.empty(), "i-2")) : "nobody frees the newest version";
+    }
+
+    /** Failure guarded against: a confirmation that came with a newer configuration is taken for one of the older. */
+    @Example
+    void confirmationHoldsForTheConfigurationThatIsUsed() {
+        configure(true);
+        register("i-1", 1);
+        store("m/1/t");
+        confirmAfter(60_000);
+        onConfirmationRead = () -> {
+            onConfirmationRead = () -> {};
+            configure(false);
+        };
+        assert !fetches(plan(Optional.of(ISOLATED), "i-1"));
+    }
+}
