Free parts again that a store refused to free

Parts are taken out of the index before the call that frees them. If the store refused the call, or did not answer, the node did not list them again before it read the whole store anew, so that they filled the store until then. They are listed again, with too few tokens to be fetched, unless the store has restarted.

CacheStoreCleanerTest.partsThatWereNotFreedInTimeAreFreedLater covers it.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -34,6 +35,7 @@
     private final Supplier<PlatformView> view;
     private final BooleanSupplier isLeader;
     private final Supplier<Optional<ConfigurationConfirmation>> confirmation;
+    private final Executor loop;
     private final Clocks clocks;
     private final RelayMetrics metrics;
     private final DecisionLog log;
@@ -73,6 +75,7 @@
      * @param engines calls to the stores
      * @param cacheIndex index of the parts in the stores
      * @param knowledge what is known of the platform
+     * @param loop the traffic thread
      * @param clocks the clocks
      * @param metrics counts what is freed
      * @param log the structured log
@@ -81,6 +84,7 @@
             EngineControl engines,
             CacheIndex cacheIndex,
             Knowledge knowledge,
+            Executor loop,
             Clocks clocks,
             RelayMetrics metrics,
             DecisionLog log) {
@@ -90,6 +94,7 @@
         this.confirmation = knowledge.confirmation();
         this.view = knowledge.view();
         this.isLeader = knowledge.isLeader();
+        this.loop = loop;
         this.clocks = clocks;
         this.metrics = metrics;
         this.log = log;
@@ -168,7 +173,9 @@
         // Remove the parts from the index first, so that no fetch is planned while the call is under way.
         call.parts().forEach(part -> cacheIndex.onPartEvent(store.address(), part.scope(), part.partId(), 0));
         engines.free(store.address(), call)
-                .subscribe(freed -> onAnswer(store, call, freed), error -> onFailed(store, error));
+                .subscribe(
+                        freed -> loop.execute(() -> onAnswer(store, call, freed)),
+                        error -> loop.execute(() -> onFailed(store, call, error)));
     }
 
     private void onAnswer(CacheStore store, FreeCall call, boolean freed) {
@@ -176,15 +183,27 @@
             metrics.onPartsFreed(call.parts().size());
             return;
         }
-        metrics.onFreeFailed();
+        onKept(store, call);
         log.logState(LogFields.event("cache store refused to free unused parts and keeps them")
                 .peer(store.address())
                 .field("epoch", call.epoch())
                 .field("untilMillis", call.untilMillis().orElse(-1)));
     }
 
-    private void onFailed(CacheStore store, Throwable error) {
+    /** Lists the parts again, too short to be fetched, so that a later call frees them. */
+    private void onKept(CacheStore store, FreeCall call) {
         metrics.onFreeFailed();
+        boolean sameEpoch = cacheIndex
+                .storeEpoch(store.address())
+                .filter(epoch -> epoch == call.epoch())
+                .isPresent();
+        if (sameEpoch) {
+            call.parts().forEach(part -> cacheIndex.onPartEvent(store.address(), part.scope(), part.partId(), 1));
+        }
+    }
+
+    private void onFailed(CacheStore store, FreeCall call, Throwable error) {
+        onKept(store, call);
         log.logState(LogFields.event("cannot free unused parts; cache store keeps them")
                 .peer(store.address())
                 .error(error));
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -172,6 +172,7 @@
                         watcher::view,
                         lease::isLeader,
                         settings.bounds().revokeMillis()),
+                loop,
                 clocks,
                 relayMetrics,
                 log);
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
@@ -48,6 +48,7 @@
             new RecordingStores(),
             cacheIndex,
             new CacheStoreCleaner.Knowledge(() -> confirmation, state::view, () -> leading, CONFIGURATION_VALID_MILLIS),
+            Runnable::run,
             clocks,
             new RelayMetrics(new MetricRegistry()),
             log);
@@ -206,6 +207,22 @@
         assert freed.isEmpty() : freed;
     }
 
+    /** Failure guarded against: parts that a store refused to free stay there for as long as it runs. */
+    @Example
+    void partsThatWereNotFreedInTimeAreFreedLater() {
+        start(false);
+        store("m/3/t");
+        passMillis(60_000);
+        callDelayMillis = CacheScopeUse.ENTRY_DELAY_MILLIS;
+        sweep();
+        assert freed.isEmpty() : freed;
+        callDelayMillis = 0;
+        sweep();
+        assert freed.equals(List.of("m/3/t")) : freed;
+        sweep();
+        assert freed.size() == 1 : freed;
+    }
+
     /** Failure guarded against: a version is freed at once when the last entry of an engine that lives has lapsed. */
     @Example
     void versionOfAnEngineWhoseEntryLapsedIsKeptWhileOthersMaySendToIt() {
