--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -172,10 +172,14 @@
         this.cleaner = new CacheStoreCleaner(
                 platform.engines(),
                 cacheIndex,
-                watcher::view,
-                lease::isLeader,
-                settings.bounds().revokeMillis(),
+                new CacheStoreCleaner.Knowledge(
+                        watcher::confirmation,
+                        watcher::view,
+                        lease::isLeader,
+                        settings.bounds().revokeMillis()),
+                loop,
                 clocks,
+                relayMetrics,
                 log);
         FleetLoads fleetLoads = new FleetLoads();
         WaitingRequests waiting = new WaitingRequests(loop, clocks, turns, loads);
