Let the model of cache scopes miss what a complete reading does not tell

The model's complete reading replayed all changes, so that two of the guards could be left out without a failure: the times of groups and of the oldest version that begin anew. It now reads the present state alone. A series that is too rare to be drawn is an example of its own: a version that was away while a node was cut off.

--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheScopeUseTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheScopeUseTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -116,15 +117,17 @@
             readAll();
         }
 
+        /** Reads the present state, which does not tell what was in between. */
         void readAll() {
             use.onCompleteReading(monotonicMillis());
-            registered.clear();
+            CacheSharing sharing = SHARED;
             for (Change change : changes) {
-                change.sharing().ifPresent(sharing -> use.onConfigured(sharing, monotonicMillis()));
+                sharing = change.sharing().orElse(sharing);
                 if (change.sharing().isEmpty()) {
                     put(change);
                 }
             }
+            use.onConfigured(sharing, monotonicMillis());
             recordUpstreams();
             applied = changes.size();
             confirm(now());
@@ -324,4 +327,16 @@
         run(steps);
         Statistics.label("fetched and freed").collect(fetchCount > 0 && freeCount > 0);
     }
+
+    /** Failure guarded against: a node that missed the end of a version fetches from it at once when it has returned. */
+    @Example
+    void versionThatWasAwayWhileANodeWasCutOffIsNotFetchedFromAtOnce() {
+        run(List.of(
+                new Step(Action.REGISTER, 1, 1, 9_100),
+                new Step(Action.CUT_OFF, 0, 1, 1),
+                new Step(Action.UNREGISTER, 1, 1, 9_100),
+                new Step(Action.REGISTER, 1, 1, 1),
+                new Step(Action.READ_ALL, 0, 1, 1)));
+        assert fetchCount > 0 && freeCount > 0;
+    }
 }
