Take no answer within a body for a part of that body

An upstream that breaks off within a body may write another answer behind it on the same connection: its error, or an earlier answer once more. Without a length, or if the second answer fills the stated length, the body looked whole, and the client of a plain request got a success with a part of the body and the text of the other answer.

A body in which a status line is followed by a header with the identifier of a request of that connection now fails the attempt. A status line alone remains a part of a body.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -1181,6 +1181,8 @@
                 suspects.reportSound();
                 client.end();
                 finish(ANSWERED, head.status());
+            } else if (connection.isAnswerWithin(bufferedBody)) {
+                onAttemptFailed(Outcome.FAILED, true, "another answer within the body");
             } else {
                 onBufferedAnswer();
             }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -1,10 +1,13 @@
 package org.cowslipbank.entry.relay;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -49,6 +52,9 @@
     static final int MAX_REQUESTS = 1_000;
 
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final ByteBuf STATUS_LINE = Unpooled.unreleasableBuffer(
+                    Unpooled.copiedBuffer("HTTP/1.", StandardCharsets.US_ASCII))
+            .asReadOnly();
     private static final String MALFORMED_BODY = "malformed answer body";
 
     private final RelayCodec codec;
@@ -143,6 +149,18 @@
         return !sentIds.contains(id);
     }
 
+    /**
+     * Returns whether another answer stands within the body of the last one, as when an upstream breaks off within the body
+     * and writes an answer behind it.
+     *
+     * @param body the whole body
+     * @return true if the head of an answer to a request of this connection is in the body
+     */
+    boolean isAnswerWithin(ByteBuf body) {
+        return ByteBufUtil.indexOf(STATUS_LINE, body) >= 0
+                && StatusLines.areFollowedByAny(body.toString(StandardCharsets.ISO_8859_1), sentIds);
+    }
+
     /** Cancels the request; the upstream stops it when the connection closes. */
     void cancel() {
         listener = null;
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
@@ -325,6 +325,39 @@
         assert answeredOn.size() == 2;
     }
 
+    /** An upstream breaks off within a body and writes an answer behind it: its error, or an earlier answer once more. */
+    @Property(generation = GenerationMode.EXHAUSTIVE)
+    void answerWithinABodyIsNoPartOfIt(@ForAll boolean hasLength) throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        ScriptedUpstream.Script script = (request, socket) -> {
+            String id = request.header("X-Request-Id");
+            if (requests.incrementAndGet() == 1) {
+                ScriptedUpstream.write(
+                        socket, answer(200, id, "s1", "Keep-Alive: timeout=9\r\n", withLength("HTTP/1.1 200")));
+                return;
+            }
+            String second = answer(500, hasLength ? "r1" : id, "s2", "", withLength("error"));
+            String begun = "part" + second;
+            ScriptedUpstream.write(
+                    socket,
+                    answer(
+                            200,
+                            id,
+                            "s2",
+                            hasLength ? "Content-Length: " + begun.length() + "\r\n" : "",
+                            "\r\n" + begun));
+            socket.close();
+        };
+        try (RelaySystem system = new RelaySystem()) {
+            system.upstream("app", "i-1", script);
+            system.start();
+            String first = system.send("/order/", "r1", "", "");
+            assert first.startsWith("HTTP/1.1 200") && first.endsWith("HTTP/1.1 200") : first;
+            String broken = system.send("/order/", "r2", "", "");
+            assert broken.startsWith("HTTP/1.1 502") : broken;
+        }
+    }
+
     private static void writeFirst(ScriptedUpstream.Received request, Socket socket, Time time, String part)
             throws IOException, InterruptedException {
         String first = answer(200, request.header("X-Request-Id"), "s1", "Keep-Alive: timeout=9\r\n", inChunks(EVENT));
--- a/ports/src/main/java/org/cowslipbank/ports/StatusLines.java
+++ b/ports/src/main/java/org/cowslipbank/ports/StatusLines.java
@@ -1,6 +1,8 @@
 package org.cowslipbank.ports;
 
+import java.util.Collection;
 import java.util.Map;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
@@ -22,6 +24,20 @@
         return STATUS_LINE.matcher(text).find();
     }
 
+    /**
+     * Returns whether a body holds the head of an answer to one of some requests.
+     *
+     * @param body the body
+     * @param requestIds identifiers of the requests, which echo in the heads of their answers
+     * @return true if a header with an identifier follows a status line
+     */
+    public static boolean areFollowedByAny(String body, Collection<String> requestIds) {
+        Matcher statusLine = STATUS_LINE.matcher(body);
+        return statusLine.find()
+                && requestIds.stream()
+                        .anyMatch(requestId -> body.indexOf(": " + requestId + "\r\n", statusLine.end()) >= 0);
+    }
+
     /**
      * Returns whether a header field holds a status line.
      *
