Read stores again only after calls of uninformed nodes have expired

A request could fetch a part that was being written: a node that learned of a scope's return read its stores at once, while a free of a node that did not know of it could still be carried out for 1.5 s. If the event of that free was lost, the part stayed in the index, another node saved it again, and 2 s after the return it was fetched while incomplete.

Stores are now read once such a free is no longer valid. Until then their parts are neither fetched nor saved, which changes little, since nothing is fetched from a scope in that time.

Times in use began anew at each complete reading of the metadata store, also if its history was only shortened. They go on now if less was missed than the shortest time for which a scope is out of use before it is freed, so that brief gaps cost no cached parts. Times out of use still begin anew.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
@@ -10,8 +10,8 @@
 
 /**
  * Since when cache scopes are in use or out of use, as far as this node knows without a gap. All nodes record it change by
- * change, whether they lead or not, and begin anew at each complete reading of the metadata store, before which changes
- * may have been missed. Owned by the control thread.
+ * change, whether they lead or not, and begin anew at a complete reading of the metadata store, before which changes may
+ * have been missed. Owned by the control thread.
  *
  * <p>Two rules on it keep requests from fetching parts that another node frees, without an agreement between nodes. Let a
  * node free parts only until {@link #FREE_VALID_MILLIS} after it was confirmed that its knowledge is the newest. A fetch
@@ -64,6 +64,9 @@
     private CacheSharing sharing = CacheSharing.NONE_ISOLATED;
     private boolean configured;
     private long sharingSinceMillis;
+    /** Since when no group has come into or gone out of use, as far as this node can tell, in milliseconds. */
+    private long groupsKnownSinceMillis;
+
     private long knownSinceMillis;
     private long returns;
     private Optional<Snapshot> snapshot = Optional.of(Snapshot.NOTHING_KNOWN);
@@ -119,11 +122,13 @@
     /** Immutable state, for other threads. */
     public static final class Snapshot {
         /** Before the first reading; nothing may be fetched or freed. */
-        public static final Snapshot NOTHING_KNOWN = new Snapshot(CacheSharing.NONE_ISOLATED, false, 0, 0, Map.of(), 0);
+        public static final Snapshot NOTHING_KNOWN =
+                new Snapshot(CacheSharing.NONE_ISOLATED, false, 0, 0, 0, Map.of(), 0);
 
         private final CacheSharing sharing;
         private final boolean configured;
         private final long sharingSinceMillis;
+        private final long groupsKnownSinceMillis;
         private final long knownSinceMillis;
         private final Map<String, ModelSnapshot> models;
         private final long returns;
@@ -132,12 +137,14 @@
                 CacheSharing sharing,
                 boolean configured,
                 long sharingSinceMillis,
+                long groupsKnownSinceMillis,
                 long knownSinceMillis,
                 Map<String, ModelSnapshot> models,
                 long returns) {
             this.sharing = sharing;
             this.configured = configured;
             this.sharingSinceMillis = sharingSinceMillis;
+            this.groupsKnownSinceMillis = groupsKnownSinceMillis;
             this.knownSinceMillis = knownSinceMillis;
             this.models = Map.copyOf(models);
             this.returns = returns;
@@ -215,7 +222,7 @@
 
         private Optional<Unused> unusedGroup(Optional<String> group) {
             return group.filter(name -> configured && !sharing.uses(name))
-                    .map(name -> new Unused(Reason.GROUP_UNUSED, sharingSinceMillis));
+                    .map(name -> new Unused(Reason.GROUP_UNUSED, groupsKnownSinceMillis));
         }
 
         /**
@@ -251,19 +258,24 @@
     }
 
     /**
-     * Begins anew at a complete reading of the metadata store. Called before the reading's content is recorded.
+     * Records a complete reading of the metadata store, before which changes may have been missed. Called before the
+     * reading's content is recorded. Times out of use begin anew. Times in use go on if the node has missed less time than
+     * the shortest for which a scope is out of use before its parts are freed.
      *
+     * @param missedMillis age of the node's knowledge, in milliseconds
      * @param nowMillis the time in milliseconds
      */
-    public void onCompleteReading(long nowMillis) {
+    public void onCompleteReading(long missedMillis, long nowMillis) {
+        groupsKnownSinceMillis = nowMillis;
+        models.values().forEach(use -> use.oldestVersion = OptionalLong.empty());
+        snapshot = Optional.empty();
+        if (missedMillis < LAST_FETCH_MILLIS) {
+            return;
+        }
         knownSinceMillis = nowMillis;
         sharingSinceMillis = nowMillis;
-        models.values().forEach(use -> {
-            use.registeredSinceMillis.clear();
-            use.oldestVersion = OptionalLong.empty();
-        });
+        models.values().forEach(use -> use.registeredSinceMillis.clear());
         returns++;
-        snapshot = Optional.empty();
     }
 
     /**
@@ -279,6 +291,7 @@
         sharing = next;
         configured = true;
         sharingSinceMillis = nowMillis;
+        groupsKnownSinceMillis = nowMillis;
         returns++;
         snapshot = Optional.empty();
     }
@@ -339,8 +352,14 @@
         if (snapshot.isEmpty()) {
             Map<String, ModelSnapshot> copies = new HashMap<>();
             models.forEach((model, use) -> copies.put(model, use.snapshot()));
-            snapshot = Optional.of(
-                    new Snapshot(sharing, configured, sharingSinceMillis, knownSinceMillis, copies, returns));
+            snapshot = Optional.of(new Snapshot(
+                    sharing,
+                    configured,
+                    sharingSinceMillis,
+                    groupsKnownSinceMillis,
+                    knownSinceMillis,
+                    copies,
+                    returns));
         }
         return snapshot.get();
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
@@ -9,6 +9,7 @@
 
 import io.netty.channel.EventLoop;
 import org.cowslipbank.decision.relay.CacheIndex;
+import org.cowslipbank.decision.relay.CacheScopeUse;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
@@ -138,7 +139,8 @@
 
     /**
      * Reads all parts of a store again. Few events of a store are lost, but while a scope was out of use its parts may have
-     * been freed, and one that is written again must not be taken for complete.
+     * been freed, and one that is written again must not be taken for complete. The store is read once calls of nodes that
+     * do not know of the return have expired; until then its parts are neither fetched nor saved.
      */
     private void followAnew(String address, FollowedStore followed) {
         stop(followed);
@@ -152,7 +154,7 @@
         }
         FollowedStore anew = new FollowedStore(followed.storeName);
         followedStores.put(address, anew);
-        askStore(address, anew);
+        askAgain(address, anew, CacheScopeUse.ENTRY_DELAY_MILLIS);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -195,10 +195,11 @@
      *
      * @param range the reading
      * @param revisionAtSend revision up to which changes had been applied when the store was asked
+     * @param missedMillis for how long changes may have been missed, in milliseconds
      * @param nowMillis the time in milliseconds
      * @return true if the store was restored from a copy since the last reading
      */
-    boolean applySnapshot(MetadataStore.Range range, long revisionAtSend, long nowMillis) {
+    boolean applySnapshot(MetadataStore.Range range, long revisionAtSend, long missedMillis, long nowMillis) {
         long atRevision = range.revision();
         if (atRevision < revision && atRevision >= revisionAtSend) {
             // A hub has already delivered later changes.
@@ -222,7 +223,8 @@
                     .field("revisionBefore", revision));
         }
         viewOutdated = true;
-        scopeUse.onCompleteReading(nowMillis);
+        boolean lostChanges = restored || atRevision < revision;
+        scopeUse.onCompleteReading(lostChanges ? Long.MAX_VALUE : missedMillis, nowMillis);
         Set<String> present = new HashSet<>();
         for (StoreItem item : all) {
             present.add(item.key());
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -233,7 +233,11 @@
     private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt, long reading) {
         onContact();
         boolean firstReading = view.routes().isEmpty();
-        if (state.applySnapshot(range, revisionAtSend, clocks.nowMillis())) {
+        LeaderLease.ClockReading now = clocks.now();
+        long missedMillis = confirmation
+                .map(known -> known.ageMillis(now.monotonicMillis(), now.wallMillis()))
+                .orElse(Long.MAX_VALUE);
+        if (state.applySnapshot(range, revisionAtSend, missedMillis, now.monotonicMillis())) {
             listener.onStoreRestored(firstReading);
         }
         publish();
