Let each replaced weight version wait for itself before it is freed

CacheScopeUse now keeps since when the oldest version has been at least each one, so that a version counts from its own replacement.

CacheStoreCleanerTest.eachReplacedVersionHasItsOwnWait covers it; the model in CacheScopeUseTest holds. The test of a version that is registered for a moment now applies both changes in one batch, and SecondAnswerTest waits for the counter instead of a fixed time.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 
 import org.cowslipbank.model.relay.UpstreamServer;
 
@@ -50,10 +52,25 @@
         /** The oldest version registered or kept; empty while no engine is registered, when nothing can be concluded. */
         private OptionalLong oldestVersion = OptionalLong.empty();
 
-        private long oldestSinceMillis;
+        /** Since when the oldest version has been at least this one, in milliseconds. */
+        private final NavigableMap<Long, Long> atLeastSinceMillis = new TreeMap<>();
+
+        void setOldest(OptionalLong next, long nowMillis) {
+            if (next.equals(oldestVersion)) {
+                return;
+            }
+            oldestVersion = next;
+            if (next.isEmpty()) {
+                atLeastSinceMillis.clear();
+                return;
+            }
+            Map.Entry<Long, Long> atLeast = atLeastSinceMillis.ceilingEntry(next.getAsLong());
+            atLeastSinceMillis.tailMap(next.getAsLong(), false).clear();
+            atLeastSinceMillis.put(next.getAsLong(), atLeast == null ? nowMillis : atLeast.getValue());
+        }
 
         ModelSnapshot snapshot() {
-            return new ModelSnapshot(newestVersion, registeredSinceMillis, oldestVersion, oldestSinceMillis);
+            return new ModelSnapshot(newestVersion, registeredSinceMillis, new TreeMap<>(atLeastSinceMillis));
         }
     }
 
@@ -110,10 +127,7 @@
 
     /** Use of a model's versions; see {@link ModelUse}. */
     private record ModelSnapshot(
-            long newestVersion,
-            Map<Long, Long> registeredSinceMillis,
-            OptionalLong oldestVersion,
-            long oldestSinceMillis) {
+            long newestVersion, Map<Long, Long> registeredSinceMillis, NavigableMap<Long, Long> atLeastSinceMillis) {
         ModelSnapshot {
             registeredSinceMillis = Map.copyOf(registeredSinceMillis);
         }
@@ -214,10 +228,8 @@
         }
 
         private static Optional<Unused> replaced(ModelSnapshot use, long version) {
-            return use.oldestVersion().isPresent()
-                            && version < use.oldestVersion().getAsLong()
-                    ? Optional.of(new Unused(Reason.VERSION_REPLACED, use.oldestSinceMillis()))
-                    : Optional.empty();
+            return Optional.ofNullable(use.atLeastSinceMillis().higherEntry(version))
+                    .map(newer -> new Unused(Reason.VERSION_REPLACED, newer.getValue()));
         }
 
         private Optional<Unused> unusedGroup(Optional<String> group) {
@@ -267,7 +279,7 @@
      */
     public void onCompleteReading(long missedMillis, long nowMillis) {
         groupsKnownSinceMillis = nowMillis;
-        models.values().forEach(use -> use.oldestVersion = OptionalLong.empty());
+        models.values().forEach(use -> use.setOldest(OptionalLong.empty(), nowMillis));
         snapshot = Optional.empty();
         if (missedMillis < LAST_FETCH_MILLIS) {
             return;
@@ -336,11 +348,7 @@
         known.keySet().retainAll(versions.registeredSinceMillis().keySet());
         versions.registeredSinceMillis().forEach(known::putIfAbsent);
         use.newestVersion = known.keySet().stream().mapToLong(Long::longValue).reduce(use.newestVersion, Math::max);
-        OptionalLong oldest = known.isEmpty() ? OptionalLong.empty() : OptionalLong.of(versions.oldestVersion());
-        if (!oldest.equals(use.oldestVersion)) {
-            use.oldestVersion = oldest;
-            use.oldestSinceMillis = nowMillis;
-        }
+        use.setOldest(known.isEmpty() ? OptionalLong.empty() : OptionalLong.of(versions.oldestVersion()), nowMillis);
     }
 
     /**
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
@@ -84,20 +84,28 @@
 
     private void configure(long revision, boolean isolated) {
         byte[] configuration = CONFIGURATION.formatted(revision, isolated).getBytes(StandardCharsets.UTF_8);
-        apply(revision, new StoreItem("op/config", configuration, revision, revision, 0));
+        apply(new StoreItem("op/config", configuration, revision, revision, 0));
     }
 
     private void register(long revision, String id, long version) {
-        byte[] engine = ENGINE.formatted(version).getBytes(StandardCharsets.UTF_8);
-        apply(revision, new StoreItem("servers/" + id, engine, revision, revision, 0));
+        apply(registration(revision, id, version));
     }
 
     private void unregister(long revision, String id) {
-        apply(revision, new StoreItem("servers/" + id, null, revision, 0, 0));
+        apply(removal(revision, id));
+    }
+
+    private static StoreItem registration(long revision, String id, long version) {
+        byte[] engine = ENGINE.formatted(version).getBytes(StandardCharsets.UTF_8);
+        return new StoreItem("servers/" + id, engine, revision, revision, 0);
+    }
+
+    private static StoreItem removal(long revision, String id) {
+        return new StoreItem("servers/" + id, null, revision, 0, 0);
     }
 
-    private void apply(long revision, StoreItem item) {
-        state.applyChanges(List.of(item), revision, nowMillis.get());
+    private void apply(StoreItem... items) {
+        state.applyChanges(List.of(items), items[items.length - 1].revision(), nowMillis.get());
     }
 
     private void start(boolean isolated) {
@@ -248,9 +256,24 @@
         store("m/2/");
         sweep();
         passMillis(60_000);
-        register(4, "i-2", 2);
-        unregister(5, "i-2");
+        apply(registration(4, "i-2", 2), removal(5, "i-2"));
         sweep();
         assert freed.isEmpty() : freed;
     }
+
+    /** Failure guarded against: versions in quick succession fill the stores, since each begins the wait of all older ones anew. */
+    @Example
+    void eachReplacedVersionHasItsOwnWait() {
+        start(false);
+        store("m/2/");
+        store("m/3/");
+        passMillis(5_000);
+        register(4, "i-1", 4);
+        passMillis(5_000);
+        sweep();
+        assert freed.equals(List.of("m/2/")) : freed;
+        passMillis(5_000);
+        sweep();
+        assert freed.equals(List.of("m/2/", "m/3/")) : freed;
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SecondAnswerTest.java
@@ -292,7 +292,9 @@
                 system.upstream("llm", "i-1", script);
                 system.start();
                 assert system.send("/once/", "r1", "", "").startsWith("HTTP/1.1 200");
-                Thread.sleep(100);
+                while (time == Time.WHILE_IDLE && system.metric("relay.strayBytes") == 0) {
+                    Thread.sleep(10);
+                }
                 String failed = system.send("/once/", "r2", "", "");
                 assert failed.startsWith("HTTP/1.1 50") : failed;
                 assert system.metric("relay.strayBytes") == (time == Time.WITH_THE_NEXT_ANSWER ? 0 : 1);
