Show freed parts and false successes in the soak

Neither fault of the incident could show in the soak: it had no cache stores, and its second answers were copies of plain successes only.

The stand-ins of the platform now include two managed cache stores with saves, fetches, frees, late and lost events and epochs; engines with slots and a queue that fetch and save prompt parts; answers without a length, failures after a head, and second answers of every kind with the same or another status. Teams are isolated in series around which the leader is suspended or cut off, the metadata store is away for seconds while registrations lapse, and calls that free parts are carried out late. `--cache` draws these alone. New checks compare fetches with frees and complete parts, the status of each signed answer with that of its run, and whole successes with what upstreams counted; each is broken once in GuaranteeCheckerTest. SoakRun is split by process, stand-in and fault.

--- a/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -47,6 +47,8 @@
                 .defaultsTo(3);
         OptionSpec<Void> calm = parser.accepts(
                 "calm", "Instead of faults: silent upstreams, second answers, changes, versions and planned stops.");
+        OptionSpec<Void> cache = parser.accepts(
+                "cache", "Instead of faults of all kinds: those that concern which cached prompt parts are in use.");
         OptionSpec<String> otherJar = parser.accepts(
                         "other-jar", "Jar of another build that runs on every second node; restarts change the build.")
                 .withRequiredArg();
@@ -62,7 +64,11 @@
         if (seconds <= 0 || parsed.valueOf(nodes) < 1) {
             throw new UsageException("minutes and nodes must be above zero");
         }
-        SoakRun.Kind kind = parsed.has(calm) ? SoakRun.Kind.CALM : SoakRun.Kind.FAULTS;
+        if (parsed.has(calm) && parsed.has(cache)) {
+            throw new UsageException("calm and cache exclude each other");
+        }
+        SoakRun.Kind other = parsed.has(cache) ? SoakRun.Kind.CACHE : SoakRun.Kind.FAULTS;
+        SoakRun.Kind kind = parsed.has(calm) ? SoakRun.Kind.CALM : other;
         List<List<String>> programs = new ArrayList<>(List.of(program(ownJar())));
         parsed.valuesOf(otherJar).forEach(jar -> programs.add(program(jar)));
         return runSoak(kind, chosenSeed, seconds, parsed.valueOf(nodes), programs, console);
@@ -95,13 +101,17 @@
                     .run();
             console.out()
                     .printf(
-                            "seed %d: %d faults, %d requests, %d served, %d rejected, %.2f served at the end, %d broken%n",
+                            "seed %d: %d faults, %d requests, %d served, %d rejected, %.2f served at the end, "
+                                    + "%d parts fetched, %d second answers, %.2f of the slots in use, %d broken%n",
                             seed,
                             outcome.faults().size(),
                             outcome.sent(),
                             outcome.served(),
                             outcome.rejected(),
                             outcome.servedAtEnd(),
+                            outcome.fetches(),
+                            outcome.secondAnswers(),
+                            outcome.slotUse(),
                             outcome.violations().size());
             outcome.violations().forEach(console.out()::println);
             return outcome.guaranteesHeld() ? ExitCode.DONE : ExitCode.OUTCOME_MISSED;
--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 
+import org.cowslipbank.platform.StandInCacheStore.Fetch;
 import org.cowslipbank.platform.StandInFormats;
+import org.cowslipbank.platform.StandInUpstream.Answered;
 import org.cowslipbank.platform.StandInUpstream.Order;
 import org.cowslipbank.platform.StandInUpstream.Run;
 
@@ -23,6 +25,10 @@
  * everywhere within a bound; no request reaches an upstream after its drain period; an engine receives no commands
  * from two nodes within one lease period, and no lower fencing token after a higher one.
  *
+ * <p>No part that a request fetched from a cache store was freed before the fetch ended, or incomplete when it began. No answer
+ * with an upstream's signature has another status than that upstream's answer, and a whole success is one that an upstream
+ * counts as such.
+ *
  * <p>Without faults also: a request that was read whole is answered whole, or refused; none begins on a weight version past
  * the bound of a newer one; arrivals beyond the first of each request stay within the retry budget; no cached part is shared
  * with an isolated team.
@@ -52,6 +58,8 @@
     /** Time after which a configuration is in force everywhere, from the platform's rules. */
     private static final long CONFIGURATION_MILLIS = 2_000;
 
+    private static final int SUCCESS = 200;
+
     private final StandInFormats.Bounds bounds;
     private final long drainMillis;
     private final boolean calm;
@@ -70,6 +78,8 @@
     private final Map<String, Long> sentAtMillis = new HashMap<>();
     private final Map<String, String> keyById = new HashMap<>();
     private final Map<String, String> rejected = new HashMap<>();
+    private final Map<String, Answered> answers = new HashMap<>();
+    private final Set<String> answeredWithSuccess = new HashSet<>();
     private final Map<String, Long> revokedAtMillis = new HashMap<>();
     private final Map<String, Long> leavingSinceMillis = new HashMap<>();
     private final Map<String, Order> lastCommand = new HashMap<>();
@@ -79,6 +89,8 @@
     private long served;
     private long rejectedCount;
     private long failed;
+    private long fetches;
+    private long secondAnswers;
 
     /**
      * Creates a checker without recorded events.
@@ -95,8 +107,10 @@
         this.clock = clock;
     }
 
-    /** Number of requests sent, and of those served, rejected and failed. */
-    record Counts(long sent, long served, long rejected, long failed) {}
+    /**
+     * Number of requests sent, of those served, rejected and failed, of parts fetched from stores, and of second answers sent.
+     */
+    record Counts(long sent, long served, long rejected, long failed, long fetches, long secondAnswers) {}
 
     synchronized void onFault() {
         lastFaultMillis = clock.getAsLong();
@@ -253,6 +267,52 @@
         check(!calm || mayBeUnread, id + " got no whole answer, ran: " + ran + ", " + detail);
     }
 
+    /** Records an upstream's answer, before its last bytes are sent. */
+    synchronized void onAnswered(Answered answered) {
+        answers.put(answered.signature(), answered);
+        if (answered.countedStatus() == SUCCESS) {
+            answeredWithSuccess.add(answered.requestId());
+        }
+    }
+
+    /**
+     * Checks an answer that a client got, whole or not: where it bears the signature of a run, it has the status that the
+     * upstream sent for it. Runs whose stream goes on are not settled yet; their head was a success.
+     */
+    synchronized void onHead(String id, int status, String signature) {
+        Answered answered = answers.get(signature);
+        int upstreamStatus = answered == null ? SUCCESS : answered.headStatus();
+        check(
+                signature.isEmpty() || status == upstreamStatus,
+                id + " got status " + status + " where the upstream answered " + upstreamStatus + ", " + answered);
+    }
+
+    /**
+     * Checks a whole success: a run of the request ended with success at an upstream. A stream that fails after its head may be
+     * completed by a later run, and keeps the signature of the first.
+     */
+    synchronized void onWholeSuccess(String id, String signature) {
+        check(
+                answeredWithSuccess.contains(id),
+                id + " got a whole success, but no upstream counts one: " + answers.get(signature) + ", runs "
+                        + runs.get(id));
+    }
+
+    synchronized void onSecondAnswer() {
+        secondAnswers++;
+    }
+
+    /** Checks a fetch from a cache store; what a discarded one read was not used. */
+    synchronized void onFetched(Fetch fetch) {
+        fetches++;
+        check(
+                fetch.discarded() || fetch.freed().isEmpty(),
+                fetch.requestId() + " fetched a part that was freed meanwhile: " + fetch);
+        check(
+                fetch.discarded() || fetch.complete(),
+                fetch.requestId() + " fetched a part that was incomplete: " + fetch);
+    }
+
     synchronized void onServed(String id, boolean complete, String detail) {
         served++;
         check(complete, id + " got a success response that is incomplete or belongs to another request: " + detail);
@@ -283,6 +343,6 @@
     }
 
     synchronized Counts counts() {
-        return new Counts(sent, served, rejectedCount, failed);
+        return new Counts(sent, served, rejectedCount, failed, fetches, secondAnswers);
     }
 }
--- a/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
@@ -49,7 +49,17 @@
      */
     record Credentials(String team, String key) {}
 
-    private record Response(int status, String head, String body, boolean complete) {}
+    private record Response(int status, String head, String body, boolean complete) {
+        private static final String SIGNATURE = StandInUpstream.signatureHeader() + ": ";
+
+        String signature() {
+            return head.lines()
+                    .filter(line -> line.startsWith(SIGNATURE))
+                    .map(line -> line.substring(SIGNATURE.length()).trim())
+                    .findFirst()
+                    .orElse("");
+        }
+    }
 
     /**
      * Creates a client.
@@ -124,6 +134,7 @@
     }
 
     private void recordOutcome(String id, String path, Response response) {
+        guarantees.onHead(id, response.status(), response.signature());
         boolean closes = response.head().contains("connection: close");
         if (!response.complete() || closes) {
             close();
@@ -135,6 +146,7 @@
             guarantees.onRejected(id, "status " + response.status());
         } else if (response.status() == 200 && response.complete()) {
             guarantees.onServed(id, isExpected(id, path, response), response.head() + response.body());
+            guarantees.onWholeSuccess(id, response.signature());
         } else {
             if (!response.complete()) {
                 guarantees.onUnanswered(id, requestsOnConnection > 1, "answer is incomplete");
--- /dev/null
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
@@ -0,0 +1,368 @@
+package org.cowslipbank.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.cowslipbank.platform.StandInFormats;
+import org.cowslipbank.platform.StandInStore;
+
+/** Draws faults and changes from the seed, and begins and ends them. */
+final class SoakFaults {
+    static final int MIN_GAP_MILLIS = 150;
+    static final int MAX_GAP_MILLIS = 1_800;
+    static final int MAX_FAULT_MILLIS = 4_000;
+    private static final int LARGE_CONFIGURATION_ROUTES = 800;
+
+    /** Shortest silence of a sound upstream, from the platform's pages, and the range up to the longest. */
+    private static final int SILENCE_MILLIS = 1_000;
+
+    private static final int SILENCE_RANGE_MILLIS = 300;
+
+    /** Range of the pause between two names of weight versions in quick succession. */
+    private static final int MAX_NAME_PAUSE_MILLIS = 2_500;
+
+    private static final int SHORT_TIMEOUT_MILLIS = 3_000;
+
+    /** Time for which the metadata store or the leading node is away. */
+    private static final int MIN_AWAY_MILLIS = 2_000;
+
+    private static final int MAX_AWAY_MILLIS = 9_000;
+
+    /** How long a team stays isolated, so that parts are made under the changed group. */
+    private static final int MIN_ISOLATED_MILLIS = 1_500;
+
+    private static final int MAX_ISOLATED_MILLIS = 5_000;
+
+    /** How long it is not isolated: shortly, or about as long as the parts of its group stay. */
+    private static final int MIN_SHARED_MILLIS = 300;
+
+    private static final int MAX_SHORTLY_SHARED_MILLIS = 3_000;
+    private static final int MIN_LONG_SHARED_MILLIS = 5_000;
+    private static final int MAX_SHARED_MILLIS = 12_000;
+
+    /** Time within which the registrations of upstreams are back after the metadata store's return. */
+    private static final int MAX_REREGISTRATION_MILLIS = 1_900;
+
+    private final SoakRun.Plan plan;
+    private final SoakPlatform platform;
+    private final SoakNodes nodes;
+    private final GuaranteeChecker guarantees;
+    private final ScheduledExecutorService timer;
+    private final Random random;
+    /** For the series of isolations, which goes on beside the faults. */
+    private final Random seriesRandom;
+
+    private final Consumer<String> progress;
+    private final List<String> faults = new ArrayList<>();
+    private final long endMillis;
+
+    /** A fault: its name, its longest duration, and the actions that begin and end it. */
+    private record Fault(String name, int maxMillis, Action begin, Action end) {
+        Fault(String name, Action begin, Action end) {
+            this(name, MAX_FAULT_MILLIS, begin, end);
+        }
+    }
+
+    /** Begins or ends a fault. */
+    @FunctionalInterface
+    private interface Action {
+        void run() throws IOException, InterruptedException;
+    }
+
+    SoakFaults(
+            SoakRun.Plan plan,
+            SoakPlatform platform,
+            SoakNodes nodes,
+            GuaranteeChecker guarantees,
+            ScheduledExecutorService timer,
+            Random random,
+            Consumer<String> progress) {
+        this.plan = plan;
+        this.platform = platform;
+        this.nodes = nodes;
+        this.guarantees = guarantees;
+        this.timer = timer;
+        this.random = random;
+        this.seriesRandom = new Random(plan.seed() * 17 + 3);
+        this.progress = progress;
+        this.endMillis = System.currentTimeMillis() + plan.seconds() * 1_000;
+    }
+
+    /** Injects faults until the time for them is over. */
+    void inject() throws IOException, InterruptedException {
+        timer.schedule(this::changeIsolation, MIN_ISOLATED_MILLIS, TimeUnit.MILLISECONDS);
+        while (System.currentTimeMillis() < endMillis) {
+            Thread.sleep(between(random, MIN_GAP_MILLIS, MAX_GAP_MILLIS));
+            begin(drawFault(), random);
+            nodes.restartExited();
+        }
+    }
+
+    synchronized List<String> names() {
+        return List.copyOf(faults);
+    }
+
+    private static int between(Random random, int least, int most) {
+        return least + random.nextInt(most - least);
+    }
+
+    private void begin(Fault fault, Random draw) {
+        int leastMillis = fault.maxMillis() == MAX_AWAY_MILLIS ? MIN_AWAY_MILLIS : MIN_GAP_MILLIS;
+        // All faults end soon after the time for them, so that the test has its stated length.
+        long leftMillis = Math.max(MIN_GAP_MILLIS, endMillis + MAX_FAULT_MILLIS - System.currentTimeMillis());
+        long millis = Math.min(leftMillis, between(draw, leastMillis, fault.maxMillis() + MIN_GAP_MILLIS));
+        record(fault.name() + " for " + millis + " ms");
+        run(fault.begin(), fault.name());
+        timer.schedule(() -> run(fault.end(), fault.name()), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void record(String name) {
+        String line = System.currentTimeMillis() + " " + name;
+        faults.add(line);
+        progress.accept(line);
+    }
+
+    private void run(Action action, String name) {
+        guarantees.onFault();
+        try {
+            action.run();
+        } catch (IOException e) {
+            guarantees.check(false, "soak test could not begin or end the fault " + name + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Fault drawFault() {
+        return switch (plan.kind()) {
+            case FAULTS -> drawAnyFault();
+            case CALM -> drawCalmChange();
+            case CACHE -> drawCacheFault();
+        };
+    }
+
+    private Fault drawAnyFault() {
+        int index = random.nextInt(nodes.count());
+        NodeProcess node = nodes.node(index);
+        SoakPlatform.Upstream upstream =
+                platform.upstreams().get(random.nextInt(platform.upstreams().size()));
+        String at = " " + node.name();
+        return switch (random.nextInt(18)) {
+            case 0, 1 -> pause(node);
+            case 2, 3 -> termination(node, "KILL");
+            case 4, 5 -> termination(node, "TERM");
+            case 6 -> new Fault("reload" + at, () -> node.signal("HUP"), () -> {});
+            case 7 -> proxyFault("connection to the metadata store" + at, nodes.toMetadataStore(index));
+            case 8 -> proxyFault("connection to " + upstream.id(), upstream.proxy());
+            case 9 -> metadataStoreFault();
+            case 10 -> new Fault("compaction", platform.metadataStore()::compact, () -> {});
+            case 11 -> new Fault("key rotation of a team", platform::rotateKey, () -> {});
+            case 12 -> change("routes", StandInFormats.Variant.withIdleRoutes(LARGE_CONFIGURATION_ROUTES));
+            case 13 -> new Fault("version", platform::changeWeightVersion, () -> {});
+            case 14 -> new Fault("restart of " + upstream.id(), upstream::restart, () -> {});
+            case 15 -> awayMetadataStore();
+            case 16 -> cacheStoreRestart();
+            default -> new Fault("drain of " + upstream.id(), upstream::drain, () -> {});
+        };
+    }
+
+    private Fault drawCalmChange() {
+        StandInFormats.Variant usual = StandInFormats.Variant.USUAL;
+        return switch (random.nextInt(12)) {
+            case 0, 1, 2 -> silence(StandInFormats.ENGINE_SERVICE);
+            case 3, 4 -> silence(StandInFormats.PLAIN_SERVICE);
+            case 5 -> change(
+                    "idle limit",
+                    new StandInFormats.Variant(0, usual.timeoutMillis(), SoakRun.SHORT_IDLE_LIMIT_MILLIS, ""));
+            case 6 -> change(
+                    "time-out", new StandInFormats.Variant(0, SHORT_TIMEOUT_MILLIS, usual.idleLimitMillis(), ""));
+            case 7, 8 -> new Fault("key rotation of a team", platform::rotateKey, () -> {});
+            case 9, 10 -> new Fault("versions", this::nameVersions, () -> {});
+            default -> {
+                NodeProcess node = nodes.node(random.nextInt(nodes.count()));
+                Fault stop = termination(node, "TERM");
+                yield new Fault(
+                        "planned stop of " + node.name(),
+                        () -> {
+                            guarantees.onPlannedStop();
+                            stop.begin().run();
+                        },
+                        stop.end());
+            }
+        };
+    }
+
+    /** Draws what may make nodes disagree on which cached parts are in use. */
+    private Fault drawCacheFault() {
+        NodeProcess node = nodes.node(random.nextInt(nodes.count()));
+        SoakPlatform.Upstream upstream =
+                platform.upstreams().get(random.nextInt(platform.upstreams().size()));
+        return switch (random.nextInt(24)) {
+            case 0 -> awayMetadataStore();
+            case 1, 2, 3 -> new Fault("versions", this::nameVersions, () -> {});
+            case 4 -> termination(node, random.nextBoolean() ? "KILL" : "TERM");
+            case 5 -> pause(node);
+            case 6 -> awayLeader(random);
+            case 7 -> cacheStoreRestart();
+            case 8 -> new Fault("restart of " + upstream.id(), upstream::restart, () -> {});
+            default -> new Fault("nothing", () -> {}, () -> {});
+        };
+    }
+
+    private static Fault pause(NodeProcess node) {
+        return new Fault("pause " + node.name(), () -> node.signal("STOP"), () -> node.signal("CONT"));
+    }
+
+    private Fault cacheStoreRestart() {
+        int index = random.nextInt(2);
+        return new Fault("restart of cache store " + index, () -> platform.restartCacheStore(index), () -> {});
+    }
+
+    private Fault change(String what, StandInFormats.Variant variant) {
+        return new Fault(
+                "change of the " + what,
+                () -> platform.configure(variant),
+                () -> platform.configure(StandInFormats.Variant.USUAL));
+    }
+
+    /** Lets all upstreams of a service, or all but one, fall silent. */
+    private Fault silence(String service) {
+        long millis = SILENCE_MILLIS + random.nextInt(SILENCE_RANGE_MILLIS);
+        int skipped = random.nextInt(2);
+        return new Fault(
+                (skipped == 0 ? "silence of all " : "silence of most ") + service,
+                () -> platform.fallSilent(service, skipped, millis),
+                () -> {});
+    }
+
+    private void nameVersions() {
+        int count = 1 + random.nextInt(3);
+        for (int index = 0; index < count; index++) {
+            long pauseMillis = (long) index * random.nextInt(MAX_NAME_PAUSE_MILLIS);
+            timer.schedule(platform::changeWeightVersion, pauseMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private Fault proxyFault(String what, FaultProxy proxy) {
+        if (random.nextInt(4) == 0) {
+            long delayMillis = 1L + random.nextInt(300);
+            return new Fault(
+                    "delay of " + delayMillis + " ms on the " + what,
+                    () -> proxy.setDelayMillis(delayMillis),
+                    () -> proxy.setDelayMillis(0));
+        }
+        return cut(drawMode(random), what, MAX_FAULT_MILLIS, proxy);
+    }
+
+    private static FaultProxy.Mode drawMode(Random draw) {
+        return FaultProxy.Mode.values()[1 + draw.nextInt(FaultProxy.Mode.values().length - 1)];
+    }
+
+    private static Fault cut(FaultProxy.Mode mode, String what, int maxMillis, FaultProxy proxy) {
+        return new Fault(
+                mode + " on the " + what,
+                maxMillis,
+                () -> proxy.setMode(mode),
+                () -> proxy.setMode(FaultProxy.Mode.OPEN));
+    }
+
+    private StandInStore.Mode drawStoreMode() {
+        return StandInStore.Mode.values()[1 + random.nextInt(StandInStore.Mode.values().length - 1)];
+    }
+
+    private Fault metadataStoreFault() {
+        StandInStore.Mode mode = drawStoreMode();
+        return new Fault(
+                mode + " metadata store", () -> platform.metadataStore().setMode(mode), () -> platform.metadataStore()
+                        .setMode(StandInStore.Mode.UP));
+    }
+
+    /** The metadata store is away for seconds; registrations of some upstreams lapse and are back soon after its return. */
+    private Fault awayMetadataStore() {
+        StandInStore.Mode mode = drawStoreMode();
+        int lapsing = random.nextInt(platform.upstreams().size());
+        List<SoakPlatform.Upstream> lapsed = platform.upstreams().subList(0, lapsing);
+        int backMillis = random.nextInt(MAX_REREGISTRATION_MILLIS);
+        return new Fault(
+                mode + " metadata store, " + lapsing + " registrations lapse, are back after " + backMillis + " ms,",
+                MAX_AWAY_MILLIS,
+                () -> {
+                    platform.metadataStore().setMode(mode);
+                    lapsed.forEach(SoakPlatform.Upstream::lapse);
+                },
+                () -> {
+                    platform.metadataStore().setMode(StandInStore.Mode.UP);
+                    lapsed.forEach(
+                            upstream -> timer.schedule(upstream::registerAgain, backMillis, TimeUnit.MILLISECONDS));
+                });
+    }
+
+    /** The node that leads is suspended, or cut off from the metadata store, for seconds. */
+    private Fault awayLeader(Random draw) {
+        int index = nodes.leader().orElseGet(() -> draw.nextInt(nodes.count()));
+        NodeProcess node = nodes.node(index);
+        if (draw.nextBoolean()) {
+            return new Fault(
+                    "pause of the leader " + node.name(),
+                    MAX_AWAY_MILLIS,
+                    () -> node.signal("STOP"),
+                    () -> node.signal("CONT"));
+        }
+        return cut(
+                drawMode(draw),
+                "connection of the leader " + node.name() + " to the metadata store",
+                MAX_AWAY_MILLIS,
+                nodes.toMetadataStore(index));
+    }
+
+    /** Isolates a team or no longer so, and the next change follows; around some changes the leader is away. */
+    private void changeIsolation() {
+        if (System.currentTimeMillis() >= endMillis) {
+            return;
+        }
+        boolean isolates = platform.isolatedTeam().isEmpty();
+        // Mostly the same team, so that its groups come back into use.
+        String other = seriesRandom.nextInt(4) == 0 ? "b" : "a";
+        String team = isolates ? other : "";
+        int delayMillis = 0;
+        if (plan.kind() != SoakRun.Kind.CALM && seriesRandom.nextInt(4) > 0) {
+            begin(awayLeader(seriesRandom), seriesRandom);
+            delayMillis = seriesRandom.nextInt(MIN_AWAY_MILLIS);
+        }
+        timer.schedule(
+                () -> {
+                    record(team.isEmpty() ? "no team is isolated" : "team " + team + " is isolated");
+                    guarantees.onFault();
+                    platform.isolate(team);
+                },
+                delayMillis,
+                TimeUnit.MILLISECONDS);
+        timer.schedule(this::changeIsolation, delayMillis + (long) drawStayMillis(isolates), TimeUnit.MILLISECONDS);
+    }
+
+    private int drawStayMillis(boolean isolated) {
+        if (isolated) {
+            return between(seriesRandom, MIN_ISOLATED_MILLIS, MAX_ISOLATED_MILLIS);
+        }
+        return seriesRandom.nextInt(4) == 0
+                ? between(seriesRandom, MIN_SHARED_MILLIS, MAX_SHORTLY_SHARED_MILLIS)
+                : Math.min(
+                        between(seriesRandom, MIN_LONG_SHARED_MILLIS, MAX_SHARED_MILLIS),
+                        between(seriesRandom, MIN_LONG_SHARED_MILLIS, MAX_SHARED_MILLIS));
+    }
+
+    /** Terminates a node and starts it again; if it is already terminating, a second signal schedules no start. */
+    private Fault termination(NodeProcess node, String signal) {
+        boolean[] first = new boolean[1];
+        return new Fault(signal + " " + node.name(), () -> first[0] = node.terminate(signal), () -> {
+            if (first[0]) {
+                nodes.restart(node);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
@@ -0,0 +1,162 @@
+package org.cowslipbank.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import org.cowslipbank.platform.StandInFormats;
+import org.cowslipbank.platform.StandInStore;
+
+/** The nodes of a soak test, each a process with a proxy in its way to the metadata store. */
+final class SoakNodes {
+    private static final long START_TIMEOUT_MILLIS = 20_000;
+    private static final long START_POLL_MILLIS = 150;
+    private static final int PORTS_PER_NODE = 6;
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 30_000;
+    private static final int PORT_TRIES = 200;
+
+    private final StandInFormats.Bounds bounds;
+    private final GuaranteeChecker guarantees;
+    private final StandInStore metadataStore;
+    private final List<NodeProcess> nodes = new ArrayList<>();
+    private final List<Integer> clientPorts = new ArrayList<>();
+    private final List<FaultProxy> metadataStoreProxies = new ArrayList<>();
+    private volatile boolean stopped;
+
+    SoakNodes(StandInFormats.Bounds bounds, StandInStore metadataStore, GuaranteeChecker guarantees) {
+        this.bounds = bounds;
+        this.metadataStore = metadataStore;
+        this.guarantees = guarantees;
+    }
+
+    /** Starts the nodes and waits until they listen. */
+    void start(SoakRun.Plan plan) throws IOException, InterruptedException {
+        int port = freePorts(plan.nodes() * PORTS_PER_NODE);
+        for (int index = 0; index < plan.nodes(); index++) {
+            FaultProxy proxy = new FaultProxy(metadataStore.port());
+            metadataStoreProxies.add(proxy);
+            int first = port + index * PORTS_PER_NODE;
+            clientPorts.add(first);
+            byte[] settings = StandInFormats.settings("n" + index, first, proxy.port(), bounds);
+            List<List<String>> programs = new ArrayList<>(plan.programs());
+            Collections.rotate(programs, index);
+            NodeProcess node = new NodeProcess("n" + index, plan.directory(), settings, programs);
+            nodes.add(node);
+            node.start();
+        }
+        long untilMillis = System.currentTimeMillis() + START_TIMEOUT_MILLIS;
+        for (int client : clientPorts) {
+            while (!accepts(client) && System.currentTimeMillis() < untilMillis) {
+                Thread.sleep(START_POLL_MILLIS);
+            }
+        }
+    }
+
+    private static boolean accepts(int port) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            // The node is not listening yet.
+            return false;
+        }
+    }
+
+    int count() {
+        return nodes.size();
+    }
+
+    NodeProcess node(int index) {
+        return nodes.get(index);
+    }
+
+    /** Returns the proxy between a node and the metadata store. */
+    FaultProxy toMetadataStore(int index) {
+        return metadataStoreProxies.get(index);
+    }
+
+    List<FaultProxy> proxies() {
+        return metadataStoreProxies;
+    }
+
+    int clientPort(Random random) {
+        return clientPorts.get(random.nextInt(clientPorts.size()));
+    }
+
+    /** Returns the index of the node that leads, as the metadata store says. */
+    Optional<Integer> leader() {
+        return metadataStore.leader().flatMap(name -> {
+            for (int index = 0; index < nodes.size(); index++) {
+                if (nodes.get(index).name().equals(name)) {
+                    return Optional.of(index);
+                }
+            }
+            return Optional.empty();
+        });
+    }
+
+    /** Waits for a node that was terminated and starts it again. */
+    void restart(NodeProcess node) throws IOException, InterruptedException {
+        long graceMillis = (bounds.graceSeconds() + 1) * 1_000;
+        boolean exited = node.awaitExit(graceMillis) || node.pausedWhileTerminating() && node.awaitExit(graceMillis);
+        guarantees.check(exited, node.name() + " did not exit within its grace period");
+        if (!exited) {
+            node.destroy();
+            node.awaitExit(graceMillis);
+        }
+        if (!stopped) {
+            node.start();
+        }
+    }
+
+    /** Reports nodes that exited while not being terminated and starts them again, as the platform does. */
+    void restartExited() throws IOException {
+        for (NodeProcess node : nodes) {
+            if (node.exitedUnexpectedly()) {
+                guarantees.onUnexpectedExit(node.name());
+                node.start();
+            }
+        }
+    }
+
+    void destroy() {
+        nodes.forEach(NodeProcess::destroy);
+    }
+
+    void stop() throws IOException {
+        stopped = true;
+        destroy();
+        for (FaultProxy proxy : metadataStoreProxies) {
+            proxy.close();
+        }
+    }
+
+    /** Finds consecutive free ports below the ephemeral port range, so that outgoing connections do not take them. */
+    private static int freePorts(int count) throws IOException {
+        for (int tries = 0; tries < PORT_TRIES; tries++) {
+            int first = FIRST_PORT + new Random().nextInt(LAST_PORT - FIRST_PORT - count);
+            if (areFree(first, count)) {
+                return first;
+            }
+        }
+        throw new IOException("found no " + count + " consecutive free ports in " + PORT_TRIES + " tries");
+    }
+
+    private static boolean areFree(int first, int count) {
+        for (int port = first; port < first + count; port++) {
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                socket.setReuseAddress(true);
+            } catch (IOException e) {
+                // The port is taken.
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -0,0 +1,319 @@
+package org.cowslipbank.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.cowslipbank.platform.StandInCacheStore;
+import org.cowslipbank.platform.StandInFormats;
+import org.cowslipbank.platform.StandInStore;
+import org.cowslipbank.platform.StandInUpstream;
+import org.cowslipbank.platform.StandInUpstream.Fate;
+import org.cowslipbank.platform.StandInUpstream.RunOutcome;
+import org.cowslipbank.platform.StandInUpstream.SecondAnswer;
+import reactor.netty.resources.LoopResources;
+
+/** The stand-ins around the nodes of a soak test: the metadata store with the operators' items, upstreams and cache stores. */
+final class SoakPlatform {
+    static final long DRAIN_MILLIS = 3_000;
+    private static final int UPSTREAMS_PER_SERVICE = 3;
+    private static final int CACHE_STORES = 2;
+    private static final int PLAIN_SLOTS = 64;
+
+    /** How long a cache store is down when it starts again; nodes count on more than 2.2 s. */
+    private static final long STORE_RESTART_MILLIS = 3_000;
+
+    /** Share of the requests that upstreams reject, fail, abort, or answer twice or without a length. */
+    private static final double FAILING_SHARE = 0.08;
+
+    /** The same where faults are rare, so that answers of all kinds follow each other on most connections. */
+    private static final double CACHE_FAILING_SHARE = 0.2;
+
+    /** Share of the calls that free parts which are carried out late, and how late, in milliseconds. */
+    private static final double LATE_FREE_SHARE = 0.4;
+
+    private static final int MIN_LATE_FREE_MILLIS = 500;
+    private static final int MAX_LATE_FREE_MILLIS = 4_000;
+
+    /** What is drawn for a request that is not answered as usual, without faults. */
+    private static final RunOutcome[] CALM_OUTCOMES = {RunOutcome.ANSWERED, RunOutcome.FAILED, RunOutcome.REJECTED};
+
+    private static final SecondAnswer[] CALM_SECOND_ANSWERS = {SecondAnswer.SAME, SecondAnswer.OTHER_STATUS};
+
+    private final SoakRun.Plan plan;
+    private final Random random;
+    private final GuaranteeChecker guarantees;
+    private final ScheduledExecutorService timer;
+    private final int slots;
+    private final LoopResources loops = LoopResources.create("soak", 2, true);
+    private final StandInStore metadataStore = new StandInStore(loops);
+    private final Map<String, StandInCacheStore> cacheStores = new HashMap<>();
+    private final List<Upstream> upstreams = new ArrayList<>();
+    private final Map<String, List<String>> keysByTeam = new HashMap<>();
+    private volatile SoakClient.Credentials[] credentials;
+    private volatile boolean faultFree;
+    private StandInFormats.Variant variant = StandInFormats.Variant.USUAL;
+    private long configurationVersion;
+    private long weightVersion = 1;
+
+    /** An upstream with the proxy whose port it is registered with. */
+    final class Upstream {
+        private final String service;
+        private final FaultProxy proxy;
+        private StandInUpstream server;
+        private volatile String id;
+        private long startedAtMillis;
+
+        Upstream(String service) throws IOException {
+            this.service = service;
+            this.proxy = new FaultProxy(0);
+            start(1);
+        }
+
+        String id() {
+            return id;
+        }
+
+        FaultProxy proxy() {
+            return proxy;
+        }
+
+        private boolean isEngine() {
+            return service.equals(StandInFormats.ENGINE_SERVICE);
+        }
+
+        private void start(long version) {
+            startedAtMillis = System.currentTimeMillis();
+            id = "i-" + service + "-" + Long.toHexString(random.nextLong());
+            StandInUpstream.Resources resources =
+                    new StandInUpstream.Resources(isEngine() ? slots : PLAIN_SLOTS, cacheStores);
+            server = new StandInUpstream(id, 0, version, resources, observer(this), loops);
+            proxy.setTarget(server.port());
+            register(false);
+        }
+
+        private void register(boolean draining) {
+            Map.Entry<String, String> item = server.registration(service, draining, proxy.port(), startedAtMillis);
+            metadataStore.put(item.getKey(), item.getValue());
+        }
+
+        void restart() {
+            server.stop();
+            metadataStore.remove(StandInFormats.registrationKey(id));
+            start(server.version());
+        }
+
+        void drain() {
+            register(true);
+            guarantees.onLeaving(id);
+            timer.schedule(this::restart, DRAIN_MILLIS * 2, TimeUnit.MILLISECONDS);
+        }
+
+        /** Lets the registration end, as that of an upstream that cannot write to the store. */
+        void lapse() {
+            metadataStore.remove(StandInFormats.registrationKey(id));
+        }
+
+        void registerAgain() {
+            register(false);
+        }
+    }
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param plan parameters of the test
+     * @param random the seeded numbers
+     * @param slots requests that an engine runs at once
+     * @param guarantees receives what the stand-ins see
+     * @param timer for what happens later
+     * @throws IOException if no port is free
+     */
+    SoakPlatform(
+            SoakRun.Plan plan, Random random, int slots, GuaranteeChecker guarantees, ScheduledExecutorService timer)
+            throws IOException {
+        this.plan = plan;
+        this.random = random;
+        this.slots = slots;
+        this.guarantees = guarantees;
+        this.timer = timer;
+        for (int index = 0; index < CACHE_STORES; index++) {
+            StandInCacheStore store = new StandInCacheStore(this::drawFreeDelayMillis, loops);
+            cacheStores.put(store.address(), store);
+        }
+        keysByTeam.put("a", List.of("key-a-0"));
+        keysByTeam.put("b", List.of("key-b-0"));
+        configure(variant);
+        for (int index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
+            upstreams.add(new Upstream(StandInFormats.PLAIN_SERVICE));
+            upstreams.add(new Upstream(StandInFormats.ENGINE_SERVICE));
+        }
+    }
+
+    StandInStore metadataStore() {
+        return metadataStore;
+    }
+
+    List<Upstream> upstreams() {
+        return upstreams;
+    }
+
+    SoakClient.Credentials[] credentials() {
+        return credentials;
+    }
+
+    /** Returns the share of the engines' slots that are in use. */
+    double slotUse() {
+        return upstreams.stream()
+                .filter(Upstream::isEngine)
+                .mapToDouble(upstream -> (double) upstream.server.running() / slots)
+                .average()
+                .orElse(0);
+    }
+
+    private long drawFreeDelayMillis() {
+        ThreadLocalRandom draw = ThreadLocalRandom.current();
+        return draw.nextDouble() < LATE_FREE_SHARE ? draw.nextInt(MIN_LATE_FREE_MILLIS, MAX_LATE_FREE_MILLIS) : 0;
+    }
+
+    /** Returns an observer that selects how the upstream handles each request and reports what it sees. */
+    private StandInUpstream.Observer observer(Upstream upstream) {
+        return new StandInUpstream.Observer() {
+            @Override
+            public Fate onRun(StandInUpstream.Run run) {
+                guarantees.onArrival(upstream.service, run.id());
+                Fate fate = drawFate();
+                if (fate.outcome() != RunOutcome.REJECTED) {
+                    guarantees.onRun(run);
+                }
+                return fate;
+            }
+
+            @Override
+            public void onAnswered(StandInUpstream.Answered answered) {
+                guarantees.onAnswered(answered);
+            }
+
+            @Override
+            public void onSecondAnswer() {
+                guarantees.onSecondAnswer();
+            }
+
+            @Override
+            public void onFetched(StandInCacheStore.Fetch fetch) {
+                guarantees.onFetched(fetch);
+            }
+
+            @Override
+            public void onBegun(StandInUpstream.Run run, long version) {
+                guarantees.onBegun(run, version);
+            }
+
+            @Override
+            public void onOrder(StandInUpstream.Order order) {
+                guarantees.onOrder(order);
+            }
+
+            @Override
+            public void onLoaded(long version) {
+                upstream.register(false);
+            }
+        };
+    }
+
+    private Fate drawFate() {
+        // Not seeded: requests arrive in a different order in each run.
+        ThreadLocalRandom draw = ThreadLocalRandom.current();
+        double failingShare = plan.kind() == SoakRun.Kind.CACHE ? CACHE_FAILING_SHARE : FAILING_SHARE;
+        if (faultFree || draw.nextDouble() >= failingShare) {
+            return Fate.ANSWERED;
+        }
+        boolean calm = plan.kind() == SoakRun.Kind.CALM;
+        RunOutcome outcome = draw(draw, calm ? CALM_OUTCOMES : RunOutcome.values());
+        if (draw.nextInt(4) == 0) {
+            // Its connection ends with the answer, so that no second one can follow.
+            return new Fate(outcome, false, SecondAnswer.NONE);
+        }
+        return new Fate(outcome, true, draw(draw, calm ? CALM_SECOND_ANSWERS : SecondAnswer.values()));
+    }
+
+    private static <T> T draw(Random draw, T[] values) {
+        return values[draw.nextInt(values.length)];
+    }
+
+    /** Writes a configuration, which keeps the isolated team of the one before. */
+    synchronized void configure(StandInFormats.Variant next) {
+        variant = next.withIsolated(variant.isolatedTeam());
+        writeConfiguration();
+    }
+
+    /** Isolates a team, or none if the name is empty. */
+    synchronized void isolate(String team) {
+        variant = variant.withIsolated(team);
+        writeConfiguration();
+    }
+
+    synchronized String isolatedTeam() {
+        return variant.isolatedTeam();
+    }
+
+    private void writeConfiguration() {
+        configurationVersion += 1 + random.nextInt(3);
+        metadataStore.put(
+                StandInFormats.CONFIGURATION_KEY,
+                StandInFormats.configuration(
+                        configurationVersion, keysByTeam, variant, slots, List.copyOf(cacheStores.keySet())));
+        guarantees.onIsolated(variant.isolatedTeam());
+        guarantees.onTimeout(variant.timeoutMillis());
+        credentials = keysByTeam.entrySet().stream()
+                .map(entry -> new SoakClient.Credentials(
+                        entry.getKey(), entry.getValue().get(0)))
+                .toArray(SoakClient.Credentials[]::new);
+    }
+
+    synchronized void rotateKey() {
+        String team = random.nextBoolean() ? "a" : "b";
+        String old = keysByTeam.get(team).get(0);
+        keysByTeam.put(team, List.of("key-" + team + "-" + configurationVersion));
+        configure(StandInFormats.Variant.USUAL);
+        guarantees.onRevoked(old);
+    }
+
+    synchronized void changeWeightVersion() {
+        weightVersion++;
+        metadataStore.put(StandInFormats.VERSION_KEY, StandInFormats.namedVersion(weightVersion));
+        guarantees.onVersionNamed(weightVersion);
+    }
+
+    void fallSilent(String service, int skipped, long millis) {
+        upstreams.stream()
+                .filter(upstream -> upstream.service.equals(service))
+                .skip(skipped)
+                .forEach(upstream -> upstream.server.fallSilent(millis));
+    }
+
+    void restartCacheStore(int index) {
+        List.copyOf(cacheStores.values()).get(index % CACHE_STORES).restart(STORE_RESTART_MILLIS);
+    }
+
+    /** Lets upstreams answer all requests from now on. */
+    void endFaults() {
+        faultFree = true;
+    }
+
+    void stop() throws IOException {
+        for (Upstream upstream : upstreams) {
+            upstream.proxy.close();
+            upstream.server.stop();
+        }
+        cacheStores.values().forEach(StandInCacheStore::stop);
+        metadataStore.stop();
+        loops.dispose();
+    }
+}
--- a/soak/src/test/java/org/cowslipbank/soak/GuaranteeCheckerTest.java
+++ b/soak/src/test/java/org/cowslipbank/soak/GuaranteeCheckerTest.java
@@ -1,9 +1,13 @@
 package org.cowslipbank.soak;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
 import net.jqwik.api.Example;
+import org.cowslipbank.platform.StandInCacheStore.Fetch;
+import org.cowslipbank.platform.StandInCacheStore.Free;
 import org.cowslipbank.platform.StandInFormats;
+import org.cowslipbank.platform.StandInUpstream.Answered;
 import org.cowslipbank.platform.StandInUpstream.Order;
 import org.cowslipbank.platform.StandInUpstream.Run;
 
@@ -178,4 +182,56 @@
         guarantees.onRun(new Run("s1", other, StandInFormats.STREAM_PATH, "b", "m/1/", false));
         assertOneViolation("shares cached parts");
     }
+
+    private static Fetch fetch(boolean complete, boolean discarded, boolean freed) {
+        Optional<Free> free = freed ? Optional.of(new Free(1, 1, "n1")) : Optional.empty();
+        return new Fetch("r1", "store", "m/1/", "a1", complete, discarded, 0, 2, free);
+    }
+
+    @Example
+    void fetchedPartThatIsFreedMeanwhileIsFound() {
+        guarantees.onFetched(fetch(true, false, false));
+        guarantees.onFetched(fetch(true, true, true));
+        assert guarantees.violations().isEmpty();
+        guarantees.onFetched(fetch(true, false, true));
+        assertOneViolation("freed meanwhile");
+    }
+
+    @Example
+    void fetchedPartThatIsIncompleteIsFound() {
+        guarantees.onFetched(fetch(false, true, false));
+        assert guarantees.violations().isEmpty();
+        guarantees.onFetched(fetch(false, false, false));
+        assertOneViolation("incomplete");
+    }
+
+    @Example
+    void successInPlaceOfAFailureIsFound() {
+        guarantees.onAnswered(new Answered("r1", "stamp-r1-s1-1", 500, 500));
+        guarantees.onAnswered(new Answered("r1", "stamp-r1-s2-1", 200, 200));
+        guarantees.onHead("r1", 500, "stamp-r1-s1-1");
+        guarantees.onHead("r1", 200, "stamp-r1-s2-1");
+        guarantees.onHead("r1", 502, "");
+        assert guarantees.violations().isEmpty();
+        guarantees.onHead("r1", 200, "stamp-r1-s1-1");
+        assertOneViolation("got status 200 where the upstream answered 500");
+    }
+
+    @Example
+    void failureWithAnotherStatusThanTheUpstreamsIsFound() {
+        guarantees.onAnswered(new Answered("r1", "stamp-r1-s1-1", 200, 200));
+        guarantees.onHead("r1", 500, "stamp-r1-s1-1");
+        assertOneViolation("got status 500 where the upstream answered 200");
+    }
+
+    @Example
+    void wholeSuccessOfAStreamThatFailedIsFound() {
+        guarantees.onAnswered(new Answered("r1", "stamp-r1-s1-1", 200, 504));
+        guarantees.onAnswered(new Answered("r1", "stamp-r1-s2-1", 200, 200));
+        guarantees.onWholeSuccess("r1", "stamp-r1-s1-1");
+        assert guarantees.violations().isEmpty();
+        guarantees.onAnswered(new Answered("r2", "stamp-r2-s1-1", 200, 504));
+        guarantees.onWholeSuccess("r2", "stamp-r2-s1-1");
+        assertOneViolation("no upstream counts one");
+    }
 }
