--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreCleaner.java
@@ -1,36 +1,32 @@
 package org.cowslipbank.entry.relay;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import org.cowslipbank.decision.relay.CacheIndex;
-import org.cowslipbank.decision.relay.CacheScope;
-import org.cowslipbank.decision.relay.CacheSharing;
+import org.cowslipbank.decision.relay.CacheScopeUse;
+import org.cowslipbank.decision.relay.CacheScopeUse.FreeDelays;
+import org.cowslipbank.decision.relay.CacheScopeUse.Unused;
+import org.cowslipbank.decision.relay.ConfigurationConfirmation;
+import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.relay.CacheStore;
-import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.EngineControl;
 import org.cowslipbank.ports.relay.EngineControl.CachedPart;
+import org.cowslipbank.ports.relay.EngineControl.FreeCall;
 
 /**
  * Frees the parts of weight versions that no engine has loaded any more, and of groups of teams that no longer share
- * parts. Stores evict nothing by themselves, so these parts would fill them. Runs on the traffic thread; only the leader
- * frees parts.
+ * parts. Stores evict nothing by themselves, so these parts would fill them. Runs on the traffic thread. Only the leader
+ * frees parts, to save calls; that requests do not fetch parts that are freed depends on {@link CacheScopeUse} alone.
  */
 final class CacheStoreCleaner {
-    /**
-     * How long a version must be unused before its parts are freed; fetches that began earlier have ended or are
-     * discarded by then, see {@link CacheIndex#FETCH_TIMEOUT_MILLIS}.
-     */
-    static final long MIN_UNUSED_MILLIS = CacheIndex.FETCH_TIMEOUT_MILLIS + 500;
-
     /** Limit on the parts freed with one call. */
     static final int MAX_PARTS_PER_CALL = 250;
 
@@ -38,131 +34,178 @@
     private final CacheIndex cacheIndex;
     private final Supplier<PlatformView> view;
     private final BooleanSupplier isLeader;
+    private final Supplier<Optional<ConfigurationConfirmation>> confirmation;
+    private final Executor loop;
     private final Clocks clocks;
+    private final RelayMetrics metrics;
     private final DecisionLog log;
-    /** The oldest weight version loaded by any engine, by model. */
-    private final Map<String, OldestVersion> oldestVersions = new HashMap<>();
-    /** Since when each group in a store belongs to no configuration in force, in milliseconds. */
-    private final Map<String, Long> groupsUnusedSinceMillis = new HashMap<>();
+    private final FreeDelays delays;
 
-    private final long minGroupUnusedMillis;
+    /**
+     * What is freed, and by which knowledge.
+     *
+     * @param platform the platform
+     * @param unused the scopes out of use
+     * @param atMillis the time in milliseconds
+     * @param validMillis for how long the knowledge allows it, in milliseconds
+     */
+    private record Decision(PlatformView platform, Map<String, Unused> unused, long atMillis, long validMillis) {
+        long confirmationAgeMillis() {
+            return CacheScopeUse.FREE_VALID_MILLIS - validMillis;
+        }
+    }
 
     /**
-     * The oldest loaded version of a model.
+     * What a cleaner knows of the platform and of its node.
      *
-     * @param version the weight version
-     * @param sinceMillis since when it is the oldest, in milliseconds
+     * @param confirmation the last confirmation of the configuration, empty before the first
+     * @param view the newest view of the platform
+     * @param isLeader returns whether this node frees parts
+     * @param configurationValidMillis longest time for which other nodes use an earlier configuration, in milliseconds
      */
-    private record OldestVersion(long version, long sinceMillis) {}
+    record Knowledge(
+            Supplier<Optional<ConfigurationConfirmation>> confirmation,
+            Supplier<PlatformView> view,
+            BooleanSupplier isLeader,
+            long configurationValidMillis) {}
 
     /**
      * Creates a cleaner.
      *
      * @param engines calls to the stores
      * @param cacheIndex index of the parts in the stores
-     * @param view the newest view of the platform
-     * @param isLeader returns whether this node frees parts
-     * @param configurationValidMillis longest time for which other nodes use an earlier configuration, in milliseconds
+     * @param knowledge what is known of the platform
+     * @param loop the traffic thread
      * @param clocks the clocks
+     * @param metrics counts what is freed
      * @param log the structured log
      */
     CacheStoreCleaner(
             EngineControl engines,
             CacheIndex cacheIndex,
-            Supplier<PlatformView> view,
-            BooleanSupplier isLeader,
-            long configurationValidMillis,
+            Knowledge knowledge,
+            Executor loop,
             Clocks clocks,
+            RelayMetrics metrics,
             DecisionLog log) {
         this.engines = engines;
-        this.minGroupUnusedMillis = configurationValidMillis + MIN_UNUSED_MILLIS;
+        this.delays = FreeDelays.of(knowledge.configurationValidMillis(), PlatformState.REREGISTRATION_MILLIS);
         this.cacheIndex = cacheIndex;
-        this.view = view;
-        this.isLeader = isLeader;
+        this.confirmation = knowledge.confirmation();
+        this.view = knowledge.view();
+        this.isLeader = knowledge.isLeader();
+        this.loop = loop;
         this.clocks = clocks;
+        this.metrics = metrics;
         this.log = log;
     }
 
     void freeUnusedParts() {
+        if (!isLeader.getAsBoolean()) {
+            return;
+        }
+        LeaderLease.ClockReading now = clocks.now();
+        // Read before the view, so that it holds for it.
+        OptionalLong validMillis = CacheScopeUse.freeValidMillis(confirmation.get(), now);
         PlatformView platform = view.get();
-        updateOldestVersions(platform);
-        if (!isLeader.getAsBoolean() || platform.routes().isEmpty()) {
+        if (validMillis.isEmpty()) {
             return;
         }
         // Parts share few scopes, so that each scope is judged once and not each part.
-        Set<String> scopes = cacheIndex.scopes();
-        updateUnusedGroups(scopes, platform.routes().get().sharing());
-        Set<String> usedScopes = scopes.stream().filter(this::isUsed).collect(Collectors.toSet());
-        if (usedScopes.size() == scopes.size()) {
+        Map<String, Unused> unused = new TreeMap<>();
+        cacheIndex.scopes().forEach(scope -> platform.scopeUse()
+                .freeable(scope, delays, now.monotonicMillis())
+                .ifPresent(found -> unused.put(scope, found)));
+        if (unused.isEmpty()) {
             return;
         }
-        for (CacheStore store : platform.routes().get().configuration().stores()) {
-            List<CachedPart> unused =
-                    cacheIndex.partsOfUnusedScopes(store.address(), usedScopes::contains, MAX_PARTS_PER_CALL).stream()
-                            .map(part -> new CachedPart(part.getKey(), part.getValue()))
-                            .toList();
-            if (!unused.isEmpty()) {
-                free(store, unused);
-            }
+        Decision decision = new Decision(platform, unused, now.monotonicMillis(), validMillis.getAsLong());
+        for (CacheStore store :
+                platform.routes().map(routes -> routes.configuration().stores()).orElse(List.of())) {
+            // Without the clock the call could be carried out when the scope is in use again.
+            cacheIndex
+                    .upstreamClockMillis(store.address(), now.monotonicMillis())
+                    .ifPresent(clockMillis -> freeParts(decision, store, clockMillis + decision.validMillis()));
         }
     }
 
-    private void updateOldestVersions(PlatformView platform) {
-        Map<String, Long> lowest = new HashMap<>();
-        for (UpstreamServer server : platform.servers().values()) {
-            server.versionByModel().forEach((model, version) -> lowest.merge(model, version, Math::min));
+    private void freeParts(Decision decision, CacheStore store, long untilMillis) {
+        List<CachedPart> parts = cacheIndex
+                .partsOfUnusedScopes(
+                        store.address(), scope -> !decision.unused().containsKey(scope), MAX_PARTS_PER_CALL)
+                .stream()
+                .map(part -> new CachedPart(part.getKey(), part.getValue()))
+                .toList();
+        if (parts.isEmpty()) {
+            return;
         }
-        long nowMillis = clocks.nowMillis();
-        lowest.forEach((model, version) -> {
-            OldestVersion known = oldestVersions.get(model);
-            if (known == null || known.version() != version) {
-                oldestVersions.put(model, new OldestVersion(version, nowMillis));
-            }
-        });
+        long epoch = cacheIndex.storeEpoch(store.address()).orElse(0L);
+        FreeCall call = new FreeCall(epoch, OptionalLong.of(untilMillis), parts);
+        logCall(decision, store, call);
+        free(store, call);
     }
 
-    private void updateUnusedGroups(Set<String> scopes, CacheSharing sharing) {
-        groupsUnusedSinceMillis.keySet().removeIf(sharing::uses);
-        for (String scope : scopes) {
-            oldestVersions.keySet().stream()
-                    .flatMap(model -> CacheScope.group(scope, model).stream())
-                    .filter(group -> !sharing.uses(group))
-                    .forEach(group -> groupsUnusedSinceMillis.putIfAbsent(group, clocks.nowMillis()));
-        }
+    private void logCall(Decision decision, CacheStore store, FreeCall call) {
+        List<String> scopes = call.parts().stream()
+                .map(CachedPart::scope)
+                .distinct()
+                .map(scope -> describe(scope, decision.unused().get(scope), decision.atMillis()))
+                .toList();
+        PlatformView platform = decision.platform();
+        log.logState(LogFields.event("unused parts freed")
+                .peer(store.address())
+                .field("parts", call.parts().size())
+                .field("scopes", scopes)
+                .field(
+                        "configurationVersion",
+                        platform.routes().get().configuration().version())
+                .field("storeRevision", platform.revision())
+                .field("confirmationAgeMillis", decision.confirmationAgeMillis())
+                .field("epoch", call.epoch())
+                .field("untilMillis", call.untilMillis().orElse(-1)));
     }
 
-    private boolean isUsed(String scope) {
-        for (Map.Entry<String, OldestVersion> entry : oldestVersions.entrySet()) {
-            OptionalLong version = CacheScope.version(scope, entry.getKey());
-            if (version.isPresent()) {
-                boolean replaced = version.getAsLong() < entry.getValue().version()
-                        && isPast(entry.getValue().sinceMillis(), MIN_UNUSED_MILLIS);
-                return !replaced && isGroupUsed(CacheScope.group(scope, entry.getKey()));
-            }
-        }
-        return true;
+    private static String describe(String scope, Unused unused, long nowMillis) {
+        return scope + " " + unused.reason() + " for " + (nowMillis - unused.sinceMillis()) + " ms";
     }
 
-    private boolean isGroupUsed(Optional<String> group) {
-        return group.map(groupsUnusedSinceMillis::get)
-                .filter(sinceMillis -> isPast(sinceMillis, minGroupUnusedMillis))
-                .isEmpty();
+    private void free(CacheStore store, FreeCall call) {
+        // Remove the parts from the index first, so that no fetch is planned while the call is under way.
+        call.parts().forEach(part -> cacheIndex.onPartEvent(store.address(), part.scope(), part.partId(), 0));
+        engines.free(store.address(), call)
+                .subscribe(
+                        freed -> loop.execute(() -> onAnswer(store, call, freed)),
+                        error -> loop.execute(() -> onFailed(store, call, error)));
     }
 
-    private boolean isPast(long sinceMillis, long delayMillis) {
-        return clocks.nowMillis() - sinceMillis >= delayMillis;
+    private void onAnswer(CacheStore store, FreeCall call, boolean freed) {
+        if (freed) {
+            metrics.onPartsFreed(call.parts().size());
+            return;
+        }
+        onKept(store, call);
+        log.logState(LogFields.event("cache store refused to free unused parts and keeps them")
+                .peer(store.address())
+                .field("epoch", call.epoch())
+                .field("untilMillis", call.untilMillis().orElse(-1)));
     }
 
-    private void free(CacheStore store, List<CachedPart> parts) {
-        long epoch = cacheIndex.storeEpoch(store.address()).orElse(0L);
-        // Remove the parts from the index first, so that no fetch is planned while the call is under way.
-        parts.forEach(part -> cacheIndex.onPartEvent(store.address(), part.scope(), part.partId(), 0));
-        log.logState(LogFields.event("unused parts freed").peer(store.address()).field("parts", parts.size()));
-        engines.free(store.address(), epoch, parts)
-                .subscribe(
-                        done -> {},
-                        error -> log.logState(LogFields.event("cannot free unused parts; cache store keeps them")
-                                .peer(store.address())
-                                .error(error)));
+    /** Lists the parts again, too short to be fetched, so that a later call frees them. */
+    private void onKept(CacheStore store, FreeCall call) {
+        metrics.onFreeFailed();
+        boolean sameEpoch = cacheIndex
+                .storeEpoch(store.address())
+                .filter(epoch -> epoch == call.epoch())
+                .isPresent();
+        if (sameEpoch) {
+            call.parts().forEach(part -> cacheIndex.onPartEvent(store.address(), part.scope(), part.partId(), 1));
+        }
+    }
+
+    private void onFailed(CacheStore store, FreeCall call, Throwable error) {
+        onKept(store, call);
+        log.logState(LogFields.event("cannot free unused parts; cache store keeps them")
+                .peer(store.address())
+                .error(error));
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -1,10 +1,12 @@
 package org.cowslipbank.entry.relay;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.PrematureChannelClosureException;
@@ -12,11 +14,14 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.cowslipbank.ports.StatusLines;
 import org.cowslipbank.ports.relay.AnswerHead;
 import org.cowslipbank.ports.relay.Header;
 import org.cowslipbank.ports.relay.RelayCodec;
@@ -40,32 +45,54 @@
     /** Bytes of an answer to another request that are skipped before the connection is given up. */
     static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
-    /** Refused requests that are remembered; then the connection is not used again. */
-    static final int MAX_REFUSED_REQUESTS = 64;
+    /** Requests whose identifiers are remembered, 100 KB at most; then the connection is not used again. */
+    static final int MAX_REQUESTS = 1_000;
 
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final String MALFORMED_BODY = "malformed answer body";
 
     private final RelayCodec codec;
     private final UpstreamConnectionPool pool;
     private final String address;
+    private final long number;
+    private final AnswerDecoder decoder = new AnswerDecoder(this);
     private Channel channel;
     private UpstreamListener listener;
     private String requestId = "";
-    private final Set<String> refusedIds = new HashSet<>();
+    private final Set<String> sentIds = new HashSet<>();
     private AnswerHead head;
     private boolean skippingAnswer;
     private int interimAnswers;
     private int skippedBytes;
     private boolean reusable = true;
-    private boolean bodyEndsAtClose;
+    private AnswerAnomaly.Framing framing = AnswerAnomaly.Framing.UNKNOWN;
+    private long bodyBytes;
     private Throwable error;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
     private long idleSinceMillis;
 
-    UpstreamConnection(RelayCodec codec, UpstreamConnectionPool pool, String address) {
+    /**
+     * Creates a connection that is not open yet.
+     *
+     * @param codec decodes heads of answers
+     * @param pool the pool that the connection returns to
+     * @param address the target as {@code IP:port}
+     * @param number number of the connection in its pool, for the log
+     */
+    UpstreamConnection(RelayCodec codec, UpstreamConnectionPool pool, String address, long number) {
         this.codec = codec;
         this.pool = pool;
         this.address = address;
+        this.number = number;
+    }
+
+    /**
+     * Returns the handlers of this connection's channel.
+     *
+     * @return the handlers from the network's side on
+     */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
     }
 
     String address() {
@@ -83,7 +110,11 @@
     void send(RelayRequest request, Iterable<Header> headers, ByteBuf body, UpstreamListener answerListener) {
         listener = answerListener;
         requestId = request.id();
+        sentIds.add(requestId);
+        reusable = reusable && sentIds.size() < MAX_REQUESTS;
         head = null;
+        framing = AnswerAnomaly.Framing.UNKNOWN;
+        bodyBytes = 0;
         skippingAnswer = false;
         interimAnswers = 0;
         skippedBytes = 0;
@@ -93,6 +124,7 @@
         if (body.isReadable() || !request.method().equals("GET")) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
+        decoder.onSent(message.method());
         // A failed write closes the channel, and channelInactive then notifies the listener.
         channel.writeAndFlush(message, channel.voidPromise());
     }
@@ -105,10 +137,10 @@
      * Returns whether answers to a request can be told from copies of earlier ones on this connection.
      *
      * @param id the request's identifier
-     * @return false if the upstream has refused the request on this connection before
+     * @return false if a request with this identifier was sent on this connection before
      */
     boolean canCarry(String id) {
-        return !refusedIds.contains(id);
+        return !sentIds.contains(id);
     }
 
     /** Cancels the request; the upstream stops it when the connection closes. */
@@ -122,6 +154,18 @@
         channel.close();
     }
 
+    boolean awaitsAnswer() {
+        return listener != null;
+    }
+
+    /** Called when bytes arrive that cannot be assigned to any request. */
+    void onStrayBytes() {
+        if (reusable) {
+            report(AnswerAnomaly.Kind.STRAY_BYTES, Optional.ofNullable(head), AnswerAnomaly.Ending.OPEN);
+        }
+        close();
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -132,8 +176,6 @@
         pool.onEvent();
         try {
             if (listener == null) {
-                // Bytes without a request in progress cannot be assigned to any request.
-                close();
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -155,7 +197,15 @@
             failHead(response.decoderResult().cause());
             return;
         }
+        if (StatusLines.isWithin(response.headers())) {
+            fail(UpstreamListener.Failure.MALFORMED, "status line within the headers of the answer");
+            return;
+        }
         int status = response.status().code();
+        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            fail(UpstreamListener.Failure.MALFORMED, "switch to another protocol");
+            return;
+        }
         skippingAnswer = status < FIRST_FINAL_STATUS;
         if (skippingAnswer) {
             if (++interimAnswers > MAX_INTERIM_ANSWERS) {
@@ -168,6 +218,7 @@
             // A late or duplicate answer to an earlier request on this connection.
             skippingAnswer = true;
             reusable = false;
+            report(AnswerAnomaly.Kind.SECOND_ANSWER, Optional.of(decoded), AnswerAnomaly.Ending.OPEN);
             return;
         }
         if (decoded.requestId().isEmpty()) {
@@ -175,17 +226,29 @@
             fail(UpstreamListener.Failure.MALFORMED, "answer without a request id");
             return;
         }
-        if (decoded.notExecuted()) {
-            refusedIds.add(requestId);
-            reusable = reusable && refusedIds.size() < MAX_REFUSED_REQUESTS;
-        }
-        bodyEndsAtClose = decoded.contentBytes().isEmpty() && !HttpUtil.isTransferEncodingChunked(response);
-        reusable = reusable && !decoded.closesConnection() && !bodyEndsAtClose && HttpUtil.isKeepAlive(response);
+        framing = framingOf(decoded, response);
+        reusable = reusable && !decoded.closesConnection() && !endsAtClose() && HttpUtil.isKeepAlive(response);
         idleMillis = decoded.idleTimeoutMillis().orElse(DEFAULT_IDLE_MILLIS) - IDLE_MARGIN_MILLIS;
         head = decoded;
         listener.onHead(decoded);
     }
 
+    private static AnswerAnomaly.Framing framingOf(AnswerHead decoded, HttpResponse response) {
+        if (HttpUtil.isTransferEncodingChunked(response)) {
+            return AnswerAnomaly.Framing.CHUNKS;
+        }
+        return decoded.contentBytes().isPresent() ? AnswerAnomaly.Framing.LENGTH : AnswerAnomaly.Framing.UNTIL_CLOSE;
+    }
+
+    /**
+     * Returns whether the close of the connection marks the end of the last answer.
+     *
+     * @return true if it has neither a length nor chunks
+     */
+    boolean endsAtClose() {
+        return framing == AnswerAnomaly.Framing.UNTIL_CLOSE;
+    }
+
     private void failHead(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
             fail(UpstreamListener.Failure.BROKEN, "connection closed within the headers of the answer");
@@ -198,11 +261,11 @@
         if (listener == null) {
             return;
         }
-        if (content.decoderResult().isFailure()) {
-            fail(UpstreamListener.Failure.BROKEN, "malformed answer body");
+        boolean last = content instanceof LastHttpContent;
+        if (content.decoderResult().isFailure() || last && !hasSoundTrailer((LastHttpContent) content)) {
+            fail(UpstreamListener.Failure.BROKEN, MALFORMED_BODY);
             return;
         }
-        boolean last = content instanceof LastHttpContent;
         if (skippingAnswer || head == null) {
             skippingAnswer = skippingAnswer && !last;
             skippedBytes += content.content().readableBytes();
@@ -212,6 +275,7 @@
             return;
         }
         if (content.content().isReadable()) {
+            bodyBytes += content.content().readableBytes();
             listener.onBody(content.content());
         }
         if (last && listener != null) {
@@ -219,13 +283,20 @@
         }
     }
 
+    private static boolean hasSoundTrailer(LastHttpContent last) {
+        return !StatusLines.isWithin(last.trailingHeaders());
+    }
+
     private void completeAnswer() {
-        if (bodyEndsAtClose && error != null) {
+        if (endsAtClose() && error != null) {
             fail(UpstreamListener.Failure.BROKEN, "connection reset before the end of the answer");
             return;
         }
         UpstreamListener ended = listener;
         listener = null;
+        if (decoder.hasUnreadBytes()) {
+            onStrayBytes();
+        }
         if (reusable && channel.isActive()) {
             // The answer may have ended while its client did not read; the next answer has another client.
             pauseReading(false);
@@ -240,9 +311,27 @@
         UpstreamListener failed = listener;
         listener = null;
         close();
-        if (failed != null) {
-            failed.onFailure(failure, message);
+        if (failed == null) {
+            return;
         }
+        if (head != null) {
+            report(AnswerAnomaly.Kind.BROKEN_OFF, Optional.of(head), endingOf(message));
+        } else if (failure == UpstreamListener.Failure.MALFORMED) {
+            report(AnswerAnomaly.Kind.MALFORMED_HEAD, Optional.empty(), AnswerAnomaly.Ending.MALFORMED);
+        }
+        failed.onFailure(failure, message);
+    }
+
+    private AnswerAnomaly.Ending endingOf(String message) {
+        if (message.equals(MALFORMED_BODY)) {
+            return AnswerAnomaly.Ending.MALFORMED;
+        }
+        return error == null ? AnswerAnomaly.Ending.CLOSED : AnswerAnomaly.Ending.RESET;
+    }
+
+    private void report(AnswerAnomaly.Kind kind, Optional<AnswerHead> received, AnswerAnomaly.Ending ending) {
+        pool.onAnomaly(new AnswerAnomaly(
+                kind, address, number, sentIds.size(), requestId, received, framing, bodyBytes, ending));
     }
 
     @Override
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -16,7 +17,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.ports.relay.RelayCodec;
 import reactor.netty.resources.LoopResources;
@@ -29,16 +29,13 @@
     /** Bytes read from a connection in a turn of the loop, so that endless answers do not occupy the loop. */
     private static final int READ_BYTES = 16 * 1024;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final RelayCodec codec;
     private final MonotonicClock clock;
     private final LoopTurnTracker turns;
     private final Bootstrap bootstrap;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final Events events;
+    private final Consumer<AnswerAnomaly> anomalies;
     private long openedCount;
 
     /** Receives what the pool learns about its targets, on the traffic thread. */
@@ -105,6 +102,7 @@
      * @param loops event loops
      * @param loop the traffic thread
      * @param events receives what the pool learns
+     * @param anomalies receives what is unusual about answers, on the traffic thread
      */
     UpstreamConnectionPool(
             RelayCodec codec,
@@ -112,8 +110,10 @@
             LoopTurnTracker turns,
             LoopResources loops,
             EventLoop loop,
-            Events events) {
+            Events events,
+            Consumer<AnswerAnomaly> anomalies) {
         this.events = events;
+        this.anomalies = anomalies;
         this.codec = codec;
         this.clock = clock;
         this.turns = turns;
@@ -168,15 +168,13 @@
      */
     void open(String address, BiConsumer<UpstreamConnection, Throwable> callback) {
         openedCount++;
-        UpstreamConnection connection = new UpstreamConnection(codec, this, address);
+        UpstreamConnection connection = new UpstreamConnection(codec, this, address, openedCount);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(connection);
+                        channel.pipeline().addLast(connection.handlers());
                     }
                 })
                 .connect(SocketAddresses.parse(address));
@@ -202,6 +200,10 @@
         }
     }
 
+    void onAnomaly(AnswerAnomaly anomaly) {
+        anomalies.accept(anomaly);
+    }
+
     void onBroken(String address) {
         events.onBroken(address);
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamConnectionTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import net.jqwik.api.Example;
 import org.cowslipbank.entry.traffic.MonotonicClock;
 import org.cowslipbank.platform.HttpRelayCodec;
@@ -30,9 +29,15 @@
             Clocks clocks = new Clocks(MonotonicClock.SYSTEM, System::currentTimeMillis);
             LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, (unreadMillis, nowMillis) -> {});
             UpstreamConnectionPool pool = new UpstreamConnectionPool(
-                    codec, MonotonicClock.SYSTEM, turns, loops, loop, UpstreamConnectionPool.Events.IGNORED);
-            UpstreamConnection connection = new UpstreamConnection(codec, pool, ADDRESS);
-            EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+                    codec,
+                    MonotonicClock.SYSTEM,
+                    turns,
+                    loops,
+                    loop,
+                    UpstreamConnectionPool.Events.IGNORED,
+                    anomaly -> {});
+            UpstreamConnection connection = new UpstreamConnection(codec, pool, ADDRESS, 1);
+            EmbeddedChannel channel = new EmbeddedChannel(connection.handlers());
             RelayRequest request =
                     codec.decodeRequest("GET", "/", Map.of("X-Request-Id", "r1").entrySet());
             connection.send(request, List.of(), Unpooled.EMPTY_BUFFER, new PausingListener(connection));
