Keep what is known of cache stores over brief gaps

Times in use now go on if a node has missed less than the time for which a scope is out of use before it is freed, since no scope can have been freed in between. Stores are read anew only if a group or an old version comes into use that was not in use before.

CacheScopeUseTest holds with this bound.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
@@ -78,6 +78,7 @@
     private record Versions(Map<Long, Long> registeredSinceMillis, long oldestVersion) {}
 
     private final Map<String, ModelUse> models = new HashMap<>();
+    private final FreeDelays delays;
     private CacheSharing sharing = CacheSharing.NONE_ISOLATED;
     private boolean configured;
     private long sharingSinceMillis;
@@ -269,10 +270,19 @@
                 .findFirst();
     }
 
+    /**
+     * Creates a record without any knowledge.
+     *
+     * @param delays how long scopes are out of use before nodes free them
+     */
+    public CacheScopeUse(FreeDelays delays) {
+        this.delays = delays;
+    }
+
     /**
      * Records a complete reading of the metadata store, before which changes may have been missed. Called before the
-     * reading's content is recorded. Times out of use begin anew. Times in use go on if the node has missed less time than
-     * the shortest for which a scope is out of use before its parts are freed.
+     * reading's content is recorded. Times out of use begin anew. Times in use go on if the node has missed so little that
+     * no scope can have been out of use, and freed, in between.
      *
      * @param missedMillis age of the node's knowledge, in milliseconds
      * @param nowMillis the time in milliseconds
@@ -281,13 +291,12 @@
         groupsKnownSinceMillis = nowMillis;
         models.values().forEach(use -> use.setOldest(OptionalLong.empty(), nowMillis));
         snapshot = Optional.empty();
-        if (missedMillis < LAST_FETCH_MILLIS) {
+        if (missedMillis < delays.groupMillis() - CLOCK_MARGIN_MILLIS) {
             return;
         }
         knownSinceMillis = nowMillis;
         sharingSinceMillis = nowMillis;
         models.values().forEach(use -> use.registeredSinceMillis.clear());
-        returns++;
     }
 
     /**
@@ -300,11 +309,13 @@
         if (configured && next.equals(sharing)) {
             return;
         }
+        if (next.usesGroupsBeside(sharing)) {
+            returns++;
+        }
         sharing = next;
         configured = true;
         sharingSinceMillis = nowMillis;
         groupsKnownSinceMillis = nowMillis;
-        returns++;
         snapshot = Optional.empty();
     }
 
--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheSharing.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheSharing.java
@@ -75,6 +75,16 @@
         return group.isEmpty() || groups.contains(group);
     }
 
+    /**
+     * Returns whether requests of this configuration belong to groups that another configuration does not use.
+     *
+     * @param other the sharing of the other configuration
+     * @return false if all groups are used by the other one
+     */
+    boolean usesGroupsBeside(CacheSharing other) {
+        return !groups.stream().allMatch(other::uses);
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof CacheSharing sharing && isolatedTeams.equals(sharing.isolatedTeams);
--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheScopeUseTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheScopeUseTest.java
@@ -92,7 +92,7 @@
 
     /** A node with its own clock and its own knowledge. */
     private final class Node {
-        private CacheScopeUse use = new CacheScopeUse();
+        private CacheScopeUse use = new CacheScopeUse(DELAYS);
         private final Map<Integer, Long> registered = new HashMap<>();
         private final Map<Integer, Long> keptVersions = new HashMap<>();
         private final Map<Integer, Long> dropAtMillis = new HashMap<>();
@@ -109,7 +109,7 @@
         }
 
         void restart() {
-            use = new CacheScopeUse();
+            use = new CacheScopeUse(DELAYS);
             confirmation = Optional.empty();
             state = Action.NORMAL;
             keptVersions.clear();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 
 import org.cowslipbank.decision.relay.CacheScopeUse;
+import org.cowslipbank.decision.relay.CacheScopeUse.FreeDelays;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.FleetTree;
 import org.cowslipbank.decision.relay.NamedVersions;
@@ -63,7 +64,7 @@
     private final Map<String, RegisteredNode> nodes = new HashMap<>();
     private final CrashEvidence crashes = new CrashEvidence();
     private final RegistrationHistory registrations = new RegistrationHistory();
-    private final CacheScopeUse scopeUse = new CacheScopeUse();
+    private final CacheScopeUse scopeUse;
     private final RestoreSettling settling = new RestoreSettling();
     /** Time in milliseconds at which a vanished registration is dropped, by name of the upstream or node. */
     private final Map<String, Long> dropVanishedAtMillis = new HashMap<>();
@@ -88,13 +89,29 @@
     private boolean viewOutdated = true;
     private boolean upstreamsChanged;
 
+    /**
+     * Creates a state without any item.
+     *
+     * @param decoder decodes items of the platform
+     * @param items keys and decoding of the nodes' items
+     * @param origins where streams began
+     * @param probes requests that test refused prompt parts
+     * @param log the structured log
+     * @param knowledgeValidMillis longest time for which nodes fetch cached parts by an earlier state, in milliseconds
+     */
     PlatformState(
-            PlatformDecoder decoder, NodeItems items, StreamOrigins origins, RefusalProbes probes, DecisionLog log) {
+            PlatformDecoder decoder,
+            NodeItems items,
+            StreamOrigins origins,
+            RefusalProbes probes,
+            DecisionLog log,
+            long knowledgeValidMillis) {
         this.decoder = decoder;
         this.items = items;
         this.origins = origins;
         this.probes = probes;
         this.log = log;
+        this.scopeUse = new CacheScopeUse(FreeDelays.of(knowledgeValidMillis, REREGISTRATION_MILLIS));
     }
 
     /** Returns whether more than the revision has changed since the last snapshot was taken. */
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -131,7 +131,13 @@
         NodeItems items = new NodeItems(platform.decoder().nodeItemPrefix());
         StreamOrigins origins = new StreamOrigins();
         RefusalProbes probes = new RefusalProbes();
-        PlatformState state = new PlatformState(platform.decoder(), items, origins, probes, log);
+        PlatformState state = new PlatformState(
+                platform.decoder(),
+                items,
+                origins,
+                probes,
+                log,
+                settings.bounds().revokeMillis());
         this.hubFeed = new HubFeed(loop, clocks);
         this.watcher =
                 new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, watchListener());
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreCleanerTest.java
@@ -38,7 +38,12 @@
     private final Clocks clocks = new Clocks(nowMillis::get, nowMillis::get);
     private final DecisionLog log = new DecisionLog(clocks.monotonic(), DecisionLog.LINES_PER_SECOND);
     private final PlatformState state = new PlatformState(
-            new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), new RefusalProbes(), log);
+            new MetadataItemDecoder(),
+            new NodeItems("cowslipbank/"),
+            new StreamOrigins(),
+            new RefusalProbes(),
+            log,
+            5_000);
     private final CacheIndex cacheIndex = new CacheIndex();
     private Optional<ConfigurationConfirmation> confirmation = Optional.empty();
     private boolean leading = true;
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -50,7 +50,8 @@
                 new NodeItems("cowslipbank/"),
                 new StreamOrigins(),
                 new RefusalProbes(),
-                log);
+                log,
+                5_000);
         state.applySnapshot(new MetadataStore.Range(List.of(configuration(2, false)), 2, 0), 0, Long.MAX_VALUE, 0);
         EngineControl engines = new SilentStores();
         CacheStoreFollower.Sources sources =
--- a/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
@@ -191,7 +191,8 @@
                 new NodeItems("cowslipbank/"),
                 new StreamOrigins(),
                 new RefusalProbes(),
-                new DecisionLog(MonotonicClock.SYSTEM, 1));
+                new DecisionLog(MonotonicClock.SYSTEM, 1),
+                5_000);
     }
 
     private static void assertUsable(String address) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformStateTest.java
@@ -23,7 +23,8 @@
             items,
             new StreamOrigins(),
             new RefusalProbes(),
-            new DecisionLog(MonotonicClock.SYSTEM, 1));
+            new DecisionLog(MonotonicClock.SYSTEM, 1),
+            5_000);
 
     private static StoreItem server(String id, String address, long born, String serverState, long revision) {
         String value =
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
@@ -25,7 +25,12 @@
     private final Clocks clocks = new Clocks(this::readClock, nowMillis::get);
     private final DecisionLog log = new DecisionLog(nowMillis::get, 1);
     private final PlatformState state = new PlatformState(
-            new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), new RefusalProbes(), log);
+            new MetadataItemDecoder(),
+            new NodeItems("cowslipbank/"),
+            new StreamOrigins(),
+            new RefusalProbes(),
+            log,
+            5_000);
     private final PlatformWatcher watcher = new PlatformWatcher(
             new FakeMetadataStore(),
             new MetadataItemDecoder(),
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -48,7 +48,12 @@
     private final Clocks clocks = new Clocks(() -> nowMillis.getAndAdd(millisPerReading), nowMillis::get);
     private final DecisionLog log = new DecisionLog(nowMillis::get, DecisionLog.LINES_PER_SECOND);
     private final PlatformState state = new PlatformState(
-            new MetadataItemDecoder(), new NodeItems("cowslipbank/"), new StreamOrigins(), new RefusalProbes(), log);
+            new MetadataItemDecoder(),
+            new NodeItems("cowslipbank/"),
+            new StreamOrigins(),
+            new RefusalProbes(),
+            log,
+            5_000);
     private final CacheIndex cacheIndex = new CacheIndex();
     private Optional<ConfigurationConfirmation> confirmation = Optional.empty();
     private Runnable onConfirmationRead = () -> {};
