Free replaced weight versions soon unless an engine is lost from sight

The long wait is owed only to engines whose registration has ended while they had the version or an older one: nodes that do not know of it may still send to them. An engine that is registered with newer weights refuses requests that expect the earlier ones, and its weights never become older, so that 2 s are enough for the fetches under way. CacheScopeUse keeps when engines of each version were lost; after a complete reading any may have been.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
@@ -55,6 +55,26 @@
         /** Since when the oldest version has been at least this one, in milliseconds. */
         private final NavigableMap<Long, Long> atLeastSinceMillis = new TreeMap<>();
 
+        /** The version of each engine that is registered or kept, by its id. */
+        private Map<String, Long> versionByEngine = Map.of();
+
+        /** When an engine of each version was last lost from sight, in milliseconds; it may still serve. */
+        private final NavigableMap<Long, Long> lostAtMillis = new TreeMap<>();
+
+        /** Creates the use of a model of which engines may have been lost from sight before. */
+        ModelUse(long nowMillis) {
+            lostAtMillis.put(ALL_VERSIONS, nowMillis);
+        }
+
+        void setEngines(Map<String, Long> next, long nowMillis) {
+            versionByEngine.forEach((id, version) -> {
+                if (!next.containsKey(id)) {
+                    lostAtMillis.put(version, nowMillis);
+                }
+            });
+            versionByEngine = next;
+        }
+
         void setOldest(OptionalLong next, long nowMillis) {
             if (next.equals(oldestVersion)) {
                 return;
@@ -70,12 +90,23 @@
         }
 
         ModelSnapshot snapshot() {
-            return new ModelSnapshot(newestVersion, registeredSinceMillis, new TreeMap<>(atLeastSinceMillis));
+            return new ModelSnapshot(
+                    newestVersion,
+                    registeredSinceMillis,
+                    new TreeMap<>(atLeastSinceMillis),
+                    new TreeMap<>(lostAtMillis));
+        }
+    }
+
+    /** Versions of a model that are registered, and those of the engines that are registered or kept, by their ids. */
+    private record Versions(Map<Long, Long> registeredSinceMillis, Map<String, Long> byEngine) {
+        Versions() {
+            this(new HashMap<>(), new HashMap<>());
         }
     }
 
-    /** Versions of a model that are registered, and the oldest one that is registered or kept. */
-    private record Versions(Map<Long, Long> registeredSinceMillis, long oldestVersion) {}
+    /** Stands for all versions, whose numbers are positive. */
+    private static final long ALL_VERSIONS = 0;
 
     private final Map<String, ModelUse> models = new HashMap<>();
     private final FreeDelays delays;
@@ -108,10 +139,12 @@
     /**
      * How long scopes must be out of use before their parts may be freed.
      *
-     * @param versionMillis bound for replaced versions, in milliseconds
+     * @param versionMillis bound for versions that all engines are known to have replaced, in milliseconds. An engine refuses
+     *     requests that expect an earlier version, so that only fetches under way have to end
+     * @param lostMillis time since the last loss from sight of an engine that may still serve a version, in milliseconds
      * @param groupMillis bound for unused groups, in milliseconds
      */
-    public record FreeDelays(long versionMillis, long groupMillis) {
+    public record FreeDelays(long versionMillis, long lostMillis, long groupMillis) {
         /**
          * Derives the delays from how long nodes use what they know.
          *
@@ -122,13 +155,16 @@
          */
         public static FreeDelays of(long knowledgeValidMillis, long registrationKeptMillis) {
             long groupMillis = knowledgeValidMillis + LAST_FETCH_MILLIS;
-            return new FreeDelays(groupMillis + registrationKeptMillis, groupMillis);
+            return new FreeDelays(LAST_FETCH_MILLIS, groupMillis + registrationKeptMillis, groupMillis);
         }
     }
 
     /** Use of a model's versions; see {@link ModelUse}. */
     private record ModelSnapshot(
-            long newestVersion, Map<Long, Long> registeredSinceMillis, NavigableMap<Long, Long> atLeastSinceMillis) {
+            long newestVersion,
+            Map<Long, Long> registeredSinceMillis,
+            NavigableMap<Long, Long> atLeastSinceMillis,
+            NavigableMap<Long, Long> lostAtMillis) {
         ModelSnapshot {
             registeredSinceMillis = Map.copyOf(registeredSinceMillis);
         }
@@ -221,6 +257,8 @@
                 if (version.isPresent()) {
                     return replaced(entry.getValue(), version.getAsLong())
                             .filter(unused -> isPast(unused.sinceMillis(), delays.versionMillis(), nowMillis))
+                            .filter(unused ->
+                                    lostBefore(entry.getValue(), version.getAsLong(), nowMillis - delays.lostMillis()))
                             .or(() -> unusedGroup(CacheScope.group(scope, entry.getKey()))
                                     .filter(unused -> isPast(unused.sinceMillis(), delays.groupMillis(), nowMillis)));
                 }
@@ -233,6 +271,12 @@
                     .map(newer -> new Unused(Reason.VERSION_REPLACED, newer.getValue()));
         }
 
+        /** Returns whether no engine that may still serve a version was lost from sight after some time. */
+        private static boolean lostBefore(ModelSnapshot use, long version, long timeMillis) {
+            return use.lostAtMillis().headMap(version, true).values().stream()
+                    .allMatch(lostAtMillis -> lostAtMillis <= timeMillis);
+        }
+
         private Optional<Unused> unusedGroup(Optional<String> group) {
             return group.filter(name -> configured && !sharing.uses(name))
                     .map(name -> new Unused(Reason.GROUP_UNUSED, groupsKnownSinceMillis));
@@ -289,7 +333,10 @@
      */
     public void onCompleteReading(long missedMillis, long nowMillis) {
         groupsKnownSinceMillis = nowMillis;
-        models.values().forEach(use -> use.setOldest(OptionalLong.empty(), nowMillis));
+        models.values().forEach(use -> {
+            use.setOldest(OptionalLong.empty(), nowMillis);
+            use.lostAtMillis.put(ALL_VERSIONS, nowMillis);
+        });
         snapshot = Optional.empty();
         if (missedMillis < delays.groupMillis() - CLOCK_MARGIN_MILLIS) {
             return;
@@ -328,24 +375,22 @@
      * @param nowMillis the time in milliseconds
      */
     public void onUpstreams(Collection<UpstreamServer> registered, Collection<UpstreamServer> kept, long nowMillis) {
-        Map<String, Map<Long, Long>> versionsByModel = new HashMap<>();
+        Map<String, Versions> versionsByModel = new HashMap<>();
         for (UpstreamServer server : registered) {
-            server.versionByModel().forEach((model, version) -> versionsByModel
-                    .computeIfAbsent(model, key -> new HashMap<>())
-                    .put(version, nowMillis));
+            server.versionByModel().forEach((model, version) -> {
+                Versions versions = versionsByModel.computeIfAbsent(model, key -> new Versions());
+                versions.registeredSinceMillis().put(version, nowMillis);
+                versions.byEngine().put(server.id(), version);
+            });
         }
-        Map<String, Long> oldestKept = new HashMap<>();
         for (UpstreamServer server : kept) {
-            server.versionByModel().forEach((model, version) -> oldestKept.merge(model, version, Math::min));
+            server.versionByModel().forEach((model, version) -> versionsByModel
+                    .computeIfAbsent(model, key -> new Versions())
+                    .byEngine()
+                    .put(server.id(), version));
         }
-        versionsByModel.keySet().forEach(model -> models.computeIfAbsent(model, key -> new ModelUse()));
-        models.forEach((model, use) -> {
-            Map<Long, Long> versions = versionsByModel.getOrDefault(model, Map.of());
-            long oldest = versions.keySet().stream()
-                    .mapToLong(Long::longValue)
-                    .reduce(oldestKept.getOrDefault(model, Long.MAX_VALUE), Math::min);
-            update(use, new Versions(versions, oldest), nowMillis);
-        });
+        versionsByModel.keySet().forEach(model -> models.computeIfAbsent(model, key -> new ModelUse(nowMillis)));
+        models.forEach((model, use) -> update(use, versionsByModel.getOrDefault(model, new Versions()), nowMillis));
         snapshot = Optional.empty();
     }
 
@@ -359,7 +404,10 @@
         known.keySet().retainAll(versions.registeredSinceMillis().keySet());
         versions.registeredSinceMillis().forEach(known::putIfAbsent);
         use.newestVersion = known.keySet().stream().mapToLong(Long::longValue).reduce(use.newestVersion, Math::max);
-        use.setOldest(known.isEmpty() ? OptionalLong.empty() : OptionalLong.of(versions.oldestVersion()), nowMillis);
+        use.setEngines(versions.byEngine(), nowMillis);
+        OptionalLong oldest =
+                versions.byEngine().values().stream().mapToLong(Long::longValue).min();
+        use.setOldest(known.isEmpty() ? OptionalLong.empty() : oldest, nowMillis);
     }
 
     /**
