Do not read stores again when an old weight version returns

After an outage in which registrations expire, engines with the version before the newest are registered again one by one while a rollout is under way.

Stores are read again only when a group of teams comes into use.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
@@ -283,8 +283,9 @@
         }
 
         /**
-         * Returns a number that grows when a scope may have come back into use. Its parts may have been freed and may be
-         * written again, so that what was known of the contents of cache stores must not be used any more.
+         * Returns a number that grows when a group comes into use. Its parts may have been freed and may be written again, so
+         * that what was known of the contents of cache stores must not be used any more. Replaced versions hardly ever come
+         * back, other than after an outage in which registrations expire.
          *
          * @return the number of times
          */
@@ -396,11 +397,6 @@
 
     private void update(ModelUse use, Versions versions, long nowMillis) {
         Map<Long, Long> known = use.registeredSinceMillis;
-        boolean returned = versions.registeredSinceMillis().keySet().stream()
-                .anyMatch(version -> version < use.newestVersion && !known.containsKey(version));
-        if (returned) {
-            returns++;
-        }
         known.keySet().retainAll(versions.registeredSinceMillis().keySet());
         versions.registeredSinceMillis().forEach(known::putIfAbsent);
         use.newestVersion = known.keySet().stream().mapToLong(Long::longValue).reduce(use.newestVersion, Math::max);
