--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheScopeUse.java
@@ -21,7 +21,8 @@
  * fetch with old knowledge, so that a scope which was out of use for longer than that and a fetch together was already out
  * of use to the sender. Or the scope has come into use after that confirmation; then the sender has waited for
  * {@link #ENTRY_DELAY_MILLIS}, which is longer. It does not matter who leads, how long a call travels, or whether a process
- * is suspended.
+ * is suspended. A weight version that all engines have replaced needs no such wait, since they refuse requests that expect
+ * it; one of an engine that was lost from sight does.
  */
 public final class CacheScopeUse {
     /** How long after the confirmation of a node's knowledge a store may carry out what the node frees by it. */
@@ -42,6 +43,9 @@
     /** Longest time from the last moment at which a node may plan a fetch to the end of that fetch. */
     private static final long LAST_FETCH_MILLIS = CacheIndex.FETCH_TIMEOUT_MILLIS + CLOCK_MARGIN_MILLIS;
 
+    /** Stands for all versions, whose numbers are positive. */
+    private static final long ALL_VERSIONS = 0;
+
     /** Use of a model's weight versions. */
     private static final class ModelUse {
         /** The newest version ever registered. */
@@ -105,9 +109,6 @@
         }
     }
 
-    /** Stands for all versions, whose numbers are positive. */
-    private static final long ALL_VERSIONS = 0;
-
     private final Map<String, ModelUse> models = new HashMap<>();
     private final FreeDelays delays;
     private CacheSharing sharing = CacheSharing.NONE_ISOLATED;
