Log where streams begin, break off, are resumed and taken up

They now name the attempt that is resumed, the last event passed on, the upstream's incarnation and version with the source of that knowledge, the reading of the metadata store, and how the answer's end was framed. Numbers that the events leave out are counted in relay.skippedEventIds.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
@@ -27,6 +27,7 @@
     private String lastEventId;
     private boolean hasEvent;
     private boolean malformed;
+    private long skippedIds;
 
     /**
      * Sets where the stream goes on, so that an event which the client already has is malformed.
@@ -68,6 +69,15 @@
         return malformed;
     }
 
+    /**
+     * Returns how many numbers the identifiers of the events have left out so far, after the first one that is known.
+     *
+     * @return the count of numbers, zero if the identifiers are consecutive or no numbers
+     */
+    public long skippedIds() {
+        return skippedIds;
+    }
+
     /**
      * Returns whether the last bytes completed an event. Comments, which keep a connection open, are no progress.
      *
@@ -134,6 +144,7 @@
         int lineStart = from;
         boolean behindStatusLine = false;
         String before = lastEventId;
+        long skippedBefore = skippedIds;
         for (int index = from; index < to; index++) {
             if (bytes[index] != LINE_FEED) {
                 continue;
@@ -143,6 +154,7 @@
             boolean answer = behindStatusLine && end > lineStart && !hasEventField(bytes, lineStart, end);
             if (answer || !acceptLine(bytes, lineStart, end)) {
                 lastEventId = before;
+                skippedIds = skippedBefore;
                 return false;
             }
             behindStatusLine = behindStatusLine || contains(bytes, lineStart, end, STATUS_LINE);
@@ -196,9 +208,11 @@
 
     private boolean acceptId(String id) {
         boolean comparable = lastEventId != null && id.matches(NUMBER) && lastEventId.matches(NUMBER);
-        if (comparable && Long.parseLong(id) <= Long.parseLong(lastEventId)) {
+        long step = comparable ? Long.parseLong(id) - Long.parseLong(lastEventId) : 1;
+        if (step <= 0) {
             return false;
         }
+        skippedIds += step - 1;
         lastEventId = id;
         return true;
     }
--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -193,6 +193,17 @@
                 .map(Origin::softwareVersion);
     }
 
+    /**
+     * Returns whether this node carried a stream, so that its version is not known from another node's report alone.
+     *
+     * @param request identifier of the request that brought its first event
+     * @return true if this node sent the request, or passed its first event on
+     */
+    public synchronized boolean isOwn(String request) {
+        Origin origin = originByRequest.get(request);
+        return origin != null && origin.own();
+    }
+
     /**
      * Returns the version at which every stream of a service must have begun, as far as the registrations are known. A
      * caller must make sure that no registration from before the end of the stream is missing.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -163,6 +163,8 @@
     private boolean ended;
     private String lastFailure = "";
     private UpstreamSelector.Choice lastChoice;
+    /** How the end of the stream was framed, empty before it. */
+    private Optional<AnswerAnomaly.Framing> framing = Optional.empty();
 
     /**
      * Creates an exchange.
@@ -291,9 +293,35 @@
         }
         placement.requireSoftwareVersion(version.get());
         request.lastEventId().ifPresent(splitter::resumeAfter);
+        context.log()
+                .logRequest(streamLine("stream taken up")
+                        .field("softwareVersion", version.get())
+                        .field("versionFrom", versionSource(known.isPresent())));
         return true;
     }
 
+    private String versionSource(boolean known) {
+        if (forwarding.flatMap(Forwarding::softwareVersion).isPresent()) {
+            return "other_node";
+        }
+        if (!known) {
+            return "only_version";
+        }
+        return context.origins().isOwn(request.resumes().orElse("")) ? "own" : "report";
+    }
+
+    /** Begins a line that tells which stream goes on where, and by which knowledge of the registrations. */
+    private LogFields streamLine(String event) {
+        LogFields line = LogFields.event(event)
+                .field("request", request.id())
+                .field("lastEventId", splitter.lastEventId().orElse(""))
+                .field("storeRevision", context.view().get().revision())
+                .field("stateReading", context.readings().newestApplied())
+                .field("confirmationAgeMillis", context.confirmationAgeMillis());
+        request.resumes().ifPresent(first -> line.field("resumes", first));
+        return line;
+    }
+
     /** Waits until engines of another version that may have begun the stream would be known. */
     private void waitForRegistrations() {
         if (context.canConfirm().getAsBoolean()) {
@@ -823,6 +851,9 @@
                     .field("expectedMillis", lastChoice.expectedMillis());
         }
         request.resumes().ifPresent(first -> line.field("resumes", first));
+        framing.ifPresent(known -> line.field("framing", known)
+                .field("lastEventId", splitter.lastEventId().orElse(""))
+                .field("skippedIds", splitter.skippedIds()));
         request.prompt().ifPresent(prompt -> line.field("prompt", prompt.affinityKey())
                 .field("promptTokens", prompt.promptTokens()));
         if (!lastFailure.isEmpty()) {
@@ -911,6 +942,15 @@
             UpstreamListener listener = new GuardedListener(this, Exchange.this::guarded);
             connection.send(request, target.encode(leftMillis, resumeAfter), body.retainedDuplicate(), listener);
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
+            if (headSent) {
+                logStream("stream resumed");
+            }
+        }
+
+        private void logStream(String event) {
+            LogFields line = streamLine(event);
+            target.describe(line);
+            context.log().logRequest(line);
         }
 
         boolean isSilent() {
@@ -1114,7 +1154,9 @@
                     .field("reason", message)
                     .field("sentAgoMillis", sent ? now() - sentMillis : -1)
                     .field("answerBeganAgoMillis", answerBeganMillis < 0 ? -1 : now() - answerBeganMillis)
-                    .field("headReceived", head != null);
+                    .field("headReceived", head != null)
+                    .field("framing", connection == null ? "" : connection.framing())
+                    .field("lastEventId", splitter.lastEventId().orElse(""));
             target.describe(line);
             request.prompt()
                     .ifPresent(prompt -> line.field(
@@ -1164,6 +1206,7 @@
                 target.softwareVersion().ifPresent(version -> {
                     placement.requireSoftwareVersion(version);
                     context.origins().onBegun(service, request.id(), version, now());
+                    logStream("stream begun");
                 });
             }
         }
@@ -1178,6 +1221,8 @@
             } else if (streaming && splitter.hasIncompleteEvent()) {
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
             } else if (streaming) {
+                context.metrics().onSkippedIds(splitter.skippedIds());
+                framing = Optional.of(connection.framing());
                 settle(Outcome.ANSWERED);
                 suspects.reportSound();
                 client.end();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -25,6 +25,7 @@
     private final Counter strayBytes;
     private final Counter answersBrokenOff;
     private final Counter malformedAnswers;
+    private final Counter skippedIds;
     private final Counter fetches;
     private final Counter partsFreed;
     private final Counter freesFailed;
@@ -48,6 +49,7 @@
         this.strayBytes = registry.counter("relay.strayBytes");
         this.answersBrokenOff = registry.counter("relay.answersBrokenOff");
         this.malformedAnswers = registry.counter("relay.malformedAnswers");
+        this.skippedIds = registry.counter("relay.skippedEventIds");
         this.fetches = registry.counter("cache.fetches");
         this.partsFreed = registry.counter("cache.partsFreed");
         this.freesFailed = registry.counter("cache.freesFailed");
@@ -55,6 +57,11 @@
         this.duration = registry.timer("relay.wholeMillis");
     }
 
+    /** Counts numbers that the identifiers of a stream's events left out. */
+    void onSkippedIds(long count) {
+        skippedIds.inc(count);
+    }
+
     void onRequest() {
         requests.inc();
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StateReadings.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StateReadings.java
@@ -47,4 +47,13 @@
     boolean isApplied(long call) {
         return applied.get() >= call;
     }
+
+    /**
+     * Returns the number of the newest call whose answer has been applied, for the log.
+     *
+     * @return the number, zero before the first
+     */
+    long newestApplied() {
+        return applied.get();
+    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -267,6 +267,10 @@
         return framing == AnswerAnomaly.Framing.UNTIL_CLOSE;
     }
 
+    AnswerAnomaly.Framing framing() {
+        return framing;
+    }
+
     private void failHead(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
             fail(UpstreamListener.Failure.BROKEN, "connection closed within the headers of the answer");
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -159,7 +159,10 @@
 
     @Override
     public void describe(LogFields line) {
-        line.peer(server.address()).field("server", server.id()).field("softwareVersion", server.softwareVersion());
+        line.peer(server.address())
+                .field("server", server.id())
+                .field("incarnation", server.incarnation())
+                .field("softwareVersion", server.softwareVersion());
     }
 
     private long now() {
