Record software versions before streams begin at them

Callers got streams with events of two software versions: engines of one version left while all nodes were down, or just before, and a node that started took the version that was registered for the only one there had been, so that it let streams of the other one go on there. Versions were written to the metadata store only once a service had two, with the reports on streams, and expired with the leases of these.

Each version now has a record in the store that outlives nodes and leases. A node sends resumable requests to a version only once it is recorded, and the leader removes a record when no upstream has had the version for the life of a stream. Records that a restore of the store has lost are written again; a node that starts takes no version for the only one until a node that knew them has marked the store's era.

SoftwareVersionRecorderTest is new.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.cowslipbank.decision.relay.SoftwareVersions.Version;
+
 /**
  * The software version at which each stream began. What two versions write does not fit together and no engine checks it,
  * so a stream that broke off may go on only at its version.
@@ -31,7 +33,10 @@
     static final int MAX_STREAMS = 40_000;
 
     private final Map<String, Origin> originByRequest = new LinkedHashMap<>();
-    private final Map<String, Versions> versionsByService = new HashMap<>();
+    private final SoftwareVersions versions = new SoftwareVersions();
+    /** Versions of each service that this node has reported last. */
+    private final Map<String, Set<String>> reportedByService = new HashMap<>();
+
     private final Set<String> unreported = new HashSet<>();
     private long uncertainUntilMillis = Long.MIN_VALUE;
 
@@ -43,20 +48,6 @@
      */
     private record Origin(String service, String softwareVersion, long beganMillis, long revision, boolean own) {}
 
-    /** The versions of one service. */
-    private static final class Versions {
-        private Set<String> registered = Set.of();
-        private final Map<String, Long> lastSeenMillis = new HashMap<>();
-        private Set<String> reported = Set.of();
-
-        private Set<String> live(long nowMillis) {
-            lastSeenMillis.values().removeIf(seenMillis -> nowMillis - seenMillis >= STREAM_LIFE_MILLIS);
-            Set<String> live = new HashSet<>(registered);
-            live.addAll(lastSeenMillis.keySet());
-            return live;
-        }
-    }
-
     /**
      * Streams that began at one software version, or are expected to.
      *
@@ -72,6 +63,15 @@
         }
     }
 
+    /**
+     * Returns the versions at which streams may have begun.
+     *
+     * @return the versions, which change as upstreams and records do
+     */
+    public SoftwareVersions versions() {
+        return versions;
+    }
+
     /**
      * Sets the versions of a service whose upstreams are registered.
      *
@@ -80,13 +80,20 @@
      * @param nowMillis the time in milliseconds
      */
     public synchronized void onRegistered(String service, Set<String> registered, long nowMillis) {
-        Versions versions = versionsByService.computeIfAbsent(service, key -> new Versions());
-        if (versions.registered.equals(registered)) {
-            return;
+        if (versions.onRegistered(service, registered, nowMillis)) {
+            reportAllIfMixed(service, nowMillis);
         }
-        versions.registered.forEach(version -> versions.lastSeenMillis.put(version, nowMillis));
-        versions.registered = Set.copyOf(registered);
-        reportAllIfMixed(service, nowMillis);
+    }
+
+    /**
+     * Records that the metadata store has a record of a version.
+     *
+     * @param version the version
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onRecorded(Version version, long nowMillis) {
+        versions.onRecorded(version, nowMillis);
+        reportAllIfMixed(version.service(), nowMillis);
     }
 
     /**
@@ -120,6 +127,7 @@
         if (request.length() > MAX_ID_LENGTH || unchanged) {
             return false;
         }
+        versions.onUsed(new Version(service, softwareVersion), nowMillis);
         add(request, new Origin(service, softwareVersion, nowMillis, 0, true));
         if (isMixed(service, nowMillis)) {
             unreported.add(request);
@@ -135,8 +143,7 @@
      * @param nowMillis the time in milliseconds
      */
     public synchronized void onReport(Report report, long revision, long nowMillis) {
-        Versions versions = versionsByService.computeIfAbsent(report.service(), key -> new Versions());
-        versions.lastSeenMillis.put(report.softwareVersion(), nowMillis);
+        versions.onUsed(new Version(report.service(), report.softwareVersion()), nowMillis);
         for (String request : report.requests()) {
             Origin known = originByRequest.get(request);
             boolean newer = known == null || !known.own() && known.revision() < revision;
@@ -164,9 +171,8 @@
 
     /** Reports the streams that began before another version was known. */
     private void reportAllIfMixed(String service, long nowMillis) {
-        Versions versions = versionsByService.get(service);
-        Set<String> live = versions.live(nowMillis);
-        if (live.size() > 1 && versions.reported.size() <= 1) {
+        if (isMixed(service, nowMillis)
+                && reportedByService.getOrDefault(service, Set.of()).size() <= 1) {
             originByRequest.forEach((request, origin) -> {
                 if (origin.own() && origin.service().equals(service)) {
                     unreported.add(request);
@@ -176,8 +182,7 @@
     }
 
     private boolean isMixed(String service, long nowMillis) {
-        Versions versions = versionsByService.get(service);
-        return versions != null && versions.live(nowMillis).size() > 1;
+        return isUncertain(nowMillis) || versions.live(service, nowMillis).size() > 1;
     }
 
     /**
@@ -213,11 +218,10 @@
      * @return the version, or empty if there may have been several for the life of a stream
      */
     public synchronized Optional<String> onlyVersion(String service, long nowMillis) {
-        Versions versions = versionsByService.get(service);
-        if (versions == null || nowMillis < uncertainUntilMillis) {
+        if (isUncertain(nowMillis)) {
             return Optional.empty();
         }
-        Set<String> live = versions.live(nowMillis);
+        Set<String> live = versions.live(service, nowMillis);
         return live.size() == 1 ? live.stream().findFirst() : Optional.empty();
     }
 
@@ -229,14 +233,14 @@
      */
     public synchronized List<Report> takeUnreported(long nowMillis) {
         Map<String, Map<String, List<String>>> byService = new HashMap<>();
-        versionsByService.forEach((service, versions) -> {
-            Set<String> live = versions.live(nowMillis);
-            if (live.size() > 1 && !versions.reported.equals(live)) {
+        for (String service : versions.services()) {
+            Set<String> live = versions.live(service, nowMillis);
+            if (live.size() > 1 && !live.equals(reportedByService.get(service))) {
                 Map<String, List<String>> byVersion = byService.computeIfAbsent(service, key -> new HashMap<>());
                 live.forEach(version -> byVersion.put(version, new ArrayList<>()));
             }
-            versions.reported = live;
-        });
+            reportedByService.put(service, live);
+        }
         for (String request : unreported) {
             Origin origin = originByRequest.get(request);
             if (origin != null) {
@@ -255,12 +259,12 @@
 
     /** Reports all streams of this node again, because reports were not delivered or have been lost. */
     public synchronized void reportAgain() {
-        versionsByService.values().forEach(versions -> versions.reported = Set.of());
-        versionsByService.forEach((service, versions) -> originByRequest.forEach((request, origin) -> {
-            if (origin.own() && origin.service().equals(service)) {
+        reportedByService.clear();
+        originByRequest.forEach((request, origin) -> {
+            if (origin.own()) {
                 unreported.add(request);
             }
-        }));
+        });
     }
 
     /**
@@ -271,4 +275,14 @@
     public synchronized void onReportsLost(long nowMillis) {
         uncertainUntilMillis = nowMillis + STREAM_LIFE_MILLIS;
     }
+
+    /**
+     * Returns whether reports or versions from before this node's start may be missing.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return false once no stream from before it can be taken up any more
+     */
+    public synchronized boolean isUncertain(long nowMillis) {
+        return nowMillis < uncertainUntilMillis;
+    }
 }
--- /dev/null
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamVersionsTest.java
@@ -0,0 +1,484 @@
+package org.cowslipbank.decision.relay;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.statistics.Statistics;
+import org.cowslipbank.decision.relay.SoftwareVersions.Version;
+import org.cowslipbank.decision.relay.StreamOrigins.Report;
+
+/**
+ * A model of several nodes that start, are killed and lag behind a metadata store, while engines of several software
+ * versions register and leave, streams begin and their clients take them up, several times in a row, and the store is
+ * restored from a copy. Failure guarded against: a stream goes on at another version than its own.
+ */
+final class StreamVersionsTest {
+    private static final String SERVICE = "llm";
+    private static final int NODES = 3;
+    private static final int ENGINES = 4;
+    private static final int VERSIONS = 3;
+    /** Time for which an engine serves on after its registration was removed. */
+    private static final long LEAVING_MILLIS = 8_000;
+    /** Time after its last event within which a client takes its stream up. */
+    private static final long CLIENT_MILLIS = 12_000;
+    /** Time after the reading of a restored store from which on it counts as complete. */
+    private static final long SETTLED_MILLIS = RestoreSettling.REWRITE_MILLIS;
+
+    private static final List<Long> STEP_MILLIS =
+            List.of(0L, 0L, 1L, 1L, 5L, 5L, 5L, 90L, 90L, 200L, 200L, 400L, 900L, 2_400L, 6_000L, 31_000L);
+
+    private enum Action {
+        REGISTER,
+        UNREGISTER,
+        REPLACE_ALL,
+        BEGIN,
+        REPORT,
+        TAKE_UP,
+        START,
+        KILL,
+        KILL_ALL,
+        READ,
+        RECORD,
+        CLEAN,
+        COPY,
+        RESTORE
+    }
+
+    /** Actions by how often they are drawn. */
+    private static final List<Action> ACTIONS = weighted(Map.of(
+            Action.BEGIN,
+            6,
+            Action.TAKE_UP,
+            8,
+            Action.START,
+            5,
+            Action.READ,
+            5,
+            Action.RECORD,
+            5,
+            Action.REPLACE_ALL,
+            3));
+
+    private static List<Action> weighted(Map<Action, Integer> weights) {
+        List<Action> actions = new ArrayList<>();
+        for (Action action : Action.values()) {
+            for (int count = 0; count < weights.getOrDefault(action, 1); count++) {
+                actions.add(action);
+            }
+        }
+        return actions;
+    }
+
+    /** An action on a node, an engine or a stream, chosen by the index, and the time that passes after it. */
+    private record Step(Action action, int index, int version, long millis) {}
+
+    /** An item of the store; without a value it was removed. */
+    private record Item(String key, Optional<Object> value, int revision) {}
+
+    /** The store: all changes, its present items, and a copy of earlier ones. */
+    private static final class Store {
+        private final List<Item> changes = new ArrayList<>();
+        private Map<String, Item> items = new TreeMap<>();
+        private Map<String, Item> copy = new TreeMap<>();
+        private int era = 1;
+        private int revision;
+        private int copyRevision;
+
+        void put(String key, Object value) {
+            set(key, Optional.of(value));
+        }
+
+        void remove(String key) {
+            if (items.containsKey(key)) {
+                set(key, Optional.empty());
+            }
+        }
+
+        private void set(String key, Optional<Object> value) {
+            Item item = new Item(key, value, ++revision);
+            changes.add(item);
+            if (value.isPresent()) {
+                items.put(key, item);
+            } else {
+                items.remove(key);
+            }
+        }
+
+        void makeCopy() {
+            copy = new TreeMap<>(items);
+            copyRevision = revision;
+        }
+
+        void restore() {
+            items = new TreeMap<>(copy);
+            changes.removeIf(change -> change.revision() > copyRevision);
+            revision = copyRevision;
+            era++;
+        }
+
+        int mark() {
+            return items.containsKey("mark")
+                    ? (Integer) items.get("mark").value().get()
+                    : era;
+        }
+    }
+
+    /** A node with what it knows of the store. */
+    private static final class Node {
+        private final StreamOrigins origins = new StreamOrigins();
+        private final Map<String, String> versionByEngine = new TreeMap<>();
+        private final Set<Version> records = new HashSet<>();
+        private final int number;
+        private int reports;
+        private int revision;
+        private int era;
+        private long readEraMillis;
+
+        Node(int number) {
+            this.number = number;
+        }
+
+        void read(Store store, long nowMillis) {
+            if (era != store.era) {
+                readAll(store, nowMillis);
+                return;
+            }
+            for (Item change : store.changes) {
+                if (change.revision() > revision) {
+                    apply(change, nowMillis);
+                    register(nowMillis);
+                }
+            }
+            revision = store.revision;
+        }
+
+        private void readAll(Store store, long nowMillis) {
+            boolean first = era == 0;
+            era = store.era;
+            readEraMillis = first && store.mark() == era ? nowMillis - SETTLED_MILLIS : nowMillis;
+            revision = store.revision;
+            versionByEngine.clear();
+            records.clear();
+            store.items.values().forEach(item -> apply(item, nowMillis));
+            origins.versions().onAllRecordsRead(Set.copyOf(records), !first);
+            register(nowMillis);
+            if (!first) {
+                origins.reportAgain();
+            } else if (store.mark() < era) {
+                origins.onReportsLost(nowMillis);
+            }
+        }
+
+        private void register(long nowMillis) {
+            origins.onRegistered(SERVICE, Set.copyOf(versionByEngine.values()), nowMillis);
+        }
+
+        private void apply(Item item, long nowMillis) {
+            if (item.key().startsWith("engine")) {
+                item.value()
+                        .ifPresentOrElse(
+                                version -> versionByEngine.put(item.key(), (String) version),
+                                () -> versionByEngine.remove(item.key()));
+            } else if (item.key().startsWith("record")) {
+                Version version = new Version(SERVICE, item.key().substring("record".length()));
+                if (item.value().isPresent()) {
+                    records.add(version);
+                    origins.onRecorded(version, nowMillis);
+                } else {
+                    records.remove(version);
+                    origins.versions().onRecordRemoved(version);
+                }
+            } else if (item.value().isPresent() && item.value().get() instanceof Report report) {
+                origins.onReport(report, item.revision(), nowMillis);
+            }
+        }
+    }
+
+    /** A stream as its client knows it. */
+    private static final class Stream {
+        private final String request;
+        private final String version;
+        private long lastMillis;
+
+        Stream(String request, String version, long lastMillis) {
+            this.request = request;
+            this.version = version;
+            this.lastMillis = lastMillis;
+        }
+    }
+
+    /** The whole system at one time. */
+    private static final class Model {
+        private final Store store = new Store();
+        private final Node[] nodes = new Node[NODES];
+        private final Map<String, Long> leftMillis = new HashMap<>();
+        private final List<Stream> streams = new ArrayList<>();
+        private long nowMillis = 1_000_000;
+        private int engines;
+        private int takenUp;
+        private int refused;
+
+        Model run(List<Step> steps) {
+            store.put("mark", 1);
+            store.makeCopy();
+            steps.forEach(this::apply);
+            return this;
+        }
+
+        private void apply(Step step) {
+            int index = step.index();
+            Node node = nodes[index % NODES];
+            switch (step.action()) {
+                case REGISTER -> register("engine" + index % ENGINES, step.version());
+                case UNREGISTER -> unregister("engine" + index % ENGINES);
+                case REPLACE_ALL -> replaceAll(step.version());
+                case START -> start(index % NODES);
+                case KILL -> Arrays.fill(nodes, index % NODES, index % NODES + 1, null);
+                case KILL_ALL -> Arrays.fill(nodes, null);
+                case COPY -> store.makeCopy();
+                case RESTORE -> restore();
+                default -> {
+                    if (node != null) {
+                        apply(step, node);
+                    }
+                }
+            }
+            nowMillis += step.millis();
+        }
+
+        /** Nodes that run notice a restore, and write again what it lost, before the store counts as complete. */
+        private void restore() {
+            store.restore();
+            for (Node node : nodes) {
+                if (node != null) {
+                    node.read(store, nowMillis);
+                    record(node);
+                }
+            }
+        }
+
+        private void start(int number) {
+            if (nodes[number] == null) {
+                nodes[number] = new Node(number);
+                nodes[number].read(store, nowMillis);
+            }
+        }
+
+        private void apply(Step step, Node node) {
+            switch (step.action()) {
+                case BEGIN -> begin(node, step.index());
+                case REPORT -> report(node);
+                case TAKE_UP -> takeUp(node, step.index());
+                case READ -> node.read(store, nowMillis);
+                case RECORD -> record(node);
+                case CLEAN -> clean(node);
+                default -> throw new AssertionError(step);
+            }
+        }
+
+        private void register(String engine, int version) {
+            unregister(engine);
+            store.put("engine" + engines++, "v" + version);
+        }
+
+        private void unregister(String engine) {
+            store.items.keySet().stream()
+                    .filter(key -> key.startsWith("engine")
+                            && Integer.parseInt(key.substring(6)) % ENGINES
+                                    == Integer.parseInt(engine.substring(6)) % ENGINES)
+                    .toList()
+                    .forEach(this::leave);
+        }
+
+        private void leave(String key) {
+            leftMillis.put(key, nowMillis);
+            store.remove(key);
+        }
+
+        private void replaceAll(int version) {
+            store.items.keySet().stream()
+                    .filter(key -> key.startsWith("engine"))
+                    .toList()
+                    .forEach(this::leave);
+            store.put("engine" + engines++, "v" + version);
+        }
+
+        private boolean serves(String engine) {
+            return store.items.containsKey(engine)
+                    || nowMillis - leftMillis.getOrDefault(engine, Long.MIN_VALUE / 2) < LEAVING_MILLIS;
+        }
+
+        private void begin(Node node, int index) {
+            List<String> usable = node.versionByEngine.keySet().stream()
+                    .filter(engine -> serves(engine)
+                            && node.origins.versions().mayBegin(SERVICE, node.versionByEngine.get(engine)))
+                    .toList();
+            if (usable.isEmpty()) {
+                return;
+            }
+            String version = node.versionByEngine.get(usable.get(index % usable.size()));
+            String request = "r" + streams.size();
+            node.origins.onSent(SERVICE, request, version, nowMillis);
+            node.origins.onBegun(SERVICE, request, version, nowMillis);
+            streams.add(new Stream(request, version, nowMillis));
+        }
+
+        private void report(Node node) {
+            node.origins
+                    .takeUnreported(nowMillis)
+                    .forEach(report ->
+                            store.put("report" + node.number + "." + node.reports++ + "." + nowMillis, report));
+        }
+
+        private void record(Node node) {
+            if (node.era != store.era) {
+                return;
+            }
+            for (Version version : node.origins.versions().unrecorded(nowMillis)) {
+                String key = "record" + version.softwareVersion();
+                if (!store.items.containsKey(key)) {
+                    store.put(key, true);
+                }
+                node.origins.onRecorded(version, nowMillis);
+            }
+        }
+
+        /** What the leader does; several nodes may do so. */
+        private void clean(Node node) {
+            if (node.era != store.era) {
+                return;
+            }
+            for (Version version : Set.copyOf(node.records)) {
+                boolean unchanged = store.items.containsKey("record" + version.softwareVersion());
+                if (unchanged && node.origins.versions().hasExpired(version, nowMillis)) {
+                    store.remove("record" + version.softwareVersion());
+                }
+            }
+            if (isSettled(node)
+                    && !node.origins.isUncertain(nowMillis)
+                    && node.origins.versions().unrecorded(nowMillis).isEmpty()) {
+                store.put("mark", store.era);
+            }
+        }
+
+        private boolean isSettled(Node node) {
+            return nowMillis - node.readEraMillis >= SETTLED_MILLIS;
+        }
+
+        private void takeUp(Node node, int index) {
+            List<Stream> open = streams.stream()
+                    .filter(stream -> nowMillis - stream.lastMillis < CLIENT_MILLIS)
+                    .toList();
+            if (open.isEmpty()) {
+                return;
+            }
+            Stream stream = open.get(index % open.size());
+            // The node has asked the store after it read the request.
+            node.read(store, nowMillis);
+            Optional<String> version = node.origins
+                    .find(SERVICE, stream.request)
+                    .or(() -> isSettled(node) ? node.origins.onlyVersion(SERVICE, nowMillis) : Optional.empty());
+            if (version.isEmpty()) {
+                refused++;
+                return;
+            }
+            assert version.get().equals(stream.version)
+                    : stream.request + " of " + stream.version + " goes on at " + version.get();
+            if (node.versionByEngine.containsValue(version.get())) {
+                stream.lastMillis = nowMillis;
+                takenUp++;
+            }
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        return Combinators.combine(
+                        Arbitraries.of(ACTIONS),
+                        Arbitraries.integers().between(0, 11),
+                        Arbitraries.integers().between(1, VERSIONS),
+                        Arbitraries.of(STEP_MILLIS))
+                .as(Step::new)
+                .list()
+                .ofMinSize(20)
+                .ofMaxSize(100);
+    }
+
+    @Property(tries = 1_000)
+    void streamGoesOnAtItsOwnVersionOnly(@ForAll("steps") List<Step> steps) {
+        List<Step> all = new ArrayList<>(List.of(
+                new Step(Action.REGISTER, 0, 1, 0), new Step(Action.START, 0, 0, 1), new Step(Action.START, 1, 0, 1)));
+        all.addAll(steps);
+        Model model = new Model().run(all);
+        Statistics.label("taken up").collect(model.takenUp > 0);
+        Statistics.label("refused").collect(model.refused > 0);
+    }
+
+    /** Without a second version, a loss of all nodes or a restore costs no stream. */
+    @Example
+    void streamsOfTheOnlyVersionGoOnAfterAllNodesWereKilled() {
+        List<Step> steps = List.of(
+                new Step(Action.REPLACE_ALL, 0, 1, 0),
+                new Step(Action.START, 0, 0, 1),
+                new Step(Action.RECORD, 0, 0, 1),
+                new Step(Action.BEGIN, 0, 0, 1),
+                new Step(Action.KILL_ALL, 0, 0, 2_400),
+                new Step(Action.START, 1, 0, 1),
+                new Step(Action.TAKE_UP, 1, 0, 1));
+        Model model = new Model().run(steps);
+        assert model.takenUp == 1 && model.refused == 0;
+    }
+
+    /** A node was killed after a release, and its record was never needed before. */
+    @Example
+    void streamOfAVersionThatLeftIsNotTakenForOneOfTheOnlyVersion() {
+        List<Step> steps = List.of(
+                new Step(Action.REPLACE_ALL, 0, 1, 0),
+                new Step(Action.START, 0, 0, 1),
+                new Step(Action.RECORD, 0, 0, 1),
+                new Step(Action.BEGIN, 0, 0, 1),
+                new Step(Action.KILL_ALL, 0, 0, 1),
+                new Step(Action.REPLACE_ALL, 0, 2, 5),
+                new Step(Action.START, 1, 0, 1),
+                new Step(Action.TAKE_UP, 1, 0, 1));
+        Model model = new Model().run(steps);
+        assert model.takenUp == 0 && model.refused == 1;
+    }
+
+    /** The copy is older than the record, and the version has left since. */
+    @Example
+    void recordThatARestoreLostIsWrittenAgain() {
+        List<Step> steps = List.of(
+                new Step(Action.COPY, 0, 0, 1),
+                new Step(Action.REPLACE_ALL, 0, 1, 0),
+                new Step(Action.START, 0, 0, 1),
+                new Step(Action.RECORD, 0, 0, 1),
+                new Step(Action.BEGIN, 0, 0, 1),
+                new Step(Action.REPLACE_ALL, 0, 2, 5),
+                new Step(Action.READ, 0, 0, 1),
+                new Step(Action.RESTORE, 0, 0, 1),
+                new Step(Action.REPLACE_ALL, 0, 2, 5),
+                new Step(Action.READ, 0, 0, 2_400),
+                new Step(Action.RECORD, 0, 0, 1),
+                new Step(Action.CLEAN, 0, 0, 1),
+                new Step(Action.KILL_ALL, 0, 0, 1),
+                new Step(Action.START, 1, 0, 1),
+                new Step(Action.TAKE_UP, 1, 0, 1));
+        Model model = new Model().run(steps);
+        assert model.takenUp == 0 && model.refused == 1;
+    }
+}
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -248,7 +248,8 @@
                         service,
                         routes.service(service).flatMap(RelayService::engine),
                         team,
-                        route.isRepeatable() && route.maxAttempts() > 1),
+                        route.isRepeatable() && route.maxAttempts() > 1,
+                        route.isStream() && route.resumable()),
                 server -> context.waiting().reservedTokens(this, server));
         if (!bindToOrigin()) {
             return;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/NodeItems.java
@@ -10,12 +10,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.UUID;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cowslipbank.decision.relay.SoftwareVersions;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -29,6 +31,7 @@
     private static final String SOUND = "sound/";
     private static final String PROBES = "probes/";
     private static final String ORIGINS = "streams/";
+    private static final String SOFTWARE = "software/";
     private static final double MAX_CORES = 100_000;
 
     private final String prefix;
@@ -70,6 +73,21 @@
         return key.startsWith(prefix + ORIGINS);
     }
 
+    /** Key of the record of a software version; the names themselves may be longer than a key. */
+    String softwareKey(SoftwareVersions.Version version) {
+        byte[] names = (version.service() + "\n" + version.softwareVersion()).getBytes(StandardCharsets.UTF_8);
+        return prefix + SOFTWARE + UUID.nameUUIDFromBytes(names);
+    }
+
+    boolean isSoftwareKey(String key) {
+        return key.startsWith(prefix + SOFTWARE);
+    }
+
+    /** Key of the mark that names the era of the store up to which no stream's software version is missing. */
+    String completeStreamsEraKey() {
+        return prefix + "complete-streams-era";
+    }
+
     /** Key of the mark that names the era of the store up to which no writes are missing. */
     String completeEraKey() {
         return prefix + "complete-era";
@@ -227,6 +245,21 @@
         return reports;
     }
 
+    static byte[] encodeSoftware(SoftwareVersions.Version version) {
+        ObjectNode value = MAPPER.createObjectNode();
+        value.put("service", version.service()).put("softwareVersion", version.softwareVersion());
+        return encodeJson(value);
+    }
+
+    static SoftwareVersions.Version decodeSoftware(byte[] value) throws IOException {
+        JsonNode tree = MAPPER.readTree(value);
+        if (!tree.path("service").isTextual() || !tree.path("softwareVersion").isTextual()) {
+            throw new IOException("record of a software version lacks the service or the version");
+        }
+        return new SoftwareVersions.Version(
+                tree.path("service").asText(), tree.path("softwareVersion").asText());
+    }
+
     static byte[] encodeEra(long era) {
         return encodeText(Long.toString(era));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -19,6 +19,7 @@
 import org.cowslipbank.decision.relay.NamedVersions;
 import org.cowslipbank.decision.relay.RestoreSettling;
 import org.cowslipbank.decision.relay.RouteTable;
+import org.cowslipbank.decision.relay.SoftwareVersions;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.suspects.CrashEvidence;
 import org.cowslipbank.decision.suspects.CrashVerdicts;
@@ -69,8 +70,13 @@
     /** Time in milliseconds at which a vanished registration is dropped, by name of the upstream or node. */
     private final Map<String, Long> dropVanishedAtMillis = new HashMap<>();
 
+    /** Records of software versions that the store has, by key. */
+    private final Map<String, SoftwareRecord> softwareRecords = new HashMap<>();
+
     private Optional<RouteTable> routes = Optional.empty();
     private Set<String> streamServices = Set.of();
+    private long era;
+    private OptionalLong markedStreamsEra = OptionalLong.empty();
     /** Registrations since the software versions were recorded last; some may have been removed again. */
     private final List<UpstreamServer> unrecorded = new ArrayList<>();
 
@@ -89,6 +95,15 @@
     private boolean viewOutdated = true;
     private boolean upstreamsChanged;
 
+    /**
+     * The store's record of a software version.
+     *
+     * @param key its key
+     * @param version the version
+     * @param revision revision of its last change
+     */
+    record SoftwareRecord(String key, SoftwareVersions.Version version, long revision) {}
+
     /**
      * Creates a state without any item.
      *
@@ -224,6 +239,9 @@
         }
         List<StoreItem> all = range.items();
         boolean restored = settling.onRead(range.era(), markedEra(all), nowMillis);
+        boolean firstReading = revision == 0;
+        era = range.era();
+        markedStreamsEra = OptionalLong.empty();
         if (restored) {
             // What is missing now is written again, as after an outage.
             onReconnected(nowMillis);
@@ -248,6 +266,17 @@
             apply(item, nowMillis);
         }
         revision = atRevision;
+        if (firstReading && markedStreamsEra.isPresent() && markedStreamsEra.getAsLong() < era) {
+            // No node has marked that it knows the versions from before the restore.
+            origins.onReportsLost(nowMillis);
+        }
+        softwareRecords.keySet().retainAll(present);
+        origins.versions()
+                .onAllRecordsRead(
+                        softwareRecords.values().stream()
+                                .map(SoftwareRecord::version)
+                                .collect(Collectors.toSet()),
+                        lostChanges);
         for (UpstreamServer server : List.copyOf(servers.values())) {
             boolean listed = all.stream().anyMatch(item -> item.key().endsWith("/" + server.id()));
             if (!listed) {
@@ -305,6 +334,30 @@
         settling.onMarked(era);
     }
 
+    /**
+     * Returns the era of the store that should be marked as one in which the software versions of all streams are known.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return the era, or empty if it is marked, or versions may be missing
+     */
+    OptionalLong streamsEraToMark(long nowMillis) {
+        boolean marked = markedStreamsEra.isPresent() && markedStreamsEra.getAsLong() >= era;
+        boolean known = isSettled(nowMillis) && !origins.isUncertain(nowMillis);
+        return era > 0 && !marked && known ? OptionalLong.of(era) : OptionalLong.empty();
+    }
+
+    /**
+     * Returns the records of software versions that are no longer needed.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return the records of versions at which no stream can be taken up any more
+     */
+    List<SoftwareRecord> expiredSoftwareRecords(long nowMillis) {
+        return softwareRecords.values().stream()
+                .filter(known -> origins.versions().hasExpired(known.version(), nowMillis))
+                .toList();
+    }
+
     /**
      * Returns whether an earlier leader may be missing in the store, because it was restored.
      *
@@ -560,6 +613,14 @@
             }
             return;
         }
+        if (items.isSoftwareKey(item.key())) {
+            onSoftwareRecord(item, nowMillis);
+            return;
+        }
+        if (item.key().equals(items.completeStreamsEraKey())) {
+            markedStreamsEra = item.isRemoved() ? OptionalLong.empty() : NodeItems.decodeEra(item.value());
+            return;
+        }
         if (item.key().equals(items.completeEraKey())) {
             if (!item.isRemoved()) {
                 NodeItems.decodeEra(item.value()).ifPresent(settling::onMarked);
@@ -576,6 +637,17 @@
         }
     }
 
+    private void onSoftwareRecord(StoreItem item, long nowMillis) throws IOException {
+        if (item.isRemoved()) {
+            Optional.ofNullable(softwareRecords.remove(item.key()))
+                    .ifPresent(known -> origins.versions().onRecordRemoved(known.version()));
+            return;
+        }
+        SoftwareVersions.Version version = NodeItems.decodeSoftware(item.value());
+        softwareRecords.put(item.key(), new SoftwareRecord(item.key(), version, item.revision()));
+        origins.onRecorded(version, nowMillis);
+    }
+
     private void applyCrashItem(StoreItem item, long nowMillis) throws IOException {
         Optional<NodeItems.CrashKey> crash = items.parseCrashKey(item.key());
         if (crash.isPresent()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -89,6 +89,7 @@
     private final HubFeedClient hubClient;
     private final CacheStoreCleaner cleaner;
     private final StreamOriginReports originReports;
+    private final SoftwareVersionRecorder softwareRecorder;
     private final LoadDigests digests;
     private final RelayContext context;
     private final ClientHttpServer clientServer;
@@ -157,6 +158,7 @@
         this.rollouts = new RolloutController(controlContext, lease, platform.engines(), notices, settings.bounds());
         CrashReports crashReports = new CrashReports(controlContext, reachability, state::onSoundAnswers);
         this.originReports = new StreamOriginReports(controlContext, origins);
+        this.softwareRecorder = new SoftwareVersionRecorder(controlContext, state, origins.versions(), lease::isLeader);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
         RelayMetrics relayMetrics = new RelayMetrics(metrics);
@@ -267,6 +269,7 @@
         lease.start();
         rollouts.start();
         originReports.start();
+        softwareRecorder.start();
         log.logState(LogFields.event("node started")
                 .field("node", settings.nodeName())
                 .field("dataCentre", settings.dataCentre())
@@ -446,6 +449,7 @@
         return new PlatformWatcher.Listener() {
             @Override
             public void onView(PlatformView view) {
+                softwareRecorder.onView();
                 loop.execute(() -> applyView(view));
             }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -48,8 +48,14 @@
      * @param engine properties of its engines, empty for a plain service
      * @param team the client's team, empty on anonymous routes
      * @param mayBeTakenBack true if the request may be sent to another engine while it has not begun
+     * @param resumable true if the answer is a stream that its client may take up at any node
      */
-    record Target(String service, Optional<EngineTraits> engine, Optional<RelayTeam> team, boolean mayBeTakenBack) {}
+    record Target(
+            String service,
+            Optional<EngineTraits> engine,
+            Optional<RelayTeam> team,
+            boolean mayBeTakenBack,
+            boolean resumable) {}
 
     /**
      * Creates a placement.
@@ -272,6 +278,7 @@
         boolean closed = versionAgeIfOld(view, server).stream()
                 .anyMatch(ageMillis -> OldWeightsPolicy.isExcluded(ageMillis, boundMillis, target.mayBeTakenBack()));
         return !closed
+                && mayBeginAt(server)
                 && (probing
                         ? context.notices().mayProbe(server.incarnation(), now())
                         : context.notices().maySend(server.incarnation(), now()))
@@ -285,6 +292,12 @@
                         .isAvailable(server.incarnation(), context.turns().lastReadMillis());
     }
 
+    private boolean mayBeginAt(UpstreamServer server) {
+        return !target.resumable()
+                || softwareVersion.isPresent()
+                || context.origins().versions().mayBegin(target.service(), server.softwareVersion());
+    }
+
     /**
      * Returns whether an engine's silence is shared by most engines, so that it is no reason to move the request. Requests
      * of plain servers are short, and a second run costs less than the wait.
--- /dev/null
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/SoftwareVersionRecorder.java
@@ -0,0 +1,151 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.cowslipbank.decision.relay.SoftwareVersions;
+import org.cowslipbank.decision.relay.SoftwareVersions.Version;
+import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.ports.relay.MetadataStore;
+
+/**
+ * Keeps a record of each software version at which streams may have begun in the metadata store, see
+ * {@link SoftwareVersions}. Every node writes a record that is missing, because it may not send to the version before; the
+ * leader removes those that are no longer needed. Confined to the control thread.
+ */
+final class SoftwareVersionRecorder {
+    /** Delay per node before it in the order of names, so that usually one node writes and the others read the record. */
+    static final long DELAY_MILLIS_PER_NODE = 5;
+
+    /** Pause after a write that failed; the version's upstreams get no streams until it succeeds. */
+    static final long RETRY_MILLIS = 100;
+
+    /** Interval at which the leader removes records, and marks the era of a store that was restored. */
+    static final long LEADER_CHECK_MILLIS = 1_000;
+
+    private final ControlContext context;
+    private final PlatformState state;
+    private final SoftwareVersions versions;
+    private final BooleanSupplier isLeader;
+    private boolean scheduled;
+
+    SoftwareVersionRecorder(
+            ControlContext context, PlatformState state, SoftwareVersions versions, BooleanSupplier isLeader) {
+        this.context = context;
+        this.state = state;
+        this.versions = versions;
+        this.isLeader = isLeader;
+    }
+
+    void start() {
+        context.control()
+                .schedulePeriodically(
+                        new GuardedTask("records of software versions", this::lead, context.log()),
+                        LEADER_CHECK_MILLIS,
+                        LEADER_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** Called when upstreams or records have changed. */
+    void onView() {
+        if (!unrecorded().isEmpty()) {
+            schedule(delayMillis());
+        }
+    }
+
+    private long delayMillis() {
+        List<String> names = new ArrayList<>(context.view().get().nodes().keySet());
+        Collections.sort(names);
+        int index = names.indexOf(context.self().name());
+        return DELAY_MILLIS_PER_NODE * (index < 0 ? names.size() : index);
+    }
+
+    private void schedule(long millis) {
+        if (scheduled) {
+            return;
+        }
+        scheduled = true;
+        context.control()
+                .schedule(
+                        new GuardedTask("records of software versions", this::writeMissing, context.log()),
+                        millis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void writeMissing() {
+        scheduled = false;
+        unrecorded().forEach(this::write);
+    }
+
+    private List<Version> unrecorded() {
+        return versions.unrecorded(context.clocks().nowMillis());
+    }
+
+    private void write(Version version) {
+        String key = context.items().softwareKey(version);
+        MetadataStore.Write write = new MetadataStore.Write(key, NodeItems.encodeSoftware(version), 0);
+        context.store()
+                .writeIf(write, Map.of(key, MetadataStore.ABSENT))
+                .publishOn(context.control())
+                .subscribe(
+                        revision -> {
+                            // Without a revision another node has written it.
+                            versions.onRecorded(version, context.clocks().nowMillis());
+                            context.log()
+                                    .logState(LogFields.event("software version recorded")
+                                            .field("service", version.service())
+                                            .field("softwareVersion", version.softwareVersion())
+                                            .field("storeRevision", revision.orElse(0L)));
+                        },
+                        error -> {
+                            context.log()
+                                    .logState(LogFields.event("software version not recorded; no stream begins there")
+                                            .field("service", version.service())
+                                            .field("softwareVersion", version.softwareVersion())
+                                            .error(error));
+                            schedule(RETRY_MILLIS);
+                        });
+    }
+
+    private void lead() {
+        if (!isLeader.getAsBoolean()) {
+            return;
+        }
+        long nowMillis = context.clocks().nowMillis();
+        state.expiredSoftwareRecords(nowMillis).forEach(this::remove);
+        OptionalLong era = state.streamsEraToMark(nowMillis);
+        if (era.isPresent() && unrecorded().isEmpty()) {
+            mark(era.getAsLong());
+        }
+    }
+
+    private void remove(PlatformState.SoftwareRecord expired) {
+        context.store()
+                .removeIf(expired.key(), expired.revision())
+                .subscribe(
+                        removed -> context.log()
+                                .logState(LogFields.event("record of software version removed")
+                                        .field("service", expired.version().service())
+                                        .field(
+                                                "softwareVersion",
+                                                expired.version().softwareVersion())
+                                        .field("removed", removed)),
+                        error -> context.log()
+                                .logState(LogFields.event(
+                                                "record of software version not removed; the next turn" + " repeats it")
+                                        .error(error)));
+    }
+
+    private void mark(long era) {
+        context.store()
+                .write(new MetadataStore.Write(context.items().completeStreamsEraKey(), NodeItems.encodeEra(era), 0))
+                .subscribe(revision -> {}, error -> context.log()
+                        .logState(LogFields.event("era of stream origins not marked; the next turn repeats it")
+                                .error(error)));
+    }
+}
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -35,6 +35,7 @@
     private volatile boolean historyLost;
     private volatile boolean silent;
     private volatile boolean watchesHeld;
+    private volatile boolean readOnly;
 
     synchronized void put(String key, String value) {
         put(key, value.getBytes(StandardCharsets.UTF_8), 0);
@@ -69,6 +70,11 @@
         watchesHeld = areHeld;
     }
 
+    /** Rejects what nodes write; reads and leases are not affected. */
+    void setReadOnly(boolean isReadOnly) {
+        readOnly = isReadOnly;
+    }
+
     /** Makes the next watch report that the changes since its revision are no longer known. */
     void loseHistory() {
         historyLost = true;
@@ -90,6 +96,13 @@
         return Optional.ofNullable(items.get(key));
     }
 
+    private <T> Mono<T> writeCall(java.util.function.Supplier<T> answer) {
+        return Mono.defer(() -> readOnly
+                ? Mono.error(new PeerException(
+                        ProcessingStep.KEY_VALUE, "store", RunState.NOT_RUN, "store is set read-only by the test"))
+                : call(answer));
+    }
+
     private <T> Mono<T> call(java.util.function.Supplier<T> answer) {
         return Mono.defer(() -> {
             if (silent) {
@@ -137,7 +150,7 @@
 
     @Override
     public Mono<Optional<Long>> writeIf(Write write, Map<String, Long> expectedRevisions) {
-        return call(() -> {
+        return writeCall(() -> {
             boolean asExpected = expectedRevisions.entrySet().stream()
                     .allMatch(expected -> expected.getValue() == revisionOf(expected.getKey()));
             if (!asExpected) {
@@ -165,7 +178,7 @@
 
     @Override
     public Mono<Optional<Long>> write(Write write) {
-        return call(() -> {
+        return writeCall(() -> {
             put(write.key(), write.value(), write.lease());
             return Optional.of(revision);
         });
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -151,8 +151,8 @@
                 Optional.empty(),
                 Optional.empty(),
                 List.of());
-        RequestPlacement.Target target =
-                new RequestPlacement.Target("llm", Optional.of(new EngineTraits(1, 100, 1, 1, List.of())), team, true);
+        RequestPlacement.Target target = new RequestPlacement.Target(
+                "llm", Optional.of(new EngineTraits(1, 100, 1, 1, List.of())), team, true, false);
         return new RequestPlacement(context(), request, target, incarnation -> 0)
                 .planSend(state.view().servers().get(engineId), 1_000, 0, Optional.empty());
     }
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SoftwareVersionRecorderTest.java
@@ -0,0 +1,112 @@
+package org.cowslipbank.entry.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import org.cowslipbank.decision.relay.SoftwareVersions.Version;
+import org.cowslipbank.decision.relay.StreamOrigins;
+import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.entry.traffic.MonotonicClock;
+import org.cowslipbank.model.relay.StoreItem;
+import org.cowslipbank.platform.MetadataItemDecoder;
+import org.cowslipbank.ports.relay.MetadataStore;
+
+/** Failure guarded against: a node that starts does not learn of a software version at which streams have begun. */
+final class SoftwareVersionRecorderTest {
+    private static final String EVENTS = "id: 1\ndata: a\n\n";
+    private static final Version OLD = new Version("llm", "v1");
+    private static final Version NEW = new Version("llm", "v2");
+
+    private final NodeItems items = new NodeItems("cowslipbank/");
+    private final StreamOrigins origins = new StreamOrigins();
+    private final PlatformState state = new PlatformState(
+            new MetadataItemDecoder(),
+            items,
+            origins,
+            new RefusalProbes(),
+            new DecisionLog(MonotonicClock.SYSTEM, 1),
+            5_000);
+
+    private static void answer(ScriptedUpstream.Received request, Socket socket) throws IOException {
+        ScriptedUpstream.beginStream(request, socket, EVENTS);
+        ScriptedUpstream.endStream(socket);
+    }
+
+    @Example
+    void resumableStreamsBeginOnceTheirVersionIsRecorded() throws Exception {
+        try (RelaySystem system = new RelaySystem()) {
+            system.engine("i-1", "v1", SoftwareVersionRecorderTest::answer);
+            system.start();
+            system.store.setReadOnly(true);
+            ScriptedUpstream second = system.engine("i-2", "v2", SoftwareVersionRecorderTest::answer);
+            system.store.remove("servers/i-1");
+            system.awaitStoreApplied();
+            assert system.send("/stream/", "r1", "", "prompt").startsWith("HTTP/1.1 503");
+            assert second.received.isEmpty() : second.received;
+            assert system.send("/once/", "r2", "", "prompt").startsWith("HTTP/1.1 200");
+            system.store.setReadOnly(false);
+            RelaySystem.await(
+                    "the version is recorded", () -> system.store.keys().contains(items.softwareKey(NEW)));
+            assert system.send("/stream/", "r3", "", "prompt").startsWith("HTTP/1.1 200");
+        }
+    }
+
+    private StoreItem item(String key, byte[] value, long revision) {
+        return new StoreItem(key, value, revision, revision, 0);
+    }
+
+    private StoreItem software(Version version, long revision) {
+        return item(items.softwareKey(version), NodeItems.encodeSoftware(version), revision);
+    }
+
+    private static byte[] text(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void start(List<StoreItem> all, long era) {
+        state.applySnapshot(new MetadataStore.Range(all, 100, era), 0, Long.MAX_VALUE, 0);
+    }
+
+    @Example
+    void recordExpiresWithTheLastStreamOfItsVersion() {
+        start(List.of(software(OLD, 5), software(NEW, 6)), 0);
+        origins.onRegistered("llm", Set.of("v2"), 0);
+        assert state.expiredSoftwareRecords(StreamOrigins.STREAM_LIFE_MILLIS - 1)
+                .isEmpty();
+        assert origins.onlyVersion("llm", StreamOrigins.STREAM_LIFE_MILLIS).isEmpty();
+        List<PlatformState.SoftwareRecord> expired = state.expiredSoftwareRecords(StreamOrigins.STREAM_LIFE_MILLIS);
+        assert expired.size() == 1 && expired.get(0).version().equals(OLD) : expired;
+        state.applyChanges(
+                List.of(new StoreItem(items.softwareKey(OLD), null, 101, 0, 0)), 101, StreamOrigins.STREAM_LIFE_MILLIS);
+        assert origins.onlyVersion("llm", StreamOrigins.STREAM_LIFE_MILLIS).equals(Optional.of("v2"));
+    }
+
+    /** The store was restored while no node ran, and another node has marked the era as complete since. */
+    @Example
+    void nodeThatStartsAfterARestoreTakesNoVersionForTheOnlyOne() {
+        start(
+                List.of(
+                        item(items.completeEraKey(), text("2"), 5),
+                        item(items.completeStreamsEraKey(), text("1"), 6),
+                        software(NEW, 7)),
+                2);
+        origins.onRegistered("llm", Set.of("v2"), 0);
+        assert state.streamsEraToMark(StreamOrigins.STREAM_LIFE_MILLIS - 1).isEmpty();
+        assert origins.onlyVersion("llm", StreamOrigins.STREAM_LIFE_MILLIS - 1).isEmpty();
+        assert origins.onlyVersion("llm", StreamOrigins.STREAM_LIFE_MILLIS).equals(Optional.of("v2"));
+        assert state.streamsEraToMark(StreamOrigins.STREAM_LIFE_MILLIS).getAsLong() == 2;
+    }
+
+    @Example
+    void recordsThatARestoreLostAreWrittenAgain() {
+        start(List.of(item(items.completeEraKey(), text("1"), 5), software(OLD, 6), software(NEW, 7)), 1);
+        state.applySnapshot(
+                new MetadataStore.Range(List.of(item(items.completeEraKey(), text("1"), 5)), 90, 2), 100, 0, 1_000);
+        assert Set.copyOf(origins.versions().unrecorded(1_000)).equals(Set.of(OLD, NEW));
+    }
+}
