Remember a stream's version from its last take-up on

A client that takes a stream up several times in a row names the attempt that brought the first event. The time now counts from the last take-up, and the node that serves it reports the origin again while a service has several versions.

StreamOriginsTest.streamThatIsTakenUpIsRememberedFromThenOn is new; there was no call for it before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -121,6 +121,19 @@
         addOwn(service, request, softwareVersion, nowMillis);
     }
 
+    /**
+     * Records that a stream is taken up at this node, so that it may be taken up again for as long as after its begin.
+     *
+     * @param service the service
+     * @param request identifier of the request that brought the stream's first event
+     * @param softwareVersion version at which it goes on
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onTakenUp(String service, String request, String softwareVersion, long nowMillis) {
+        originByRequest.remove(request);
+        addOwn(service, request, softwareVersion, nowMillis);
+    }
+
     private boolean addOwn(String service, String request, String softwareVersion, long nowMillis) {
         Origin known = originByRequest.get(request);
         boolean unchanged = known != null && known.softwareVersion().equals(softwareVersion);
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -149,4 +149,16 @@
         origins.onBegun(SERVICE, longId, "v1", 10 + LIFE);
         assert find(longId, 10 + LIFE).isEmpty();
     }
+
+    /** A client takes its stream up several times in a row, so that the last time is long after the begin. */
+    @Example
+    void streamThatIsTakenUpIsRememberedFromThenOn() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.onBegun(SERVICE, "r1", "v1", 0);
+        origins.takeUnreported(1);
+        origins.onTakenUp(SERVICE, "r1", "v1", LIFE - 1);
+        assert origins.takeUnreported(LIFE).equals(List.of(new Report(SERVICE, "v1", List.of("r1"))));
+        origins.onBegun(SERVICE, "r2", "v2", LIFE + 1);
+        assert find("r1", LIFE + 1).equals(Optional.of("v1"));
+    }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamVersionsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamVersionsTest.java
@@ -399,6 +399,7 @@
             assert version.get().equals(stream.version)
                     : stream.request + " of " + stream.version + " goes on at " + version.get();
             if (node.versionByEngine.containsValue(version.get())) {
+                node.origins.onTakenUp(SERVICE, stream.request, version.get(), nowMillis);
                 stream.lastMillis = nowMillis;
                 takenUp++;
             }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -293,6 +293,7 @@
             return false;
         }
         placement.requireSoftwareVersion(version.get());
+        request.resumes().ifPresent(first -> context.origins().onTakenUp(service, first, version.get(), now()));
         request.lastEventId().ifPresent(splitter::resumeAfter);
         context.log()
                 .logRequest(streamLine("stream taken up")
