Hold a request back from an upstream that has started again

Between the choice of an upstream and the send its connection may have to be opened, while the upstream starts again under its identifier, perhaps with another software version, and its new registration is read. The request went there as one of the old version. It is now sent elsewhere, as for an upstream that has begun to leave. Without a test: nothing separates the two moments on loopback.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -73,6 +73,10 @@
 
     @Override
     public Optional<String> heldBack() {
+        UpstreamServer registered = context.view().get().servers().get(server.id());
+        if (registered != null && !registered.incarnation().equals(server.incarnation())) {
+            return Optional.of("upstream has started again, perhaps with another software version");
+        }
         return !inPause && context.notices().isHeldBack(server.incarnation(), now())
                 ? Optional.of("upstream leaves or wants a pause")
                 : Optional.empty();
