Measure the wait for a returned scope from its return

CacheStoreFollowerTest.storesAreReadAgainWhenAScopeReturns failed once beside load. The scope returns with configuration 4; configuration 5 has no group that is new, so the reading is the one that was scheduled at configuration 4. The test took its start after configuration 5, and its end up to 20 ms after the reading. It held only while the second error was the larger one: a node that waits the whole 2,000 ms measures less if the test thread is late.

The start is now read just before the change is applied, the end by the cache store when it is called. The bound is the same, and a reading that is early by the test's polling interval is no longer missed.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.DefaultEventLoop;
 import net.jqwik.api.Example;
@@ -38,6 +39,7 @@
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final List<String> asked = new CopyOnWriteArrayList<>();
+    private volatile long lastAskedMillis;
     private final AtomicBoolean hasHub = new AtomicBoolean();
     private final CacheIndex cacheIndex = new CacheIndex();
     private final PlatformState state;
@@ -78,6 +80,7 @@
 
         @Override
         public Mono<CacheChanges> cacheChanges(String address, long since, long waitMillis) {
+            lastAskedMillis = Clocks.SYSTEM.nowMillis();
             asked.add(address);
             return Mono.never();
         }
@@ -124,6 +127,7 @@
     @Example
     void storesAreReadAgainWhenAScopeReturns() throws InterruptedException {
         hasHub.set(true);
+        AtomicLong returnedMillis = new AtomicLong();
         onLoop(() -> {
             follower.refresh();
             PollRequest poll = new PollRequest(2, follower.cursors("hub"));
@@ -133,6 +137,7 @@
             state.applyChanges(List.of(configuration(3, false)), 3, 0);
             follower.refresh();
             assert cacheIndex.size() == 1;
+            returnedMillis.set(Clocks.SYSTEM.nowMillis());
             state.applyChanges(List.of(configuration(4, true)), 4, 0);
             follower.refresh();
             assert cacheIndex.size() == 0;
@@ -143,14 +148,13 @@
         hasHub.set(false);
         onLoop(follower::refresh);
         onLoop(() -> state.applyChanges(List.of(configuration(5, false)), 5, 0));
-        asked.clear();
-        long returnedMillis = Clocks.SYSTEM.nowMillis();
         onLoop(follower::refresh);
         while (asked.isEmpty()) {
             Thread.sleep(20);
         }
         // A free that is under way is not carried out after the reading.
-        assert Clocks.SYSTEM.nowMillis() - returnedMillis >= CacheScopeUse.ENTRY_DELAY_MILLIS;
+        long waitedMillis = lastAskedMillis - returnedMillis.get();
+        assert waitedMillis >= CacheScopeUse.ENTRY_DELAY_MILLIS : waitedMillis;
         assert asked.equals(List.of("10.0.0.1:80")) : asked;
     }
 
