Wait for sound answers before a popular prompt part is refused

Engines fail together for a reason of their own: a rack, a power supply. A node that loses three or more upstreams at once reports only what they have in common, as one crash. Of 86 nodes each has requests at one or two of six engines that fail, so none of them sees it, and together they report six crashes. A part that many prompts share is in three of them and is refused on all nodes until an answer has cleared it everywhere, which takes a second with hubs. Among the requests refused are streams that clients take up, so that fewer of these go on than of new ones.

A part that was in an answer of this node which went on well within the last minute is now refused only 1.5 s after its second crash became known, if no such answer has cleared it by then. Parts that were in none, as one that crashes each engine, and whole requests are refused at once as before. Each node decides by what it has seen; nothing that nodes exchange changes.

partOfSoundAnswersIsAnsweredWhileEnginesFailTogether fails before (503).

--- a/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/CrashEvidence.java
@@ -148,9 +148,21 @@
                         .add(suspect));
             }
         }
-        Set<String> refused = new HashSet<>();
-        CrashCauses.find(suspectsByCrash.values(), MIN_CRASHES).forEach(cause -> refused.add(cause.id()));
-        return new CrashVerdicts(refused, watched, suspectedAtRevision.keySet());
+        Map<String, Long> watchedSinceByCause = new HashMap<>();
+        CrashCauses.find(suspectsByCrash.values(), MIN_CRASHES)
+                .forEach(cause -> watchedSinceByCause.put(cause.id(), watchedSinceMillis(cause)));
+        return new CrashVerdicts(
+                watchedSinceByCause.keySet(), watched, watchedSinceByCause, suspectedAtRevision.keySet());
+    }
+
+    /** Returns when this node received the first report on the crash from which on a suspect is watched. */
+    private long watchedSinceMillis(Suspect suspect) {
+        return unclearedCrashes(suspect, soundAtRevision).stream()
+                .mapToLong(incarnation -> crashes.get(incarnation).receivedMillis())
+                .sorted()
+                .skip(MIN_WATCHED_CRASHES - 1)
+                .findFirst()
+                .orElseThrow();
     }
 
     private List<String> unclearedCrashes(Suspect suspect, Map<String, Long> evidence) {
--- a/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/suspects/CrashEvidenceTest.java
@@ -14,7 +14,7 @@
     private final CrashEvidence evidence = new CrashEvidence();
 
     private static CrashVerdicts suspectedOnly(String suspect) {
-        return new CrashVerdicts(Set.of(), Set.of(), Set.of(suspect));
+        return new CrashVerdicts(Set.of(), Set.of(), Map.of(), Set.of(suspect));
     }
 
     /** Failure guarded against: the reports of several nodes on one crash count as several crashes. */
@@ -109,4 +109,15 @@
         evidence.addReport("i-4@1", Set.of(POPULAR), 4, 0);
         assert evidence.verdicts().refused().equals(Set.of("popular")) : evidence.verdicts();
     }
+
+    /** Failure guarded against: further crashes put off the refusal of a part that was in sound answers before them. */
+    @Example
+    void refusedPartIsWatchedSinceTheSecondCrashThatWasNotCleared() {
+        evidence.addReport("i-1@1", Set.of(POPULAR), 1, 10);
+        evidence.addSound(Map.of("popular", 1L));
+        for (int crash = 2; crash <= 6; crash++) {
+            evidence.addReport("i-" + crash + "@1", Set.of(POPULAR), crash, 10 * crash);
+        }
+        assert evidence.verdicts().watchedSinceMillis().equals(Map.of("popular", 30L)) : evidence.verdicts();
+    }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -14,6 +14,7 @@
 import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.decision.suspects.SoundParts;
 import org.cowslipbank.ports.relay.RelayCodec;
 import org.cowslipbank.ports.relay.RelaySettings;
 
@@ -43,6 +44,7 @@
  * @param retries this node's share of the retry budgets
  * @param crashReports reports crashes of upstreams, and answers that went on well, to all nodes
  * @param probes requests that are sent although they are refused because of crashes
+ * @param soundParts prompt parts of answers that went on well
  * @param origins software versions at which streams began
  * @param originReports reports to all nodes where streams begin
  * @param stop whether the node is stopping, and what it still serves then
@@ -73,6 +75,7 @@
         RetryBudgets retries,
         CrashReports crashReports,
         RefusalProbes probes,
+        SoundParts soundParts,
         StreamOrigins origins,
         StreamOriginReports originReports,
         NodeStop stop,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -24,6 +24,7 @@
 import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.decision.suspects.SoundParts;
 import org.cowslipbank.entry.admin.PrometheusText;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -222,6 +223,7 @@
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashReports,
                 probes,
+                new SoundParts(),
                 origins,
                 originReports,
                 new NodeStop(clocks),
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestSuspects.java
@@ -9,10 +9,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
+import org.cowslipbank.decision.suspects.CrashVerdicts;
 import org.cowslipbank.decision.suspects.Fingerprint;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.model.TeamId;
-import org.cowslipbank.model.relay.PromptPart;
 import org.cowslipbank.model.relay.PromptShape;
 import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.RelayRequest;
@@ -32,6 +32,7 @@
     private Set<Suspect> suspects;
     private boolean isProbe;
     private boolean mayHaveRun;
+    private boolean awaitedLogged;
 
     /**
      * Creates the suspects of a request; they are derived when they are first needed.
@@ -49,8 +50,9 @@
     }
 
     /**
-     * Returns whether the request is refused because it, or one of its parts, is taken as the cause of crashes. The leader
-     * lets a few such requests through, as probes, until they may have run.
+     * Returns whether the request is refused because it, or one of its parts, is taken as the cause of crashes. A part that
+     * was in sound answers lately is not refused while one that clears it may still be told. The leader lets a few refused
+     * requests through, as probes, until they may have run.
      *
      * @return true if it must not be sent
      */
@@ -60,9 +62,13 @@
         if (isProbe || refused.isEmpty()) {
             return false;
         }
-        Set<String> own =
+        Set<String> causes =
                 suspects().stream().map(Suspect::id).filter(refused::contains).collect(Collectors.toSet());
+        Set<String> own = causes.stream()
+                .filter(cause -> !mayBeCleared(view.crashes(), cause))
+                .collect(Collectors.toSet());
         if (own.isEmpty()) {
+            logAwaited(causes);
             return false;
         }
         if (mayHaveRun || !view.isLedBy(context.settings().nodeName())) {
@@ -81,6 +87,25 @@
         return !isProbe;
     }
 
+    private boolean mayBeCleared(CrashVerdicts verdicts, String cause) {
+        return context.soundParts()
+                .mayBeCleared(
+                        cause,
+                        verdicts.watchedSinceMillis().get(cause),
+                        context.clocks().nowMillis());
+    }
+
+    private void logAwaited(Set<String> causes) {
+        if (causes.isEmpty() || awaitedLogged) {
+            return;
+        }
+        awaitedLogged = true;
+        context.log()
+                .logRequest(LogFields.event("request not refused yet; its parts were in sound answers")
+                        .field("request", request.id())
+                        .field("causes", causes));
+    }
+
     /** Records that an attempt failed and may have run, so that the request is not sent again while it is refused. */
     void onPossibleRun() {
         isProbe = false;
@@ -99,6 +124,7 @@
 
     /** Clears the suspects, since an answer to the request went on well. */
     void reportSound() {
+        context.soundParts().onSound(partIds(), context.clocks().nowMillis());
         PlatformView newest = context.view().get();
         Set<String> suspected = newest.crashes().suspected();
         Set<String> watched = newest.crashes().watched();
@@ -121,11 +147,17 @@
         return suspects;
     }
 
+    private List<String> partIds() {
+        return request.prompt().map(PromptShape::sharedParts).orElse(List.of()).stream()
+                .map(part -> PART + part.id())
+                .toList();
+    }
+
     private Set<Suspect> derive() {
-        List<PromptPart> parts = request.prompt().map(PromptShape::sharedParts).orElse(List.of());
+        List<String> parts = partIds();
         Set<Suspect> derived = new HashSet<>();
         for (int depth = 0; depth < parts.size(); depth++) {
-            derived.add(new Suspect(PART + parts.get(depth).id(), depth));
+            derived.add(new Suspect(parts.get(depth), depth));
         }
         long fingerprint = Fingerprint.of(team, request.path(), ByteBufUtil.getBytes(body), 0);
         derived.add(new Suspect(REQUEST + Long.toHexString(fingerprint), parts.size()));
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CrashingPromptPartTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -12,6 +13,8 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
+import org.cowslipbank.decision.suspects.CrashCauses.Suspect;
+import org.cowslipbank.decision.suspects.SoundParts;
 import org.cowslipbank.model.PeerException;
 
 /** Tests a node whose engines crash when they begin to answer requests with a certain prompt part. */
@@ -185,6 +188,43 @@
         }
     }
 
+    /**
+     * Failure guarded against: engines fail together for a reason of their own, each of many nodes reports one of them, and
+     * a part that all requests share is refused everywhere.
+     */
+    @Example
+    void partOfSoundAnswersIsAnsweredWhileEnginesFailTogether() {
+        assert sendSound(1).startsWith("HTTP/1.1 200");
+        system.stopClock();
+        reportByOtherNodes("aa");
+        for (int number = 2; number < 12; number++) {
+            String answer = sendSound(number);
+            assert answer.startsWith("HTTP/1.1 200") : answer;
+        }
+    }
+
+    /** Failure guarded against: a part of sound answers that begins to crash engines is never refused. */
+    @Example
+    void partOfEarlierSoundAnswersIsRefusedInTheEnd() {
+        assert sendSound(1).startsWith("HTTP/1.1 200");
+        system.stopClock();
+        reportByOtherNodes("aa");
+        system.advanceClock(SoundParts.EVIDENCE_WAIT_MILLIS);
+        String answer = sendSound(2);
+        assert answer.startsWith("HTTP/1.1 503") : answer;
+    }
+
+    /** Reports that three engines crashed at the same moment, each by another node. */
+    private void reportByOtherNodes(String part) {
+        NodeItems items = new NodeItems("cowslipbank/");
+        String value =
+                new String(NodeItems.encodeSuspects(Set.of(new Suspect("part:" + part, 0))), StandardCharsets.UTF_8);
+        for (int engine = 1; engine <= 3; engine++) {
+            system.store.put(items.crashKey("other-" + engine, "lost-" + engine + "@1"), value);
+        }
+        system.awaitStoreApplied();
+    }
+
     /** Failure guarded against: a probe that crashes an engine is sent to another one and crashes that as well. */
     @Example
     void probeOfACrashingPartReachesOneEngine() throws Exception {
