Hold ends by close until the upstream has proved alive

Callers got a whole answer whose rest was missing: a stream or a plain body that has neither a length nor chunks ends with its connection, and a process that is killed closes its connections in the same way (FIN).

Cause: the close alone counted as the answer's end.

Events are passed on as before. The end is held until the same incarnation is known to be alive after the close: an engine must answer its report and name the start that is registered, another upstream must keep a new connection open for 20 ms, which serves the next requests. A process that is killed closes its listener with its connections, so neither can succeed. A later start that is registered, a refused call and no answer within 1 s make the answer BROKEN: a resumable stream goes on elsewhere behind its last event, another one is cut off, a plain answer is retried or ends as 502. Answers of one upstream share checks; a connection that is reset is tried once more.

In AnswerEndCheckTest 20 streams that end together make 3 calls at most.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -13,6 +13,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import org.cowslipbank.decision.relay.EndEvidence;
 import org.cowslipbank.decision.relay.EventSplitter;
 import org.cowslipbank.decision.relay.ForwardingNodes;
 import org.cowslipbank.decision.relay.RetryDelay;
@@ -891,6 +892,7 @@
         private boolean ownAnswer;
         private long progressMillis;
         private int rejectionBytes;
+        private Optional<AnswerEndChecks.Pending> endCheck = Optional.empty();
 
         Attempt(AttemptTarget target) {
             this.target = target;
@@ -1028,6 +1030,7 @@
             if (checkTimer != null) {
                 checkTimer.cancel(false);
             }
+            endCheck.ifPresent(AnswerEndChecks.Pending::cancel);
             bufferedBody.release();
             target.onEnded(outcome);
         }
@@ -1220,18 +1223,56 @@
                 onDeadline();
             } else if (streaming && splitter.hasIncompleteEvent()) {
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
-            } else if (streaming) {
-                context.metrics().onSkippedIds(splitter.skippedIds());
-                framing = Optional.of(connection.framing());
-                settle(Outcome.ANSWERED);
-                suspects.reportSound();
-                client.end();
-                finish(ANSWERED, head.status());
-            } else if (connection.isAnswerWithin(bufferedBody)) {
+            } else if (!streaming && connection.isAnswerWithin(bufferedBody)) {
                 onAttemptFailed(Outcome.FAILED, true, "another answer within the body");
+            } else if (connection.endedByClose()) {
+                checkEnd();
             } else {
+                onWholeAnswer();
+            }
+        }
+
+        /** Holds the end of the answer until the upstream is known to be alive: a killed one closes in the same way. */
+        private void checkEnd() {
+            if (checkTimer != null) {
+                checkTimer.cancel(false);
+            }
+            Optional<UpstreamServer> server = target.upstream();
+            if (server.isEmpty()) {
+                onAttemptFailed(Outcome.BROKEN, true, "answer of another node without a length or chunks");
+                return;
+            }
+            endCheck = Optional.of(context.endChecks()
+                    .check(
+                            server.get(),
+                            placement.targetsEngines(),
+                            evidence -> guarded(() -> onEndChecked(evidence))));
+        }
+
+        private void onEndChecked(EndEvidence evidence) {
+            if (settled) {
+                return;
+            }
+            if (evidence == EndEvidence.ALIVE) {
+                onWholeAnswer();
+                return;
+            }
+            target.connections().onBroken(target.address());
+            onAttemptFailed(
+                    Outcome.BROKEN, true, "connection closed, and the upstream is not known to be alive: " + evidence);
+        }
+
+        private void onWholeAnswer() {
+            if (!streaming) {
                 onBufferedAnswer();
+                return;
             }
+            context.metrics().onSkippedIds(splitter.skippedIds());
+            framing = Optional.of(connection.framing());
+            settle(Outcome.ANSWERED);
+            suspects.reportSound();
+            client.end();
+            finish(ANSWERED, head.status());
         }
 
         private void onUnservedEnd() {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -30,6 +30,7 @@
  * @param clocks the clocks
  * @param loop the traffic thread
  * @param connections connections to upstreams
+ * @param endChecks checks whether upstreams outlived the close that ends an answer without a length
  * @param reachability whether this node is cut off from the upstreams
  * @param forwarding other nodes to which requests are passed while it is
  * @param loads load and availability of upstreams as seen by this node
@@ -60,6 +61,7 @@
         Clocks clocks,
         EventLoop loop,
         UpstreamConnectionPool connections,
+        AnswerEndChecks endChecks,
         UpstreamReachability reachability,
         RequestForwarding forwarding,
         UpstreamLoads loads,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -26,6 +26,9 @@
     private final Counter answersBrokenOff;
     private final Counter malformedAnswers;
     private final Counter skippedIds;
+    private final Counter answerEndCalls;
+    private final Counter answerEndsProved;
+    private final Counter answerEndsUnproved;
     private final Counter fetches;
     private final Counter partsFreed;
     private final Counter freesFailed;
@@ -50,6 +53,9 @@
         this.answersBrokenOff = registry.counter("relay.answersBrokenOff");
         this.malformedAnswers = registry.counter("relay.malformedAnswers");
         this.skippedIds = registry.counter("relay.skippedEventIds");
+        this.answerEndCalls = registry.counter("relay.answerEndCalls");
+        this.answerEndsProved = registry.counter("relay.answerEndsProved");
+        this.answerEndsUnproved = registry.counter("relay.answerEndsUnproved");
         this.fetches = registry.counter("cache.fetches");
         this.partsFreed = registry.counter("cache.partsFreed");
         this.freesFailed = registry.counter("cache.freesFailed");
@@ -125,6 +131,16 @@
         counter.inc();
     }
 
+    /** Counts a call that asks whether an upstream outlived the close of its connection. */
+    void onAnswerEndCall() {
+        answerEndCalls.inc();
+    }
+
+    /** Counts answers whose end was the close of their connection, by whether their upstream was alive after it. */
+    void onAnswerEndsChecked(int answers, boolean alive) {
+        (alive ? answerEndsProved : answerEndsUnproved).inc(answers);
+    }
+
     /** Counts a send for which the engine fetches parts from cache stores. */
     void onFetch() {
         fetches.inc();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -208,6 +208,7 @@
                 clocks,
                 loop,
                 connections,
+                new AnswerEndChecks(platform.engines(), connections, watcher::view, loop, clocks, relayMetrics, log),
                 reachability,
                 forwarding,
                 loads,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -72,6 +72,7 @@
     private int skippedBytes;
     private boolean reusable = true;
     private AnswerAnomaly.Framing framing = AnswerAnomaly.Framing.UNKNOWN;
+    private boolean endedByClose;
     private long bodyBytes;
     private Throwable error;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
@@ -267,6 +268,19 @@
         return framing == AnswerAnomaly.Framing.UNTIL_CLOSE;
     }
 
+    /**
+     * Returns whether the last answer ended because the connection was closed. An answer that has no body ends at its head.
+     *
+     * @return true if only the close marked the end
+     */
+    boolean endedByClose() {
+        return endedByClose;
+    }
+
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
     AnswerAnomaly.Framing framing() {
         return framing;
     }
@@ -314,6 +328,7 @@
             fail(UpstreamListener.Failure.BROKEN, "connection reset before the end of the answer");
             return;
         }
+        endedByClose = endsAtClose() && !channel.isActive();
         UpstreamListener ended = listener;
         listener = null;
         if (decoder.hasUnreadBytes()) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -242,6 +242,7 @@
 
     void register(
             String service, String id, String address, String state, long startedAtMillis, String softwareVersion) {
+        engines.startedAtMillis.putIfAbsent(address, startedAtMillis);
         store.put(
                 "servers/" + id,
                 ("{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"a\",\"Slots\":16,\"State\":\"%s\",\"born\":%d,"
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -120,6 +120,7 @@
                 null,
                 null,
                 null,
+                null,
                 new UpstreamLoads(),
                 null,
                 null,
--- a/entry/src/test/java/org/cowslipbank/entry/relay/ScriptedUpstream.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/ScriptedUpstream.java
@@ -35,13 +35,14 @@
     final List<Received> received = new CopyOnWriteArrayList<>();
     final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
+    private final Thread accepting;
     private volatile Script script;
     private volatile long downUntilNanos = System.nanoTime();
 
     ScriptedUpstream(Script script) throws IOException {
         this.script = script;
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread accepting = new Thread(this::accept, "upstream");
+        accepting = new Thread(this::accept, "upstream");
         accepting.setDaemon(true);
         accepting.start();
     }
@@ -51,8 +52,10 @@
     }
 
     /** Refuses connections from now on; those that are open stay. */
-    void stopListening() throws IOException {
+    void stopListening() throws IOException, InterruptedException {
         server.close();
+        // The system goes on accepting until the thread has seen the close.
+        accepting.join();
     }
 
     void setScript(Script next) {
--- a/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/EngineControl.java
@@ -19,9 +19,15 @@
      * @param acceptedOrders number of commands accepted since the engine's start
      * @param running running requests
      * @param queued queued requests
+     * @param startedAtMillis when the engine was started, in Unix milliseconds; empty if not stated
      */
     record Report(
-            Map<String, Long> versionByModel, boolean executingOrder, long acceptedOrders, int running, int queued) {
+            Map<String, Long> versionByModel,
+            boolean executingOrder,
+            long acceptedOrders,
+            int running,
+            int queued,
+            OptionalLong startedAtMillis) {
         /** Makes an unmodifiable copy of the map; null keys and values are rejected with NullPointerException. */
         public Report {
             versionByModel = Map.copyOf(versionByModel);
