Check where a resumed stream goes on

Callers could get events twice, or miss some, where a stream goes on at another upstream: nothing names an event without an id, so that the next upstream wrote it once more, and a first event that leaves numbers out, has none or another kind of id was passed on.

A stream goes on elsewhere only if the last data that was passed on has an id. The first event from there must have an id that follows. A gap within the answer of one upstream stays a counter: it is the upstream's numbering, and nothing is lost between two events of one connection. An event with two ids is malformed, as the end of one event and the begin of the next are missing.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/EventSplitter.java
@@ -17,10 +17,14 @@
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte COMMENT = ':';
     private static final String NUMBER = "[0-9]{1,18}";
+    /** Identifier of the first event of a stream whose upstream numbers its events. */
+    private static final String FIRST_ID = "1";
+
     private static final byte[] STATUS_LINE = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     /** Fields of events, and none, the name of comments. */
     private static final Set<String> EVENT_FIELDS = Set.of("data", "event", "id", "retry", "");
 
+    private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private byte[] incompleteEvent = new byte[0];
@@ -28,6 +32,12 @@
     private boolean hasEvent;
     private boolean malformed;
     private long skippedIds;
+    /** True if data was passed on since the last identifier. */
+    private boolean unnamedData;
+    /** True if the next event is the first one of an upstream that goes on behind the last event. */
+    private boolean joining;
+    /** True if the identifiers number the events of the stream from 1 on. */
+    private boolean countsEvents;
 
     /**
      * Sets where the stream goes on, so that an event which the client already has is malformed.
@@ -36,6 +46,7 @@
      */
     public void resumeAfter(String eventId) {
         lastEventId = eventId;
+        joining = true;
     }
 
     /**
@@ -96,10 +107,24 @@
         return incompleteEvent.length > MAX_INCOMPLETE_BYTES;
     }
 
-    /** Discards the buffered bytes of an incomplete or malformed event, so that the stream can go on elsewhere. */
+    /**
+     * Discards the buffered bytes of an incomplete or malformed event, so that the stream can go on elsewhere. The first event
+     * from there must follow the last one.
+     */
     public void discardIncompleteEvent() {
         incompleteEvent = new byte[0];
         malformed = false;
+        joining = lastEventId != null;
+    }
+
+    /**
+     * Returns whether another upstream can be told where to go on: nothing names an event without an identifier, so that
+     * it would be repeated.
+     *
+     * @return false if data without an identifier was passed on behind the last event that has one
+     */
+    public boolean canGoOnElsewhere() {
+        return !unnamedData;
     }
 
     /**
@@ -143,8 +168,8 @@
     private boolean isWellFormed(byte[] bytes, int from, int to) {
         int lineStart = from;
         boolean behindStatusLine = false;
-        String before = lastEventId;
-        long skippedBefore = skippedIds;
+        boolean data = false;
+        Optional<String> id = Optional.empty();
         for (int index = from; index < to; index++) {
             if (bytes[index] != LINE_FEED) {
                 continue;
@@ -152,15 +177,20 @@
             int end = lineEnd(bytes, lineStart, index);
             // An upstream that broke off within an event may write another answer behind it, as its error.
             boolean answer = behindStatusLine && end > lineStart && !hasEventField(bytes, lineStart, end);
-            if (answer || !acceptLine(bytes, lineStart, end)) {
-                lastEventId = before;
-                skippedIds = skippedBefore;
+            if (answer || !isField(bytes, lineStart, end)) {
+                return false;
+            }
+            data = data || startsWith(bytes, lineStart, end, DATA_FIELD);
+            Optional<String> named = idOf(bytes, lineStart, end);
+            if (id.isPresent() && named.isPresent()) {
+                // The end of one event and the begin of the next one are missing.
                 return false;
             }
+            id = id.or(() -> named);
             behindStatusLine = behindStatusLine || contains(bytes, lineStart, end, STATUS_LINE);
             lineStart = index + 1;
         }
-        return true;
+        return accept(id, data);
     }
 
     private static boolean hasEventField(byte[] bytes, int from, int to) {
@@ -180,18 +210,13 @@
         return false;
     }
 
-    private boolean acceptLine(byte[] bytes, int from, int to) {
+    /** Returns whether a line is a field, a comment or the end of an event. */
+    private boolean isField(byte[] bytes, int from, int to) {
         if (from == to || bytes[from] == COMMENT) {
             return true;
         }
         hasEvent = true;
-        if (!hasFieldName(bytes, from, to)) {
-            return false;
-        }
-        return !isIdField(bytes, from, to)
-                || acceptId(
-                        new String(bytes, from + ID_FIELD.length, to - from - ID_FIELD.length, StandardCharsets.UTF_8)
-                                .trim());
+        return hasFieldName(bytes, from, to);
     }
 
     /** Returns whether a line begins with the name of a field; a status line or a sentence does not. */
@@ -206,19 +231,56 @@
         return true;
     }
 
-    private boolean acceptId(String id) {
-        boolean comparable = lastEventId != null && id.matches(NUMBER) && lastEventId.matches(NUMBER);
-        long step = comparable ? Long.parseLong(id) - Long.parseLong(lastEventId) : 1;
-        if (step <= 0) {
+    /** Takes an event over as the last one if it follows the one before. */
+    private boolean accept(Optional<String> id, boolean data) {
+        if (id.isEmpty() && joining && data) {
+            // Nothing tells it from one that the client has.
             return false;
         }
-        skippedIds += step - 1;
-        lastEventId = id;
+        if (id.isEmpty()) {
+            unnamedData = unnamedData || data;
+            return true;
+        }
+        if (lastEventId != null && !follows(id.get())) {
+            return false;
+        }
+        countsEvents = lastEventId == null ? id.get().equals(FIRST_ID) : countsEvents && stepTo(id.get()) == 1;
+        skippedIds += Math.max(0, stepTo(id.get()) - 1);
+        lastEventId = id.get();
+        unnamedData = false;
+        joining = false;
         return true;
     }
 
-    private static boolean isIdField(byte[] bytes, int from, int to) {
-        return to - from > ID_FIELD.length
-                && Arrays.equals(bytes, from, from + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+    private boolean follows(String id) {
+        if (!isNumber(id) || !isNumber(lastEventId)) {
+            return !joining || !isNumber(id) && !isNumber(lastEventId) && !id.equals(lastEventId);
+        }
+        long step = stepTo(id);
+        // Upstreams that number their events leave none out; others may name each by the tokens up to it.
+        return step > 0 && !(joining && countsEvents && step > 1);
+    }
+
+    /** Returns the distance from the last identifier, one if they are no numbers. */
+    private long stepTo(String id) {
+        boolean comparable = lastEventId != null && isNumber(id) && isNumber(lastEventId);
+        return comparable ? Long.parseLong(id) - Long.parseLong(lastEventId) : 1;
+    }
+
+    private static boolean isNumber(String id) {
+        return id.matches(NUMBER);
+    }
+
+    private static boolean startsWith(byte[] bytes, int from, int to, byte[] field) {
+        return to - from >= field.length && Arrays.equals(bytes, from, from + field.length, field, 0, field.length);
+    }
+
+    /** Returns the identifier that a line states; an empty one is none. */
+    private static Optional<String> idOf(byte[] bytes, int from, int to) {
+        if (!startsWith(bytes, from, to, ID_FIELD)) {
+            return Optional.empty();
+        }
+        String id = new String(bytes, from + ID_FIELD.length, to - from - ID_FIELD.length, StandardCharsets.UTF_8);
+        return Optional.of(id.trim()).filter(text -> !text.isEmpty());
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/EventSplitterTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/EventSplitterTest.java
@@ -2,11 +2,17 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
@@ -88,6 +94,73 @@
         assert splitter.isMalformed();
     }
 
+    /** Failure guarded against: a stream goes on elsewhere with events that its client has, or leaves some out. */
+    @Property(generation = GenerationMode.EXHAUSTIVE)
+    void resumedStreamGoesOnBehindTheLastEvent(@ForAll("joins") Tuple.Tuple3<String, String, Boolean> join) {
+        EventSplitter splitter = new EventSplitter();
+        assert text(splitter.append(bytes(join.get1()))).equals(join.get1());
+        assert splitter.canGoOnElsewhere();
+        splitter.discardIncompleteEvent();
+        String passed = text(splitter.append(bytes(join.get2())));
+        assert passed.equals(join.get3() ? join.get2() : "") : join + passed;
+        assert splitter.isMalformed() != join.get3() : join;
+    }
+
+    @Provide
+    Arbitrary<Tuple.Tuple3<String, String, Boolean>> joins() {
+        String counted = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+        String sparse = "id: 1\ndata: a\n\nid: 4\ndata: b\n\n";
+        String later = "id: 5\ndata: a\n\n";
+        String named = "id: a\ndata: a\n\n";
+        return Arbitraries.of(
+                Tuple.of(counted, "id: 3\ndata: c\n\n", true),
+                Tuple.of(counted, ": open\n\nid: 3\ndata: c\n\n", true),
+                Tuple.of(counted, "data: c\nid: 3\n\ndata: d\n\n", true),
+                Tuple.of(counted, "id: 3\ndaid: 3\ndata: c\n\n", true),
+                Tuple.of(counted, "id: 3\ndata\nid: 4\ndata: c\n\n", false),
+                Tuple.of(counted, "event: end\n\n", true),
+                Tuple.of(counted, "id: 4\ndata: d\n\n", false),
+                Tuple.of(counted, "id: 2\ndata: b\n\n", false),
+                Tuple.of(counted, "data: c\n\n", false),
+                Tuple.of(counted, "id: x\ndata: c\n\n", false),
+                Tuple.of(counted, "id:\ndata: c\n\n", false),
+                Tuple.of(sparse, "id: 7\ndata: c\n\n", true),
+                Tuple.of(later, "id: 8\ndata: c\n\n", true),
+                Tuple.of(named, "id: b\ndata: c\n\n", true),
+                Tuple.of(named, "id: a\ndata: c\n\n", false),
+                Tuple.of(named, "data: c\n\n", false),
+                Tuple.of(named, "id: 2\ndata: c\n\n", false),
+                Tuple.of("", "data: c\n\n", true));
+    }
+
+    /** Failure guarded against: a client that takes a stream up gets events that it has, since they have no number. */
+    @Example
+    void streamThatIsTakenUpGoesOnBehindTheStatedEvent() {
+        for (String event : List.of("data: c\n\n", "id: 7\ndata: c\n\n", "id: x\ndata: c\n\n")) {
+            EventSplitter splitter = new EventSplitter();
+            splitter.resumeAfter("7");
+            assert text(splitter.append(bytes(event))).isEmpty() && splitter.isMalformed() : event;
+        }
+        EventSplitter splitter = new EventSplitter();
+        splitter.resumeAfter("7");
+        // How many events the numbers before stand for is not known here.
+        assert !text(splitter.append(bytes("id: 9\ndata: c\n\n"))).isEmpty() && !splitter.isMalformed();
+    }
+
+    /** Failure guarded against: events without a number are passed on again by another upstream. */
+    @Example
+    void nothingTellsWhereStreamWithoutNumbersGoesOn() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.append(bytes(": open\n\nevent: begin\n\n"));
+        assert splitter.canGoOnElsewhere();
+        splitter.append(bytes("data: a\n\n"));
+        assert !splitter.canGoOnElsewhere();
+        splitter.append(bytes("id: 2\ndata: b\n\n"));
+        assert splitter.canGoOnElsewhere();
+        splitter.append(bytes("data: c\n\nid: 3\nda"));
+        assert !splitter.canGoOnElsewhere();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -737,7 +737,7 @@
     }
 
     private boolean hasRetryLeft(int runs) {
-        boolean resumes = !headSent || route.isStream() && route.resumable();
+        boolean resumes = !headSent || route.isStream() && route.resumable() && splitter.canGoOnElsewhere();
         boolean attemptsLeft = runs < route.maxAttempts() && rejections <= MAX_REJECTED_SENDS;
         return resumes && attemptsLeft && now() < deadlineMillis && (runs == 0 || route.isRepeatable());
     }
