Read responses of the soak's clients in a class of their own

A client that takes streams up needs the part of a body that came before its connection broke, and shares the reading of heads, chunks and lengths with the client of the other kinds of run.

ClientConnection reads a head and a body apart; the bytes before an error stay with the caller.

--- a/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
@@ -1,11 +1,7 @@
 package org.cowslipbank.soak;
 
-import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Random;
@@ -38,8 +34,7 @@
     private final int longPauseMillis;
     private final BooleanSupplier stopped;
     private int requestsOnConnection;
-    private Socket socket;
-    private InputStream in;
+    private ClientConnection connection;
 
     /**
      * The team and API key that a request is sent with.
@@ -49,15 +44,9 @@
      */
     record Credentials(String team, String key) {}
 
-    private record Response(int status, String head, String body, boolean complete) {
-        private static final String SIGNATURE = StandInUpstream.signatureHeader() + ": ";
-
-        String signature() {
-            return head.lines()
-                    .filter(line -> line.startsWith(SIGNATURE))
-                    .map(line -> line.substring(SIGNATURE.length()).trim())
-                    .findFirst()
-                    .orElse("");
+    private record Response(ClientConnection.Head head, String body, boolean complete) {
+        int status() {
+            return head.status();
         }
     }
 
@@ -110,7 +99,7 @@
             connect();
             String body = "{\"n\":1}";
             String text = StandInFormats.request(path + id, id, credential.key(), body.length()) + body;
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            connection.write(text);
             written = true;
             requestsOnConnection++;
             recordOutcome(id, path, readResponse());
@@ -124,18 +113,16 @@
     }
 
     private void connect() throws IOException {
-        if (socket == null || random.nextInt(REQUESTS_PER_CONNECTION) == 0) {
+        if (connection == null || random.nextInt(REQUESTS_PER_CONNECTION) == 0) {
             close();
-            socket = new Socket(InetAddress.getLoopbackAddress(), ports.get());
-            socket.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
-            in = new BufferedInputStream(socket.getInputStream());
+            connection = new ClientConnection(ports.get(), RESPONSE_TIMEOUT_MILLIS);
             requestsOnConnection = 0;
         }
     }
 
     private void recordOutcome(String id, String path, Response response) {
-        guarantees.onHead(id, response.status(), response.signature());
-        boolean closes = response.head().contains("connection: close");
+        guarantees.onHead(id, response.status(), response.head().signature());
+        boolean closes = response.head().headers().contains("connection: close");
         if (!response.complete() || closes) {
             close();
         }
@@ -145,8 +132,9 @@
                 || response.status() == 408) {
             guarantees.onRejected(id, "status " + response.status());
         } else if (response.status() == 200 && response.complete()) {
-            guarantees.onServed(id, isExpected(id, path, response), response.head() + response.body());
-            guarantees.onWholeSuccess(id, response.signature());
+            guarantees.onServed(
+                    id, isExpected(id, path, response), response.head().headers() + response.body());
+            guarantees.onWholeSuccess(id, response.head().signature());
         } else {
             if (!response.complete()) {
                 guarantees.onUnanswered(id, requestsOnConnection > 1, "answer is incomplete");
@@ -162,74 +150,21 @@
                         .collect(Collectors.joining())
                 : StandInUpstream.body(id);
         String signature = StandInUpstream.signatureHeader() + ": " + StandInUpstream.signaturePrefix(id);
-        return response.body().equals(expected) && response.head().contains(signature.toLowerCase(Locale.ROOT));
+        return response.body().equals(expected)
+                && response.head().headers().contains(signature.toLowerCase(Locale.ROOT));
     }
 
     private Response readResponse() throws IOException {
-        String head = readLine();
-        if (!head.startsWith("HTTP/1.1 ")) {
-            throw new IOException("connection ended or sent no HTTP status line: '" + head + "'");
-        }
-        int status = Integer.parseInt(head.substring(9, 12));
-        StringBuilder headers = new StringBuilder();
-        int length = 0;
-        boolean chunked = false;
-        for (String line = readLine(); !line.isEmpty(); line = readLine()) {
-            String lower = line.toLowerCase(Locale.ROOT);
-            headers.append(lower).append('\n');
-            if (lower.startsWith("content-length:")) {
-                length = Integer.parseInt(lower.substring(15).trim());
-            }
-            chunked |= lower.startsWith("transfer-encoding:") && lower.contains("chunked");
-        }
+        ClientConnection.Head head = connection.readHead();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        boolean complete = chunked ? readChunks(body) : readExactly(length, body);
-        return new Response(status, headers.toString(), body.toString(StandardCharsets.UTF_8), complete);
-    }
-
-    private boolean readChunks(ByteArrayOutputStream body) throws IOException {
-        while (true) {
-            String size = readLine();
-            if (size.isEmpty()) {
-                return false;
-            }
-            int length = Integer.parseInt(size, 16);
-            if (!readExactly(length, body)) {
-                return false;
-            }
-            readLine();
-            if (length == 0) {
-                return true;
-            }
-        }
-    }
-
-    private boolean readExactly(int length, ByteArrayOutputStream body) throws IOException {
-        byte[] bytes = in.readNBytes(length);
-        body.write(bytes);
-        return bytes.length == length;
-    }
-
-    private String readLine() throws IOException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
-            if (next != '\r') {
-                line.write(next);
-            }
-        }
-        return line.toString(StandardCharsets.UTF_8);
+        boolean complete = connection.readBody(head, body);
+        return new Response(head, body.toString(StandardCharsets.UTF_8), complete);
     }
 
     private void close() {
-        if (socket == null) {
-            return;
-        }
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // The connection is dropped whether or not the close succeeds.
-            socket = null;
+        if (connection != null) {
+            connection.close();
         }
-        socket = null;
+        connection = null;
     }
 }
