Add soaks of streams that clients take up

All upstreams of the soak had one software version, its streams lasted 0.3 s, and its clients never took one up, so it could not find streams that are joined from two software versions or end before their last event.

Clients take streams up at other nodes with `Last-Event-Id` and `Resumes`. StreamOrderChecker compares the events of all requests for a stream with the runs that engines saw. Stand-ins state `born` in their report.

--- a/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -49,6 +50,9 @@
                 "calm", "Instead of faults: silent upstreams, second answers, changes, versions and planned stops.");
         OptionSpec<Void> cache = parser.accepts(
                 "cache", "Instead of faults of all kinds: those that concern which cached prompt parts are in use.");
+        OptionSpec<Void> streams = parser.accepts(
+                "streams",
+                "Instead of faults of all kinds: releases of engines, power losses, and clients that take streams up.");
         OptionSpec<String> otherJar = parser.accepts(
                         "other-jar", "Jar of another build that runs on every second node; restarts change the build.")
                 .withRequiredArg();
@@ -64,11 +68,15 @@
         if (seconds <= 0 || parsed.valueOf(nodes) < 1) {
             throw new UsageException("minutes and nodes must be above zero");
         }
-        if (parsed.has(calm) && parsed.has(cache)) {
-            throw new UsageException("calm and cache exclude each other");
+        Map<SoakRun.Kind, OptionSpec<Void>> kinds =
+                Map.of(SoakRun.Kind.CALM, calm, SoakRun.Kind.CACHE, cache, SoakRun.Kind.STREAMS, streams);
+        List<SoakRun.Kind> chosen = kinds.keySet().stream()
+                .filter(candidate -> parsed.has(kinds.get(candidate)))
+                .toList();
+        if (chosen.size() > 1) {
+            throw new UsageException("calm, cache and streams exclude each other");
         }
-        SoakRun.Kind other = parsed.has(cache) ? SoakRun.Kind.CACHE : SoakRun.Kind.FAULTS;
-        SoakRun.Kind kind = parsed.has(calm) ? SoakRun.Kind.CALM : other;
+        SoakRun.Kind kind = chosen.isEmpty() ? SoakRun.Kind.FAULTS : chosen.get(0);
         List<List<String>> programs = new ArrayList<>(List.of(program(ownJar())));
         parsed.valuesOf(otherJar).forEach(jar -> programs.add(program(jar)));
         return runSoak(kind, chosenSeed, seconds, parsed.valueOf(nodes), programs, console);
@@ -113,6 +121,20 @@
                             outcome.secondAnswers(),
                             outcome.slotUse(),
                             outcome.violations().size());
+            if (kind == SoakRun.Kind.STREAMS) {
+                SoakRun.StreamFigures streams = outcome.streams();
+                console.out()
+                        .printf(
+                                "%d streams, %d whole, %d joined from several software versions; undisturbed: %d of %d new "
+                                        + "ones began, %d of %d that were taken up went on%n",
+                                streams.streams(),
+                                streams.whole(),
+                                streams.joined(),
+                                streams.begun(),
+                                streams.begins(),
+                                streams.wentOn(),
+                                streams.takenUp());
+            }
             outcome.violations().forEach(console.out()::println);
             return outcome.guaranteesHeld() ? ExitCode.DONE : ExitCode.OUTCOME_MISSED;
         } catch (IOException e) {
--- a/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
+++ b/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
@@ -25,7 +25,7 @@
         assertGuaranteesHold(SoakRun.Kind.CALM);
     }
 
-    private static void assertGuaranteesHold(SoakRun.Kind kind) throws Exception {
+    static void assertGuaranteesHold(SoakRun.Kind kind) throws Exception {
         Path directory = Files.createTempDirectory("soak-test-");
         List<String> program = List.of("-cp", System.getProperty("java.class.path"), Main.class.getName());
         SoakRun.Plan plan = new SoakRun.Plan(kind, SEED, SECONDS, NODES, List.of(program), directory);
--- a/soak/src/main/java/org/cowslipbank/soak/NodeProcess.java
+++ b/soak/src/main/java/org/cowslipbank/soak/NodeProcess.java
@@ -21,6 +21,7 @@
 
     private boolean pausedWhileTerminating;
     private int starts;
+    private volatile long startedAtMillis;
 
     /**
      * Writes the settings of a node; {@link #start} starts it.
@@ -42,10 +43,15 @@
         return name;
     }
 
+    long startedAtMillis() {
+        return startedAtMillis;
+    }
+
     synchronized void start() throws IOException {
         terminating = false;
         pausedWhileTerminating = false;
         starts++;
+        startedAtMillis = System.currentTimeMillis();
         File output = settings.resolveSibling(name + "-" + starts + ".log").toFile();
         List<String> command = new ArrayList<>(List.of(
                 System.getProperty("java.home") + "/bin/java",
@@ -77,6 +83,18 @@
         return first;
     }
 
+    /**
+     * Kills the process at once, also if it is suspended.
+     *
+     * @return true if this is the first terminating signal since the start
+     */
+    synchronized boolean kill() {
+        boolean first = !terminating;
+        terminating = true;
+        process.destroyForcibly();
+        return first;
+    }
+
     /**
      * Sends a signal that does not terminate the process.
      *
--- a/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
@@ -48,6 +48,19 @@
     /** Time within which the registrations of upstreams are back after the metadata store's return. */
     private static final int MAX_REREGISTRATION_MILLIS = 1_900;
 
+    /** Faults while nodes start after a power loss and carry streams again; many nodes take longer. */
+    private static final int FAULTS_WHILE_A_NODE_STARTS = 4;
+
+    private static final int NODES_PER_FURTHER_FAULT = 3;
+
+    /** Time from a power loss to the start of the nodes. */
+    private static final int MIN_DOWN_MILLIS = 500;
+
+    private static final int MAX_DOWN_MILLIS = 2_500;
+
+    /** Longest time between a release and a power loss; no node has written a report of it then. */
+    private static final int MAX_RELEASE_MILLIS = 250;
+
     private final SoakRun.Plan plan;
     private final SoakPlatform platform;
     private final SoakNodes nodes;
@@ -60,6 +73,9 @@
     private final Consumer<String> progress;
     private final List<String> faults = new ArrayList<>();
     private final long endMillis;
+    private final int faultsWhileNodesStart;
+    private int faultsSincePowerLoss;
+    private boolean released;
 
     /** A fault: its name, its longest duration, and the actions that begin and end it. */
     private record Fault(String name, int maxMillis, Action begin, Action end) {
@@ -90,12 +106,15 @@
         this.random = random;
         this.seriesRandom = new Random(plan.seed() * 17 + 3);
         this.progress = progress;
+        this.faultsWhileNodesStart = FAULTS_WHILE_A_NODE_STARTS + plan.nodes() / NODES_PER_FURTHER_FAULT;
         this.endMillis = System.currentTimeMillis() + plan.seconds() * 1_000;
     }
 
     /** Injects faults until the time for them is over. */
     void inject() throws IOException, InterruptedException {
-        timer.schedule(this::changeIsolation, MIN_ISOLATED_MILLIS, TimeUnit.MILLISECONDS);
+        if (plan.kind() != SoakRun.Kind.STREAMS) {
+            timer.schedule(this::changeIsolation, MIN_ISOLATED_MILLIS, TimeUnit.MILLISECONDS);
+        }
         while (System.currentTimeMillis() < endMillis) {
             Thread.sleep(between(random, MIN_GAP_MILLIS, MAX_GAP_MILLIS));
             begin(drawFault(), random);
@@ -143,6 +162,7 @@
             case FAULTS -> drawAnyFault();
             case CALM -> drawCalmChange();
             case CACHE -> drawCacheFault();
+            case STREAMS -> drawStreamFault();
         };
     }
 
@@ -214,6 +234,94 @@
         };
     }
 
+    /** Draws what breaks streams off, and releases of engines. */
+    private Fault drawStreamFault() {
+        int index = random.nextInt(nodes.count());
+        NodeProcess node = nodes.node(index);
+        faultsSincePowerLoss++;
+        if (faultsSincePowerLoss > faultsWhileNodesStart + 1 && random.nextBoolean()) {
+            return powerLoss(drawRelease());
+        }
+        // Until the first power loss all engines have one version, and nodes that start see no further release for a
+        // while.
+        boolean mayRelease = released && faultsSincePowerLoss > faultsWhileNodesStart;
+        return switch (mayRelease ? random.nextInt(20) : 4 + random.nextInt(16)) {
+            case 0, 1, 2 -> new Fault(
+                    "release", () -> record("release of " + engines().release()), () -> {});
+            case 3 -> new Fault(
+                    "whole release", () -> record("release of " + engines().replace()), () -> {});
+            case 4, 5, 6, 7, 8 -> new Fault(
+                    "kill of an engine", () -> record(engines().killOne()), () -> {});
+            case 9, 10, 11, 12 -> new Fault("reset of streams", engines()::resetStreams, () -> {});
+            case 13, 14, 15 -> termination(node, "KILL");
+            case 16 -> pause(node);
+            case 17 -> disturbing(cut(
+                    drawMode(random), "metadata store " + node.name(), MAX_FAULT_MILLIS, nodes.toMetadataStore(index)));
+            case 18 -> disturbing(metadataStoreFault());
+            default -> new Fault("compaction", platform.metadataStore()::compact, () -> {});
+        };
+    }
+
+    private Release drawRelease() {
+        Release drawn = Release.values()[random.nextInt(Release.values().length)];
+        Release first = drawn == Release.NONE ? Release.WHILE_DOWN : drawn;
+        Release release = released ? drawn : first;
+        faultsSincePowerLoss = 0;
+        released = true;
+        return release;
+    }
+
+    private StreamEngines engines() {
+        return platform.engines();
+    }
+
+    private Fault disturbing(Fault fault) {
+        return new Fault(
+                fault.name(),
+                fault.maxMillis(),
+                () -> {
+                    platform.beginDisturbance();
+                    fault.begin().run();
+                },
+                () -> {
+                    fault.end().run();
+                    platform.endDisturbance();
+                });
+    }
+
+    /** When engines are replaced by ones of another version, as seen from the power loss of all nodes. */
+    private enum Release {
+        NONE,
+        BEFORE,
+        WHILE_DOWN
+    }
+
+    /** Kills all nodes at once, and starts them again. */
+    private Fault powerLoss(Release release) {
+        int startMillis = between(random, MIN_DOWN_MILLIS, MAX_DOWN_MILLIS);
+        int releaseMillis = random.nextInt(MAX_RELEASE_MILLIS);
+        return new Fault(
+                "power loss of all nodes, start after " + startMillis + " ms, release " + release + " " + releaseMillis
+                        + " ms",
+                () -> {
+                    if (release == Release.BEFORE) {
+                        record("release of " + engines().replace());
+                        Thread.sleep(releaseMillis);
+                    }
+                    List<NodeProcess> killed = nodes.killAll();
+                    record("killed " + killed.size() + " nodes");
+                    timer.schedule(
+                            () -> killed.forEach(node -> run(() -> nodes.restart(node), "start of " + node.name())),
+                            startMillis,
+                            TimeUnit.MILLISECONDS);
+                    if (release == Release.WHILE_DOWN) {
+                        Thread.sleep(releaseMillis);
+                        record("release of " + engines().replace());
+                    }
+                },
+                () -> {});
+    }
+
     private static Fault pause(NodeProcess node) {
         return new Fault("pause " + node.name(), () -> node.signal("STOP"), () -> node.signal("CONT"));
     }
--- a/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
@@ -89,6 +89,15 @@
         return clientPorts.get(random.nextInt(clientPorts.size()));
     }
 
+    int clientPort(int index) {
+        return clientPorts.get(index);
+    }
+
+    /** Kills all nodes at once, and returns those that were not being terminated. */
+    List<NodeProcess> killAll() {
+        return nodes.stream().filter(NodeProcess::kill).toList();
+    }
+
     /** Returns the index of the node that leads, as the metadata store says. */
     Optional<Integer> leader() {
         return metadataStore.leader().flatMap(name -> {
--- a/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.cowslipbank.platform.StandInCacheStore;
 import org.cowslipbank.platform.StandInFormats;
@@ -29,6 +30,14 @@
     /** How long a cache store is down when it starts again; nodes count on more than 2.2 s. */
     private static final long STORE_RESTART_MILLIS = 3_000;
 
+    /** Time without disturbance after which nodes count as in touch, from the platform's rules. */
+    static final long CONTACT_MILLIS = 3_000;
+
+    /** Share of the streams that are answered without a length, and of those that are rejected, fail or break off. */
+    private static final double UNFRAMED_SHARE = 0.33;
+
+    private static final double BREAKING_SHARE = 0.04;
+
     /** Share of the requests that upstreams reject, fail, abort, or answer twice or without a length. */
     private static final double FAILING_SHARE = 0.08;
 
@@ -44,6 +53,8 @@
     /** What is drawn for a request that is not answered as usual, without faults. */
     private static final RunOutcome[] CALM_OUTCOMES = {RunOutcome.ANSWERED, RunOutcome.FAILED, RunOutcome.REJECTED};
 
+    private static final RunOutcome[] STREAM_OUTCOMES = {RunOutcome.REJECTED, RunOutcome.RESET, RunOutcome.CUT};
+
     private static final SecondAnswer[] CALM_SECOND_ANSWERS = {SecondAnswer.SAME, SecondAnswer.OTHER_STATUS};
 
     private final SoakRun.Plan plan;
@@ -55,6 +66,10 @@
     private final StandInStore metadataStore = new StandInStore(loops);
     private final Map<String, StandInCacheStore> cacheStores = new HashMap<>();
     private final List<Upstream> upstreams = new ArrayList<>();
+    private final StreamOrderChecker order;
+    private final StreamEngines engines;
+    private final AtomicInteger disturbances = new AtomicInteger();
+    private volatile long undisturbedSinceMillis;
     private final Map<String, List<String>> keysByTeam = new HashMap<>();
     private volatile SoakClient.Credentials[] credentials;
     private volatile boolean faultFree;
@@ -68,7 +83,6 @@
         private final FaultProxy proxy;
         private StandInUpstream server;
         private volatile String id;
-        private long startedAtMillis;
 
         Upstream(String service) throws IOException {
             this.service = service;
@@ -89,17 +103,16 @@
         }
 
         private void start(long version) {
-            startedAtMillis = System.currentTimeMillis();
             id = "i-" + service + "-" + Long.toHexString(random.nextLong());
             StandInUpstream.Resources resources =
-                    new StandInUpstream.Resources(isEngine() ? slots : PLAIN_SLOTS, cacheStores);
-            server = new StandInUpstream(id, 0, version, resources, observer(this), loops);
+                    new StandInUpstream.Resources(isEngine() ? slots : PLAIN_SLOTS, cacheStores, "");
+            server = new StandInUpstream(id, 0, version, resources, observer(service, () -> register(false)), loops);
             proxy.setTarget(server.port());
             register(false);
         }
 
         private void register(boolean draining) {
-            Map.Entry<String, String> item = server.registration(service, draining, proxy.port(), startedAtMillis);
+            Map.Entry<String, String> item = server.registration(service, draining, proxy.port());
             metadataStore.put(item.getKey(), item.getValue());
         }
 
@@ -132,16 +145,23 @@
      * @param random the seeded numbers
      * @param slots requests that an engine runs at once
      * @param guarantees receives what the stand-ins see
+     * @param order receives the runs of streams
      * @param timer for what happens later
      * @throws IOException if no port is free
      */
     SoakPlatform(
-            SoakRun.Plan plan, Random random, int slots, GuaranteeChecker guarantees, ScheduledExecutorService timer)
+            SoakRun.Plan plan,
+            Random random,
+            int slots,
+            GuaranteeChecker guarantees,
+            StreamOrderChecker order,
+            ScheduledExecutorService timer)
             throws IOException {
         this.plan = plan;
         this.random = random;
         this.slots = slots;
         this.guarantees = guarantees;
+        this.order = order;
         this.timer = timer;
         for (int index = 0; index < CACHE_STORES; index++) {
             StandInCacheStore store = new StandInCacheStore(this::drawFreeDelayMillis, loops);
@@ -149,11 +169,48 @@
         }
         keysByTeam.put("a", List.of("key-a-0"));
         keysByTeam.put("b", List.of("key-b-0"));
-        configure(variant);
-        for (int index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
+        boolean streams = plan.kind() == SoakRun.Kind.STREAMS;
+        configure(streams ? StandInFormats.Variant.LONG_STREAMS : variant);
+        for (int index = 0; index < UPSTREAMS_PER_SERVICE && !streams; index++) {
             upstreams.add(new Upstream(StandInFormats.PLAIN_SERVICE));
             upstreams.add(new Upstream(StandInFormats.ENGINE_SERVICE));
         }
+        engines = streams
+                ? new StreamEngines(metadataStore, new Random(plan.seed() * 19 + 5), timer, this::startEngine)
+                : null;
+    }
+
+    private StandInUpstream startEngine(StreamEngines.Identity identity) {
+        StandInUpstream.Resources resources =
+                new StandInUpstream.Resources(slots, cacheStores, identity.softwareVersion());
+        StandInUpstream.Observer observer = observer(StandInFormats.ENGINE_SERVICE, () -> {});
+        return new StandInUpstream(identity.id(), 0, weightVersion, resources, observer, loops);
+    }
+
+    /** Returns the engines of several software versions, which only soaks of streams have. */
+    StreamEngines engines() {
+        return engines;
+    }
+
+    /** Records the begin of a disturbance of the metadata store or of the way to it. */
+    void beginDisturbance() {
+        disturbances.incrementAndGet();
+    }
+
+    void endDisturbance() {
+        disturbances.decrementAndGet();
+        undisturbedSinceMillis = System.currentTimeMillis();
+    }
+
+    /**
+     * Returns whether nodes have reached the metadata store for a while, and two engines serve, from the platform's rules.
+     *
+     * @param softwareVersion the engines' software version, empty for any
+     */
+    boolean isUndisturbed(String softwareVersion) {
+        return disturbances.get() == 0
+                && System.currentTimeMillis() - undisturbedSinceMillis >= CONTACT_MILLIS
+                && engines.count(softwareVersion) > 1;
     }
 
     StandInStore metadataStore() {
@@ -183,12 +240,12 @@
     }
 
     /** Returns an observer that selects how the upstream handles each request and reports what it sees. */
-    private StandInUpstream.Observer observer(Upstream upstream) {
+    private StandInUpstream.Observer observer(String service, Runnable onLoaded) {
         return new StandInUpstream.Observer() {
             @Override
             public Fate onRun(StandInUpstream.Run run) {
-                guarantees.onArrival(upstream.service, run.id());
-                Fate fate = drawFate();
+                guarantees.onArrival(service, run.id());
+                Fate fate = engines == null ? drawFate() : drawStreamFate();
                 if (fate.outcome() != RunOutcome.REJECTED) {
                     guarantees.onRun(run);
                 }
@@ -215,6 +272,11 @@
                 guarantees.onBegun(run, version);
             }
 
+            @Override
+            public void onStream(StandInUpstream.Run run, String runId, String softwareVersion, int afterEvent) {
+                order.onRun(runId, new StreamOrderChecker.Run(run.id(), run.serverId(), softwareVersion, afterEvent));
+            }
+
             @Override
             public void onOrder(StandInUpstream.Order order) {
                 guarantees.onOrder(order);
@@ -222,7 +284,7 @@
 
             @Override
             public void onLoaded(long version) {
-                upstream.register(false);
+                onLoaded.run();
             }
         };
     }
@@ -243,6 +305,14 @@
         return new Fate(outcome, true, draw(draw, calm ? CALM_SECOND_ANSWERS : SecondAnswer.values()));
     }
 
+    /** Streams break with their upstreams and connections; a few are rejected, reset or cut within an event. */
+    private Fate drawStreamFate() {
+        ThreadLocalRandom draw = ThreadLocalRandom.current();
+        boolean framed = draw.nextDouble() >= UNFRAMED_SHARE;
+        boolean breaks = !faultFree && draw.nextDouble() < BREAKING_SHARE;
+        return new Fate(breaks ? draw(draw, STREAM_OUTCOMES) : RunOutcome.ANSWERED, framed, SecondAnswer.NONE);
+    }
+
     private static <T> T draw(Random draw, T[] values) {
         return values[draw.nextInt(values.length)];
     }
@@ -312,6 +382,9 @@
             upstream.proxy.close();
             upstream.server.stop();
         }
+        if (engines != null) {
+            engines.stop();
+        }
         cacheStores.values().forEach(StandInCacheStore::stop);
         metadataStore.stop();
         loops.dispose();
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.DoubleAdder;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.cowslipbank.platform.StandInFormats;
 
@@ -30,6 +31,9 @@
 
     /** Time after the last fault within which requests must be served again, from the platform's rules. */
     private static final long RECOVERY_MILLIS = 15_000;
+    /** The same for streams, whose served share is not checked: short, so that more seeds are run. */
+    private static final long STREAM_RECOVERY_MILLIS = 5_000;
+
     /** Share of the requests that must be served after recovery, from the platform's rules. */
     private static final double RECOVERED_SHARE = 0.25;
 
@@ -37,7 +41,8 @@
     private static final long FINAL_MEASUREMENT_MILLIS = 3_000;
 
     /** Without faults more: a silence then meets enough requests to use up a retry budget. */
-    private static final Map<Kind, Integer> CLIENTS_PER_NODE = Map.of(Kind.FAULTS, 4, Kind.CALM, 12, Kind.CACHE, 6);
+    private static final Map<Kind, Integer> CLIENTS_PER_NODE =
+            Map.of(Kind.FAULTS, 4, Kind.CALM, 12, Kind.CACHE, 6, Kind.STREAMS, 6);
 
     /** Slots of an engine for each client of all nodes: three quarters are then in use (measured by this test). */
     private static final double SLOTS_PER_CLIENT = 0.18;
@@ -65,7 +70,12 @@
          * What may make nodes disagree on which cached parts are in use: teams that are isolated and no longer so, versions in
          * series, a leader or a metadata store that is away for seconds, registrations that lapse, nodes that are started.
          */
-        CACHE
+        CACHE,
+        /**
+         * What breaks streams off and replaces the engines that began them: engines of several software versions that are
+         * released in series, also while all nodes are down, killed engines and nodes, resets. Clients take streams up.
+         */
+        STREAMS
     }
 
     /**
@@ -81,6 +91,19 @@
      */
     public record Plan(Kind kind, long seed, long seconds, int nodes, List<List<String>> programs, Path directory) {}
 
+    /**
+     * What was measured of streams.
+     *
+     * @param streams number of streams
+     * @param whole number of those that ended as complete
+     * @param joined number of those with events of several software versions
+     * @param begins number of new streams that were sent to a node in touch
+     * @param begun number of those that got an event
+     * @param takenUp number of streams that were taken up at a node in touch while two engines of their version served
+     * @param wentOn number of those that got a further event or their end
+     */
+    public record StreamFigures(int streams, int whole, int joined, int begins, int begun, int takenUp, int wentOn) {}
+
     /**
      * Result of a soak test.
      *
@@ -93,6 +116,7 @@
      * @param fetches number of parts that engines read from cache stores
      * @param secondAnswers number of second answers that upstreams sent
      * @param slotUse mean share of the engines' slots in use while faults were injected
+     * @param streams what was measured of streams that clients took up
      */
     public record Outcome(
             List<String> violations,
@@ -103,7 +127,8 @@
             double servedAtEnd,
             long fetches,
             long secondAnswers,
-            double slotUse) {
+            double slotUse,
+            StreamFigures streams) {
         /**
          * Returns whether every guarantee held.
          *
@@ -118,6 +143,7 @@
     private final Random random;
     private final Consumer<String> progress;
     private final GuaranteeChecker guarantees;
+    private final StreamOrderChecker order;
     private final ScheduledExecutorService timer =
             Executors.newScheduledThreadPool(TIMER_THREADS, SoakRun::newDaemonThread);
     private final DoubleAdder slotUse = new DoubleAdder();
@@ -135,6 +161,7 @@
         this.random = new Random(plan.seed());
         this.guarantees = new GuaranteeChecker(
                 BOUNDS, SoakPlatform.DRAIN_MILLIS, plan.kind() == Kind.CALM, System::currentTimeMillis);
+        this.order = new StreamOrderChecker(violation -> guarantees.check(false, violation));
         this.progress = progress;
     }
 
@@ -148,8 +175,8 @@
     public Outcome run() throws IOException, InterruptedException {
         Files.createDirectories(plan.directory());
         int clients = plan.nodes() * CLIENTS_PER_NODE.get(plan.kind());
-        int slots = (int) Math.ceil(clients * SLOTS_PER_CLIENT);
-        SoakPlatform platform = new SoakPlatform(plan, random, slots, guarantees, timer);
+        int slots = (int) Math.ceil(clients * (plan.kind() == Kind.STREAMS ? 1 : SLOTS_PER_CLIENT));
+        SoakPlatform platform = new SoakPlatform(plan, random, slots, guarantees, order, timer);
         SoakNodes nodes = new SoakNodes(BOUNDS, platform.metadataStore(), guarantees);
         // Destroys the node processes if the JVM is stopped during the test.
         Thread cleanup = new Thread(nodes::destroy, "soak-cleanup");
@@ -182,19 +209,23 @@
         for (int index = 0; index < count; index++) {
             Random own = new Random(plan.seed() * 31 + index);
             SoakClient.Credentials[] current = {platform.credentials()[0]};
-            SoakClient client = new SoakClient(
-                    guarantees,
-                    own,
-                    () -> {
-                        // A client uses the old key for a while after a key rotation.
-                        if (own.nextInt(REQUESTS_PER_KEY) == 0) {
-                            current[0] = platform.credentials()[own.nextInt(platform.credentials().length)];
-                        }
-                        return current[0];
-                    },
-                    () -> nodes.clientPort(own),
-                    plan.kind() == Kind.CALM ? SHORT_IDLE_LIMIT_MILLIS * 4 / 5 : 0,
-                    () -> stopped);
+            Supplier<SoakClient.Credentials> credentials = () -> {
+                // A client uses the old key for a while after a key rotation.
+                if (own.nextInt(REQUESTS_PER_KEY) == 0) {
+                    current[0] = platform.credentials()[own.nextInt(platform.credentials().length)];
+                }
+                return current[0];
+            };
+            Runnable client = plan.kind() == Kind.STREAMS
+                    ? new StreamClient(
+                            guarantees, order, own, credentials, nodes, platform::isUndisturbed, () -> stopped)
+                    : new SoakClient(
+                            guarantees,
+                            own,
+                            credentials,
+                            () -> nodes.clientPort(own),
+                            plan.kind() == Kind.CALM ? SHORT_IDLE_LIMIT_MILLIS * 4 / 5 : 0,
+                            () -> stopped);
             newDaemonThread(client).start();
         }
     }
@@ -202,20 +233,24 @@
     private Outcome finish(SoakPlatform platform, SoakNodes nodes, SoakFaults faults)
             throws IOException, InterruptedException {
         double meanSlotUse = slotUse.sum() / Math.max(1, slotUseReadings.sum());
-        Thread.sleep(SoakFaults.MAX_FAULT_MILLIS + (BOUNDS.graceSeconds() + 1) * 1_000);
+        boolean streams = plan.kind() == Kind.STREAMS;
+        // Nodes of a soak of streams are killed only, so none has a grace period.
+        long graceMillis = streams ? 0 : (BOUNDS.graceSeconds() + 1) * 1_000;
+        Thread.sleep(SoakFaults.MAX_FAULT_MILLIS + graceMillis);
         platform.endFaults();
         nodes.proxies().forEach(proxy -> proxy.setMode(FaultProxy.Mode.OPEN));
-        Thread.sleep(RECOVERY_MILLIS);
+        Thread.sleep(streams ? STREAM_RECOVERY_MILLIS : RECOVERY_MILLIS);
         GuaranteeChecker.Counts before = guarantees.counts();
         Thread.sleep(FINAL_MEASUREMENT_MILLIS);
         GuaranteeChecker.Counts after = guarantees.counts();
         stopped = true;
         double servedAtEnd = (after.served() - before.served()) / Math.max(1.0, after.sent() - before.sent());
         guarantees.check(
-                servedAtEnd >= RECOVERED_SHARE,
+                streams || servedAtEnd >= RECOVERED_SHARE,
                 "share of requests served after recovery is " + servedAtEnd + ", expected " + RECOVERED_SHARE);
         nodes.restartExited();
         guarantees.checkRetryBudget();
+        order.checkTakeUps();
         return new Outcome(
                 guarantees.violations(),
                 faults.names(),
@@ -225,7 +260,8 @@
                 servedAtEnd,
                 after.fetches(),
                 after.secondAnswers(),
-                meanSlotUse);
+                meanSlotUse,
+                order.figures());
     }
 
     private static Thread newDaemonThread(Runnable work) {
