Keep another node's report correctable after a take-up

A take-up turned a reported origin into one of the node that served it. If the report was about to be replaced, because the request had moved to another version before its first event, the node ignored the correction and reported the wrong version with a later revision, which overrode the right one everywhere. Only the time of such an origin is renewed now. Found by a review; reportThatIsReplacedAfterATakeUpIsCorrected has the case, a test of the review failed on the code before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -130,6 +130,12 @@
      * @param nowMillis the time in milliseconds
      */
     public synchronized void onTakenUp(String service, String request, String softwareVersion, long nowMillis) {
+        Origin known = originByRequest.get(request);
+        if (known != null && !known.own()) {
+            // A later report may still correct it, also at other nodes, so it is not told as an origin of this node.
+            add(request, new Origin(known.service(), known.softwareVersion(), nowMillis, known.revision(), false));
+            return;
+        }
         originByRequest.remove(request);
         addOwn(service, request, softwareVersion, nowMillis);
     }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -161,4 +161,16 @@
         origins.onBegun(SERVICE, "r2", "v2", LIFE + 1);
         assert find("r1", LIFE + 1).equals(Optional.of("v1"));
     }
+
+    /** Failure guarded against: a report that is replaced is told again as known, and overrides the right one. */
+    @Example
+    void reportThatIsReplacedAfterATakeUpIsCorrected() {
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
+        origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 1, 0);
+        origins.takeUnreported(1);
+        origins.onTakenUp(SERVICE, "r1", "v1", 10);
+        origins.onReport(new Report(SERVICE, "v2", List.of("r1")), 2, 20);
+        assert find("r1", 20).equals(Optional.of("v2"));
+        assert origins.takeUnreported(30).isEmpty();
+    }
 }
