Let records expire where no route is resumable any more

Once a configuration took the last resumable route from a service, its versions stayed as they were last seen. Such a service has no registered versions now, and a record that is new to a node is as old as that reading.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/SoftwareVersions.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/SoftwareVersions.java
@@ -94,9 +94,10 @@
      */
     public synchronized void onRecorded(Version version, long nowMillis) {
         Versions versions = of(version.service());
-        // One that this node has never seen may have left just before it started.
-        versions.lastSeenMillis.putIfAbsent(version.softwareVersion(), nowMillis);
-        versions.recorded.add(version.softwareVersion());
+        if (versions.recorded.add(version.softwareVersion())) {
+            // Its upstreams may have left just before this node learnt of it.
+            versions.lastSeenMillis.put(version.softwareVersion(), nowMillis);
+        }
         versions.everRecorded.add(version.softwareVersion());
     }
 
@@ -175,8 +176,12 @@
         return of(version.service()).hasExpired(version.softwareVersion(), nowMillis);
     }
 
-    /** Returns the services that are known. */
-    synchronized Set<String> services() {
+    /**
+     * Returns the services of which upstreams or records are known.
+     *
+     * @return the services
+     */
+    public synchronized Set<String> services() {
         return Set.copyOf(byService.keySet());
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -147,6 +147,8 @@
             passed.forEach((service, seen) -> origins.onRegistered(service, seen, nowMillis));
         }
         unrecorded.clear();
+        // A service without resumable routes needs no records; a version that is kept as registered would never expire.
+        origins.versions().services().forEach(service -> versions.putIfAbsent(service, Set.of()));
         versions.forEach((service, registered) -> origins.onRegistered(service, registered, nowMillis));
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SoftwareVersionRecorderTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SoftwareVersionRecorderTest.java
@@ -109,4 +109,31 @@
                 new MetadataStore.Range(List.of(item(items.completeEraKey(), text("1"), 5)), 90, 2), 100, 0, 1_000);
         assert Set.copyOf(origins.versions().unrecorded(1_000)).equals(Set.of(OLD, NEW));
     }
+
+    /** Failure guarded against: one node removes the record of a service without resumable routes, others write it again. */
+    @Example
+    void serviceThatLosesItsResumableRouteNeedsNoRecord() {
+        StoreItem registered = item(
+                "servers/i-1",
+                text("{\"Service\":\"llm\",\"Address\":\"127.0.0.1:80\",\"Zone\":\"a\",\"Slots\":16,"
+                        + "\"State\":\"ready\",\"born\":1,\"Version\":\"v1\",\"Sequence\":1}"),
+                6);
+        start(List.of(configuration(1, true, 5), registered, software(OLD, 7)), 0);
+        state.recordSoftwareVersions(0);
+        assert origins.onlyVersion("llm", 0).equals(Optional.of("v1"));
+        state.applyChanges(List.of(configuration(2, false, 101)), 101, 1_000);
+        state.recordSoftwareVersions(1_000);
+        long expiredMillis = 1_000 + StreamOrigins.STREAM_LIFE_MILLIS;
+        assert state.expiredSoftwareRecords(expiredMillis).size() == 1;
+        state.applyChanges(List.of(new StoreItem(items.softwareKey(OLD), null, 102, 0, 0)), 102, expiredMillis);
+        assert origins.versions().unrecorded(expiredMillis).isEmpty();
+    }
+
+    private StoreItem configuration(int version, boolean resumable, long revision) {
+        String value = RelaySystem.configuration(version, "\"key\"");
+        return item(
+                "op/config",
+                text(resumable ? value : value.replace("\"Resumable\":true", "\"Resumable\":false")),
+                revision);
+    }
 }
