Write each record once at a time and spread the retries

A view that changed while a record was being written caused another write, and after an error all nodes repeated theirs at the same time, each 100 ms. Found by reading.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/SoftwareVersionRecorder.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/SoftwareVersionRecorder.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -22,7 +24,7 @@
     /** Delay per node before it in the order of names, so that usually one node writes and the others read the record. */
     static final long DELAY_MILLIS_PER_NODE = 5;
 
-    /** Pause after a write that failed; the version's upstreams get no streams until it succeeds. */
+    /** Shortest pause after a write that failed; the version's upstreams get no streams until it succeeds. */
     static final long RETRY_MILLIS = 100;
 
     /** Interval at which the leader removes records, and marks the era of a store that was restored. */
@@ -32,6 +34,7 @@
     private final PlatformState state;
     private final SoftwareVersions versions;
     private final BooleanSupplier isLeader;
+    private final Set<Version> writing = new HashSet<>();
     private boolean scheduled;
 
     SoftwareVersionRecorder(
@@ -87,11 +90,15 @@
     }
 
     private void write(Version version) {
+        if (!writing.add(version)) {
+            return;
+        }
         String key = context.items().softwareKey(version);
         MetadataStore.Write write = new MetadataStore.Write(key, NodeItems.encodeSoftware(version), 0);
         context.store()
                 .writeIf(write, Map.of(key, MetadataStore.ABSENT))
                 .publishOn(context.control())
+                .doFinally(signal -> writing.remove(version))
                 .subscribe(
                         revision -> {
                             // Without a revision another node has written it.
@@ -108,7 +115,7 @@
                                             .field("service", version.service())
                                             .field("softwareVersion", version.softwareVersion())
                                             .error(error));
-                            schedule(RETRY_MILLIS);
+                            schedule(RETRY_MILLIS + delayMillis());
                         });
     }
 
