Report no crash for the exit of an upstream that leaves

An upstream that drains may exit right after an answer without a length. Its end cannot be proved then, so the answer is broken off, but each was also reported as a crash with its prompt parts as suspects.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -710,7 +710,7 @@
         } else {
             rejections++;
         }
-        if (outcome == Outcome.BROKEN && !failed.isEstablished()) {
+        if (outcome == Outcome.BROKEN && !failed.isEstablished() && !failed.upstreamExited) {
             failed.target.upstream().ifPresent(server -> suspects.reportBroken(server, failed.sentMillis));
         }
         splitter.discardIncompleteEvent();
@@ -895,6 +895,8 @@
         private long progressMillis;
         private int rejectionBytes;
         private Optional<AnswerEndChecks.Pending> endCheck = Optional.empty();
+        /** True if the upstream that was leaving has closed the answer's connection and is gone. */
+        private boolean upstreamExited;
 
         Attempt(AttemptTarget target) {
             this.target = target;
@@ -1259,11 +1261,22 @@
                 onWholeAnswer();
                 return;
             }
-            target.connections().onBroken(target.address());
+            upstreamExited = target.upstream().filter(this::isLeaving).isPresent();
+            if (!upstreamExited) {
+                target.connections().onBroken(target.address());
+            }
             onAttemptFailed(
                     Outcome.BROKEN, true, "connection closed, and the upstream is not known to be alive: " + evidence);
         }
 
+        /** Returns whether an upstream is expected to exit, so that its end is no sign that a request crashed it. */
+        private boolean isLeaving(UpstreamServer server) {
+            UpstreamServer registered = context.view().get().servers().get(server.id());
+            return registered == null
+                    || registered.draining()
+                    || context.notices().isLeaving(server.incarnation());
+        }
+
         private void onWholeAnswer() {
             if (!streaming) {
                 onBufferedAnswer();
