Doubt the version of streams begun while an engine started again

An engine may start again under its identifier with another software version. Until its new registration is read, streams that begin there are taken for ones of the earlier version, and went on there, within one answer as well as when their clients took them up. When a start with another version becomes known, the streams that began there in the 5 s before have no known version any more: they are reported as such, are not resumed, and are refused when they are taken up. Streams that the earlier process began in these 5 s are refused as well.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -26,6 +26,12 @@
     /** Time after its begin for which a stream may be taken up; twice as long as clients wait for an answer. */
     public static final long STREAM_LIFE_MILLIS = 30_000;
 
+    /** Version of streams of which it is known that no version can be stated; no upstream has it. */
+    static final String UNKNOWN_VERSION = "#unknown";
+
+    /** Time from an engine's start within which its new registration is read, also by way of hubs or after a brief outage. */
+    static final long REGISTRATION_MILLIS = 5_000;
+
     /** Longest identifier that is remembered; streams of requests with longer ones cannot be taken up at two versions. */
     static final int MAX_ID_LENGTH = 64;
 
@@ -45,8 +51,10 @@
      *
      * @param revision the store's revision of the report on it
      * @param own true if this node carried the stream
+     * @param serverId identifier of the engine, empty if this node did not send to it
      */
-    private record Origin(String service, String softwareVersion, long beganMillis, long revision, boolean own) {}
+    private record Origin(
+            String service, String softwareVersion, long beganMillis, long revision, boolean own, String serverId) {}
 
     /**
      * Streams that began at one software version, or are expected to.
@@ -102,11 +110,13 @@
      * @param service the service
      * @param request identifier of the client's request
      * @param softwareVersion version of the engine to which it is sent
+     * @param serverId identifier of the engine
      * @param nowMillis the time in milliseconds
      * @return true if the request was sent to another version before, so that an earlier report on it must be replaced
      */
-    public synchronized boolean onSent(String service, String request, String softwareVersion, long nowMillis) {
-        return isMixed(service, nowMillis) && addOwn(service, request, softwareVersion, nowMillis);
+    public synchronized boolean onSent(
+            String service, String request, String softwareVersion, String serverId, long nowMillis) {
+        return isMixed(service, nowMillis) && addOwn(service, request, softwareVersion, serverId, nowMillis);
     }
 
     /**
@@ -115,10 +125,12 @@
      * @param service the service
      * @param request identifier of the client's request
      * @param softwareVersion version of the engine that sent the first event
+     * @param serverId identifier of the engine, empty if another node sent to it
      * @param nowMillis the time in milliseconds
      */
-    public synchronized void onBegun(String service, String request, String softwareVersion, long nowMillis) {
-        addOwn(service, request, softwareVersion, nowMillis);
+    public synchronized void onBegun(
+            String service, String request, String softwareVersion, String serverId, long nowMillis) {
+        addOwn(service, request, softwareVersion, serverId, nowMillis);
     }
 
     /**
@@ -133,21 +145,43 @@
         Origin known = originByRequest.get(request);
         if (known != null && !known.own()) {
             // A later report may still correct it, also at other nodes, so it is not told as an origin of this node.
-            add(request, new Origin(known.service(), known.softwareVersion(), nowMillis, known.revision(), false));
+            add(request, new Origin(known.service(), known.softwareVersion(), nowMillis, known.revision(), false, ""));
             return;
         }
         originByRequest.remove(request);
-        addOwn(service, request, softwareVersion, nowMillis);
+        addOwn(service, request, softwareVersion, "", nowMillis);
+    }
+
+    /**
+     * Records that an engine was started. Streams that began shortly before under its identifier may have begun at this start
+     * already, so that the version of the earlier registration is not theirs.
+     *
+     * @param serverId the engine's identifier
+     * @param softwareVersion its version
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onStarted(String serverId, String softwareVersion, long nowMillis) {
+        for (Map.Entry<String, Origin> entry : originByRequest.entrySet()) {
+            Origin origin = entry.getValue();
+            boolean doubtful = origin.serverId().equals(serverId)
+                    && !origin.softwareVersion().equals(softwareVersion)
+                    && nowMillis - origin.beganMillis() < REGISTRATION_MILLIS;
+            if (doubtful) {
+                entry.setValue(new Origin(
+                        origin.service(), UNKNOWN_VERSION, origin.beganMillis(), 0, true, origin.serverId()));
+                unreported.add(entry.getKey());
+            }
+        }
     }
 
-    private boolean addOwn(String service, String request, String softwareVersion, long nowMillis) {
+    private boolean addOwn(String service, String request, String softwareVersion, String serverId, long nowMillis) {
         Origin known = originByRequest.get(request);
         boolean unchanged = known != null && known.softwareVersion().equals(softwareVersion);
         if (request.length() > MAX_ID_LENGTH || unchanged) {
             return false;
         }
         versions.onUsed(new Version(service, softwareVersion), nowMillis);
-        add(request, new Origin(service, softwareVersion, nowMillis, 0, true));
+        add(request, new Origin(service, softwareVersion, nowMillis, 0, true, serverId));
         if (isMixed(service, nowMillis)) {
             unreported.add(request);
         }
@@ -167,7 +201,7 @@
             Origin known = originByRequest.get(request);
             boolean newer = known == null || !known.own() && known.revision() < revision;
             if (request.length() <= MAX_ID_LENGTH && newer) {
-                add(request, new Origin(report.service(), report.softwareVersion(), nowMillis, revision, false));
+                add(request, new Origin(report.service(), report.softwareVersion(), nowMillis, revision, false, ""));
             }
         }
         reportAllIfMixed(report.service(), nowMillis);
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -21,7 +21,7 @@
     @Example
     void streamsOfTheOnlyVersionAreKnownWithoutReports() {
         origins.onRegistered(SERVICE, Set.of("v1"), 0);
-        origins.onBegun(SERVICE, "r1", "v1", 10);
+        origins.onBegun(SERVICE, "r1", "v1", "i-1", 10);
         assert find("r1", 20).equals(Optional.of("v1"));
         assert find("of another node", 20).equals(Optional.of("v1"));
         assert origins.takeUnreported(30).isEmpty();
@@ -35,7 +35,7 @@
     @Example
     void unknownStreamsOfAMixedServiceAreNotKnown() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
-        origins.onBegun(SERVICE, "r1", "v2", 10);
+        origins.onBegun(SERVICE, "r1", "v2", "i-1", 10);
         assert find("r1", 20).equals(Optional.of("v2"));
         assert find("of another node", 20).isEmpty();
     }
@@ -52,14 +52,14 @@
     @Example
     void streamsFromBeforeTheSecondVersionAreReported() {
         origins.onRegistered(SERVICE, Set.of("v1"), 0);
-        origins.onBegun(SERVICE, "r1", "v1", 10);
+        origins.onBegun(SERVICE, "r1", "v1", "i-1", 10);
         assert origins.takeUnreported(400).isEmpty();
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 500);
         List<Report> reports = origins.takeUnreported(800);
         assert reports.contains(new Report(SERVICE, "v1", List.of("r1"))) : reports;
         assert reports.contains(new Report(SERVICE, "v2", List.of())) : reports;
         assert origins.takeUnreported(1_200).isEmpty();
-        origins.onBegun(SERVICE, "r2", "v2", 1_300);
+        origins.onBegun(SERVICE, "r2", "v2", "i-1", 1_300);
         reports = origins.takeUnreported(1_600);
         assert reports.equals(List.of(new Report(SERVICE, "v2", List.of("r2")))) : reports;
     }
@@ -87,10 +87,10 @@
     void requestsAreReportedWhenTheyAreSent() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
         origins.takeUnreported(0);
-        assert !origins.onSent(SERVICE, "r1", "v1", 10);
+        assert !origins.onSent(SERVICE, "r1", "v1", "i-1", 10);
         assert origins.takeUnreported(20).equals(List.of(new Report(SERVICE, "v1", List.of("r1"))));
-        assert !origins.onSent(SERVICE, "r1", "v1", 30);
-        origins.onBegun(SERVICE, "r1", "v1", 40);
+        assert !origins.onSent(SERVICE, "r1", "v1", "i-1", 30);
+        origins.onBegun(SERVICE, "r1", "v1", "i-1", 40);
         assert origins.takeUnreported(50).isEmpty();
     }
 
@@ -98,9 +98,9 @@
     @Example
     void laterReportReplacesAnEarlierOne() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
-        origins.onSent(SERVICE, "r1", "v1", 10);
+        origins.onSent(SERVICE, "r1", "v1", "i-1", 10);
         origins.takeUnreported(20);
-        assert origins.onSent(SERVICE, "r1", "v2", 30);
+        assert origins.onSent(SERVICE, "r1", "v2", "i-1", 30);
         assert origins.takeUnreported(40).equals(List.of(new Report(SERVICE, "v2", List.of("r1"))));
         origins.onReport(new Report(SERVICE, "v1", List.of("r1")), 9, 50);
         assert find("r1", 60).equals(Optional.of("v2"));
@@ -114,7 +114,7 @@
     @Example
     void nothingIsRecordedOfSentRequestsWithoutASecondVersion() {
         origins.onRegistered(SERVICE, Set.of("v1"), 0);
-        assert !origins.onSent(SERVICE, "r1", "v1", 10);
+        assert !origins.onSent(SERVICE, "r1", "v1", "i-1", 10);
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 20);
         assert find("r1", 30).isEmpty();
     }
@@ -122,7 +122,7 @@
     @Example
     void undeliveredReportsAreTakenAgain() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
-        origins.onBegun(SERVICE, "r1", "v1", 10);
+        origins.onBegun(SERVICE, "r1", "v1", "i-1", 10);
         List<Report> reports = origins.takeUnreported(400);
         origins.reportAgain();
         assert Set.copyOf(origins.takeUnreported(800)).equals(Set.copyOf(reports));
@@ -140,13 +140,13 @@
     void memoryIsBounded() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
         for (int number = 0; number <= StreamOrigins.MAX_STREAMS; number++) {
-            origins.onBegun(SERVICE, "r" + number, "v1", 10);
+            origins.onBegun(SERVICE, "r" + number, "v1", "i-1", 10);
         }
         assert find("r0", 20).isEmpty() && find("r1", 20).isPresent();
-        origins.onBegun(SERVICE, "late", "v1", 10 + LIFE);
+        origins.onBegun(SERVICE, "late", "v1", "i-1", 10 + LIFE);
         assert find("r1", 10 + LIFE).isEmpty();
         String longId = "r".repeat(StreamOrigins.MAX_ID_LENGTH + 1);
-        origins.onBegun(SERVICE, longId, "v1", 10 + LIFE);
+        origins.onBegun(SERVICE, longId, "v1", "i-1", 10 + LIFE);
         assert find(longId, 10 + LIFE).isEmpty();
     }
 
@@ -154,11 +154,11 @@
     @Example
     void streamThatIsTakenUpIsRememberedFromThenOn() {
         origins.onRegistered(SERVICE, Set.of("v1", "v2"), 0);
-        origins.onBegun(SERVICE, "r1", "v1", 0);
+        origins.onBegun(SERVICE, "r1", "v1", "i-1", 0);
         origins.takeUnreported(1);
         origins.onTakenUp(SERVICE, "r1", "v1", LIFE - 1);
         assert origins.takeUnreported(LIFE).equals(List.of(new Report(SERVICE, "v1", List.of("r1"))));
-        origins.onBegun(SERVICE, "r2", "v2", LIFE + 1);
+        origins.onBegun(SERVICE, "r2", "v2", "i-1", LIFE + 1);
         assert find("r1", LIFE + 1).equals(Optional.of("v1"));
     }
 
@@ -173,4 +173,20 @@
         assert find("r1", 20).equals(Optional.of("v2"));
         assert origins.takeUnreported(30).isEmpty();
     }
+
+    /** An engine starts again in place with another version, and its new registration is read after a stream has begun. */
+    @Example
+    void streamsOfAnEngineThatStartedAgainAreOfNoKnownVersion() {
+        origins.onRegistered(SERVICE, Set.of("v1"), 0);
+        origins.onBegun(SERVICE, "early", "v1", "i-1", 0);
+        origins.onBegun(SERVICE, "late", "v1", "i-1", StreamOrigins.REGISTRATION_MILLIS);
+        origins.onBegun(SERVICE, "elsewhere", "v1", "i-2", StreamOrigins.REGISTRATION_MILLIS);
+        origins.onStarted("i-1", "v2", StreamOrigins.REGISTRATION_MILLIS);
+        origins.onRegistered(SERVICE, Set.of("v1", "v2"), StreamOrigins.REGISTRATION_MILLIS);
+        assert find("early", 6_000).equals(Optional.of("v1"));
+        assert find("late", 6_000).equals(Optional.of(StreamOrigins.UNKNOWN_VERSION));
+        assert find("elsewhere", 6_000).equals(Optional.of("v1"));
+        assert origins.takeUnreported(6_000)
+                .contains(new Report(SERVICE, StreamOrigins.UNKNOWN_VERSION, List.of("late")));
+    }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamVersionsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamVersionsTest.java
@@ -332,8 +332,8 @@
             }
             String version = node.versionByEngine.get(usable.get(index % usable.size()));
             String request = "r" + streams.size();
-            node.origins.onSent(SERVICE, request, version, nowMillis);
-            node.origins.onBegun(SERVICE, request, version, nowMillis);
+            node.origins.onSent(SERVICE, request, version, "i-1", nowMillis);
+            node.origins.onBegun(SERVICE, request, version, "i-1", nowMillis);
             streams.add(new Stream(request, version, nowMillis));
         }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -383,6 +383,7 @@
      * @param expired true if the request has waited for too long and is given up
      */
     void startAttempt(boolean expired) {
+        rebindToOrigin();
         if (ended || !client.isOpen()) {
             // The exchange ends when the close of a connection is reported, which follows in this turn.
             return;
@@ -426,6 +427,7 @@
      * @return true if it leaves the queue
      */
     boolean retryQueued(boolean expired) {
+        rebindToOrigin();
         if (!ended && suspects.areRefused()) {
             queued = false;
             giveUp(CRASHED_UPSTREAMS);
@@ -456,6 +458,15 @@
         return expired;
     }
 
+    /** Binds a begun stream anew if the engine that began it turned out to have another version than it was registered with. */
+    private void rebindToOrigin() {
+        String first = request.resumes().orElse(request.id());
+        context.origins()
+                .find(service, first)
+                .filter(version -> placement.requiredSoftwareVersion().isPresent())
+                .ifPresent(placement::requireSoftwareVersion);
+    }
+
     private boolean tryStartAttempt() {
         view = context.view().get();
         if (retryOwed) {
@@ -1212,7 +1223,8 @@
             if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
                 target.softwareVersion().ifPresent(version -> {
                     placement.requireSoftwareVersion(version);
-                    context.origins().onBegun(service, request.id(), version, now());
+                    String serverId = target.upstream().map(UpstreamServer::id).orElse("");
+                    context.origins().onBegun(service, request.id(), version, serverId, now());
                     logStream("stream begun");
                 });
             }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -446,7 +446,7 @@
         if (decoded instanceof PlatformRecord.Registered registered) {
             return registrations.isNew(
                             registered, servers.containsKey(registered.server().id()))
-                    && onRegistered(registered.server());
+                    && onRegistered(registered.server(), nowMillis);
         }
         if (decoded instanceof PlatformRecord.Configured configured) {
             onConfigured(configured, item, nowMillis);
@@ -496,7 +496,7 @@
                 .field("routes", configuration.routes().size()));
     }
 
-    private boolean onRegistered(UpstreamServer server) {
+    private boolean onRegistered(UpstreamServer server, long nowMillis) {
         UpstreamServer known = servers.get(server.id());
         boolean vanished = dropVanishedAtMillis.containsKey(server.id());
         if (server.equals(known) && !vanished) {
@@ -508,6 +508,9 @@
         }
         dropVanishedAtMillis.remove(server.id());
         servers.put(server.id(), server);
+        if (known == null || !known.incarnation().equals(server.incarnation())) {
+            origins.onStarted(server.id(), server.softwareVersion(), nowMillis);
+        }
         upstreamsChanged = true;
         unrecorded.add(server);
         if (known == null
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
@@ -5,6 +5,7 @@
 
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.entry.log.LogFields;
+import org.cowslipbank.model.relay.UpstreamServer;
 import org.cowslipbank.ports.relay.MetadataStore;
 
 /**
@@ -41,10 +42,15 @@
      *
      * @param service the service
      * @param request identifier of the client's request
-     * @param softwareVersion version of the engine to which it is sent
+     * @param server the engine to which it is sent
      */
-    void onSent(String service, String request, String softwareVersion) {
-        if (origins.onSent(service, request, softwareVersion, context.clocks().nowMillis())) {
+    void onSent(String service, String request, UpstreamServer server) {
+        if (origins.onSent(
+                service,
+                request,
+                server.softwareVersion(),
+                server.id(),
+                context.clocks().nowMillis())) {
             // At once, so that the earlier report is replaced before the first event.
             context.control().schedule(new GuardedTask("stream origins", this::report, context.log()));
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -67,7 +67,7 @@
         context.loads().onSent(server.incarnation(), tokens, unreadTokens, silenceMillis, now());
         context.notices().onSent(server.incarnation(), now());
         if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
-            context.originReports().onSent(placement.service(), request.id(), server.softwareVersion());
+            context.originReports().onSent(placement.service(), request.id(), server);
         }
     }
 
