Take a start that is not registered for an unknown one

An engine whose registration states no start, while its report does, was taken for another process, so that its sound answers without a length counted as BROKEN.

All evidence of a check is reported to the tracker of the event loop's turns, also that of a connection that could not be opened.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/EndEvidence.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/EndEvidence.java
@@ -24,12 +24,13 @@
      * Judges an engine's report. One that does not state its start was answered within a second of the close; engines take
      * seconds to start.
      *
-     * @param registeredAtMillis when the engine that wrote the answer was started, in Unix milliseconds
+     * @param registeredAtMillis when the engine that wrote the answer was started, in Unix milliseconds; zero if not stated
      * @param reportedAtMillis when the engine that answers now was started, in Unix milliseconds; empty if not stated
      * @return whether it is the same process
      */
     public static EndEvidence ofReport(long registeredAtMillis, OptionalLong reportedAtMillis) {
-        return reportedAtMillis.orElse(registeredAtMillis) == registeredAtMillis ? ALIVE : RESTARTED;
+        boolean stated = registeredAtMillis > 0 && reportedAtMillis.isPresent();
+        return stated && reportedAtMillis.getAsLong() != registeredAtMillis ? RESTARTED : ALIVE;
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/AnswerEndChecks.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/AnswerEndChecks.java
@@ -137,12 +137,7 @@
                     .timeout(Duration.ofMillis(Math.max(1, leftMillis())))
                     .map(report -> EndEvidence.ofReport(server.startedAtMillis(), report.startedAtMillis()))
                     .onErrorResume(error -> Mono.just(ofCallError(error)))
-                    .subscribe(evidence -> loop.execute(() -> onReport(evidence)));
-        }
-
-        private void onReport(EndEvidence evidence) {
-            connections.onEvent();
-            onEvidence(evidence);
+                    .subscribe(evidence -> loop.execute(() -> onEvidence(evidence)));
         }
 
         private void connect() {
@@ -156,7 +151,6 @@
         }
 
         private void onStillOpen(UpstreamConnection opened) {
-            connections.onEvent();
             if (!opened.isOpen()) {
                 onEvidence(EndEvidence.NO_ANSWER);
                 return;
@@ -166,6 +160,7 @@
         }
 
         private void onEvidence(EndEvidence evidence) {
+            connections.onEvent();
             if (evidence.isWorthAnotherCall(calls) && leftMillis() > RETRY_MILLIS) {
                 loop.schedule(this::call, RETRY_MILLIS, TimeUnit.MILLISECONDS);
                 return;
