Let engines of a soak start again under their identifier

A node that asks an engine whether it is the one that began an answer has to tell a fast restart from it; the soak's engines always came back under another identifier and port.

One in four engines that are killed stays registered and starts again within 0.4 s under its identifier and at its port, with another born.

--- a/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -175,16 +175,14 @@
             upstreams.add(new Upstream(StandInFormats.PLAIN_SERVICE));
             upstreams.add(new Upstream(StandInFormats.ENGINE_SERVICE));
         }
-        engines = streams
-                ? new StreamEngines(metadataStore, new Random(plan.seed() * 19 + 5), timer, this::startEngine)
-                : null;
+        engines = streams ? new StreamEngines(metadataStore, plan.seed(), timer, this::startEngine) : null;
     }
 
     private StandInUpstream startEngine(StreamEngines.Identity identity) {
         StandInUpstream.Resources resources =
                 new StandInUpstream.Resources(slots, cacheStores, identity.softwareVersion());
         StandInUpstream.Observer observer = observer(StandInFormats.ENGINE_SERVICE, () -> {});
-        return new StandInUpstream(identity.id(), 0, weightVersion, resources, observer, loops);
+        return new StandInUpstream(identity.id(), identity.port(), weightVersion, resources, observer, loops);
     }
 
     /** Returns the engines of several software versions, which only soaks of streams have. */
--- a/soak/src/main/java/org/cowslipbank/soak/StreamEngines.java
+++ b/soak/src/main/java/org/cowslipbank/soak/StreamEngines.java
@@ -24,6 +24,11 @@
     /** Longest time until an engine that was killed is replaced. */
     private static final int MAX_REPLACEMENT_MILLIS = 2_500;
 
+    /** One in so many engines that are killed starts again under its identifier and at its port, and how soon. */
+    private static final int RESTART_SHARE = 4;
+
+    private static final int MAX_RESTART_MILLIS = 400;
+
     /** Longest time for which engines of two versions serve in a release that registers the new ones first. */
     private static final int MAX_OVERLAP_MILLIS = 1_500;
 
@@ -34,6 +39,9 @@
 
     private final StandInStore metadataStore;
     private final Random random;
+    /** For restarts. */
+    private final Random restartRandom;
+
     private final ScheduledExecutorService timer;
     private final Function<Identity, StandInUpstream> starter;
     private final List<Engine> engines = new ArrayList<>();
@@ -49,8 +57,9 @@
      *
      * @param id its identifier
      * @param softwareVersion its software version
+     * @param port its port on loopback, zero for any
      */
-    record Identity(String id, String softwareVersion) {}
+    record Identity(String id, String softwareVersion, int port) {}
 
     private record Engine(Identity identity, StandInUpstream server) {}
 
@@ -58,17 +67,18 @@
      * Starts the engines.
      *
      * @param metadataStore where they register
-     * @param random the seeded numbers
+     * @param seed decides about engines
      * @param timer for what happens later
      * @param starter starts an engine
      */
     StreamEngines(
             StandInStore metadataStore,
-            Random random,
+            long seed,
             ScheduledExecutorService timer,
             Function<Identity, StandInUpstream> starter) {
         this.metadataStore = metadataStore;
-        this.random = random;
+        this.random = new Random(seed * 19 + 5);
+        this.restartRandom = new Random(seed * 23 + 7);
         this.timer = timer;
         this.starter = starter;
         for (int index = 0; index < ENGINES; index++) {
@@ -76,8 +86,11 @@
         }
     }
 
-    private synchronized void start(String softwareVersion) {
-        Identity identity = new Identity("i-" + Long.toHexString(random.nextLong()), softwareVersion);
+    private void start(String softwareVersion) {
+        start(new Identity("i-" + Long.toHexString(random.nextLong()), softwareVersion, 0));
+    }
+
+    private void start(Identity identity) {
         Engine engine = new Engine(identity, starter.apply(identity));
         engines.add(engine);
         var item = engine.server()
@@ -105,17 +118,40 @@
             return "no engine";
         }
         Engine engine = engines.get(random.nextInt(engines.size()));
+        if (restartRandom.nextInt(RESTART_SHARE) == 0) {
+            return restart(engine);
+        }
         String how = kill(engine, drawKill());
         String version = engine.identity().softwareVersion();
-        timer.schedule(() -> startAgain(version), random.nextInt(MAX_REPLACEMENT_MILLIS), TimeUnit.MILLISECONDS);
+        timer.schedule(() -> replace(version), random.nextInt(MAX_REPLACEMENT_MILLIS), TimeUnit.MILLISECONDS);
         return how;
     }
 
     /** Starts an engine of a version, or of the newest one if no other engine of that version is left. */
-    private synchronized void startAgain(String softwareVersion) {
+    private synchronized void replace(String softwareVersion) {
         start(count(softwareVersion) > 0 ? softwareVersion : newestVersion);
     }
 
+    /** Kills an engine, which stays registered and is back soon; then it states another start time. */
+    private String restart(Engine engine) {
+        Identity identity = engine.identity();
+        engines.remove(engine);
+        lapsing.add(StandInFormats.registrationKey(identity.id()));
+        engine.server().kill(StandInUpstream.Kill.CLOSED);
+        int millis = restartRandom.nextInt(MAX_RESTART_MILLIS);
+        Identity next = new Identity(
+                identity.id(), identity.softwareVersion(), engine.server().port());
+        timer.schedule(() -> startAgain(next), millis, TimeUnit.MILLISECONDS);
+        return "CLOSED " + next + ", starts again after " + millis + " ms,";
+    }
+
+    private synchronized void startAgain(Identity identity) {
+        // If all engines were replaced meanwhile, this one does not come back.
+        if (lapsing.remove(StandInFormats.registrationKey(identity.id()))) {
+            start(identity);
+        }
+    }
+
     private StandInUpstream.Kill drawKill() {
         // Mostly closed in order between events, as most killed processes do.
         return random.nextBoolean()
