--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -24,6 +24,7 @@
 import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.decision.suspects.SoundParts;
 import org.cowslipbank.entry.admin.PrometheusText;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.PlatformView.RegisteredNode;
@@ -89,6 +90,7 @@
     private final HubFeedClient hubClient;
     private final CacheStoreCleaner cleaner;
     private final StreamOriginReports originReports;
+    private final SoftwareVersionRecorder softwareRecorder;
     private final LoadDigests digests;
     private final RelayContext context;
     private final ClientHttpServer clientServer;
@@ -157,6 +159,7 @@
         this.rollouts = new RolloutController(controlContext, lease, platform.engines(), notices, settings.bounds());
         CrashReports crashReports = new CrashReports(controlContext, reachability, state::onSoundAnswers);
         this.originReports = new StreamOriginReports(controlContext, origins);
+        this.softwareRecorder = new SoftwareVersionRecorder(controlContext, state, origins.versions(), lease::isLeader);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
         RequestStarter starter = new RequestStarter(loop, clocks, turns);
         RelayMetrics relayMetrics = new RelayMetrics(metrics);
@@ -208,6 +211,7 @@
                 clocks,
                 loop,
                 connections,
+                new AnswerEndChecks(platform.engines(), connections, watcher::view, loop, clocks, relayMetrics, log),
                 reachability,
                 forwarding,
                 loads,
@@ -222,6 +226,7 @@
                         settings.bounds().retryShare(), settings.bounds().retrySlack()),
                 crashReports,
                 probes,
+                new SoundParts(),
                 origins,
                 originReports,
                 new NodeStop(clocks),
@@ -267,6 +272,7 @@
         lease.start();
         rollouts.start();
         originReports.start();
+        softwareRecorder.start();
         log.logState(LogFields.event("node started")
                 .field("node", settings.nodeName())
                 .field("dataCentre", settings.dataCentre())
@@ -446,6 +452,7 @@
         return new PlatformWatcher.Listener() {
             @Override
             public void onView(PlatformView view) {
+                softwareRecorder.onView();
                 loop.execute(() -> applyView(view));
             }
 
