Name the streams that did not go on in the soak's report

The violation of the share of streams that go on told numbers only, so that the nodes' lines of the refused requests had to be searched by time. It now lists the requests for each stream that was taken up and did not go on, as the other violations do.

--- a/soak/src/main/java/org/cowslipbank/soak/StreamOrderChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/StreamOrderChecker.java
@@ -1,5 +1,6 @@
 package org.cowslipbank.soak;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -26,6 +27,9 @@
 
     private final Consumer<String> violations;
     private final Map<String, Run> runs = new HashMap<>();
+    /** Streams that were taken up and did not go on. */
+    private final List<String> refused = new ArrayList<>();
+
     private int streams;
     private int whole;
     private int joined;
@@ -121,7 +125,7 @@
             problems.add("events of software versions " + versions);
             joined++;
         }
-        count(attempts, complete);
+        count(name, attempts, complete);
         if (!problems.isEmpty()) {
             violations.accept("stream " + name + ": " + String.join("; ", problems) + describe(attempts));
         }
@@ -146,7 +150,7 @@
         }
     }
 
-    private void count(List<Attempt> attempts, boolean complete) {
+    private void count(String name, List<Attempt> attempts, boolean complete) {
         streams++;
         whole += complete ? 1 : 0;
         List<Attempt> first =
@@ -160,9 +164,11 @@
                 attempts.stream().filter(attempt -> attempt.lastEvent() > 0).toList();
         if (further.stream().anyMatch(Attempt::counted)) {
             takenUp++;
-            wentOn += further.stream().anyMatch(attempt -> !attempt.events().isEmpty() || attempt.end() == End.WHOLE)
-                    ? 1
-                    : 0;
+            if (further.stream().anyMatch(attempt -> !attempt.events().isEmpty() || attempt.end() == End.WHOLE)) {
+                wentOn++;
+            } else {
+                refused.add("\n  stream " + name + describe(attempts));
+            }
         }
     }
 
@@ -193,8 +199,8 @@
         double newShare = (double) begun / Math.max(1, begins);
         double share = (double) wentOn / Math.max(1, takenUp);
         if (takenUp >= MIN_TAKEN_UP && share < LEAST_SHARE * newShare) {
-            violations.accept(
-                    "of " + takenUp + TAKEN_UP + wentOn + " went on, of " + begins + " new ones " + begun + " began");
+            violations.accept("of " + takenUp + TAKEN_UP + wentOn + " went on, of " + begins + " new ones " + begun
+                    + " began; the others:" + String.join("", refused));
         }
     }
 
--- a/soak/src/test/java/org/cowslipbank/soak/StreamOrderCheckerTest.java
+++ b/soak/src/test/java/org/cowslipbank/soak/StreamOrderCheckerTest.java
@@ -121,5 +121,6 @@
         assert violations.isEmpty() : violations;
         order.checkTakeUps();
         assertOneViolation("of 12 streams that were taken up 0 went on, of 12 new ones 12 began");
+        assert violations.get(0).contains("r2 at n0, last event 3, REJECTED 200, events none") : violations;
     }
 }
