Hold the ports of a soak while its nodes are down

Free ports were looked for once, before the nodes start.

Ports come in blocks whose first one is held by a listener until the end, so that two soaks never share a block.

--- a/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
@@ -20,6 +20,7 @@
     private static final int PORTS_PER_NODE = 6;
     private static final int FIRST_PORT = 15_000;
     private static final int LAST_PORT = 30_000;
+    private static final int BLOCK_PORTS = 500;
     private static final int PORT_TRIES = 200;
 
     private final StandInFormats.Bounds bounds;
@@ -28,6 +29,7 @@
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<Integer> clientPorts = new ArrayList<>();
     private final List<FaultProxy> metadataStoreProxies = new ArrayList<>();
+    private ServerSocket reservation;
     private volatile boolean stopped;
 
     SoakNodes(StandInFormats.Bounds bounds, StandInStore metadataStore, GuaranteeChecker guarantees) {
@@ -38,7 +40,7 @@
 
     /** Starts the nodes and waits until they listen. */
     void start(SoakRun.Plan plan) throws IOException, InterruptedException {
-        int port = freePorts(plan.nodes() * PORTS_PER_NODE);
+        int port = reservePorts(plan.nodes() * PORTS_PER_NODE);
         for (int index = 0; index < plan.nodes(); index++) {
             FaultProxy proxy = new FaultProxy(metadataStore.port());
             metadataStoreProxies.add(proxy);
@@ -144,14 +146,21 @@
         for (FaultProxy proxy : metadataStoreProxies) {
             proxy.close();
         }
+        if (reservation != null) {
+            reservation.close();
+        }
     }
 
-    /** Finds consecutive free ports below the ephemeral port range, so that outgoing connections do not take them. */
-    private static int freePorts(int count) throws IOException {
-        for (int tries = 0; tries < PORT_TRIES; tries++) {
-            int first = FIRST_PORT + new Random().nextInt(LAST_PORT - FIRST_PORT - count);
-            if (areFree(first, count)) {
-                return first;
+    /**
+     * Finds a block of free ports below the ephemeral port range, so that outgoing connections do not take them. Its first port is
+     * held until the end: the others are free while nodes are down, and another soak must not take them then.
+     */
+    private int reservePorts(int count) throws IOException {
+        for (int tries = 0; tries < PORT_TRIES && count < BLOCK_PORTS; tries++) {
+            int first = FIRST_PORT + BLOCK_PORTS * new Random().nextInt((LAST_PORT - FIRST_PORT) / BLOCK_PORTS);
+            if (areFree(first, count + 1)) {
+                reservation = new ServerSocket(first, 1, InetAddress.getLoopbackAddress());
+                return first + 1;
             }
         }
         throw new IOException("found no " + count + " consecutive free ports in " + PORT_TRIES + " tries");
