--- a/decision/src/main/java/org/cowslipbank/decision/relay/SoftwareVersions.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/SoftwareVersions.java
@@ -32,7 +32,7 @@
     private static final class Versions {
         private Set<String> registered = Set.of();
         private final Set<String> recorded = new HashSet<>();
-        /** Versions that had a record at some time; what it is for holds on if the record is lost. */
+        /** Versions that have had a record. Streams go on beginning there while one that the store lost is written again. */
         private final Set<String> everRecorded = new HashSet<>();
 
         private final Map<String, Long> lastSeenMillis = new HashMap<>();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -460,10 +460,11 @@
 
     /** Binds a begun stream anew if the engine that began it turned out to have another version than it was registered with. */
     private void rebindToOrigin() {
-        String first = request.resumes().orElse(request.id());
+        if (placement.requiredSoftwareVersion().isEmpty()) {
+            return;
+        }
         context.origins()
-                .find(service, first)
-                .filter(version -> placement.requiredSoftwareVersion().isPresent())
+                .find(service, request.resumes().orElse(request.id()))
                 .ifPresent(placement::requireSoftwareVersion);
     }
 
