--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -14,6 +14,7 @@
 import org.cowslipbank.decision.relay.UpstreamNotices;
 import org.cowslipbank.decision.relay.UpstreamReachability;
 import org.cowslipbank.decision.suspects.RefusalProbes;
+import org.cowslipbank.decision.suspects.SoundParts;
 import org.cowslipbank.ports.relay.RelayCodec;
 import org.cowslipbank.ports.relay.RelaySettings;
 
@@ -30,6 +31,7 @@
  * @param clocks the clocks
  * @param loop the traffic thread
  * @param connections connections to upstreams
+ * @param endChecks checks whether upstreams outlived the close that ends an answer without a length
  * @param reachability whether this node is cut off from the upstreams
  * @param forwarding other nodes to which requests are passed while it is
  * @param loads load and availability of upstreams as seen by this node
@@ -43,6 +45,7 @@
  * @param retries this node's share of the retry budgets
  * @param crashReports reports crashes of upstreams, and answers that went on well, to all nodes
  * @param probes requests that are sent although they are refused because of crashes
+ * @param soundParts prompt parts of answers that went on well
  * @param origins software versions at which streams began
  * @param originReports reports to all nodes where streams begin
  * @param stop whether the node is stopping, and what it still serves then
@@ -60,6 +63,7 @@
         Clocks clocks,
         EventLoop loop,
         UpstreamConnectionPool connections,
+        AnswerEndChecks endChecks,
         UpstreamReachability reachability,
         RequestForwarding forwarding,
         UpstreamLoads loads,
@@ -73,6 +77,7 @@
         RetryBudgets retries,
         CrashReports crashReports,
         RefusalProbes probes,
+        SoundParts soundParts,
         StreamOrigins origins,
         StreamOriginReports originReports,
         NodeStop stop,
