--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -383,6 +383,7 @@
      * @param expired true if the request has waited for too long and is given up
      */
     void startAttempt(boolean expired) {
+        rebindToOrigin();
         if (ended || !client.isOpen()) {
             // The exchange ends when the close of a connection is reported, which follows in this turn.
             return;
@@ -426,6 +427,7 @@
      * @return true if it leaves the queue
      */
     boolean retryQueued(boolean expired) {
+        rebindToOrigin();
         if (!ended && suspects.areRefused()) {
             queued = false;
             giveUp(CRASHED_UPSTREAMS);
@@ -456,6 +458,15 @@
         return expired;
     }
 
+    /** Binds a begun stream anew if the engine that began it turned out to have another version than it was registered with. */
+    private void rebindToOrigin() {
+        String first = request.resumes().orElse(request.id());
+        context.origins()
+                .find(service, first)
+                .filter(version -> placement.requiredSoftwareVersion().isPresent())
+                .ifPresent(placement::requireSoftwareVersion);
+    }
+
     private boolean tryStartAttempt() {
         view = context.view().get();
         if (retryOwed) {
@@ -710,7 +721,7 @@
         } else {
             rejections++;
         }
-        if (outcome == Outcome.BROKEN && !failed.isEstablished()) {
+        if (outcome == Outcome.BROKEN && !failed.isEstablished() && !failed.upstreamExited) {
             failed.target.upstream().ifPresent(server -> suspects.reportBroken(server, failed.sentMillis));
         }
         splitter.discardIncompleteEvent();
@@ -895,6 +906,8 @@
         private long progressMillis;
         private int rejectionBytes;
         private Optional<AnswerEndChecks.Pending> endCheck = Optional.empty();
+        /** True if the upstream that was leaving has closed the answer's connection and is gone. */
+        private boolean upstreamExited;
 
         Attempt(AttemptTarget target) {
             this.target = target;
@@ -1210,7 +1223,8 @@
             if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
                 target.softwareVersion().ifPresent(version -> {
                     placement.requireSoftwareVersion(version);
-                    context.origins().onBegun(service, request.id(), version, now());
+                    String serverId = target.upstream().map(UpstreamServer::id).orElse("");
+                    context.origins().onBegun(service, request.id(), version, serverId, now());
                     logStream("stream begun");
                 });
             }
@@ -1259,11 +1273,22 @@
                 onWholeAnswer();
                 return;
             }
-            target.connections().onBroken(target.address());
+            upstreamExited = target.upstream().filter(this::isLeaving).isPresent();
+            if (!upstreamExited) {
+                target.connections().onBroken(target.address());
+            }
             onAttemptFailed(
                     Outcome.BROKEN, true, "connection closed, and the upstream is not known to be alive: " + evidence);
         }
 
+        /** Returns whether an upstream is expected to exit, so that its end is no sign that a request crashed it. */
+        private boolean isLeaving(UpstreamServer server) {
+            UpstreamServer registered = context.view().get().servers().get(server.id());
+            return registered == null
+                    || registered.draining()
+                    || context.notices().isLeaving(server.incarnation());
+        }
+
         private void onWholeAnswer() {
             if (!streaming) {
                 onBufferedAnswer();
