--- a/decision/src/main/java/org/cowslipbank/decision/suspects/SoundParts.java
+++ b/decision/src/main/java/org/cowslipbank/decision/suspects/SoundParts.java
@@ -9,7 +9,7 @@
  *
  * <p>Load pattern: several engines fail at the same moment, for a reason of their own. In a large fleet each node has
  * requests at one or two of them, so none sees that they failed together, and a part that many prompts share is in three
- * reports at once. The answers that clear it are told later than the crashes, so a part that is known as sound is refused
+ * reports at once. The answers that clear it become known later than the crashes, so a part that is known as sound is refused
  * only once they would have been. A part that crashes each engine is in no such answer and is refused at once. Confined to
  * the traffic thread.
  */
