Let reports not rebind a stream that has begun

A begun stream was bound anew to the origin that is known of it before each attempt, so that one of an engine that had started again is given up. Only an origin that is known to be unknown counts now.

ForwardedStreamVersionTest fails on the code before (the stream goes on at v2) and passes.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -251,6 +251,16 @@
                 .map(Origin::softwareVersion);
     }
 
+    /**
+     * Returns whether a version stands for none that is known, so that a stream of it can go on nowhere.
+     *
+     * @param softwareVersion the version that {@link #find} has returned
+     * @return true if no upstream has it
+     */
+    public static boolean isUnknown(String softwareVersion) {
+        return softwareVersion.equals(UNKNOWN_VERSION);
+    }
+
     /**
      * Returns whether this node carried a stream, so that its version is not known from another node's report alone.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -18,6 +18,7 @@
 import org.cowslipbank.decision.relay.ForwardingNodes;
 import org.cowslipbank.decision.relay.RetryDelay;
 import org.cowslipbank.decision.relay.RouteTable;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads.Outcome;
 import org.cowslipbank.decision.relay.UpstreamSelector;
 import org.cowslipbank.decision.relay.WaitingQueue;
@@ -383,7 +384,7 @@
      * @param expired true if the request has waited for too long and is given up
      */
     void startAttempt(boolean expired) {
-        rebindToOrigin();
+        checkOrigin();
         if (ended || !client.isOpen()) {
             // The exchange ends when the close of a connection is reported, which follows in this turn.
             return;
@@ -427,7 +428,7 @@
      * @return true if it leaves the queue
      */
     boolean retryQueued(boolean expired) {
-        rebindToOrigin();
+        checkOrigin();
         if (!ended && suspects.areRefused()) {
             queued = false;
             giveUp(CRASHED_UPSTREAMS);
@@ -458,13 +459,15 @@
         return expired;
     }
 
-    /** Binds a begun stream anew if the engine that began it turned out to have another version than it was registered with. */
-    private void rebindToOrigin() {
+    /** Keeps a begun stream from going on if the engine that began it may have had another version than it was registered with. */
+    private void checkOrigin() {
         if (placement.requiredSoftwareVersion().isEmpty()) {
             return;
         }
+        // Reports are no reason to go on elsewhere: one from before the first event may have been replaced since.
         context.origins()
                 .find(service, request.resumes().orElse(request.id()))
+                .filter(StreamOrigins::isUnknown)
                 .ifPresent(placement::requireSoftwareVersion);
     }
 
