Log gaps in a hub's changes and the configuration of a request

The logs could not tell a node that is late from one that is wrong: a hub said nothing of the changes that it passed on, and the end of a request told the store's revision but not the configuration that was used. A hub now logs changes that do not begin where its last ones ended, the end of a request has configurationVersion, and a change of the source of changes has storeRevision.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -832,6 +832,9 @@
                 .field("rejections", rejections)
                 .field("storeRevision", view.revision())
                 .field("confirmationAgeMillis", context.confirmationAgeMillis());
+        view.routes()
+                .ifPresent(routes -> line.field(
+                        "configurationVersion", routes.configuration().version()));
         if (route != null) {
             line.field("route", route.name()).field("service", service);
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.decision.relay.LeaderLease;
+import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
 import org.cowslipbank.entry.relay.FeedMessages.ItemMessage;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
@@ -44,6 +45,7 @@
 
     private final EventLoop loop;
     private final Clocks clocks;
+    private final DecisionLog log;
     private final Deque<StoreItem> items = new ArrayDeque<>();
     private final Map<String, CacheStoreFeed> cacheStores = new HashMap<>();
     private final List<HeldPoll> heldPolls = new ArrayList<>();
@@ -68,9 +70,10 @@
         }
     }
 
-    HubFeed(EventLoop loop, Clocks clocks) {
+    HubFeed(EventLoop loop, Clocks clocks, DecisionLog log) {
         this.loop = loop;
         this.clocks = clocks;
+        this.log = log;
     }
 
     /**
@@ -94,6 +97,11 @@
             oldestRevision = Long.MAX_VALUE;
             revision = fromRevision;
         }
+        if (oldestRevision != Long.MAX_VALUE && fromRevision > revision) {
+            log.logState(LogFields.event("changes for members are incomplete")
+                    .field("lastRevision", revision)
+                    .field("nextFromRevision", fromRevision));
+        }
         if (oldestRevision == Long.MAX_VALUE) {
             oldestRevision = fromRevision;
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
@@ -144,7 +144,9 @@
         Optional<RegisteredNode> node = findHub();
         String name = node.map(RegisteredNode::name).orElse("");
         if (!name.equals(hub)) {
-            log.logState(LogFields.event("source of changes").field("hub", name.isEmpty() ? "none" : name));
+            log.logState(LogFields.event("source of changes")
+                    .field("hub", name.isEmpty() ? "none" : name)
+                    .field("storeRevision", view.get().revision()));
             hub = name;
         }
         if (node.isPresent()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -148,7 +148,7 @@
                 log,
                 settings.bounds().revokeMillis(),
                 clocks.wallMillis());
-        this.hubFeed = new HubFeed(loop, clocks);
+        this.hubFeed = new HubFeed(loop, clocks, log);
         this.watcher =
                 new PlatformWatcher(platform.store(), platform.decoder(), state, clocks, control, log, watchListener());
         RegisteredNode self = new RegisteredNode(
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -41,8 +41,8 @@
         state = PlatformStates.create(log);
         state.applySnapshot(new MetadataStore.Range(List.of(configuration(2, false)), 2, 0), 0, Long.MAX_VALUE, 0);
         EngineControl engines = new SilentStores();
-        CacheStoreFollower.Sources sources =
-                new CacheStoreFollower.Sources(engines, new HubFeed(loop, Clocks.SYSTEM), hasHub::get);
+        CacheStoreFollower.Sources sources = new CacheStoreFollower.Sources(
+                engines, new HubFeed(loop, Clocks.SYSTEM, PlatformStates.log()), hasHub::get);
         follower = new CacheStoreFollower(sources, cacheIndex, state::view, loop, Clocks.SYSTEM, log);
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubFeedTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubFeedTest.java
@@ -25,7 +25,8 @@
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final AtomicLong millis = new AtomicLong(10_000);
-    private final HubFeed feed = new HubFeed(loop, new Clocks(millis::get, () -> WALL_MILLIS + millis.get()));
+    private final HubFeed feed =
+            new HubFeed(loop, new Clocks(millis::get, () -> WALL_MILLIS + millis.get()), PlatformStates.log());
 
     @AfterTry
     void stop() {
