Begin a hub's changes anew where they leave a gap

Callers saw routes of an acknowledged configuration refused, and streams go on at another software version, at nodes whose confirmation was below a second old.

Cause: a hub passes changes on as it reads them from the metadata store. It also learns of changes from another hub that it follows for a moment, from a call that returns meanwhile, or from a reading of all items beside such a call. Those were known when the next watch returned, so they were left out, and what followed was appended as if nothing was missing. A member that was behind the gap took the later revision over, and no later call asks for what is before it.

HubFeed now begins anew unless changes begin at the revision at which the last ones ended. Members from before get status 410 as for a history that is too short, and read the metadata store.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
@@ -91,19 +91,8 @@
             long atRevision,
             ConfigurationConfirmation confirmed,
             long reconnectedAtMillis) {
-        if (atRevision < revision) {
-            // The store has lost changes.
-            items.clear();
-            oldestRevision = Long.MAX_VALUE;
-            revision = fromRevision;
-        }
-        if (oldestRevision != Long.MAX_VALUE && fromRevision > revision) {
-            log.logState(LogFields.event("changes for members are incomplete")
-                    .field("lastRevision", revision)
-                    .field("nextFromRevision", fromRevision));
-        }
-        if (oldestRevision == Long.MAX_VALUE) {
-            oldestRevision = fromRevision;
+        if (fromRevision != revision || oldestRevision == Long.MAX_VALUE) {
+            restartAt(fromRevision);
         }
         for (StoreItem item : changed) {
             if (item.revision() <= revision) {
@@ -125,6 +114,21 @@
         scheduleAnswers();
     }
 
+    /**
+     * Begins anew, as changes are complete only within an unbroken sequence. This node also learns of changes from another hub
+     * or by reading all items, and does not add those; and the store may have lost some.
+     */
+    private void restartAt(long fromRevision) {
+        if (oldestRevision != Long.MAX_VALUE) {
+            log.logState(LogFields.event("changes for members begin anew")
+                    .field("lastRevision", revision)
+                    .field("nextFromRevision", fromRevision));
+        }
+        items.clear();
+        oldestRevision = fromRevision;
+        revision = fromRevision;
+    }
+
     /** Called when the metadata store is unreachable, or some of its changes were missed. */
     void onMetadataLost() {
         items.clear();
--- /dev/null
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
@@ -0,0 +1,110 @@
+package org.cowslipbank.entry.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+import org.cowslipbank.model.PeerException;
+import org.cowslipbank.model.ProcessingStep;
+import org.cowslipbank.model.RunState;
+import org.cowslipbank.model.relay.StoreItem;
+import org.cowslipbank.ports.relay.MetadataStore;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/** A metadata store that answers reads when the test says so, with its state at that time. For one thread. */
+final class PausedMetadataStore implements MetadataStore {
+    private final List<StoreItem> history = new ArrayList<>();
+    private final List<Call> calls = new ArrayList<>();
+    private long oldestRevision;
+
+    /** A call without an answer. */
+    private record Call(Runnable answer, Runnable failure) {}
+
+    void write(StoreItem item) {
+        history.add(item);
+    }
+
+    long revision() {
+        return history.isEmpty() ? 1 : history.get(history.size() - 1).revision();
+    }
+
+    /** Returns the changes after a revision. */
+    Changes changes(long afterRevision) {
+        return new Changes(
+                history.stream().filter(item -> item.revision() > afterRevision).toList(), revision());
+    }
+
+    /** Drops the history until now, so that watches from earlier revisions fail. */
+    void loseHistory() {
+        oldestRevision = revision();
+    }
+
+    int calls() {
+        return calls.size();
+    }
+
+    /** Answers the call with an index in the order of their arrival; does nothing without it. */
+    void answer(int index) {
+        if (index >= 0 && index < calls.size()) {
+            calls.remove(index).answer().run();
+        }
+    }
+
+    /** Lets the call with an index fail; does nothing without it. */
+    void fail(int index) {
+        if (index >= 0 && index < calls.size()) {
+            calls.remove(index).failure().run();
+        }
+    }
+
+    private <T> Mono<T> call(BiConsumer<PausedMetadataStore, MonoSink<T>> answer) {
+        return Mono.create(sink -> calls.add(new Call(
+                () -> answer.accept(this, sink),
+                () -> sink.error(new PeerException(
+                        ProcessingStep.KEY_VALUE, "store", RunState.NOT_RUN, "call is failed by the test")))));
+    }
+
+    @Override
+    public Mono<Range> range(String prefix) {
+        return call((store, sink) -> sink.success(new Range(List.copyOf(history), revision(), 0)));
+    }
+
+    @Override
+    public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis) {
+        return call((store, sink) ->
+                sink.success(afterRevision < oldestRevision ? Optional.empty() : Optional.of(changes(afterRevision))));
+    }
+
+    @Override
+    public Mono<Optional<Long>> writeIf(Write write, Map<String, Long> expectedRevisions) {
+        return Mono.never();
+    }
+
+    @Override
+    public Mono<Optional<Long>> write(Write write) {
+        return Mono.never();
+    }
+
+    @Override
+    public Mono<Boolean> removeIf(String key, long expectedRevision) {
+        return Mono.never();
+    }
+
+    @Override
+    public Mono<Lease> grantLease(long ttlMillis) {
+        return Mono.never();
+    }
+
+    @Override
+    public Mono<Optional<Long>> renewLease(long lease) {
+        return Mono.never();
+    }
+
+    @Override
+    public Mono<Void> endLease(long lease) {
+        return Mono.never();
+    }
+}
