Stop passing parts on from an earlier time as hub

A node that is no longer a hub does not follow the cache stores, but its feed still held what they had told it. Once it was a hub again, its members got these parts until the store's first answer, and could fetch from ones that had been freed since. The same class of fault as gaps in a hub's changes: what is passed on outlives the time in which it is kept up to date. The feed now counts a store as lost as soon as its parts come from another hub. The new test failed before: a poll after a time as member was answered with the store.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
@@ -167,6 +167,8 @@
         Map<String, Long> cursors = new HashMap<>();
         for (FollowedStore followed : followedStores.values()) {
             followed.switchSource(hub);
+            // What it was told as a hub is no longer kept up to date, also if the node becomes one again.
+            feed.onCacheStoreLost(followed.storeName);
             cursors.put(followed.storeName, followed.unreachableByHub ? PollRequest.UNREACHABLE : followed.cursor);
         }
         return cursors;
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -2,9 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -15,6 +18,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.cowslipbank.decision.relay.CacheIndex;
 import org.cowslipbank.decision.relay.CacheScopeUse;
+import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
 import org.cowslipbank.entry.relay.FeedMessages.PollRequest;
@@ -34,6 +38,8 @@
     private final AtomicBoolean hasHub = new AtomicBoolean();
     private final CacheIndex cacheIndex = new CacheIndex();
     private final PlatformState state;
+    private final HubFeed feed = new HubFeed(loop, Clocks.SYSTEM, PlatformStates.log());
+    private final Deque<CacheChanges> answers = new ConcurrentLinkedDeque<>();
     private final CacheStoreFollower follower;
 
     CacheStoreFollowerTest() {
@@ -41,8 +47,7 @@
         state = PlatformStates.create(log);
         state.applySnapshot(new MetadataStore.Range(List.of(configuration(2, false)), 2, 0), 0, Long.MAX_VALUE, 0);
         EngineControl engines = new SilentStores();
-        CacheStoreFollower.Sources sources = new CacheStoreFollower.Sources(
-                engines, new HubFeed(loop, Clocks.SYSTEM, PlatformStates.log()), hasHub::get);
+        CacheStoreFollower.Sources sources = new CacheStoreFollower.Sources(engines, feed, hasHub::get);
         follower = new CacheStoreFollower(sources, cacheIndex, state::view, loop, Clocks.SYSTEM, log);
     }
 
@@ -51,13 +56,13 @@
         return new StoreItem("op/config", value, revision, 2, 0);
     }
 
-    /** Cache stores that never answer. */
+    /** Cache stores that answer no calls but the first ones, if the test states their answers. */
     private final class SilentStores extends SilentEngines {
         @Override
         public Mono<CacheChanges> cacheChanges(String address, long since, long waitMillis) {
             lastAskedMillis = Clocks.SYSTEM.nowMillis();
             asked.add(address);
-            return Mono.never();
+            return answers.isEmpty() ? Mono.never() : Mono.just(answers.remove());
         }
     }
 
@@ -90,6 +95,28 @@
         assert asked.equals(List.of("10.0.0.1:80")) : asked;
     }
 
+    /** Failure guarded against: a node that is a hub again passes on parts from its earlier time as a hub. */
+    @Example
+    void partsOfAnEarlierTimeAsHubAreNotPassedOn() throws Exception {
+        answers.add(new CacheChanges(7, 5, true, OptionalLong.empty(), List.of(PART)));
+        onLoop(follower::refresh);
+        assert storesToldToMembers().contains("kept");
+        hasHub.set(true);
+        onLoop(() -> follower.cursors("hub"));
+        hasHub.set(false);
+        assert storesToldToMembers().isEmpty();
+    }
+
+    private Set<String> storesToldToMembers() throws Exception {
+        onLoop(() -> feed.onMetadataChanges(1, List.of(), 2, new ConfigurationConfirmation(0, 0), 0));
+        return feed.poll(new PollRequest(1, Map.of("kept", 0L)))
+                .toFuture()
+                .get(5, TimeUnit.SECONDS)
+                .orElseThrow()
+                .stores()
+                .keySet();
+    }
+
     /**
      * Failure guarded against: a scope was out of use and its parts were freed, the event was lost, and one that is written
      * again is fetched.
