Check in soaks that new keys are not refused as unknown

No run checked that a configuration is in force: a node that has missed one refuses its keys and routes for as long as it does not get the next. The checker now finds a 401, 403 or 404 of a node later than the bound of revocation after the key was written, which nodes keep by their own clocks, and in fleets with hubs later than the 3 s that their deployments state, at nodes in touch. GuaranteeCheckerTest breaks it once.

--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -22,7 +22,7 @@
  * <p>The guarantees: a non-idempotent request runs at most once and an idempotent one at most twice; a rejected
  * request has not run and never will; a success response is complete and belongs to the request; a stream delivers
  * each event once; requests reach upstreams with the team's name and without its key; a revoked key is refused
- * everywhere within a bound; no request reaches an upstream after its drain period; an engine receives no commands
+ * everywhere within a bound, and a new one is no longer refused as unknown; no request reaches an upstream after its drain period; an engine receives no commands
  * from two nodes within one lease period, and no lower fencing token after a higher one.
  *
  * <p>No part that a request fetched from a cache store was freed before the fetch ended, or incomplete when it began. No answer
@@ -60,9 +60,11 @@
     private static final long CONFIGURATION_MILLIS = 2_000;
 
     private static final int SUCCESS = 200;
+    private static final Set<Integer> UNKNOWN_KEY_OR_ROUTE = Set.of(401, 403, 404);
 
     private final StandInFormats.Bounds bounds;
     private final long drainMillis;
+    private final long applyMillis;
     private final boolean calm;
     private final Map<Long, Long> namedAtMillis = new HashMap<>();
     private final Map<String, List<Long>> arrivals = new HashMap<>();
@@ -81,6 +83,7 @@
     private final Map<String, String> rejected = new HashMap<>();
     private final Map<String, Answered> answers = new HashMap<>();
     private final Set<String> answeredWithSuccess = new HashSet<>();
+    private final Map<String, Long> grantedAtMillis = new HashMap<>();
     private final Map<String, Long> revokedAtMillis = new HashMap<>();
     private final Map<String, Long> leavingSinceMillis = new HashMap<>();
     private final Map<String, String> nodeById = new HashMap<>();
@@ -102,13 +105,16 @@
      *
      * @param bounds the time bounds in the settings of the nodes
      * @param drainMillis time after which no request may reach a draining upstream, in milliseconds
+     * @param applyMillis time after which a configuration is in force at nodes in touch with the metadata store, in milliseconds
      * @param calm true if there are no faults, so that more is guaranteed
      * @param clock supplies the current time in milliseconds
      */
-    GuaranteeChecker(StandInFormats.Bounds bounds, long drainMillis, boolean calm, LongSupplier clock) {
+    GuaranteeChecker(
+            StandInFormats.Bounds bounds, long drainMillis, long applyMillis, boolean calm, LongSupplier clock) {
         this.bounds = bounds;
         this.calm = calm;
         this.drainMillis = drainMillis;
+        this.applyMillis = applyMillis;
         this.clock = clock;
     }
 
@@ -137,6 +143,16 @@
         return id;
     }
 
+    /** Records that the metadata store acknowledged a configuration with a key. */
+    synchronized void onGranted(String key) {
+        grantedAtMillis.putIfAbsent(key, clock.getAsLong());
+    }
+
+    /** Records that a configuration without a key is about to be written. */
+    synchronized void onRevoking(String key) {
+        grantedAtMillis.remove(key);
+    }
+
     synchronized void onRevoked(String key) {
         revokedAtMillis.put(key, clock.getAsLong());
     }
@@ -341,6 +357,22 @@
         check(
                 signature.isEmpty() || status == upstreamStatus,
                 id + " got status " + status + " where the upstream answered " + upstreamStatus + ", " + answered);
+        if (signature.isEmpty() && UNKNOWN_KEY_OR_ROUTE.contains(status)) {
+            checkUnknown(id, status);
+        }
+    }
+
+    /** Checks a refusal by a node: one whose configuration has not been confirmed within the bound of revocation refuses as not run. */
+    private void checkUnknown(String id, int status) {
+        String node = nodeById.get(id);
+        boolean inTouch = node != null && !isDisturbed(node);
+        long boundMillis = inTouch ? Math.min(applyMillis, bounds.revokeMillis()) : bounds.revokeMillis();
+        Long grantedMillis = grantedAtMillis.get(keyById.get(id));
+        check(
+                grantedMillis == null || sentAtMillis.get(id) <= grantedMillis + boundMillis,
+                id + " got status " + status + " from " + node + ", "
+                        + (grantedMillis == null ? 0 : sentAtMillis.get(id) - grantedMillis)
+                        + " ms after a configuration with its route and key was acknowledged");
     }
 
     /**
--- a/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -351,6 +351,7 @@
                 StandInFormats.CONFIGURATION_KEY,
                 StandInFormats.configuration(
                         configurationVersion, keysByTeam, variant, slots, List.copyOf(cacheStores.keySet())));
+        keysByTeam.values().forEach(keys -> keys.forEach(guarantees::onGranted));
         guarantees.onIsolated(variant.isolatedTeam());
         guarantees.onTimeout(variant.timeoutMillis());
         credentials = keysByTeam.entrySet().stream()
@@ -363,6 +364,7 @@
         String team = random.nextBoolean() ? "a" : "b";
         String old = keysByTeam.get(team).get(0);
         keysByTeam.put(team, List.of("key-" + team + "-" + configurationVersion));
+        guarantees.onRevoking(old);
         configure(StandInFormats.Variant.USUAL);
         guarantees.onRevoked(old);
     }
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -27,6 +27,15 @@
     private static final long GRACE_SECONDS = 8;
     private static final long VERSION_LIMIT_MILLIS = 6_000;
     private static final long EVACUATION_LIMIT_MILLIS = 5_000;
+    /** Smallest fleet in which nodes follow hubs. */
+    private static final int NODES_WITH_HUBS = 10;
+
+    /**
+     * Time after which a configuration is in force at nodes in touch, as the deployments with hubs state it. Smaller fleets are
+     * checked by the bound that nodes keep by their own clocks, which does not depend on the machine's speed.
+     */
+    private static final long APPLY_LIMIT_MILLIS = 3_000;
+
     private static final StandInFormats.Bounds BOUNDS = new StandInFormats.Bounds(
             REVOCATION_LIMIT_MILLIS, LEASE_MILLIS, GRACE_SECONDS, VERSION_LIMIT_MILLIS, EVACUATION_LIMIT_MILLIS);
 
@@ -189,8 +198,9 @@
     public SoakRun(Plan plan, Consumer<String> progress) {
         this.plan = plan;
         this.random = new Random(plan.seed());
+        long applyMillis = plan.nodes() < NODES_WITH_HUBS ? REVOCATION_LIMIT_MILLIS : APPLY_LIMIT_MILLIS;
         this.guarantees = new GuaranteeChecker(
-                BOUNDS, SoakPlatform.DRAIN_MILLIS, plan.kind() == Kind.CALM, System::currentTimeMillis);
+                BOUNDS, SoakPlatform.DRAIN_MILLIS, applyMillis, plan.kind() == Kind.CALM, System::currentTimeMillis);
         this.order = new StreamOrderChecker(violation -> guarantees.check(false, violation));
         this.progress = progress;
     }
--- a/soak/src/test/java/org/cowslipbank/soak/GuaranteeCheckerTest.java
+++ b/soak/src/test/java/org/cowslipbank/soak/GuaranteeCheckerTest.java
@@ -15,7 +15,7 @@
 final class GuaranteeCheckerTest {
     private final AtomicLong clockMillis = new AtomicLong(1_000_000);
     private final GuaranteeChecker guarantees = new GuaranteeChecker(
-            new StandInFormats.Bounds(5_000, 3_000, 8, 10_000, 5_000), 3_000, true, clockMillis::get);
+            new StandInFormats.Bounds(5_000, 3_000, 8, 10_000, 5_000), 3_000, 2_000, true, clockMillis::get);
 
     private Run run(String id, String path) {
         return new Run("s1", id, path, "a", "m/1/", false);
@@ -49,6 +49,24 @@
         assertOneViolation("ran 3 times");
     }
 
+    @Example
+    void newKeyThatIsRefusedForTooLongIsFound() {
+        guarantees.onGranted("key");
+        clockMillis.addAndGet(2_001);
+        String atNodeOutOfTouch = send(StandInFormats.READ_PATH);
+        guarantees.onSentTo(atNodeOutOfTouch, "n1");
+        guarantees.onDisturbed("n1");
+        guarantees.onHead(atNodeOutOfTouch, 401, "");
+        assert guarantees.violations().isEmpty();
+        String atNodeInTouch = send(StandInFormats.READ_PATH);
+        guarantees.onSentTo(atNodeInTouch, "n2");
+        guarantees.onHead(atNodeInTouch, 401, "");
+        assertOneViolation("2001 ms after a configuration with its route and key");
+        guarantees.onRevoking("key");
+        guarantees.onHead(atNodeInTouch, 401, "");
+        assert guarantees.violations().size() == 1;
+    }
+
     @Example
     void rejectionAfterARunIsFound() {
         String id = send(StandInFormats.READ_PATH);
