Refuse unknown routes and keys by recent knowledge only

Callers of a node that is behind got 404 or 401 for routes and keys that a configuration had added more than the 2 or 3 s before within which it must be in force. Such an answer ends a request; no client repeats it.

Cause: a refusal as unknown needed a confirmation within the bound for revoked keys, 5 s less a margin.

The bound is now the one of a change of the configuration (ConfigApplyMs, less the same margin of 0.4 s; without it, as before). A node whose confirmation is older asks the metadata store at once and waits up to 250 ms, as after a suspension; without an answer it refuses the request as not run. What is known is served as before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/ConfigurationConfirmation.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/ConfigurationConfirmation.java
@@ -10,7 +10,7 @@
  */
 public record ConfigurationConfirmation(long monotonicMillis, long wallMillis) {
     /**
-     * Safety margin subtracted from the revocation bound: the time of an answer is known only to a few milliseconds,
+     * Safety margin subtracted from a bound: the time of an answer is known only to a few milliseconds,
      * and the clocks of VMs run at slightly different rates.
      */
     static final long SAFETY_MARGIN_MILLIS = 400;
@@ -27,14 +27,15 @@
     }
 
     /**
-     * Returns whether API keys may still be accepted.
+     * Returns whether the configuration may be acted on, as no newer one must be in force yet.
      *
-     * @param revokeMillis revocation bound: time after which a revoked key must no longer be accepted, in milliseconds
+     * @param boundMillis time after which a newer configuration must be in force, in milliseconds: the revocation bound for keys
+     *     that it accepts, the bound of a change for what it does not know
      * @param nowMonotonicMillis the monotonic time in milliseconds
      * @param nowWallMillis the wall clock time in Unix milliseconds
-     * @return true if a key that was revoked just after this confirmation is still within the bound
+     * @return true if a configuration that was written just after this confirmation is still within the bound
      */
-    public boolean allowsKeys(long revokeMillis, long nowMonotonicMillis, long nowWallMillis) {
-        return ageMillis(nowMonotonicMillis, nowWallMillis) < revokeMillis - SAFETY_MARGIN_MILLIS;
+    public boolean isWithin(long boundMillis, long nowMonotonicMillis, long nowWallMillis) {
+        return ageMillis(nowMonotonicMillis, nowWallMillis) < boundMillis - SAFETY_MARGIN_MILLIS;
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheScopeUseTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheScopeUseTest.java
@@ -216,7 +216,7 @@
 
         boolean mayFetch(long version, String group) {
             boolean confirmed = confirmation
-                    .filter(at -> at.allowsKeys(REVOKE_MILLIS, monotonicMillis(), nowMillis))
+                    .filter(at -> at.isWithin(REVOKE_MILLIS, monotonicMillis(), nowMillis))
                     .isPresent();
             return confirmed && use.snapshot().mayFetch("m", version, group, monotonicMillis());
         }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -191,6 +191,7 @@
             return;
         }
         boolean confirmed = context.isConfirmed();
+        boolean mayRefuseUnknown = context.mayRefuseUnknown();
         view = context.view().get();
         if (view.routes().isEmpty()) {
             waitOrRefuse(RefusalReasons.NO_CONFIGURATION, FIRST_CONFIGURATION_WAIT_MILLIS);
@@ -203,7 +204,7 @@
             return;
         }
         Optional<Route> found = routes.route(request.host(), request.path());
-        if (found.isEmpty() && !confirmed) {
+        if (found.isEmpty() && !mayRefuseUnknown) {
             // A newer configuration may have the route.
             waitForConfirmation();
             return;
@@ -213,7 +214,7 @@
             return;
         }
         route = found.get();
-        if (!authenticate(routes, confirmed)) {
+        if (!authenticate(routes, confirmed, mayRefuseUnknown)) {
             return;
         }
         if (request.id().isEmpty()) {
@@ -270,7 +271,7 @@
         submitStart();
     }
 
-    private boolean authenticate(RouteTable routes, boolean confirmed) {
+    private boolean authenticate(RouteTable routes, boolean confirmed, boolean mayRefuseUnknown) {
         if (route.anonymous() || !routes.hasTeams()) {
             return true;
         }
@@ -280,6 +281,11 @@
             return false;
         }
         team = request.bearerKey().flatMap(routes::team);
+        if (team.isEmpty() && !mayRefuseUnknown) {
+            // A newer configuration may have the key.
+            waitForConfirmation();
+            return false;
+        }
         if (team.isEmpty()) {
             fail(401, RefusalReasons.UNKNOWN_KEY);
             return false;
@@ -290,9 +296,12 @@
     // After a suspension of the VM the confirmation comes within milliseconds; without contact to the metadata store
     // it may not come at all.
     private void waitForConfirmation() {
-        waitOrRefuse(
-                RefusalReasons.CONFIGURATION_UNCONFIRMED,
-                context.canConfirm().getAsBoolean() ? CONFIRMATION_WAIT_MILLIS : 0);
+        boolean canConfirm = context.canConfirm().getAsBoolean();
+        if (canConfirm) {
+            // A hub's next answer may come too late, or not be recent enough.
+            context.refresh().run();
+        }
+        waitOrRefuse(RefusalReasons.CONFIGURATION_UNCONFIRMED, canConfirm ? CONFIRMATION_WAIT_MILLIS : 0);
     }
 
     private void waitOrRefuse(String reason, long waitMillis) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -109,10 +109,23 @@
      * @return false before the first confirmation, and once the last one is older than the revocation bound allows
      */
     boolean isConfirmed(LeaderLease.ClockReading now) {
-        long revokeMillis = settings.bounds().revokeMillis();
+        return isConfirmedWithin(settings.bounds().revokeMillis(), now);
+    }
+
+    /**
+     * Returns whether routes and keys that the configuration lacks may be refused as unknown. Holds for a view that is read
+     * afterwards.
+     *
+     * @return false if a configuration that must be in force by now may be missing
+     */
+    boolean mayRefuseUnknown() {
+        return isConfirmedWithin(settings.bounds().configurationMillis(), clocks.now());
+    }
+
+    private boolean isConfirmedWithin(long boundMillis, LeaderLease.ClockReading now) {
         return confirmation
                 .get()
-                .filter(known -> known.allowsKeys(revokeMillis, now.monotonicMillis(), now.wallMillis()))
+                .filter(known -> known.isWithin(boundMillis, now.monotonicMillis(), now.wallMillis()))
                 .isPresent();
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -208,7 +208,7 @@
                         freeTcpAddress()),
                 "unused:1",
                 1_000,
-                new RelaySettings.Bounds(5_000, true, 3_000, 0.2, retrySlack, 3_000, 6_000, 5_000, 1.5, 5),
+                new RelaySettings.Bounds(5_000, true, 2_000, 3_000, 0.2, retrySlack, 3_000, 6_000, 5_000, 1.5, 5),
                 430,
                 125_000_000,
                 0.75,
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -128,7 +128,8 @@
                 null,
                 "",
                 1_000,
-                new RelaySettings.Bounds(REVOKE_MILLIS, true, 3_000, 0.2, 1, 3_000, VERSION_MILLIS, 5_000, 1.5, 5),
+                new RelaySettings.Bounds(
+                        REVOKE_MILLIS, true, 2_000, 3_000, 0.2, 1, 3_000, VERSION_MILLIS, 5_000, 1.5, 5),
                 430,
                 1,
                 1,
--- a/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/RelaySettings.java
@@ -52,6 +52,7 @@
      *
      * @param revokeMillis time after which a revoked key must not be accepted anywhere, in milliseconds
      * @param revokeStrict true if that holds even for nodes that have lost contact with the store
+     * @param configurationMillis time after which a configuration is in force at nodes in touch with the store, in milliseconds
      * @param graceMillis time from SIGTERM to SIGKILL, in milliseconds
      * @param retryShare retry budget of all nodes together, as a ratio of retries to requests
      * @param retrySlack retries allowed in a window beyond that ratio, over all nodes
@@ -66,6 +67,7 @@
     public record Bounds(
             long revokeMillis,
             boolean revokeStrict,
+            long configurationMillis,
             long graceMillis,
             double retryShare,
             long retrySlack,
