--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
@@ -54,6 +54,7 @@
     private Optional<ConfigurationConfirmation> confirmation = Optional.empty();
     private long reconnectedMillis;
     private boolean answersScheduled;
+    private volatile int gaps;
 
     /** A held poll; its answer is empty if the member has to read the metadata store directly. */
     private record HeldPoll(
@@ -120,6 +121,7 @@
      */
     private void restartAt(long fromRevision) {
         if (oldestRevision != Long.MAX_VALUE) {
+            gaps++;
             log.logState(LogFields.event("changes for members begin anew")
                     .field("lastRevision", revision)
                     .field("nextFromRevision", fromRevision));
@@ -164,6 +166,16 @@
         }
     }
 
+    /**
+     * Returns how often changes for members began anew, because this node had learned some in another way. May be called by any
+     * thread.
+     *
+     * @return the number since the node's start
+     */
+    int gaps() {
+        return gaps;
+    }
+
     /**
      * Returns whether this node follows the metadata store.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -565,6 +565,7 @@
                 "platform.nodes", (Gauge<Integer>) () -> watcher.view().nodes().size());
         metrics.register("platform.upstreams", (Gauge<Integer>)
                 () -> watcher.view().servers().size());
+        metrics.register("platform.gapsForMembers", (Gauge<Integer>) hubFeed::gaps);
         metrics.register("platform.evacuatedDataCentres", (Gauge<Integer>)
                 () -> watcher.view().evacuated().size());
         metrics.register("upstream.connectionsOpened", (Gauge<Long>) connections::openedCount);
