--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -22,8 +22,8 @@
  * <p>The guarantees: a non-idempotent request runs at most once and an idempotent one at most twice; a rejected
  * request has not run and never will; a success response is complete and belongs to the request; a stream delivers
  * each event once; requests reach upstreams with the team's name and without its key; a revoked key is refused
- * everywhere within a bound, and a new one is no longer refused as unknown; no request reaches an upstream after its drain period; an engine receives no commands
- * from two nodes within one lease period, and no lower fencing token after a higher one.
+ * everywhere within a bound, and a new one is no longer refused as unknown; no request reaches an upstream after its drain
+ * period; an engine receives no commands from two nodes within one lease period, and no lower fencing token after a higher one.
  *
  * <p>No part that a request fetched from a cache store was freed before the fetch ended, or incomplete when it began. No answer
  * with an upstream's signature has another status than that upstream's answer, and a whole success is one that an upstream
@@ -362,7 +362,7 @@
         }
     }
 
-    /** Checks a refusal by a node: one whose configuration has not been confirmed within the bound of revocation refuses as not run. */
+    /** Checks a refusal by a node; one that is behind for longer than the bound must refuse as not run instead. */
     private void checkUnknown(String id, int status) {
         String node = nodeById.get(id);
         boolean inTouch = node != null && !isDisturbed(node);
