Show that a member behind a gap takes one software version for all

The users' streams went on at another version. HubHistoryTest now also has that history: engines of a second version register while a hub follows another one, and a member polls it afterwards.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubHistoryTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubHistoryTest.java
@@ -20,6 +20,7 @@
 import net.jqwik.api.lifecycle.AfterContainer;
 import net.jqwik.api.statistics.Statistics;
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
+import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.entry.relay.FeedMessages.ItemMessage;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
 import org.cowslipbank.entry.relay.FeedMessages.PollRequest;
@@ -93,16 +94,24 @@
 
         private void write(int count) {
             for (int index = 0; index < count; index++) {
-                long revision = store.revision() + 1;
-                store.write(version(revision));
-                writtenMillis.add(control.nowMillis());
+                String model = "m" + (store.revision() + 1);
+                put("op/version/" + model, "{\"Model\":\"" + model + "\",\"Version\":1}");
             }
         }
 
-        private static StoreItem version(long revision) {
-            String model = "m" + revision;
-            String value = "{\"Model\":\"" + model + "\",\"Version\":1}";
-            return new StoreItem("op/version/" + model, value.getBytes(StandardCharsets.UTF_8), revision, revision, 0);
+        private void put(String key, String value) {
+            long revision = store.revision() + 1;
+            store.write(new StoreItem(key, value.getBytes(StandardCharsets.UTF_8), revision, revision, 0));
+            writtenMillis.add(control.nowMillis());
+        }
+
+        private void registerEngine(int number, String softwareVersion) {
+            String value =
+                    """
+                    {"Service":"llm","Address":"10.0.0.%d:80","Zone":"a","Slots":16,"State":"ready","born":1,"Version":"%s",
+                     "Models":[{"Name":"m","Version":1}]}
+                    """;
+            put("servers/i-" + number, value.formatted(number, softwareVersion));
         }
 
         private void run(Step step) {
@@ -140,13 +149,18 @@
 
         private void poll(int behind) {
             long from = Math.max(1, store.revision() - behind);
+            answer(from).ifPresent(answer -> check(from, answer));
+        }
+
+        private Optional<PollAnswer> answer(long from) {
             CompletableFuture<Optional<PollAnswer>> polled =
                     feed.poll(new PollRequest(from, Map.of())).toFuture();
             LOOP.submit(() -> {}).syncUninterruptibly();
             // A poll that is held has nothing new.
-            polled.getNow(Optional.empty()).ifPresent(answer -> check(from, answer));
+            Optional<PollAnswer> answer = polled.getNow(Optional.empty());
             polled.cancel(false);
             LOOP.submit(() -> {}).syncUninterruptibly();
+            return answer;
         }
 
         private void check(long from, PollAnswer answer) {
@@ -241,6 +255,36 @@
                 pollFrom(2));
     }
 
+    /** The member would let every stream go on at the software version that it takes for the only one. */
+    @Example
+    void memberLearnsOfASoftwareVersionThatCameMeanwhile() {
+        Hub hub = new Hub();
+        hub.put("op/config", RelaySystem.configuration(1, "\"key\""));
+        hub.registerEngine(1, "v1");
+        hub.run(step(Action.ANSWER_OLDEST));
+        hub.run(new Step(Action.PAUSE, 9));
+        StreamOrigins origins = new StreamOrigins();
+        PlatformState member = PlatformStates.create(origins, PlatformStates.log());
+        long memberRevision = hub.store.revision();
+        member.applyChanges(hub.store.changes(1).items(), memberRevision, 0);
+        member.recordSoftwareVersions(0);
+        assert origins.onlyVersion("llm", 0).equals(Optional.of("v1"));
+        hub.run(step(Action.FOLLOW));
+        hub.registerEngine(2, "v2");
+        hub.run(step(Action.ANSWER_OLDEST));
+        hub.run(step(Action.LEAD));
+        hub.run(new Step(Action.PAUSE, 9));
+        hub.run(step(Action.WRITE));
+        hub.run(step(Action.ANSWER_OLDEST));
+        // A member without an answer reads the metadata store.
+        List<StoreItem> told = hub.answer(memberRevision)
+                .map(answer -> answer.items().stream().map(ItemMessage::decode).toList())
+                .orElseGet(() -> hub.store.changes(memberRevision).items());
+        member.applyChanges(told, hub.store.revision(), 0);
+        member.recordSoftwareVersions(0);
+        assert origins.onlyVersion("llm", 0).isEmpty();
+    }
+
     /** A call on behalf of a stream that is taken up returns beside a reading of all items. */
     @Example
     void changesOfACompleteReadingArePassedOn() {
