Show memory that is fetched from a part still being written

Cause: nodes use what they know of a cache store for up to 1.7 s after their last call. After a shorter outage some of them still fetch by what they knew before it, while others already let engines save the same parts anew.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# A store of KV cache that goes dark and returns empty. Exit code: 1 rule broken, 0 rule held, 2 the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -f target/cowslipbank.jar ] && [ -f target/review-2/DarkCacheStore.class ] || exit 2
+exec java -cp target/review-2 DarkCacheStore review/7
