Number the review's cases by gravity

The cases on software versions, tenants and eras move from review/6, 8 and 9 to review/8, 9 and 10. Their scripts name their folders; nothing else changes.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A restored store whose eras begin at 0. Exit code: 1 rule broken, 0 rule held, 2 the case could not run.
+# A configuration without any tenant. Exit code: 1 rule broken, 0 rule held, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/cowslipbank.jar ] && [ -f target/review-2/RestoredStore.class ] || exit 2
-exec java -cp target/review-2 RestoredStore review/9
+[ -f target/cowslipbank.jar ] && [ -f target/review-2/EmptyTenants.class ] || exit 2
+exec java -cp target/review-2 EmptyTenants review/9
