Show a part of a body that is passed on as a complete answer

Cause: the end of an answer without a length is checked by a new connection after the close was read. If the close is read late, a plain upstream that has started again meanwhile answers the check in place of the one that ended.

--- a/review/stand-ins-2/Server.java
+++ b/review/stand-ins-2/Server.java
@@ -14,6 +14,8 @@
 final class Server {
     private static final AtomicLong RUNS = new AtomicLong();
 
+    static final String UNFRAMED_BODY = "0123456789".repeat(200) + "end";
+
     /** Receives what a server runs. */
     interface Observer {
         void onRun(Server server, String requestId, String run, Http.Message request);
@@ -27,6 +29,7 @@
     private volatile Transfers transfers;
     private final AtomicInteger running = new AtomicInteger();
     private volatile String softwareVersion;
+    private volatile String registeredAddress;
     private volatile long bornMillis = System.currentTimeMillis();
     private volatile long life;
     private long sequence;
@@ -39,6 +42,7 @@
         this.store = store;
         this.observer = observer;
         this.http = new Http("127.0.0.1", 0, this::answer);
+        this.registeredAddress = http.address();
     }
 
     /** Lets the engine fetch and save parts of prompts. */
@@ -50,12 +54,21 @@
         return softwareVersion;
     }
 
+    /** Sets the address that the server registers, where it is reached over a link. */
+    void reachedAt(String address) {
+        registeredAddress = address;
+    }
+
+    int port() {
+        return http.port();
+    }
+
     /** Writes the server's entry, as with each heartbeat. */
     synchronized void register() {
         sequence++;
         Map<String, Object> entry = Json.map(
                 "Service", service,
-                "Address", http.address(),
+                "Address", registeredAddress,
                 "Zone", "a",
                 "Version", softwareVersion,
                 "Slots", 64,
@@ -131,6 +144,8 @@
         try {
             if (request.path().startsWith("/stream/")) {
                 stream(request, out, head, run);
+            } else if (request.path().endsWith("/unframed")) {
+                unframed(socket, out, head);
             } else {
                 Http.write(out, "HTTP/1.1 200 OK\r\n" + head, ("done " + requestId).getBytes());
             }
@@ -139,6 +154,16 @@
         }
     }
 
+    /** Answers without a length or chunks: half of the body at once, the rest a second later, then the channel ends. */
+    private static void unframed(Socket socket, OutputStream out, String head) throws Exception {
+        out.write(("HTTP/1.1 200 OK\r\n" + head + "Connection: close\r\n\r\n" + UNFRAMED_BODY.substring(0, 1_000)).getBytes());
+        out.flush();
+        Thread.sleep(1_000);
+        out.write(UNFRAMED_BODY.substring(1_000).getBytes());
+        out.flush();
+        socket.close();
+    }
+
     /** Sends the events behind the last one that the request names; the path ends with their number and the interval. */
     private void stream(Http.Message request, OutputStream out, String head, String run) throws Exception {
         String[] path = request.path().split("/");
