Keep the cases on cuts and software versions within the site's shares

Cause: one of two servers, and all of three engines, are more than the largest shares that the site names for a cut (0.35) and for a release (0.45).

Change: review/6 cuts one of three servers off; review/8 replaces three of seven engines, 1.3 s apart, before 175 clients.

--- a/review/stand-ins-2/CrashBehindCut.java
+++ b/review/stand-ins-2/CrashBehindCut.java
@@ -13,7 +13,7 @@
  */
 public final class CrashBehindCut {
     private static final int NODES = 3;
-    private static final int SERVERS = 2;
+    private static final int SERVERS = 3;
     private static final int REQUESTS = 12;
     /** Rounds with a cut; one with a node that stands still follows. */
     private static final int CUTS = 3;
--- a/review/stand-ins-2/InPlaceRelease.java
+++ b/review/stand-ins-2/InPlaceRelease.java
@@ -16,16 +16,17 @@
  */
 public final class InPlaceRelease {
     private static final int NODES = 3;
-    private static final int ENGINES = 3;
-    private static final int CLIENTS = 30;
+    private static final int ENGINES = 7;
+    private static final int REPLACED = 3;
+    private static final int CLIENTS = 175;
     private static final int EVENTS = 60;
     private static final int INTERVAL_MILLIS = 50;
     private static final long HEARTBEAT_MILLIS = 1_200;
     /** Time from the start of an engine to its first entry; heartbeats come about every HEARTBEAT_MILLIS. */
-    private static final long FIRST_BEAT_MILLIS = 1_000;
+    private static final long FIRST_BEAT_MILLIS = HEARTBEAT_MILLIS;
 
     private static final long DOWN_MILLIS = 300;
-    private static final long GAP_MILLIS = 1_000;
+    private static final long GAP_MILLIS = 1_300;
     private static final int ALLOWED_STREAMS = 2;
 
     private InPlaceRelease() {}
@@ -70,11 +71,11 @@
                     }
                 }
             }));
-            Thread.sleep(40);
+            Thread.sleep(20);
         }
         Thread.sleep(3_000);
         if (trouble) {
-            for (Server engine : engines) {
+            for (Server engine : engines.subList(0, REPLACED)) {
                 long begun = System.currentTimeMillis();
                 engine.kill();
                 record.add("engine " + engine.id + " ended");
