Log by which epoch of a cache store fetches and saves are planned

Cause: the logs named the stores of a fetch, but not by which epoch of a store it was planned and how old that knowledge was, and nothing told of saves. A fetch from a part that is being written could not be told apart from one that met a late save.

Change: `send fetches parts` has the epochs and the ages of the stores' answers, `send saves parts` the same for saves, `cache store followed` the hub that told it, `cache store restarted` the store's clock. CachePlanner and CacheStoreFollower decide as before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -75,6 +75,15 @@
         }
     }
 
+    /**
+     * What a plan goes by at one store.
+     *
+     * @param address the store's address
+     * @param epoch the epoch for which its index was built
+     * @param answerAgeMillis time since the store's last answer, in milliseconds
+     */
+    public record StoreState(String address, long epoch, long answerAgeMillis) {}
+
     private final Map<String, StoreIndex> indexByAddress = new HashMap<>();
     /** Offset between the upstreams' clock, as each store states it, and this node's clock in milliseconds. */
     private final Map<String, Long> clockOffsetMillisByAddress = new HashMap<>();
@@ -340,6 +349,25 @@
         return Optional.ofNullable(indexByAddress.get(address)).map(storeIndex -> storeIndex.epoch);
     }
 
+    /**
+     * Returns by what state of stores a plan was made.
+     *
+     * @param addresses addresses of stores; others are left out
+     * @param nowMillis the time of the plan, in milliseconds
+     * @return the states of the stores that have an index
+     */
+    public List<StoreState> states(Collection<String> addresses, long nowMillis) {
+        return addresses.stream()
+                .filter(indexByAddress::containsKey)
+                .distinct()
+                .map(address -> state(address, indexByAddress.get(address), nowMillis))
+                .toList();
+    }
+
+    private static StoreState state(String address, StoreIndex storeIndex, long nowMillis) {
+        return new StoreState(address, storeIndex.epoch, nowMillis - storeIndex.answeredAtMillis);
+    }
+
     /**
      * Returns the number of parts that the index holds as complete.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CachePlanner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CachePlanner.java
@@ -208,7 +208,8 @@
                 .orElse(NO_CACHE);
         OptionalLong fetchUntilMillis = context.cacheIndex().fetchDeadlineMillis(plan, now.monotonicMillis());
         Planned planned = new Planned(scope.map(Scope::name), plan, fetchUntilMillis);
-        logFetch(view, server, planned);
+        logFetch(view, server, planned, now.monotonicMillis());
+        logSave(server, planned, now.monotonicMillis());
         return planned;
     }
 
@@ -236,7 +237,7 @@
                 .orElse(plan);
     }
 
-    private void logFetch(PlatformView view, UpstreamServer server, Planned planned) {
+    private void logFetch(PlatformView view, UpstreamServer server, Planned planned, long nowMillis) {
         List<String> sources = planned.plan().fetchFrom().stream()
                 .filter(source -> !source.isEmpty())
                 .toList();
@@ -266,9 +267,35 @@
                         .field("parts", sources.size())
                         .field("storeRevision", view.revision())
                         .field("confirmationAgeMillis", context.confirmationAgeMillis())
+                        .field("indexes", describeIndexes(sources, nowMillis))
                         .field("fetchUntilMillis", planned.fetchUntilMillis().orElse(-1)));
     }
 
+    private void logSave(UpstreamServer server, Planned planned, long nowMillis) {
+        List<String> stores = planned.plan().saveTo().stream()
+                .filter(store -> !store.isEmpty())
+                .toList();
+        if (stores.isEmpty()) {
+            return;
+        }
+        context.log()
+                .logRequest(LogFields.event("send saves parts")
+                        .request(new RequestId(request.id()))
+                        .peer(server.address())
+                        .field("server", server.id())
+                        .field("scope", planned.scope().orElse(""))
+                        .field("parts", stores.size())
+                        .field("indexes", describeIndexes(stores, nowMillis)));
+    }
+
+    /** Tells by which epoch of each store the plan was made, and how old the store's answer was. */
+    private List<String> describeIndexes(List<String> stores, long nowMillis) {
+        return context.cacheIndex().states(stores, nowMillis).stream()
+                .map(state -> state.address() + " epoch " + state.epoch() + " answered " + state.answerAgeMillis()
+                        + " ms ago")
+                .toList();
+    }
+
     private long now() {
         return context.clocks().nowMillis();
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
@@ -220,6 +220,10 @@
         // If the source is a hub by now, the store's answer is outdated.
         if (followed.source.isEmpty() && hasRestarted(address, followed, changes)) {
             // The store has restarted, so the change number is not valid any more; the next call asks for all parts.
+            log.logState(LogFields.event("cache store restarted")
+                    .peer(address)
+                    .field("epoch", changes.epoch())
+                    .field("clockMillis", changes.clockMillis().orElse(-1)));
             followed.cursor = 0;
             followed.outOfSync = true;
             cacheIndex.onStoreAnswer(address, changes.epoch(), true, sentAtMillis);
@@ -248,6 +252,7 @@
         if (otherEpoch) {
             log.logState(LogFields.event("cache store followed")
                     .peer(address)
+                    .field("hub", followed.source.isEmpty() ? "none" : followed.source)
                     .field("epoch", changes.epoch())
                     .field("changes", changes.changes().size()));
         }
