Save nothing in a restarted cache store until earlier fetches have ended

Cause: a fetch names a store's address only, and the store serves what is reserved. A node plans fetches by the last answer of a store for some seconds, through a hub for up to 3.9 s. A store that is back sooner is empty; a node that has noticed let engines save the same parts at once, while others still fetched by the epoch before.

Change: a store's answer is a lease on the upstreams' clock. Fetches that are planned by it end within 4.5 s of it (ANSWER_VALID_MILLIS and FETCH_TIMEOUT_MILLIS), at which engines discard them. Hubs tell their members how old the store's answer is and how long its epoch is known, so that the lease counts from the store's answer. A node saves in a store only when it has known its epoch for 5 s; an index that was merely lost does not begin that time anew, and a new member takes over its hub's. Answers of an earlier epoch are not used, and numbers that go back count as a restart. Members of earlier releases get answers without the new field, since they cannot read it.

Why it works: an answer of the earlier epoch was given before the restart, and each fetch by it ends 4.5 s later on the clock of those who carry it out. A node learns of the new epoch after the restart. It does not matter how long the store was away, by which path an answer came, or whether a process is suspended in between.

Tests that saved in the first moment of an epoch wait for the delay now and check the same.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -19,10 +19,20 @@
  * Index of the prompt parts that each cache store holds completely, built from the stores' change events. A part that
  * is still being written, or whose write was interrupted, must not be read, so engines get the address of a part only
  * after the store has sent an event for it. Confined to the traffic thread.
+ *
+ * <p>A store that restarts is empty, and a fetch names only its address, so a fetch that was planned before a restart would
+ * read what is written after it. Two rules keep them apart, without an agreement between nodes. A store's answer is a lease:
+ * fetches planned by it end within {@link #ANSWER_LEASE_MILLIS} of it on the upstreams' clock, at which engines discard them,
+ * however long the answer, the plan or the request was under way. And a node lets nothing be saved in a store until it has
+ * known the store's epoch for {@link #SAVE_DELAY_MILLIS}, when the leases of the epoch before have ended.
  */
 public final class CacheIndex {
-    /** How long the index of a store is used after the store's last answer; a restart takes longer than this. */
-    public static final long ANSWER_VALID_MILLIS = 2_200;
+    /**
+     * How long the index of a store is used after the store's last answer. Covers an answer that reaches a node through its
+     * hub: the hub's call waits for 1,000 ms, 250 ms after the one before; the node's poll is held for 1,000 ms, 250 ms after
+     * the one before; changes are batched for 100 ms. The rest is for the transfers.
+     */
+    public static final long ANSWER_VALID_MILLIS = 3_000;
 
     /** Time without an event after which a part is saved again. Events arrive up to 100 ms late, and few are lost. */
     static final long SAVE_RETRY_MILLIS = 2_500;
@@ -33,6 +43,15 @@
      */
     public static final long FETCH_TIMEOUT_MILLIS = 1_500;
 
+    /** Longest time from a store's answer to the end of a fetch that was planned by it. */
+    static final long ANSWER_LEASE_MILLIS = ANSWER_VALID_MILLIS + FETCH_TIMEOUT_MILLIS;
+
+    /** Covers differences between the clocks of engines and stores. */
+    private static final long CLOCK_MARGIN_MILLIS = 500;
+
+    /** How long a node must have known the epoch of a store before it lets parts be saved there. */
+    public static final long SAVE_DELAY_MILLIS = ANSWER_LEASE_MILLIS + CLOCK_MARGIN_MILLIS;
+
     /** Key of a part: its identifier within a cache scope. */
     private record PartKey(String scope, String partId) {}
 
@@ -81,9 +100,11 @@
      * @param address the store's address
      * @param epoch the epoch for which its index was built
      * @param answerAgeMillis time since the store's last answer, in milliseconds
+     * @param epochKnownMillis how long the store has had this epoch, as far as this node knows, in milliseconds
      */
-    public record StoreState(String address, long epoch, long answerAgeMillis) {}
+    public record StoreState(String address, long epoch, long answerAgeMillis, long epochKnownMillis) {}
 
+    private final StoreEpochs epochs = new StoreEpochs();
     private final Map<String, StoreIndex> indexByAddress = new HashMap<>();
     /** Offset between the upstreams' clock, as each store states it, and this node's clock in milliseconds. */
     private final Map<String, Long> clockOffsetMillisByAddress = new HashMap<>();
@@ -94,16 +115,61 @@
      * @param address the store's address
      * @param epoch the store's epoch, which changes when it restarts; a new epoch clears its index
      * @param restart true if events were lost, so that the index is rebuilt from empty
-     * @param nowMillis the time in milliseconds at which the request to the store was sent
+     * @param answeredAtMillis the time on this node's clock, in milliseconds, that corresponds to the clock in the answer, see
+     *     {@link #onUpstreamClock}, which has to be called before. The store had this epoch by then
      */
-    public void onStoreAnswer(String address, long epoch, boolean restart, long nowMillis) {
+    public void onStoreAnswer(String address, long epoch, boolean restart, long answeredAtMillis) {
         StoreIndex storeIndex = indexByAddress.computeIfAbsent(address, key -> new StoreIndex());
         if (storeIndex.epoch != epoch || restart) {
             storeIndex.tokensByPart.clear();
             storeIndex.saveRequestedAtMillis.clear();
         }
         storeIndex.epoch = epoch;
-        storeIndex.answeredAtMillis = nowMillis;
+        storeIndex.answeredAtMillis = answeredAtMillis;
+        epochs.onAnswer(address, epoch, answeredAtMillis, upstreamClockMillis(address, answeredAtMillis));
+    }
+
+    /**
+     * Records that another node has known the epoch of a store for longer than this one.
+     *
+     * @param address the store's address
+     * @param epoch the epoch; ignored if it is not the one of the last answer
+     * @param sinceMillis a time at which the store was already in it, in milliseconds
+     */
+    public void onEpochKnownElsewhere(String address, long epoch, long sinceMillis) {
+        epochs.onKnownElsewhere(address, epoch, sinceMillis);
+    }
+
+    /**
+     * Forgets the epoch of a store that has restarted with the same number.
+     *
+     * @param address the store's address
+     */
+    public void onEpochRepeated(String address) {
+        epochs.forget(address);
+    }
+
+    /**
+     * Returns whether an answer is of an epoch before the one that this node knows, so that it must not be used.
+     *
+     * @param address the store's address
+     * @param epoch the epoch of the answer
+     * @param clockMillis the upstreams' clock when the store gave the answer, in milliseconds; empty if not stated
+     * @return true for an answer of an earlier epoch
+     */
+    public boolean isOutdated(String address, long epoch, OptionalLong clockMillis) {
+        return epochs.isOutdated(address, epoch, clockMillis);
+    }
+
+    /**
+     * Returns how long a store has had its epoch, as far as this node knows, also while it is out of reach.
+     *
+     * @param address the store's address
+     * @param nowMillis the time in milliseconds
+     * @return the time in milliseconds, empty if no epoch is known
+     */
+    public OptionalLong epochKnownMillis(String address, long nowMillis) {
+        return epochs.knownMillis(address, nowMillis);
     }
 
     /**
@@ -143,8 +209,9 @@
     }
 
     /**
-     * Returns the deadline of a fetch that starts now. An engine abandons a fetch that has not ended by then. Engines state
-     * no clock, so a fetch from them alone ends by the clock of any store.
+     * Returns the deadline of a fetch that starts now. An engine abandons a fetch that has not ended by then. It is not after
+     * the lease of the answer by which a store's parts are known. Engines state no clock, so a fetch from them alone ends by
+     * the clock of any store.
      *
      * @param plan what is fetched
      * @param nowMillis the time in milliseconds
@@ -159,7 +226,22 @@
         if (clockMillis.isEmpty() && !sources.isEmpty()) {
             clockMillis = anyUpstreamClockMillis(nowMillis);
         }
-        return clockMillis.isEmpty() ? clockMillis : OptionalLong.of(clockMillis.getAsLong() + FETCH_TIMEOUT_MILLIS);
+        if (clockMillis.isEmpty()) {
+            return clockMillis;
+        }
+        long leaseEndMillis = sources.stream()
+                .flatMapToLong(source -> leaseEndMillis(source).stream())
+                .min()
+                .orElse(Long.MAX_VALUE);
+        return OptionalLong.of(Math.min(clockMillis.getAsLong() + FETCH_TIMEOUT_MILLIS, leaseEndMillis));
+    }
+
+    /** Returns the end of the lease of a store's last answer, on the upstreams' clock in milliseconds. */
+    private OptionalLong leaseEndMillis(String address) {
+        StoreIndex storeIndex = indexByAddress.get(address);
+        return storeIndex == null
+                ? OptionalLong.empty()
+                : upstreamClockMillis(address, storeIndex.answeredAtMillis + ANSWER_LEASE_MILLIS);
     }
 
     /**
@@ -272,7 +354,8 @@
 
     private boolean shouldSave(String address, String scope, PromptPart part, long nowMillis) {
         StoreIndex storeIndex = indexByAddress.get(address);
-        if (!isFresh(storeIndex, nowMillis)) {
+        if (!isFresh(storeIndex, nowMillis)
+                || epochs.knownMillis(address, nowMillis).orElse(0) < SAVE_DELAY_MILLIS) {
             return false;
         }
         Long saveRequestedAtMillis = storeIndex.saveRequestedAtMillis.get(new PartKey(scope, part.id()));
@@ -364,8 +447,12 @@
                 .toList();
     }
 
-    private static StoreState state(String address, StoreIndex storeIndex, long nowMillis) {
-        return new StoreState(address, storeIndex.epoch, nowMillis - storeIndex.answeredAtMillis);
+    private StoreState state(String address, StoreIndex storeIndex, long nowMillis) {
+        return new StoreState(
+                address,
+                storeIndex.epoch,
+                nowMillis - storeIndex.answeredAtMillis,
+                epochs.knownMillis(address, nowMillis).orElse(0));
     }
 
     /**
@@ -387,5 +474,6 @@
     public void retain(Set<String> addresses) {
         indexByAddress.keySet().retainAll(new HashSet<>(addresses));
         clockOffsetMillisByAddress.keySet().retainAll(new HashSet<>(addresses));
+        epochs.retain(addresses);
     }
 }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheIndexTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheIndexTest.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import net.jqwik.api.Example;
 import org.cowslipbank.model.relay.CacheStore;
@@ -18,6 +19,9 @@
 
     private final CacheIndex cacheIndex = new CacheIndex();
 
+    /** When parts may be saved in stores whose first answer was at time 0. */
+    private static final long SAVE_MILLIS = CacheIndex.SAVE_DELAY_MILLIS;
+
     private void allAnswer(long epoch, long nowMillis) {
         STORES.forEach(store -> {
             cacheIndex.onUpstreamClock(store.address(), nowMillis, nowMillis);
@@ -33,27 +37,30 @@
     @Example
     void onlyCompletePartsAreFetched() {
         allAnswer(1, 0);
-        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, 10);
+        allAnswer(1, SAVE_MILLIS);
+        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, SAVE_MILLIS);
         assert plan.fetchFrom().equals(List.of("", "", ""));
         assert plan.saveTo().equals(List.of(storeOf(FIRST), storeOf(SECOND), ""));
-        cacheIndex.onSavesRequested(SCOPE, PARTS, plan, 10);
+        cacheIndex.onSavesRequested(SCOPE, PARTS, plan, SAVE_MILLIS);
         cacheIndex.onPartEvent(storeOf(FIRST), SCOPE, "p1", 500);
         // A part stored with fewer tokens than the prompt part has is not complete.
         cacheIndex.onPartEvent(storeOf(SECOND), SCOPE, "p2", 128);
-        CacheIndex.Plan next = cacheIndex.plan(SCOPE, PARTS, STORES, 20);
+        CacheIndex.Plan next = cacheIndex.plan(SCOPE, PARTS, STORES, SAVE_MILLIS + 10);
         assert next.fetchFrom().equals(List.of(storeOf(FIRST), "", ""));
-        assert cacheIndex.storedTokens(SCOPE, PARTS, STORES, 20) == 500;
+        assert cacheIndex.storedTokens(SCOPE, PARTS, STORES, SAVE_MILLIS + 10) == 500;
     }
 
     /** Failure guarded against: every request saves a part again while an earlier save is in progress. */
     @Example
     void aPartIsSavedOnce() {
         allAnswer(1, 0);
-        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, 10);
-        cacheIndex.onSavesRequested(SCOPE, PARTS, plan, 10);
-        assert cacheIndex.plan(SCOPE, PARTS, STORES, 20).saveTo().equals(List.of("", "", ""));
-        allAnswer(1, 3_000);
-        long later = 10 + CacheIndex.SAVE_RETRY_MILLIS;
+        allAnswer(1, SAVE_MILLIS);
+        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, SAVE_MILLIS);
+        assert plan.saveTo().equals(List.of(storeOf(FIRST), storeOf(SECOND), "")) : plan;
+        cacheIndex.onSavesRequested(SCOPE, PARTS, plan, SAVE_MILLIS);
+        assert cacheIndex.plan(SCOPE, PARTS, STORES, SAVE_MILLIS + 10).saveTo().equals(List.of("", "", ""));
+        long later = SAVE_MILLIS + CacheIndex.SAVE_RETRY_MILLIS;
+        allAnswer(1, later);
         assert cacheIndex.plan(SCOPE, PARTS, STORES, later).saveTo().equals(plan.saveTo());
     }
 
@@ -66,12 +73,68 @@
         assert cacheIndex.plan(SCOPE, PARTS, STORES, 110).fetchFrom().get(1).isEmpty();
     }
 
+    /** Failure guarded against: after a restart or a lost index, saves wait too short, or longer than they have to. */
+    @Example
+    void savesWaitForANewEpochOnly() {
+        allAnswer(1, 0);
+        allAnswer(1, SAVE_MILLIS - 1);
+        assert savesAt(SAVE_MILLIS - 1).equals(List.of("", "", ""));
+        cacheIndex.onStoreLost(storeOf(FIRST));
+        cacheIndex.onStoreLost(storeOf(SECOND));
+        allAnswer(1, SAVE_MILLIS);
+        List<String> both = List.of(storeOf(FIRST), storeOf(SECOND), "");
+        assert savesAt(SAVE_MILLIS).equals(both) : "an index that was lost";
+        long restartMillis = SAVE_MILLIS + 500;
+        allAnswer(2, restartMillis);
+        assert savesAt(restartMillis).equals(List.of("", "", ""));
+        STORES.forEach(store -> cacheIndex.onEpochKnownElsewhere(store.address(), 1, 0));
+        assert savesAt(restartMillis).equals(List.of("", "", "")) : "known of another epoch";
+        STORES.forEach(store ->
+                cacheIndex.onEpochKnownElsewhere(store.address(), 2, restartMillis - CacheIndex.SAVE_DELAY_MILLIS));
+        assert savesAt(restartMillis).equals(both) : "the hub has waited";
+        STORES.forEach(store -> cacheIndex.onEpochRepeated(store.address()));
+        allAnswer(2, restartMillis + 10);
+        assert savesAt(restartMillis + 10).equals(List.of("", "", "")) : "the number came round";
+    }
+
+    private List<String> savesAt(long nowMillis) {
+        return cacheIndex.plan(SCOPE, PARTS, STORES, nowMillis).saveTo();
+    }
+
+    /** Failure guarded against: an answer from before a restart that was under way for long brings the old parts back. */
+    @Example
+    void answersOfAnEarlierEpochAreOutdated() {
+        allAnswer(1, 0);
+        allAnswer(2, 5_000);
+        String address = storeOf(FIRST);
+        assert cacheIndex.isOutdated(address, 1, OptionalLong.of(4_900));
+        assert !cacheIndex.isOutdated(address, 2, OptionalLong.of(4_900));
+        assert !cacheIndex.isOutdated(address, 3, OptionalLong.of(5_100));
+        assert !cacheIndex.isOutdated(address, 1, OptionalLong.empty()) : "the clock is not known";
+    }
+
+    /** Failure guarded against: a fetch by an old answer lasts until parts are written anew after a restart. */
+    @Example
+    void fetchEndsWithTheLeaseOfTheAnswer() {
+        allAnswer(1, 0);
+        cacheIndex.onPartEvent(storeOf(SECOND), SCOPE, "p2", 8_000);
+        long lateMillis = CacheIndex.ANSWER_VALID_MILLIS - 1;
+        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, lateMillis);
+        assert plan.fetchFrom().get(1).equals(storeOf(SECOND)) : plan;
+        long untilMillis = cacheIndex.fetchDeadlineMillis(plan, lateMillis).getAsLong();
+        assert untilMillis == lateMillis + CacheIndex.FETCH_TIMEOUT_MILLIS : untilMillis;
+        // A suspension after the plan was made.
+        untilMillis = cacheIndex.fetchDeadlineMillis(plan, lateMillis + 60_000).getAsLong();
+        assert untilMillis == CacheIndex.ANSWER_LEASE_MILLIS : untilMillis;
+    }
+
     /** Failure guarded against: a store that no longer answers is still read from. */
     @Example
     void silentStoreIsNotUsed() {
         allAnswer(1, 0);
+        allAnswer(1, SAVE_MILLIS);
         cacheIndex.onPartEvent(storeOf(SECOND), SCOPE, "p2", 8_000);
-        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, CacheIndex.ANSWER_VALID_MILLIS);
+        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, SAVE_MILLIS + CacheIndex.ANSWER_VALID_MILLIS);
         assert plan.fetchFrom().equals(List.of("", "", ""));
         assert plan.saveTo().equals(List.of("", "", ""));
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CachePlanner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CachePlanner.java
@@ -292,7 +292,7 @@
     private List<String> describeIndexes(List<String> stores, long nowMillis) {
         return context.cacheIndex().states(stores, nowMillis).stream()
                 .map(state -> state.address() + " epoch " + state.epoch() + " answered " + state.answerAgeMillis()
-                        + " ms ago")
+                        + " ms ago, known for " + state.epochKnownMillis() + " ms")
                 .toList();
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -12,6 +14,7 @@
 import org.cowslipbank.decision.relay.CacheScopeUse;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
+import org.cowslipbank.entry.relay.FeedMessages.CacheStoreAge;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
 import org.cowslipbank.entry.relay.FeedMessages.PollRequest;
 import org.cowslipbank.model.relay.CacheStore;
@@ -33,6 +36,12 @@
     /** Pause after a failed call. */
     static final long RETRY_PAUSE_MILLIS = 400;
 
+    /**
+     * Age of a store's answer in that of a hub of an earlier release, which does not state it: a call for changes fails after
+     * 1,700 ms, and follows the one before after {@link #CALL_PAUSE_MILLIS}.
+     */
+    private static final long UNSTATED_AGE_MILLIS = 2_000;
+
     private final EngineControl engines;
     private final HubFeed feed;
     private final BooleanSupplier hasHub;
@@ -186,11 +195,20 @@
                 followed.unreachableByHub = true;
             } else {
                 followed.unreachableByHub = false;
-                applyChanges(address, followed, changes.decode());
+                CacheStoreAge age =
+                        answer.storeAges().getOrDefault(followed.storeName, new CacheStoreAge(UNSTATED_AGE_MILLIS, 0));
+                applyChangesOfHub(address, followed, changes.decode(), age);
             }
         });
     }
 
+    private void applyChangesOfHub(String address, FollowedStore followed, CacheChanges changes, CacheStoreAge age) {
+        if (applyChanges(address, followed, changes, age.answerMillis()).isPresent()) {
+            long sinceMillis = clocks.nowMillis() - age.epochMillis();
+            cacheIndex.onEpochKnownElsewhere(address, changes.epoch(), sinceMillis);
+        }
+    }
+
     private static void stop(FollowedStore followed) {
         if (followed.call != null) {
             followed.call.dispose();
@@ -206,36 +224,61 @@
             return;
         }
         followed.switchSource("");
-        long sentAtMillis = clocks.nowMillis();
         followed.call = engines.cacheChanges(address, followed.cursor, MAX_WAIT_MILLIS)
                 .subscribe(
-                        changes -> loop.execute(() -> onChanges(address, followed, changes, sentAtMillis)),
+                        changes -> loop.execute(() -> onChanges(address, followed, changes)),
                         error -> loop.execute(() -> onFailed(address, followed, error)));
     }
 
-    private void onChanges(String address, FollowedStore followed, CacheChanges changes, long sentAtMillis) {
+    private void onChanges(String address, FollowedStore followed, CacheChanges changes) {
         if (followedStores.get(address) != followed) {
             return;
         }
         // If the source is a hub by now, the store's answer is outdated.
         if (followed.source.isEmpty() && hasRestarted(address, followed, changes)) {
-            // The store has restarted, so the change number is not valid any more; the next call asks for all parts.
-            log.logState(LogFields.event("cache store restarted")
-                    .peer(address)
-                    .field("epoch", changes.epoch())
-                    .field("clockMillis", changes.clockMillis().orElse(-1)));
-            followed.cursor = 0;
-            followed.outOfSync = true;
-            cacheIndex.onStoreAnswer(address, changes.epoch(), true, sentAtMillis);
+            onRestarted(address, followed, changes);
         } else if (followed.source.isEmpty()) {
-            boolean restart = applyChanges(address, followed, changes);
-            feed.onCacheChanges(followed.storeName, changes, restart);
+            applyChangesOfStore(address, followed, changes);
         }
         askAgain(address, followed, CALL_PAUSE_MILLIS);
     }
 
     private boolean hasRestarted(String address, FollowedStore followed, CacheChanges changes) {
-        return followed.cursor > 0 && isOtherEpoch(address, changes);
+        return followed.cursor > 0 && (isOtherEpoch(address, changes) || hasRepeatedEpoch(followed, changes));
+    }
+
+    /** Returns whether the numbers of changes have gone back, as they do only if the store has restarted. */
+    private static boolean hasRepeatedEpoch(FollowedStore followed, CacheChanges changes) {
+        return changes.nextCursor() < followed.cursor;
+    }
+
+    /** The change number is not valid any more, so that the next call asks for all parts. */
+    private void onRestarted(String address, FollowedStore followed, CacheChanges changes) {
+        log.logState(LogFields.event("cache store restarted")
+                .peer(address)
+                .field("epoch", changes.epoch())
+                .field("clockMillis", changes.clockMillis().orElse(-1)));
+        if (!isOtherEpoch(address, changes)) {
+            cacheIndex.onEpochRepeated(address);
+        }
+        long nowMillis = clocks.nowMillis();
+        changes.clockMillis().ifPresent(clock -> cacheIndex.onUpstreamClock(address, clock, nowMillis));
+        cacheIndex.onStoreAnswer(address, changes.epoch(), true, nowMillis);
+        feed.onCacheStoreLost(followed.storeName);
+        followed.cursor = 0;
+        followed.outOfSync = true;
+    }
+
+    private void applyChangesOfStore(String address, FollowedStore followed, CacheChanges changes) {
+        Optional<Boolean> restart = applyChanges(address, followed, changes, 0);
+        if (restart.isEmpty()) {
+            feed.onCacheStoreLost(followed.storeName);
+            return;
+        }
+        long nowMillis = clocks.nowMillis();
+        long epochSinceMillis =
+                nowMillis - cacheIndex.epochKnownMillis(address, nowMillis).orElse(0);
+        feed.onCacheChanges(followed.storeName, changes, restart.get(), epochSinceMillis);
     }
 
     private boolean isOtherEpoch(String address, CacheChanges changes) {
@@ -245,25 +288,40 @@
                 .isEmpty();
     }
 
-    /** Applies changes; returns whether the store's part of the index was emptied first. */
-    private boolean applyChanges(String address, FollowedStore followed, CacheChanges changes) {
-        changes.clockMillis().ifPresent(clock -> cacheIndex.onUpstreamClock(address, clock, clocks.nowMillis()));
+    /**
+     * Applies changes, unless they are of an earlier epoch than the one that the node knows.
+     *
+     * @param answerAgeMillis time since the store's answer, in milliseconds
+     * @return whether the store's part of the index was emptied first; empty if the changes were not applied
+     */
+    private Optional<Boolean> applyChanges(
+            String address, FollowedStore followed, CacheChanges changes, long answerAgeMillis) {
+        long nowMillis = clocks.nowMillis();
+        OptionalLong answeredClockMillis = changes.clockMillis().isPresent()
+                ? OptionalLong.of(changes.clockMillis().getAsLong() - answerAgeMillis)
+                : OptionalLong.empty();
+        if (cacheIndex.isOutdated(address, changes.epoch(), answeredClockMillis)) {
+            onStoreLost(address, followed, "answer is of an earlier epoch of the store");
+            return Optional.empty();
+        }
+        changes.clockMillis().ifPresent(clock -> cacheIndex.onUpstreamClock(address, clock, nowMillis));
         boolean otherEpoch = isOtherEpoch(address, changes);
         if (otherEpoch) {
             log.logState(LogFields.event("cache store followed")
                     .peer(address)
                     .field("hub", followed.source.isEmpty() ? "none" : followed.source)
                     .field("epoch", changes.epoch())
+                    .field("answerAgeMillis", answerAgeMillis)
                     .field("changes", changes.changes().size()));
         }
         boolean restart = otherEpoch || changes.lost() || followed.outOfSync;
-        cacheIndex.onStoreAnswer(address, changes.epoch(), restart, clocks.nowMillis());
+        cacheIndex.onStoreAnswer(address, changes.epoch(), restart, nowMillis - answerAgeMillis);
         changes.changes()
                 .forEach(change -> cacheIndex.onPartEvent(
                         address, change.scope(), change.partId(), change.added() ? change.tokens() : 0));
         followed.cursor = changes.nextCursor();
         followed.outOfSync = false;
-        return restart;
+        return Optional.of(restart);
     }
 
     private void onFailed(String address, FollowedStore followed, Throwable error) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/FeedMessages.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/FeedMessages.java
@@ -6,6 +6,8 @@
 import java.util.OptionalLong;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.cowslipbank.model.relay.StoreItem;
@@ -26,6 +28,7 @@
      * @param stores number of the next change by name of the cache store: zero requests all parts,
      *     {@link #UNREACHABLE} says that the member knows that the hub cannot reach the store
      */
+    @JsonIgnoreProperties(ignoreUnknown = true)
     record PollRequest(long revision, Map<String, Long> stores) {
         /** The hub's last answer said that it cannot reach the store. */
         static final long UNREACHABLE = -1;
@@ -40,14 +43,42 @@
      * @param heldMillis how long the hub held the poll, in milliseconds
      * @param contactBackAgeMillis time since the hub last regained contact with the metadata store, in milliseconds
      * @param stores changes by name of the cache store; a missing store cannot be reached by the hub
+     * @param storeAges age of what the hub knows of these cache stores, by their names; hubs of earlier releases do not state it,
+     *     and members of earlier releases cannot read it
      */
+    @JsonIgnoreProperties(ignoreUnknown = true)
     record PollAnswer(
             long revision,
             List<ItemMessage> items,
             long confirmedAgeMillis,
             long heldMillis,
             long contactBackAgeMillis,
-            Map<String, CacheChangesMessage> stores) {}
+            Map<String, CacheChangesMessage> stores,
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, CacheStoreAge> storeAges) {
+        /** Takes a missing map of ages for an empty one. */
+        PollAnswer {
+            storeAges = storeAges == null ? Map.of() : storeAges;
+        }
+
+        /** Returns the same answer for a member of an earlier release. */
+        PollAnswer withoutStoreAges() {
+            return new PollAnswer(
+                    revision, items, confirmedAgeMillis, heldMillis, contactBackAgeMillis, stores, Map.of());
+        }
+    }
+
+    /**
+     * Age of what a hub knows of a cache store.
+     *
+     * @param answerMillis time since the store's last answer, in milliseconds
+     * @param epochMillis how long the store has had its epoch, as far as the hub knows, in milliseconds
+     */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    record CacheStoreAge(long answerMillis, long epochMillis) {
+        private boolean isValid() {
+            return answerMillis >= 0 && epochMillis >= 0;
+        }
+    }
 
     /** An item of the metadata store, encoded as an array; the value is null if the item was removed. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -135,6 +166,9 @@
         if (!answer.stores().values().stream().allMatch(changes -> changes != null && changes.isComplete())) {
             throw new IOException("hub feed answer has incomplete changes of a cache store");
         }
+        if (!answer.storeAges().values().stream().allMatch(age -> age != null && age.isValid())) {
+            throw new IOException("hub feed answer has a negative age of a cache store, or none");
+        }
         return answer;
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
@@ -15,6 +15,7 @@
 import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
+import org.cowslipbank.entry.relay.FeedMessages.CacheStoreAge;
 import org.cowslipbank.entry.relay.FeedMessages.ItemMessage;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
 import org.cowslipbank.entry.relay.FeedMessages.PollRequest;
@@ -64,6 +65,8 @@
     private static final class CacheStoreFeed {
         private final CacheChangeLog changes;
         private OptionalLong clockAheadMillis = OptionalLong.empty();
+        private long answeredAtMillis;
+        private long epochSinceMillis;
         private boolean reachable;
 
         CacheStoreFeed(long firstNumber) {
@@ -141,7 +144,15 @@
         heldPolls.clear();
     }
 
-    void onCacheChanges(String store, CacheChanges answer, boolean restart) {
+    /**
+     * Adds changes that a cache store reported.
+     *
+     * @param store the store's name
+     * @param answer the changes
+     * @param restart true if earlier parts are gone or not known
+     * @param epochSinceMillis a time at which the store was already in its epoch, in milliseconds
+     */
+    void onCacheChanges(String store, CacheChanges answer, boolean restart, long epochSinceMillis) {
         // Numbers start at the time of day, so that they differ from those of an earlier start.
         boolean first = !cacheStores.containsKey(store);
         CacheStoreFeed feed = cacheStores.computeIfAbsent(
@@ -150,9 +161,13 @@
             feed.changes.reset(answer.epoch());
         }
         answer.changes().forEach(feed.changes::add);
+        // One reading of the clock, so that clock and age together give the clock in the answer.
+        long nowMillis = clocks.nowMillis();
         if (answer.clockMillis().isPresent()) {
-            feed.clockAheadMillis = OptionalLong.of(answer.clockMillis().getAsLong() - clocks.nowMillis());
+            feed.clockAheadMillis = OptionalLong.of(answer.clockMillis().getAsLong() - nowMillis);
         }
+        feed.answeredAtMillis = nowMillis;
+        feed.epochSinceMillis = epochSinceMillis;
         feed.reachable = true;
         scheduleAnswers();
     }
@@ -251,11 +266,16 @@
         }
         LeaderLease.ClockReading now = clocks.now();
         Map<String, CacheChangesMessage> cacheChanges = new HashMap<>();
+        Map<String, CacheStoreAge> storeAges = new HashMap<>();
         poll.stores().forEach((name, next) -> {
             CacheStoreFeed feed = cacheStores.get(name);
             if (feed != null && feed.reachable) {
+                long nowMillis = now.monotonicMillis();
                 cacheChanges.put(
-                        name, CacheChangesMessage.of(feed.changes.since(Math.max(0, next), clockMillis(feed))));
+                        name,
+                        CacheChangesMessage.of(feed.changes.since(Math.max(0, next), clockMillis(feed, nowMillis))));
+                storeAges.put(
+                        name, new CacheStoreAge(nowMillis - feed.answeredAtMillis, nowMillis - feed.epochSinceMillis));
             }
         });
         return Optional.of(new PollAnswer(
@@ -270,12 +290,13 @@
                         now.monotonicMillis() - receivedAt.monotonicMillis(),
                         now.wallMillis() - receivedAt.wallMillis()),
                 now.monotonicMillis() - reconnectedMillis,
-                cacheChanges));
+                cacheChanges,
+                storeAges));
     }
 
-    private OptionalLong clockMillis(CacheStoreFeed feed) {
+    private static OptionalLong clockMillis(CacheStoreFeed feed, long nowMillis) {
         return feed.clockAheadMillis.isPresent()
-                ? OptionalLong.of(clocks.nowMillis() + feed.clockAheadMillis.getAsLong())
+                ? OptionalLong.of(nowMillis + feed.clockAheadMillis.getAsLong())
                 : OptionalLong.empty();
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
@@ -32,6 +32,9 @@
     /** Path of polls on a hub's feed address. */
     static final String FEED_PATH = "/feed";
 
+    /** Header by which a member says that it reads the ages of cache stores; hubs of earlier releases ignore it. */
+    static final String STORE_AGES_HEADER = "Feed-Store-Ages";
+
     /** Pause between polls; limits the calls to a hub that has many changes. */
     static final long POLL_PAUSE_MILLIS = 250;
 
@@ -186,7 +189,8 @@
     }
 
     private Mono<Optional<PollAnswer>> send(String address, PollRequest poll) {
-        return client.post()
+        return client.headers(headers -> headers.set(STORE_AGES_HEADER, "1"))
+                .post()
                 .uri("http://" + address + FEED_PATH)
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(FeedMessages.encode(poll))))
                 .response((response, body) -> BoundedBytes.collect(body.asByteArray(), MAX_ANSWER_BYTES)
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -458,9 +458,11 @@
         if (!request.uri().equals(HubFeedClient.FEED_PATH)) {
             return response.status(HttpResponseStatus.NOT_FOUND).send();
         }
+        boolean readsStoreAges = request.requestHeaders().contains(HubFeedClient.STORE_AGES_HEADER);
         return BoundedBytes.collect(request.receive().asByteArray(), MAX_POLL_BYTES)
                 .flatMap(bytes -> Mono.fromCallable(() -> FeedMessages.decodePollRequest(bytes)))
                 .flatMap(hubFeed::poll)
+                .map(answer -> readsStoreAges ? answer : answer.map(FeedMessages.PollAnswer::withoutStoreAges))
                 .flatMap(answer -> answer.isPresent()
                         ? response.sendByteArray(Mono.just(FeedMessages.encode(answer.get())))
                                 .then()
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CacheStoreFollowerTest.java
@@ -20,6 +20,7 @@
 import org.cowslipbank.decision.relay.CacheScopeUse;
 import org.cowslipbank.decision.relay.ConfigurationConfirmation;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
+import org.cowslipbank.entry.relay.FeedMessages.CacheStoreAge;
 import org.cowslipbank.entry.relay.FeedMessages.PollAnswer;
 import org.cowslipbank.entry.relay.FeedMessages.PollRequest;
 import org.cowslipbank.model.relay.StoreItem;
@@ -34,6 +35,7 @@
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final List<String> asked = new CopyOnWriteArrayList<>();
+    private volatile long firstAskedMillis = Long.MAX_VALUE;
     private volatile long lastAskedMillis;
     private final AtomicBoolean hasHub = new AtomicBoolean();
     private final CacheIndex cacheIndex = new CacheIndex();
@@ -61,6 +63,7 @@
         @Override
         public Mono<CacheChanges> cacheChanges(String address, long since, long waitMillis) {
             lastAskedMillis = Clocks.SYSTEM.nowMillis();
+            firstAskedMillis = Math.min(firstAskedMillis, lastAskedMillis);
             asked.add(address);
             return answers.isEmpty() ? Mono.never() : Mono.just(answers.remove());
         }
@@ -129,7 +132,8 @@
             follower.refresh();
             PollRequest poll = new PollRequest(2, follower.cursors("hub"));
             CacheChanges changes = new CacheChanges(7, 5, true, OptionalLong.empty(), List.of(PART));
-            PollAnswer answer = new PollAnswer(2, List.of(), 0, 0, 0, Map.of("kept", CacheChangesMessage.of(changes)));
+            PollAnswer answer =
+                    new PollAnswer(2, List.of(), 0, 0, 0, Map.of("kept", CacheChangesMessage.of(changes)), Map.of());
             follower.onHubAnswer("hub", poll, answer);
             state.applyChanges(List.of(configuration(3, false)), 3, 0);
             follower.refresh();
@@ -164,16 +168,85 @@
             follower.refresh();
             PollRequest poll = new PollRequest(2, follower.cursors("hub"));
             CacheChanges changes = new CacheChanges(7, 5, true, OptionalLong.empty(), List.of(PART));
-            PollAnswer answer = new PollAnswer(2, List.of(), 0, 0, 0, Map.of("kept", CacheChangesMessage.of(changes)));
+            PollAnswer answer =
+                    new PollAnswer(2, List.of(), 0, 0, 0, Map.of("kept", CacheChangesMessage.of(changes)), Map.of());
             follower.onHubAnswer("earlier", poll, answer);
             sizes.add(cacheIndex.size());
             follower.onHubAnswer("hub", poll, answer);
             sizes.add(cacheIndex.size());
             assert follower.cursors("hub").equals(Map.of("kept", 5L));
-            follower.onHubAnswer("hub", poll, new PollAnswer(2, List.of(), 0, 0, 0, Map.of()));
+            follower.onHubAnswer("hub", poll, new PollAnswer(2, List.of(), 0, 0, 0, Map.of(), Map.of()));
             sizes.add(cacheIndex.size());
             assert follower.cursors("hub").equals(Map.of("kept", PollRequest.UNREACHABLE));
         });
         assert sizes.equals(List.of(0, 1, 0)) : sizes;
     }
+
+    /** Returns a hub's answer of a time on the upstreams' clock, with the store's part, in which the store has an epoch. */
+    private static PollAnswer ofHub(long epoch, long clockMillis, Map<String, CacheStoreAge> ages) {
+        CacheChanges changes = new CacheChanges(epoch, 5, true, OptionalLong.of(clockMillis), List.of(PART));
+        return new PollAnswer(2, List.of(), 0, 0, 0, Map.of("kept", CacheChangesMessage.of(changes)), ages);
+    }
+
+    /** Returns when the lease of the store's last answer ends, on the upstreams' clock in milliseconds. */
+    private long leaseEndMillis() {
+        CacheIndex.Plan plan = new CacheIndex.Plan(List.of("10.0.0.1:80"), List.of(""));
+        long muchLaterMillis = Clocks.SYSTEM.nowMillis() + 60_000;
+        return cacheIndex.fetchDeadlineMillis(plan, muchLaterMillis).orElseThrow();
+    }
+
+    /** Failure guarded against: a member fetches by what its hub knew of a store long ago, after the store's restart. */
+    @Example
+    void leaseCountsFromTheStoresAnswerToTheHub() {
+        hasHub.set(true);
+        onLoop(() -> {
+            follower.refresh();
+            PollRequest poll = new PollRequest(2, follower.cursors("hub"));
+            follower.onHubAnswer("hub", poll, ofHub(7, 90_000, Map.of("kept", new CacheStoreAge(900, 60_000))));
+            long statedMillis = leaseEndMillis();
+            follower.onHubAnswer("hub", poll, ofHub(7, 90_000, Map.of()));
+            assert statedMillis == 90_000 - 900 + CacheIndex.ANSWER_VALID_MILLIS + CacheIndex.FETCH_TIMEOUT_MILLIS
+                    : statedMillis;
+            assert leaseEndMillis() < statedMillis : "a hub of an earlier release does not tell the age";
+            long knownMillis = cacheIndex
+                    .epochKnownMillis("10.0.0.1:80", Clocks.SYSTEM.nowMillis())
+                    .orElseThrow();
+            assert knownMillis >= 60_000 : knownMillis;
+        });
+    }
+
+    /** Failure guarded against: a member that changes its hub uses the parts of before a restart again. */
+    @Example
+    void hubThatHasNotNoticedARestartIsNotFollowed() {
+        hasHub.set(true);
+        onLoop(() -> {
+            follower.refresh();
+            CacheStoreAge age = new CacheStoreAge(900, 60_000);
+            PollRequest poll = new PollRequest(2, follower.cursors("hub"));
+            follower.onHubAnswer("hub", poll, ofHub(8, 90_000, Map.of("kept", new CacheStoreAge(10, 20))));
+            PollRequest other = new PollRequest(2, follower.cursors("other"));
+            follower.onHubAnswer("other", other, ofHub(7, 90_500, Map.of("kept", age)));
+            assert cacheIndex.size() == 0;
+            follower.onHubAnswer("other", other, ofHub(9, 91_000, Map.of("kept", new CacheStoreAge(0, 0))));
+            assert cacheIndex.size() == 1 : "the store has restarted again";
+        });
+    }
+
+    /** Failure guarded against: a store that restarts under the same number of its epoch is written to at once. */
+    @Example
+    void numbersThatGoBackTellOfARestart() throws InterruptedException {
+        answers.add(new CacheChanges(7, 5, true, OptionalLong.of(90_000), List.of(PART)));
+        answers.add(new CacheChanges(7, 1, false, OptionalLong.of(90_400), List.of()));
+        onLoop(follower::refresh);
+        while (asked.size() < 3) {
+            Thread.sleep(20);
+        }
+        onLoop(() -> {
+            long nowMillis = Clocks.SYSTEM.nowMillis();
+            assert cacheIndex.size() == 0;
+            long knownMillis =
+                    cacheIndex.epochKnownMillis("10.0.0.1:80", nowMillis).orElseThrow();
+            assert knownMillis < nowMillis - firstAskedMillis : knownMillis;
+        });
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/EarlierReleaseTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/EarlierReleaseTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 
 import net.jqwik.api.Example;
 import org.cowslipbank.decision.relay.FleetLoads;
@@ -51,4 +52,36 @@
         LoadDigests.LoadDigest digest = LoadDigests.decode(HexFormat.of().parseHex(later));
         assert digest.names().get(0).version() == 2 && digest.names().get(0).ageMillis() == 10 : digest;
     }
+
+    /** A hub's answer without ages of cache stores. */
+    private static final String POLL_ANSWER = "86a87265766973696f6e05a56974656d739195a16bc40101040400b2636f6e6669726d"
+            + "65644167654d696c6c697301aa68656c644d696c6c697302b4636f6e746163744261636b4167654d696c6c697303a673746f726573"
+            + "81a27374950708c25a9194c3a173a17004";
+
+    /** Failure guarded against: members and hubs of two releases do not read each other while nodes are replaced. */
+    @Example
+    void hubAnswerWithoutAgesIsReadAndWritten() throws IOException {
+        FeedMessages.PollAnswer answer =
+                FeedMessages.decodePollAnswer(HexFormat.of().parseHex(POLL_ANSWER));
+        assert answer.storeAges().isEmpty() && answer.stores().get("st").epoch() == 7 : answer;
+        FeedMessages.PollAnswer withAges = new FeedMessages.PollAnswer(
+                answer.revision(),
+                answer.items(),
+                answer.confirmedAgeMillis(),
+                answer.heldMillis(),
+                answer.contactBackAgeMillis(),
+                answer.stores(),
+                Map.of("st", new FeedMessages.CacheStoreAge(1, 2)));
+        String written = HexFormat.of().formatHex(FeedMessages.encode(withAges.withoutStoreAges()));
+        assert written.equals(POLL_ANSWER) : written;
+    }
+
+    /** Failure guarded against: a later release cannot add a field to a hub's answer. */
+    @Example
+    void fieldsOfALaterHubAreSkipped() throws IOException {
+        String later = "87" + POLL_ANSWER.substring(2) + "a36e657792a16101";
+        FeedMessages.PollAnswer answer =
+                FeedMessages.decodePollAnswer(HexFormat.of().parseHex(later));
+        assert answer.revision() == 5 && answer.stores().size() == 1 : answer;
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubFeedTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubFeedTest.java
@@ -23,6 +23,9 @@
     private static final CacheChange PART = new CacheChange(true, "s", "p", 10);
     private static final long WALL_MILLIS = 1_000_000;
 
+    /** The upstreams' clock in answers of the cache store. */
+    private static final long CLOCK_MILLIS = 500_000;
+
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final AtomicLong millis = new AtomicLong(10_000);
     private final HubFeed feed =
@@ -39,7 +42,7 @@
 
     private void cacheChanges(long epoch, boolean restart, List<CacheChange> changes) {
         onLoop(() -> feed.onCacheChanges(
-                "store", new CacheChanges(epoch, 1, false, OptionalLong.empty(), changes), restart));
+                "store", new CacheChanges(epoch, 1, false, OptionalLong.of(CLOCK_MILLIS), changes), restart, 0));
     }
 
     private void metadataChanges(long from, long at, StoreItem... items) {
@@ -179,6 +182,21 @@
         assert answer.confirmedAgeMillis() == 1_300 && answer.heldMillis() == 0 : answer;
     }
 
+    /** Failure guarded against: a member takes what the hub knows of a cache store for as new as the hub's answer. */
+    @Example
+    void ageOfACacheStoresAnswerIsSent() throws Exception {
+        metadataChanges(4, 5);
+        cacheChanges(7, false, List.of(PART));
+        millis.addAndGet(700);
+        PollAnswer answer = get(poll(5, Map.of("store", 0L))).orElseThrow();
+        FeedMessages.CacheStoreAge age = answer.storeAges().get("store");
+        assert age.equals(new FeedMessages.CacheStoreAge(700, 10_700)) : age;
+        long clockMillis = answer.stores().get("store").clockMillis();
+        assert clockMillis - age.answerMillis() == CLOCK_MILLIS : clockMillis;
+        onLoop(() -> feed.onCacheStoreLost("store"));
+        assert get(poll(5, Map.of("store", 0L))).orElseThrow().storeAges().isEmpty();
+    }
+
     /** Failure guarded against: a field of a message is lost on the wire. */
     @Example
     void messagesAreDecodedAsTheyWereEncoded() throws Exception {
@@ -187,6 +205,9 @@
         PollAnswer answer = get(poll(4, Map.of("store", 0L))).orElseThrow();
         PollAnswer decoded = FeedMessages.decodePollAnswer(FeedMessages.encode(answer));
         assert decoded.stores().equals(answer.stores());
+        assert decoded.storeAges().equals(answer.storeAges())
+                        && !answer.storeAges().isEmpty()
+                : decoded;
         assert decoded.items().get(1).decode().isRemoved();
         assert new String(decoded.items().get(0).decode().value(), StandardCharsets.UTF_8).equals("1");
         PollRequest poll = new PollRequest(4, Map.of("store", PollRequest.UNREACHABLE));
--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubHistoryTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubHistoryTest.java
@@ -143,7 +143,7 @@
                     .map(ItemMessage::of)
                     .toList();
             if (follows && known > 0) {
-                watcher.onHubAnswer(new PollAnswer(told, items, 0, 0, 0, Map.of()), clocks.now());
+                watcher.onHubAnswer(new PollAnswer(told, items, 0, 0, 0, Map.of(), Map.of()), clocks.now());
             }
         }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubMemberTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubMemberTest.java
@@ -41,7 +41,7 @@
     }
 
     private static FeedMessages.PollAnswer answer(long revision, List<FeedMessages.ItemMessage> items) {
-        return new FeedMessages.PollAnswer(revision, items, 0, 0, NO_OUTAGE_AGE_MILLIS, Map.of());
+        return new FeedMessages.PollAnswer(revision, items, 0, 0, NO_OUTAGE_AGE_MILLIS, Map.of(), Map.of());
     }
 
     @AfterTry
--- a/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/OddItemsTest.java
@@ -229,11 +229,8 @@
                     Map.of(
                             "st",
                             new FeedMessages.CacheChangesMessage(
-                                    1,
-                                    2,
-                                    false,
-                                    3,
-                                    List.of(new FeedMessages.CacheChangeMessage(true, "s", "p", 4)))))));
+                                    1, 2, false, 3, List.of(new FeedMessages.CacheChangeMessage(true, "s", "p", 4)))),
+                    Map.of("st", new FeedMessages.CacheStoreAge(5, 6)))));
 
     /** MessagePack for nil, lengths without contents, nested arrays and maps, numbers at the limits, and NaN. */
     private static final List<byte[]> PIECES = List.of(
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
@@ -72,7 +72,7 @@
             assert watcher.confirmation().isEmpty() || watcher.view().revision() == 2;
         };
         StoreItem configuration = new StoreItem("op/config", CONFIGURATION, 2, 2, 0);
-        PollAnswer answer = new PollAnswer(2, List.of(ItemMessage.of(configuration)), 0, 0, 0, Map.of());
+        PollAnswer answer = new PollAnswer(2, List.of(ItemMessage.of(configuration)), 0, 0, 0, Map.of(), Map.of());
         watcher.onHubAnswer(answer, clocks.now());
         assert watcher.confirmation().isPresent() && watcher.view().revision() == 2;
     }
