Require keys when a configuration's list of teams is empty

Cause: a missing list of teams and an empty one were decoded alike, and RouteTable.hasTeams took an empty list for a configuration that asks for no keys.

Change: RelayConfiguration states whether keys are required: if the field is there, also empty or null. Requests and explanations go by it.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/RouteTable.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/RouteTable.java
@@ -1,8 +1,11 @@
 package org.cowslipbank.decision.relay;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.model.relay.ColdLimit;
@@ -35,10 +38,24 @@
         this.configuration = configuration;
         this.sharing = CacheSharing.of(configuration.teams());
         configuration.routes().forEach(route -> routes.put(new RouteKey(route.host(), route.pathPrefix()), route));
-        configuration.teams().forEach(team -> team.keys().forEach(key -> teams.put(key, team)));
+        addKeys(configuration.teams());
         configuration.services().forEach(service -> services.put(service.name(), service));
     }
 
+    /** Adds the keys that identify one team: not the empty one, and none that two teams hold. */
+    private void addKeys(List<RelayTeam> configured) {
+        Set<String> ambiguous = new HashSet<>();
+        for (RelayTeam team : configured) {
+            for (String key : team.keys()) {
+                RelayTeam other = teams.put(key, team);
+                if (key.isEmpty() || other != null && !other.name().equals(team.name())) {
+                    ambiguous.add(key);
+                }
+            }
+        }
+        teams.keySet().removeAll(ambiguous);
+    }
+
     /**
      * Returns the indexed configuration.
      *
@@ -88,10 +105,10 @@
     /**
      * Returns whether requests must carry an API key.
      *
-     * @return true if the configuration has teams
+     * @return true also if the configuration has no team any more, so that no key is valid
      */
-    public boolean hasTeams() {
-        return !configuration.teams().isEmpty();
+    public boolean requiresKeys() {
+        return configuration.requiresKeys();
     }
 
     /**
--- a/decision/src/test/java/org/cowslipbank/decision/relay/RelaySamples.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/RelaySamples.java
@@ -38,7 +38,7 @@
 
     static RelayConfiguration configuration(List<Route> routes, List<RelayTeam> teams) {
         return new RelayConfiguration(
-                1, routes, List.of(), List.of(), teams, new ClientLimits(16_384, 1 << 20, 5_000, 30_000));
+                1, routes, List.of(), List.of(), true, teams, new ClientLimits(16_384, 1 << 20, 5_000, 30_000));
     }
 
     static List<CacheStore> stores() {
--- a/decision/src/test/java/org/cowslipbank/decision/relay/RouteTableTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/RouteTableTest.java
@@ -56,6 +56,18 @@
         RouteTable table = new RouteTable(RelaySamples.configuration(List.of(), List.of(team)));
         assert table.team("k2").equals(Optional.of(team));
         assert table.team("K2").isEmpty();
-        assert table.hasTeams();
+        assert table.requiresKeys();
+    }
+
+    /** Failure guarded against: a key that identifies no team, or more than one, gives access. */
+    @Example
+    void keysThatIdentifyNoSingleTeamAreUnknown() {
+        RelayTeam first = new RelayTeam("t1", List.of("k1", "shared", ""), false, OptionalInt.empty());
+        RelayTeam second = new RelayTeam("t2", List.of("k2", "shared", "k2"), false, OptionalInt.empty());
+        RelayTeam third = new RelayTeam("t3", List.of("shared"), false, OptionalInt.empty());
+        RouteTable table = new RouteTable(RelaySamples.configuration(List.of(), List.of(first, second, third)));
+        assert table.team("").isEmpty() && table.team("shared").isEmpty();
+        assert table.team("k1").equals(Optional.of(first)) && table.team("k2").equals(Optional.of(second));
+        assert new RouteTable(RelaySamples.configuration(List.of(), List.of())).requiresKeys() : "no team is left";
     }
 }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -272,7 +272,7 @@
     }
 
     private boolean authenticate(RouteTable routes, boolean confirmed, boolean mayRefuseUnknown) {
-        if (route.anonymous() || !routes.hasTeams()) {
+        if (route.anonymous() || !routes.requiresKeys()) {
             return true;
         }
         if (!confirmed) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlacementExplainer.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlacementExplainer.java
@@ -68,13 +68,16 @@
         }
         Route route = found.get(0);
         answer.put("route", route.name());
-        boolean needsKey = !route.anonymous() && routes.hasTeams();
+        boolean needsKey = !route.anonymous() && routes.requiresKeys();
         Optional<RelayTeam> team = query.team()
                 .filter(name -> needsKey)
                 .flatMap(name -> routes.configuration().teams().stream()
                         .filter(known -> known.name().equals(name))
                         .findFirst());
-        if (needsKey && query.team().isPresent() && team.isEmpty()) {
+        // Without a named team any of the configuration will do, if it has one.
+        boolean anyTeam =
+                query.team().isEmpty() && !routes.configuration().teams().isEmpty();
+        if (needsKey && team.isEmpty() && !anyTeam) {
             answer.put("reason", "unknown_team");
             return Optional.empty();
         }
--- a/model/src/main/java/org/cowslipbank/model/relay/RelayConfiguration.java
+++ b/model/src/main/java/org/cowslipbank/model/relay/RelayConfiguration.java
@@ -9,7 +9,9 @@
  * @param routes the routes
  * @param services the services, each a group of upstreams
  * @param stores the store VMs for cache blocks
- * @param teams the teams; empty if requests carry no bearer keys
+ * @param requiresKeys whether requests must carry the bearer key of a team, except on anonymous routes; if so and there are no
+ *     teams, no key is valid
+ * @param teams the teams
  * @param limits size limits and timeouts for client requests
  */
 public record RelayConfiguration(
@@ -17,6 +19,7 @@
         List<Route> routes,
         List<RelayService> services,
         List<CacheStore> stores,
+        boolean requiresKeys,
         List<RelayTeam> teams,
         ClientLimits limits) {
     /** Makes unmodifiable copies of the lists; null elements are rejected with NullPointerException. */
