Let fewer saves of parts outlast a restart of their cache store

A save bears no epoch and no deadline. One that was planned before a restart and carried out after it meets fetches by the epoch before if the part was complete then, because several nodes had let it be saved.

Evidence: with saves delayed by 5 s all nodes began to save the same parts at once when the delay was over.

Change: when an epoch has begun, nodes take turns of 1 s for each part (SaveTurns): one node first, then two, four and so on. Saves are planned only by answers of the last 800 ms, for which calls for changes wait 400 ms in place of 1,000 ms, and only if the engine has a free slot. Answers age while the VM is suspended, also at hubs, and one that waited in the socket meanwhile is not used.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
-import org.cowslipbank.decision.hashing.Rendezvous;
 import org.cowslipbank.model.relay.CacheStore;
 import org.cowslipbank.model.relay.PromptPart;
 
@@ -25,6 +24,10 @@
  * fetches planned by it end within {@link #ANSWER_LEASE_MILLIS} of it on the upstreams' clock, at which engines discard them,
  * however long the answer, the plan or the request was under way. And a node lets nothing be saved in a store until it has
  * known the store's epoch for {@link #SAVE_DELAY_MILLIS}, when the leases of the epoch before have ended.
+ *
+ * <p>A save bears neither an epoch nor a deadline, so one that was planned before a restart may be carried out after it. It
+ * meets a fetch if several nodes let the same part be saved. Nodes therefore take turns when an epoch has begun, plan saves by
+ * recent answers only, and let none wait at an engine that has no free slot.
  */
 public final class CacheIndex {
     /**
@@ -46,7 +49,13 @@
     /** Longest time from a store's answer to the end of a fetch that was planned by it. */
     static final long ANSWER_LEASE_MILLIS = ANSWER_VALID_MILLIS + FETCH_TIMEOUT_MILLIS;
 
-    /** Covers differences between the clocks of engines and stores. */
+    /**
+     * How long the index of a store is used for saves after the store's last answer. Covers a call for changes that waits for
+     * 400 ms, 250 ms after the one before. The rest is for the transfer.
+     */
+    static final long SAVE_ANSWER_VALID_MILLIS = 800;
+
+    /** Covers differences between the clocks of engines and stores, and suspensions that are not noticed. */
     private static final long CLOCK_MARGIN_MILLIS = 500;
 
     /** How long a node must have known the epoch of a store before it lets parts be saved there. */
@@ -76,6 +85,15 @@
             saveTo = List.copyOf(saveTo);
         }
 
+        /**
+         * Returns the same plan without saves.
+         *
+         * @return the plan
+         */
+        public Plan withoutSaves() {
+            return new Plan(fetchFrom, List.of());
+        }
+
         /**
          * Returns the same plan, with the shared parts that no store has fetched from an engine.
          *
@@ -94,17 +112,9 @@
         }
     }
 
-    /**
-     * What a plan goes by at one store.
-     *
-     * @param address the store's address
-     * @param epoch the epoch for which its index was built
-     * @param answerAgeMillis time since the store's last answer, in milliseconds
-     * @param epochKnownMillis how long the store has had this epoch, as far as this node knows, in milliseconds
-     */
-    public record StoreState(String address, long epoch, long answerAgeMillis, long epochKnownMillis) {}
-
     private final StoreEpochs epochs = new StoreEpochs();
+    private SaveTurns saveTurns = new SaveTurns("", List.of());
+    private OptionalLong clocksApartMillis = OptionalLong.empty();
     private final Map<String, StoreIndex> indexByAddress = new HashMap<>();
     /** Offset between the upstreams' clock, as each store states it, and this node's clock in milliseconds. */
     private final Map<String, Long> clockOffsetMillisByAddress = new HashMap<>();
@@ -129,6 +139,31 @@
         epochs.onAnswer(address, epoch, answeredAtMillis, upstreamClockMillis(address, answeredAtMillis));
     }
 
+    /**
+     * Sets the nodes that take turns in saving parts when the epoch of a store has begun.
+     *
+     * @param self name of this node
+     * @param nodes names of all nodes
+     */
+    public void setNodes(String self, Collection<String> nodes) {
+        saveTurns = new SaveTurns(self, List.copyOf(nodes));
+    }
+
+    /**
+     * Compares this node's clocks, before an answer is recorded and before a plan. The monotonic clock stops while the VM is
+     * suspended, so that answers would appear newer than they are.
+     *
+     * @param now the time on both clocks
+     */
+    public void onClocksRead(LeaderLease.ClockReading now) {
+        long apartMillis = now.wallMillis() - now.monotonicMillis();
+        long missedMillis = apartMillis - clocksApartMillis.orElse(apartMillis);
+        clocksApartMillis = OptionalLong.of(apartMillis);
+        if (missedMillis > CLOCK_MARGIN_MILLIS) {
+            indexByAddress.values().forEach(storeIndex -> storeIndex.answeredAtMillis -= missedMillis);
+        }
+    }
+
     /**
      * Records that another node has known the epoch of a store for longer than this one.
      *
@@ -290,7 +325,7 @@
         for (int index = 0; index < parts.size(); index++) {
             boolean shared = index < parts.size() - 1;
             PromptPart part = parts.get(index);
-            Optional<CacheStore> store = shared ? storeOf(scope, part.id(), stores) : Optional.empty();
+            Optional<CacheStore> store = shared ? CacheStoreChoice.storeOf(scope, part.id(), stores) : Optional.empty();
             // Without the clock the fetch has no deadline and could still run when the part is freed.
             String source = store.filter(found -> clockOffsetMillisByAddress.containsKey(found.address()))
                     .filter(found -> isComplete(found.address(), scope, part, nowMillis))
@@ -317,7 +352,7 @@
     public int storedTokens(String scope, List<PromptPart> parts, Collection<CacheStore> stores, long nowMillis) {
         int tokens = 0;
         for (PromptPart part : parts.subList(0, Math.max(0, parts.size() - 1))) {
-            boolean complete = storeOf(scope, part.id(), stores)
+            boolean complete = CacheStoreChoice.storeOf(scope, part.id(), stores)
                     .filter(store -> isComplete(store.address(), scope, part, nowMillis))
                     .isPresent();
             if (!complete) {
@@ -337,7 +372,7 @@
      * @param nowMillis the time in milliseconds
      */
     public void onSavesRequested(String scope, List<PromptPart> parts, Plan plan, long nowMillis) {
-        for (int index = 0; index < parts.size(); index++) {
+        for (int index = 0; index < plan.saveTo().size(); index++) {
             StoreIndex storeIndex = indexByAddress.get(plan.saveTo().get(index));
             if (storeIndex != null) {
                 storeIndex.saveRequestedAtMillis.put(
@@ -348,46 +383,29 @@
 
     private boolean isComplete(String address, String scope, PromptPart part, long nowMillis) {
         StoreIndex storeIndex = indexByAddress.get(address);
-        return isFresh(storeIndex, nowMillis)
+        return isWithin(ANSWER_VALID_MILLIS, storeIndex, nowMillis)
                 && storeIndex.tokensByPart.getOrDefault(new PartKey(scope, part.id()), 0) >= part.tokens();
     }
 
     private boolean shouldSave(String address, String scope, PromptPart part, long nowMillis) {
         StoreIndex storeIndex = indexByAddress.get(address);
-        if (!isFresh(storeIndex, nowMillis)
-                || epochs.knownMillis(address, nowMillis).orElse(0) < SAVE_DELAY_MILLIS) {
+        if (!isWithin(SAVE_ANSWER_VALID_MILLIS, storeIndex, nowMillis)
+                || !isSaveDue(part, epochs.knownMillis(address, nowMillis).orElse(0))) {
             return false;
         }
         Long saveRequestedAtMillis = storeIndex.saveRequestedAtMillis.get(new PartKey(scope, part.id()));
         return saveRequestedAtMillis == null || nowMillis - saveRequestedAtMillis >= SAVE_RETRY_MILLIS;
     }
 
-    private static boolean isFresh(StoreIndex storeIndex, long nowMillis) {
-        return storeIndex != null && nowMillis - storeIndex.answeredAtMillis < ANSWER_VALID_MILLIS;
+    private boolean isSaveDue(PromptPart part, long epochKnownMillis) {
+        if (epochKnownMillis >= SAVE_DELAY_MILLIS + SaveTurns.MAX_DELAY_MILLIS) {
+            return true;
+        }
+        return epochKnownMillis >= SAVE_DELAY_MILLIS + saveTurns.delayMillis(part.id());
     }
 
-    /**
-     * Returns the store responsible for a part. All nodes compute the same one; larger stores get more parts.
-     *
-     * @param scope the cache scope
-     * @param partId the part's identifier
-     * @param stores the configured stores
-     * @return the store, or empty if no store is configured
-     */
-    public static Optional<CacheStore> storeOf(String scope, String partId, Collection<CacheStore> stores) {
-        long keyHash = Rendezvous.hash(Rendezvous.key(scope, partId));
-        CacheStore best = null;
-        double bestScore = Double.NEGATIVE_INFINITY;
-        for (CacheStore store : stores) {
-            // Weighted rendezvous hashing after Schindelhauer and Schomaker, "Weighted distributed hash tables".
-            double unit = ((Rendezvous.weight(keyHash, Rendezvous.hash(store.name())) >>> 11) + 0.5) * 0x1p-53;
-            double score = store.capacityTokens() / -Math.log(unit);
-            if (score > bestScore) {
-                bestScore = score;
-                best = store;
-            }
-        }
-        return Optional.ofNullable(best);
+    private static boolean isWithin(long validMillis, StoreIndex storeIndex, long nowMillis) {
+        return storeIndex != null && nowMillis - storeIndex.answeredAtMillis < validMillis;
     }
 
     /**
@@ -439,7 +457,7 @@
      * @param nowMillis the time of the plan, in milliseconds
      * @return the states of the stores that have an index
      */
-    public List<StoreState> states(Collection<String> addresses, long nowMillis) {
+    public List<CacheStoreState> states(Collection<String> addresses, long nowMillis) {
         return addresses.stream()
                 .filter(indexByAddress::containsKey)
                 .distinct()
@@ -447,8 +465,8 @@
                 .toList();
     }
 
-    private StoreState state(String address, StoreIndex storeIndex, long nowMillis) {
-        return new StoreState(
+    private CacheStoreState state(String address, StoreIndex storeIndex, long nowMillis) {
+        return new CacheStoreState(
                 address,
                 storeIndex.epoch,
                 nowMillis - storeIndex.answeredAtMillis,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CachePlanner.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CachePlanner.java
@@ -202,6 +202,7 @@
         PlatformView view = context.view().get();
         OptionalLong version = engines.versionOf().apply(server);
         Optional<Scope> scope = scope(view, version);
+        context.cacheIndex().onClocksRead(now);
         // The parts of a scope that a newer configuration no longer uses may be freed during the fetch.
         CacheIndex.Plan plan = scope.filter(known -> confirmed)
                 .map(known -> plan(view, known, server, now.monotonicMillis()))
@@ -219,7 +220,8 @@
             return NO_CACHE;
         }
         List<PromptPart> parts = request.prompt().get().parts();
-        CacheIndex.Plan plan = context.cacheIndex().plan(scope.name(), parts, stores(view), nowMillis);
+        CacheIndex.Plan planned = context.cacheIndex().plan(scope.name(), parts, stores(view), nowMillis);
+        CacheIndex.Plan plan = hasFreeSlot(server) ? planned : planned.withoutSaves();
         context.cacheIndex().onSavesRequested(scope.name(), parts, plan, nowMillis);
         if (!scope.mayFetch(view, nowMillis)) {
             return new CacheIndex.Plan(List.of(), plan.saveTo());
@@ -237,6 +239,11 @@
                 .orElse(plan);
     }
 
+    /** A request that waits at its engine would save late, perhaps after a restart of the store. */
+    private boolean hasFreeSlot(UpstreamServer server) {
+        return engines.load().apply(server).requests() < target.engine().get().slots();
+    }
+
     private void logFetch(PlatformView view, UpstreamServer server, Planned planned, long nowMillis) {
         List<String> sources = planned.plan().fetchFrom().stream()
                 .filter(source -> !source.isEmpty())
--- a/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/CacheStoreFollower.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import org.cowslipbank.decision.relay.CacheIndex;
 import org.cowslipbank.decision.relay.CacheScopeUse;
+import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.entry.log.LogFields;
 import org.cowslipbank.entry.relay.FeedMessages.CacheChangesMessage;
 import org.cowslipbank.entry.relay.FeedMessages.CacheStoreAge;
@@ -27,8 +28,8 @@
  * from the node's hub. Runs on the traffic thread.
  */
 final class CacheStoreFollower {
-    /** Longest wait of a call for changes; the maximum that stores allow. */
-    static final long MAX_WAIT_MILLIS = 1_000;
+    /** Longest wait of a call for changes. Saves need a recent answer; stores charge for calls that wait less than 200 ms. */
+    static final long MAX_WAIT_MILLIS = 400;
 
     /** Pause between calls; limits the calls to a store with many changes. */
     static final long CALL_PAUSE_MILLIS = 250;
@@ -37,8 +38,14 @@
     static final long RETRY_PAUSE_MILLIS = 400;
 
     /**
-     * Age of a store's answer in that of a hub of an earlier release, which does not state it: a call for changes fails after
-     * 1,700 ms, and follows the one before after {@link #CALL_PAUSE_MILLIS}.
+     * Longest time from a call for changes to its answer. Calls have shorter time limits, but while the VM is suspended these do
+     * not expire, and an answer waits in the socket.
+     */
+    private static final long MAX_CALL_MILLIS = 1_700;
+
+    /**
+     * Age of a store's answer in that of a hub of an earlier release, which does not state it: a call for changes failed after
+     * 1,700 ms, and followed the one before after {@link #CALL_PAUSE_MILLIS}.
      */
     private static final long UNSTATED_AGE_MILLIS = 2_000;
 
@@ -183,8 +190,18 @@
         return cursors;
     }
 
-    /** Applies a hub's answer, unless changes have come from another source since the poll. */
-    void onHubAnswer(String hub, PollRequest poll, PollAnswer answer) {
+    /**
+     * Applies a hub's answer, unless changes have come from another source since the poll.
+     *
+     * @param hub the hub
+     * @param poll the poll
+     * @param answer the answer
+     * @param sentAt when the poll was sent
+     */
+    void onHubAnswer(String hub, PollRequest poll, PollAnswer answer, LeaderLease.ClockReading sentAt) {
+        if (isTooOld(sentAt)) {
+            return;
+        }
         Map.copyOf(followedStores).forEach((address, followed) -> {
             if (!followed.source.equals(hub) || !poll.stores().containsKey(followed.storeName)) {
                 return;
@@ -224,16 +241,28 @@
             return;
         }
         followed.switchSource("");
+        LeaderLease.ClockReading sentAt = clocks.now();
         followed.call = engines.cacheChanges(address, followed.cursor, MAX_WAIT_MILLIS)
                 .subscribe(
-                        changes -> loop.execute(() -> onChanges(address, followed, changes)),
+                        changes -> loop.execute(() -> onChanges(address, followed, changes, sentAt)),
                         error -> loop.execute(() -> onFailed(address, followed, error)));
     }
 
-    private void onChanges(String address, FollowedStore followed, CacheChanges changes) {
+    private boolean isTooOld(LeaderLease.ClockReading sentAt) {
+        LeaderLease.ClockReading now = clocks.now();
+        return now.monotonicMillis() - sentAt.monotonicMillis() > MAX_CALL_MILLIS
+                || now.wallMillis() - sentAt.wallMillis() > MAX_CALL_MILLIS;
+    }
+
+    private void onChanges(
+            String address, FollowedStore followed, CacheChanges changes, LeaderLease.ClockReading sentAt) {
         if (followedStores.get(address) != followed) {
             return;
         }
+        if (isTooOld(sentAt)) {
+            askAgain(address, followed, CALL_PAUSE_MILLIS);
+            return;
+        }
         // If the source is a hub by now, the store's answer is outdated.
         if (followed.source.isEmpty() && hasRestarted(address, followed, changes)) {
             onRestarted(address, followed, changes);
@@ -296,7 +325,9 @@
      */
     private Optional<Boolean> applyChanges(
             String address, FollowedStore followed, CacheChanges changes, long answerAgeMillis) {
-        long nowMillis = clocks.nowMillis();
+        LeaderLease.ClockReading now = clocks.now();
+        cacheIndex.onClocksRead(now);
+        long nowMillis = now.monotonicMillis();
         OptionalLong answeredClockMillis = changes.clockMillis().isPresent()
                 ? OptionalLong.of(changes.clockMillis().getAsLong() - answerAgeMillis)
                 : OptionalLong.empty();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeed.java
@@ -65,7 +65,7 @@
     private static final class CacheStoreFeed {
         private final CacheChangeLog changes;
         private OptionalLong clockAheadMillis = OptionalLong.empty();
-        private long answeredAtMillis;
+        private LeaderLease.ClockReading answeredAt;
         private long epochSinceMillis;
         private boolean reachable;
 
@@ -162,11 +162,11 @@
         }
         answer.changes().forEach(feed.changes::add);
         // One reading of the clock, so that clock and age together give the clock in the answer.
-        long nowMillis = clocks.nowMillis();
+        feed.answeredAt = clocks.now();
         if (answer.clockMillis().isPresent()) {
-            feed.clockAheadMillis = OptionalLong.of(answer.clockMillis().getAsLong() - nowMillis);
+            feed.clockAheadMillis =
+                    OptionalLong.of(answer.clockMillis().getAsLong() - feed.answeredAt.monotonicMillis());
         }
-        feed.answeredAtMillis = nowMillis;
         feed.epochSinceMillis = epochSinceMillis;
         feed.reachable = true;
         scheduleAnswers();
@@ -274,8 +274,7 @@
                 cacheChanges.put(
                         name,
                         CacheChangesMessage.of(feed.changes.since(Math.max(0, next), clockMillis(feed, nowMillis))));
-                storeAges.put(
-                        name, new CacheStoreAge(nowMillis - feed.answeredAtMillis, nowMillis - feed.epochSinceMillis));
+                storeAges.put(name, new CacheStoreAge(answerAgeMillis(feed, now), nowMillis - feed.epochSinceMillis));
             }
         });
         return Optional.of(new PollAnswer(
@@ -294,6 +293,13 @@
                 storeAges));
     }
 
+    /** The larger time of both clocks, so that a member never takes the answer for newer than it is. */
+    private static long answerAgeMillis(CacheStoreFeed feed, LeaderLease.ClockReading now) {
+        return Math.max(
+                now.monotonicMillis() - feed.answeredAt.monotonicMillis(),
+                now.wallMillis() - feed.answeredAt.wallMillis());
+    }
+
     private static OptionalLong clockMillis(CacheStoreFeed feed, long nowMillis) {
         return feed.clockAheadMillis.isPresent()
                 ? OptionalLong.of(nowMillis + feed.clockAheadMillis.getAsLong())
--- a/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/HubFeedClient.java
@@ -85,7 +85,7 @@
      *
      * @param cacheCursors returns the position in the changes of each cache store
      * @param onMetadata receives the metadata store's part of an answer, and when its poll was sent
-     * @param onCacheStores receives the cache stores' part of an answer
+     * @param onCacheStores receives the cache stores' part of an answer, and when its poll was sent
      * @param hasRequests returns whether the node is serving requests
      */
     record Handlers(
@@ -109,7 +109,7 @@
     /** Receives changes of the cache stores. */
     @FunctionalInterface
     interface CacheStoresHandler {
-        void accept(String hub, PollRequest poll, PollAnswer answer);
+        void accept(String hub, PollRequest poll, PollAnswer answer, LeaderLease.ClockReading sentAt);
     }
 
     HubFeedClient(
@@ -237,7 +237,7 @@
 
     private void deliver(String from, PollRequest poll, PollAnswer answer, LeaderLease.ClockReading sentAt) {
         handlers.onMetadata().accept(answer, sentAt);
-        handlers.onCacheStores().accept(from, poll, answer);
+        handlers.onCacheStores().accept(from, poll, answer, sentAt);
     }
 
     private void onPollFailed(Throwable error) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -347,6 +347,7 @@
 
     private void applyView(PlatformView view) {
         context.turns().onEvent();
+        context.cacheIndex().setNodes(settings.nodeName(), view.nodes().keySet());
         cacheStores.refresh();
         loads.retain(view.incarnations());
         notices.retain(view.incarnations());
@@ -475,9 +476,13 @@
                 });
     }
 
-    private void onCacheChangesOfHub(String hub, FeedMessages.PollRequest poll, FeedMessages.PollAnswer answer) {
+    private void onCacheChangesOfHub(
+            String hub,
+            FeedMessages.PollRequest poll,
+            FeedMessages.PollAnswer answer,
+            LeaderLease.ClockReading sentAt) {
         context.turns().onEvent();
-        cacheStores.onHubAnswer(hub, poll, answer);
+        cacheStores.onHubAnswer(hub, poll, answer, sentAt);
     }
 
     private boolean hasRequests() {
