--- a/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
@@ -28,6 +28,11 @@
 
     private static final int SHORT_TIMEOUT_MILLIS = 3_000;
 
+    /** Shortest time for which a cache store is away; one that is back sooner than nodes notice is the hard case. */
+    private static final int MIN_STORE_RESTART_MILLIS = 300;
+
+    private static final int STORE_RESTART_RANGE_MILLIS = 4_200;
+
     /** Time for which the metadata store or the leading node is away. */
     private static final int MIN_AWAY_MILLIS = 2_000;
 
@@ -351,7 +356,11 @@
 
     private Fault cacheStoreRestart() {
         int index = random.nextInt(2);
-        return new Fault("restart of cache store " + index, () -> platform.restartCacheStore(index), () -> {});
+        long downMillis = MIN_STORE_RESTART_MILLIS + random.nextInt(STORE_RESTART_RANGE_MILLIS);
+        return new Fault(
+                "restart of cache store " + index + " in " + downMillis + " ms",
+                () -> platform.restartCacheStore(index, downMillis),
+                () -> {});
     }
 
     private Fault change(String what, StandInFormats.Variant variant) {
--- a/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -32,7 +32,6 @@
     private static final int PLAIN_SLOTS = 64;
 
     /** How long a cache store is down when it starts again; nodes count on more than 2.2 s. */
-    private static final long STORE_RESTART_MILLIS = 3_000;
 
     /** Time without disturbance after which nodes count as in touch, from the platform's rules. */
     static final long CONTACT_MILLIS = 3_000;
@@ -400,8 +399,8 @@
                 .forEach(upstream -> upstream.server.fallSilent(millis));
     }
 
-    void restartCacheStore(int index) {
-        List.copyOf(cacheStores.values()).get(index % CACHE_STORES).restart(STORE_RESTART_MILLIS);
+    void restartCacheStore(int index, long downMillis) {
+        List.copyOf(cacheStores.values()).get(index % CACHE_STORES).restart(downMillis);
     }
 
     /** Lets upstreams answer all requests from now on. */
