--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -60,11 +60,17 @@
     /** How long an epoch is young: until the first saves of all nodes have been planned, and 5 s for them to end. */
     static final long YOUNG_EPOCH_MILLIS = 15_000;
 
-    /** How long the index of a store is used in a young epoch after the store's last answer. */
+    /**
+     * How long the index of a store is used in a young epoch after the store's last answer. A store with changes answers every
+     * 250 ms; the rest is for the transfers.
+     */
     static final long YOUNG_EPOCH_ANSWER_VALID_MILLIS = 450;
 
-    /** Longest time from a store's answer in a young epoch to the end of a fetch that was planned by it. */
-    static final long YOUNG_EPOCH_LEASE_MILLIS = 700;
+    /**
+     * Longest time from a store's answer in a young epoch to the end of a fetch that was planned by it. Leaves 250 ms for the
+     * fetch, which takes some tens of milliseconds on a free link.
+     */
+    static final long YOUNG_EPOCH_LEASE_MILLIS = YOUNG_EPOCH_ANSWER_VALID_MILLIS + 250;
 
     /** Covers differences between the clocks of engines and stores, and suspensions that are not noticed. */
     private static final long CLOCK_MARGIN_MILLIS = 500;
