Do not save again what a cache store's index lists

Cause: lets parts of a young epoch be fetched only by answers of the last 450 ms, but saves by those of the last 800 ms. In between a part that the store has was not fetched, and was saved again.

Change: a part that the index lists is not saved, however old the answer is.

Tests: CacheIndexTest.listedPartIsNotSavedAgain failed before the change: both parts were to be saved.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/CacheIndex.java
@@ -407,13 +407,17 @@
     private boolean isComplete(String address, String scope, PromptPart part, long nowMillis) {
         StoreIndex storeIndex = indexByAddress.get(address);
         long validMillis = hasYoungEpoch(address, nowMillis) ? YOUNG_EPOCH_ANSWER_VALID_MILLIS : ANSWER_VALID_MILLIS;
-        return isWithin(validMillis, storeIndex, nowMillis)
-                && storeIndex.tokensByPart.getOrDefault(new PartKey(scope, part.id()), 0) >= part.tokens();
+        return isWithin(validMillis, storeIndex, nowMillis) && isListed(storeIndex, scope, part);
+    }
+
+    private static boolean isListed(StoreIndex storeIndex, String scope, PromptPart part) {
+        return storeIndex.tokensByPart.getOrDefault(new PartKey(scope, part.id()), 0) >= part.tokens();
     }
 
     private boolean shouldSave(String address, String scope, PromptPart part, long nowMillis) {
         StoreIndex storeIndex = indexByAddress.get(address);
         if (!isWithin(SAVE_ANSWER_VALID_MILLIS, storeIndex, nowMillis)
+                || isListed(storeIndex, scope, part)
                 || !isSaveDue(part, epochs.knownMillis(address, nowMillis).orElse(0))) {
             return false;
         }
--- a/decision/src/test/java/org/cowslipbank/decision/relay/CacheIndexTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/CacheIndexTest.java
@@ -97,6 +97,18 @@
         assert savesAt(restartMillis + 10).equals(List.of("", "", "")) : "the number came round";
     }
 
+    /** Failure guarded against: a part that a store has is saved again while the answer is too old for a fetch. */
+    @Example
+    void listedPartIsNotSavedAgain() {
+        allAnswer(1, 0);
+        allAnswer(1, SAVE_MILLIS);
+        cacheIndex.onPartEvent(storeOf(SECOND), SCOPE, "p2", 8_000);
+        long laterMillis = SAVE_MILLIS + CacheIndex.YOUNG_EPOCH_ANSWER_VALID_MILLIS;
+        CacheIndex.Plan plan = cacheIndex.plan(SCOPE, PARTS, STORES, laterMillis);
+        assert plan.fetchFrom().get(1).isEmpty() && plan.saveTo().get(1).isEmpty() : plan;
+        assert plan.saveTo().get(0).equals(storeOf(FIRST)) : plan;
+    }
+
     /** Failure guarded against: all nodes save the same parts once an epoch has begun, some of them seconds later. */
     @Example
     void nodesTakeTurnsWhenAnEpochHasBegun() {
