Log readings and watches of the metadata store

Change: a state line for each reading of all items, a request line for a watch with 20 changes or more and for one without changes that ended before its wait, the marked era in the line of a restored store, and gauges for the age of the confirmation and the configuration's version. No logic changes.

Result: PlatformWatcherTest, HubHistoryTest, RestoredStoreTest and UnknownRouteTest pass.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/RestoreSettling.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/RestoreSettling.java
@@ -65,6 +65,15 @@
         return nowMillis >= settledAtMillis;
     }
 
+    /**
+     * Returns whether the era of the last reading is marked as complete.
+     *
+     * @return true if the store has the mark
+     */
+    public boolean isMarked() {
+        return marked;
+    }
+
     /**
      * Records that the mark was written, by this node or another one.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -271,6 +271,7 @@
             configurationKnownBeforeRestore = routes.isPresent();
             log.logState(LogFields.event("metadata store was restored from a copy")
                     .field("era", range.era())
+                    .field("markedEra", markedEra(all).orElse(-1))
                     .field("storeRevision", atRevision)
                     .field("revisionBefore", revision));
         } else if (atRevision < revision) {
@@ -339,6 +340,15 @@
         return settling.isSettled(nowMillis);
     }
 
+    /**
+     * Returns whether the store has the mark that it holds all writes of its era.
+     *
+     * @return true if the last reading had it, or it was written since
+     */
+    boolean isEraMarked() {
+        return settling.isMarked();
+    }
+
     /**
      * Returns the era of the store that should be marked as complete.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -59,6 +59,9 @@
     /** Interval of the check for vanished registrations and old reports to drop. */
     static final long EXPIRY_CHECK_MILLIS = 150;
 
+    /** Number of changes from which the answer of a watch leaves a line in the log. */
+    static final int LOGGED_CHANGES = 20;
+
     private final MetadataStore store;
     private final PlatformDecoder decoder;
     private final PlatformState state;
@@ -242,10 +245,42 @@
         }
         publish();
         confirm(sentAt);
+        logReading(range, now.monotonicMillis() - sentAt.monotonicMillis());
         onApplied(reading);
         watch();
     }
 
+    private void logReading(Range range, long millis) {
+        LogFields line = LogFields.event("all items of the metadata store read")
+                .field("storeRevision", range.revision())
+                .field("knownRevision", view.revision())
+                .field("era", range.era())
+                .field("eraMarked", state.isEraMarked())
+                .field("settled", settled)
+                .field("items", range.items().size())
+                .field("millis", millis);
+        view.routes()
+                .ifPresent(routes -> line.field(
+                        "configurationVersion", routes.configuration().version()));
+        log.logState(line);
+    }
+
+    /** Logs what tells a late answer or a long history from a store without changes; other answers are too many. */
+    private void logWatch(long afterRevision, Changes changes, LeaderLease.ClockReading sentAt, long waitMillis) {
+        long millis = clocks.nowMillis() - sentAt.monotonicMillis();
+        boolean endedEarly = changes.items().isEmpty() && millis < waitMillis;
+        if (!endedEarly && changes.items().size() < LOGGED_CHANGES) {
+            return;
+        }
+        log.logRequest(LogFields.event(
+                        endedEarly ? "watch without changes ended before its wait" : "watch returned many changes")
+                .field("afterRevision", afterRevision)
+                .field("storeRevision", changes.revision())
+                .field("changes", changes.items().size())
+                .field("waitMillis", waitMillis)
+                .field("millis", millis));
+    }
+
     private void onApplied(long reading) {
         // A restored store may lack registrations.
         if (settled) {
@@ -299,8 +334,15 @@
         }
         LeaderLease.ClockReading sentAt = clocks.now();
         long reading = readings.begin();
-        Mono<Optional<Changes>> watch = store.watch(decoder.watchedPrefix(), view.revision(), MAX_WATCH_MILLIS);
-        callStore(watch, changes -> onWatched(changes, sentAt, reading), this::watch);
+        long afterRevision = view.revision();
+        Mono<Optional<Changes>> watch = store.watch(decoder.watchedPrefix(), afterRevision, MAX_WATCH_MILLIS);
+        callStore(
+                watch,
+                changes -> {
+                    changes.ifPresent(known -> logWatch(afterRevision, known, sentAt, MAX_WATCH_MILLIS));
+                    onWatched(changes, sentAt, reading);
+                },
+                this::watch);
     }
 
     private void onWatched(Optional<Changes> changes, LeaderLease.ClockReading sentAt, long reading) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -568,6 +568,11 @@
     private void registerGauges(CacheIndex cacheIndex) {
         metrics.register("platform.revision", (Gauge<Long>) () -> watcher.view().revision());
         metrics.register("platform.confirmed", (Gauge<Integer>) () -> context.isConfirmed() ? 1 : 0);
+        metrics.register("platform.confirmationAgeMillis", (Gauge<Long>) context::confirmationAgeMillis);
+        metrics.register("platform.configurationVersion", (Gauge<Long>) () -> watcher.view()
+                .routes()
+                .map(routes -> routes.configuration().version())
+                .orElse(0L));
         metrics.register(
                 "platform.nodes", (Gauge<Integer>) () -> watcher.view().nodes().size());
         metrics.register("platform.upstreams", (Gauge<Integer>)
