Read all items when the history of the store is the longer one

Cause: a watch brings each version of a value since the known revision, also those that have been replaced. A node that was away while large configurations followed each other needed more than the fixed time of the call, was cut off and asked for the same history again, which had grown: it never knew the newest configuration while changes went on, although the store was sound.

Change: a watch states the longest answer that is read. It is as long as all items at the last reading while the node is behind, and four times that in the usual flow, since members of a hub need the history. What is longer is given up in favour of a reading of all items.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -59,6 +59,18 @@
     /** Interval of the check for vanished registrations and old reports to drop. */
     static final long EXPIRY_CHECK_MILLIS = 150;
 
+    /** Length up to which the history is read rather than all items, even if these are fewer bytes. */
+    static final long MIN_HISTORY_BYTES = 256 << 10;
+
+    /**
+     * The same as a multiple of all items while the node is not behind: members of a hub need the history, and the store
+     * sends each version of a value that changes often.
+     */
+    static final int HISTORY_READINGS = 4;
+
+    /** Age of the confirmation from which a node is behind; between two answers it grows to a watch and a pause. */
+    static final long BEHIND_MILLIS = MAX_WATCH_MILLIS + MAX_CHANGE_PAUSE_MILLIS + 50;
+
     /** Number of changes from which the answer of a watch leaves a line in the log. */
     static final int LOGGED_CHANGES = 20;
 
@@ -80,6 +92,7 @@
     private long retryPauseMillis = MIN_RETRY_PAUSE_MILLIS;
     private long lastAnswerMillis;
     private long nextRefreshMillis = Long.MIN_VALUE / 2;
+    private long readingBytes = MIN_HISTORY_BYTES;
 
     PlatformWatcher(
             MetadataStore store,
@@ -185,7 +198,7 @@
                         MIN_REFRESH_INTERVAL_MILLIS,
                         REFRESH_INTERVAL_MILLIS_PER_NODE * view.nodes().size());
         long reading = readings.begin();
-        store.watch(decoder.watchedPrefix(), view.revision(), REFRESH_WATCH_MILLIS)
+        store.watch(decoder.watchedPrefix(), view.revision(), REFRESH_WATCH_MILLIS, maxHistoryBytes(sentAt))
                 .publishOn(control)
                 .doFinally(signal -> refreshing.set(false))
                 .subscribe(
@@ -236,6 +249,7 @@
     private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt, long reading) {
         onContact();
         boolean firstReading = view.routes().isEmpty();
+        readingBytes = Math.max(MIN_HISTORY_BYTES, range.encodedBytes());
         LeaderLease.ClockReading now = clocks.now();
         long missedMillis = confirmation
                 .map(known -> known.ageMillis(now.monotonicMillis(), now.wallMillis()))
@@ -335,7 +349,8 @@
         LeaderLease.ClockReading sentAt = clocks.now();
         long reading = readings.begin();
         long afterRevision = view.revision();
-        Mono<Optional<Changes>> watch = store.watch(decoder.watchedPrefix(), afterRevision, MAX_WATCH_MILLIS);
+        Mono<Optional<Changes>> watch =
+                store.watch(decoder.watchedPrefix(), afterRevision, MAX_WATCH_MILLIS, maxHistoryBytes(sentAt));
         callStore(
                 watch,
                 changes -> {
@@ -345,6 +360,17 @@
                 this::watch);
     }
 
+    /**
+     * Returns the longest history to read. It has each version of a value, while all items have only the last one; a node that
+     * is behind would ask for a longer one each time if a part did not fit into the call.
+     */
+    private long maxHistoryBytes(LeaderLease.ClockReading now) {
+        boolean behind = confirmation
+                .filter(known -> known.ageMillis(now.monotonicMillis(), now.wallMillis()) < BEHIND_MILLIS)
+                .isEmpty();
+        return behind ? readingBytes : HISTORY_READINGS * readingBytes;
+    }
+
     private void onWatched(Optional<Changes> changes, LeaderLease.ClockReading sentAt, long reading) {
         onContact();
         if (changes.isEmpty()) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -132,7 +132,7 @@
     }
 
     @Override
-    public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis) {
+    public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis, long maxBytes) {
         watches.incrementAndGet();
         return call(() -> changes(afterRevision))
                 .repeatWhen(again -> again.delayElements(POLL))
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
@@ -73,7 +73,7 @@
     }
 
     @Override
-    public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis) {
+    public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis, long maxBytes) {
         return call((store, sink) ->
                 sink.success(afterRevision < oldestRevision ? Optional.empty() : Optional.of(changes(afterRevision))));
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamLinks.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UpstreamLinks.java
@@ -66,8 +66,8 @@
             }
 
             @Override
-            public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis) {
-                return store.watch(prefix, afterRevision, waitMillis)
+            public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis, long maxBytes) {
+                return store.watch(prefix, afterRevision, waitMillis, maxBytes)
                         .map(found ->
                                 found.map(changes -> new Changes(translate(changes.items()), changes.revision())));
             }
--- a/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
@@ -20,6 +20,9 @@
     /** Expected revision of a key that must not exist yet. */
     long ABSENT = 0;
 
+    /** Length of a row of an answer without its key and value, in bytes: names of fields, revisions and a lease. */
+    int ROW_BYTES = 100;
+
     /**
      * All items whose keys have a common prefix.
      *
@@ -32,6 +35,17 @@
         public Range {
             items = List.copyOf(items);
         }
+
+        /**
+         * Returns about how long the answer was, with values in base64.
+         *
+         * @return the length in bytes
+         */
+        public long encodedBytes() {
+            return items.stream()
+                    .mapToLong(item -> ROW_BYTES + item.key().length() + item.value().length * 4L / 3)
+                    .sum();
+        }
     }
 
     /**
@@ -78,9 +92,23 @@
      * @param prefix the prefix
      * @param afterRevision only changes after this revision are returned
      * @param waitMillis the longest wait in milliseconds
-     * @return the changes, or empty if the store has compacted this part of its history or was restored since
+     * @param maxBytes the longest answer to read, in bytes
+     * @return the changes, or empty if the answer is longer, the store has compacted this part of its history or was restored
+     *     since
      */
-    Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis);
+    Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis, long maxBytes);
+
+    /**
+     * Waits for changes of keys with a prefix (long poll), however many there are.
+     *
+     * @param prefix the prefix
+     * @param afterRevision only changes after this revision are returned
+     * @param waitMillis the longest wait in milliseconds
+     * @return the changes, or empty as for a limited answer
+     */
+    default Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis) {
+        return watch(prefix, afterRevision, waitMillis, Long.MAX_VALUE);
+    }
 
     /**
      * Writes a value if keys have the expected revisions.
