Ask the store once for the changes that are arriving

Cause: while the answer of a watch is on its way, requests that need a newer confirmation ask for the newest changes with a call of their own. It brings the same bytes over the same link, so that each of the two answers takes longer; on a slow link this goes on until both are cut off.

Change: the client of the store tells whether an answer to a range or watch has begun and not ended. No call for the newest changes is sent then.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -176,10 +176,11 @@
 
     /**
      * Reads the newest changes from the metadata store with a call of its own, because a watch returns late, or never after
-     * a disturbance. May be called by any thread; while such a call is in progress, nothing happens.
+     * a disturbance. May be called by any thread; while such a call is in progress or an answer arrives, nothing happens: the
+     * same bytes a second time would delay both answers.
      */
     void refresh() {
-        if (refreshing.compareAndSet(false, true)) {
+        if (!store.contact().arriving() && refreshing.compareAndSet(false, true)) {
             control.schedule(() -> {
                 long delayMillis = Math.max(0, nextRefreshMillis - clocks.nowMillis());
                 control.schedule(this::readChanges, delayMillis, TimeUnit.MILLISECONDS);
@@ -188,7 +189,7 @@
     }
 
     private void readChanges() {
-        if (stopped || view.revision() == 0) {
+        if (stopped || view.revision() == 0 || store.contact().arriving()) {
             refreshing.set(false);
             return;
         }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/LateConfigurationTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/LateConfigurationTest.java
@@ -18,6 +18,9 @@
     /** Bytes on the link for each byte of a value, which is sent as base64. */
     private static final double LINK_BYTES_PER_BYTE = 4 / 3.0;
 
+    /** Longer than any node may act on what it knew before. */
+    private static final long LATE_MILLIS = 5_000;
+
     private final LoopResources loops = LoopResources.create("late-configuration-test", 2, true);
     private final StandInStore store = new StandInStore(loops);
     private RelaySystem system;
@@ -62,9 +65,12 @@
                 .formatted(name, prefix);
     }
 
+    private static double linkBytesPerConfiguration() {
+        return configuration(1).getBytes(StandardCharsets.UTF_8).length * LINK_BYTES_PER_BYTE;
+    }
+
     private void setMillisPerConfiguration(long millis) {
-        int length = configuration(1).getBytes(StandardCharsets.UTF_8).length;
-        store.setLinkRate((long) (length * LINK_BYTES_PER_BYTE * 1_000 / millis));
+        store.setLinkRate((long) (linkBytesPerConfiguration() * 1_000 / millis));
     }
 
     private String status(int version) {
@@ -95,4 +101,17 @@
         }
         assert servedByNewest > 0;
     }
+
+    /** Failure guarded against: calls for the same changes share the link, so that each of them takes longer. */
+    @Example
+    void nodeAsksOnceForTheSameChanges() throws Exception {
+        start();
+        setMillisPerConfiguration(LATE_MILLIS);
+        store.put("op/config", configuration(2));
+        long bytesBefore = store.linkBytes();
+        RelaySystem.await(
+                "the newest configuration is in force", () -> status(2).equals("200"));
+        long bytes = store.linkBytes() - bytesBefore;
+        assert bytes < linkBytesPerConfiguration() * 1.2 : bytes;
+    }
 }
--- a/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
+++ b/ports/src/main/java/org/cowslipbank/ports/relay/MetadataStore.java
@@ -78,6 +78,26 @@
      */
     record Lease(long id, long ttlMillis) {}
 
+    /**
+     * What is heard of the store in answers to ranges and watches.
+     *
+     * @param arriving whether an answer has begun and not ended
+     * @param silentMillis time since the last bytes came, in milliseconds; {@link Long#MAX_VALUE} if none ever did
+     */
+    record Contact(boolean arriving, long silentMillis) {
+        /** No answer has ever come. */
+        public static final Contact NONE = new Contact(false, Long.MAX_VALUE);
+    }
+
+    /**
+     * Returns what is heard of the store.
+     *
+     * @return the contact; {@link Contact#NONE} of a client that does not tell
+     */
+    default Contact contact() {
+        return Contact.NONE;
+    }
+
     /**
      * Reads all items with a prefix, page by page.
      *
