Act on an old configuration only while the store is silent

A node that was behind, although the store answered, ran requests by routes that had been replaced long before.

Change: once a newer configuration may have to be in force, any request asks for it and waits up to 250 ms, as those with unknown routes or keys did. If it is not known then and answers of the store are coming, complete ones or parts, the request is refused as not run, to be sent to another node. A node that hears nothing from the store goes on with what it knows, as before.

Result: LateConfigurationTest.nodeThatIsBehindDoesNotActOnAnOldConfiguration: status 200 by version 1 two seconds after version 2 was written before, 503 after. UnknownRouteTest, RestoredStoreTest and StarvedNodeTest pass.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -204,8 +204,8 @@
             return;
         }
         Optional<Route> found = routes.route(request.host(), request.path());
-        if (found.isEmpty() && !mayRefuseUnknown) {
-            // A newer configuration may have the route.
+        if (!mayRefuseUnknown && (found.isEmpty() || context.mustAwaitNewest(hasWaited(CONFIRMATION_WAIT_MILLIS)))) {
+            // A newer configuration may have the route, or may have changed it.
             waitForConfirmation();
             return;
         }
@@ -304,8 +304,12 @@
         waitOrRefuse(RefusalReasons.CONFIGURATION_UNCONFIRMED, canConfirm ? CONFIRMATION_WAIT_MILLIS : 0);
     }
 
+    private boolean hasWaited(long waitMillis) {
+        return now() - arrivedMillis >= waitMillis;
+    }
+
     private void waitOrRefuse(String reason, long waitMillis) {
-        if (now() - arrivedMillis < waitMillis) {
+        if (!hasWaited(waitMillis)) {
             deadlineTimer = schedule(this::resolveRoute, RESOLVE_RETRY_MILLIS);
         } else {
             refuse(reason, RETRY_ELSEWHERE_AFTER_MILLIS);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -56,6 +56,11 @@
     /** The same per registered node; a large fleet stays within half of the store's 2,000 reads a second. */
     static final long REFRESH_INTERVAL_MILLIS_PER_NODE = 1;
 
+    /**
+     * Time without bytes of a read after which the store no longer counts as answering; longer than an answer may pause.
+     */
+    static final long SILENT_MILLIS = 1_000;
+
     /** Interval of the check for vanished registrations and old reports to drop. */
     static final long EXPIRY_CHECK_MILLIS = 150;
 
@@ -161,6 +166,16 @@
         return connected && settled;
     }
 
+    /**
+     * Returns whether answers of the store are coming, complete ones or parts.
+     *
+     * @return false if it is silent, so that nobody can know a newer configuration through it
+     */
+    boolean isStoreAnswering() {
+        MetadataStore.Contact contact = store.contact();
+        return contact.arriving() || contact.silentMillis() < SILENT_MILLIS;
+    }
+
     /**
      * Returns the last confirmation. It holds for the view that is read after it, but not for one that was read before.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -30,6 +30,7 @@
  * @param readings the calls by which the platform's state is read
  * @param refresh reads the platform's state at once
  * @param canConfirm returns whether the metadata store can confirm the configuration with its next answer
+ * @param storeAnswers returns whether answers of the metadata store are coming, complete ones or parts
  * @param clocks the clocks
  * @param loop the traffic thread
  * @param connections connections to upstreams
@@ -65,6 +66,7 @@
         StateReadings readings,
         Runnable refresh,
         BooleanSupplier canConfirm,
+        BooleanSupplier storeAnswers,
         Clocks clocks,
         EventLoop loop,
         UpstreamConnectionPool connections,
@@ -129,6 +131,18 @@
                 .isPresent();
     }
 
+    /**
+     * Returns whether a newer configuration is to be awaited before a request is served by the known one, which is so old
+     * that a newer one may have to be in force. An outage of the metadata store must not stop the nodes, so that one which
+     * does not hear from the store goes on with what it knows.
+     *
+     * @param hasWaited whether the request has waited for a newer configuration already
+     * @return false if the known configuration is to be used
+     */
+    boolean mustAwaitNewest(boolean hasWaited) {
+        return canConfirm.getAsBoolean() && (!hasWaited || storeAnswers.getAsBoolean());
+    }
+
     /**
      * Returns the age of the configuration's last confirmation.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -217,6 +217,7 @@
                 watcher.readings(),
                 watcher::refresh,
                 watcher::canConfirm,
+                watcher::isStoreAnswering,
                 clocks,
                 loop,
                 connections,
--- a/entry/src/test/java/org/cowslipbank/entry/relay/LateConfigurationTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/LateConfigurationTest.java
@@ -18,6 +18,9 @@
     /** Bytes on the link for each byte of a value, which is sent as base64. */
     private static final double LINK_BYTES_PER_BYTE = 4 / 3.0;
 
+    /** Time after which a node in touch with the store must act on a new configuration. */
+    private static final long CONFIGURATION_MILLIS = 2_000;
+
     /** Longer than any node may act on what it knew before. */
     private static final long LATE_MILLIS = 5_000;
 
@@ -114,4 +117,18 @@
         long bytes = store.linkBytes() - bytesBefore;
         assert bytes < linkBytesPerConfiguration() * 1.2 : bytes;
     }
+
+    /** Failure guarded against: a node that the store answers slowly acts on a configuration that was replaced long before. */
+    @Example
+    void nodeThatIsBehindDoesNotActOnAnOldConfiguration() throws Exception {
+        start();
+        setMillisPerConfiguration(LATE_MILLIS);
+        store.put("op/config", configuration(2));
+        Thread.sleep(CONFIGURATION_MILLIS);
+        String status = status(1);
+        assert status.equals("503") : status;
+        RelaySystem.await(
+                "the newest configuration is in force", () -> status(2).equals("200"));
+        assert status(1).equals("404");
+    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -143,6 +143,7 @@
                 null,
                 null,
                 null,
+                null,
                 clocks,
                 null,
                 null,
