Log watches that end below the store's revision

Cause: a watch that brings a part of the changes, or none although the store names a later revision, would let a node skip them for good; no line tells.

Change: a request line with the last change's revision and the store's.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -298,13 +298,21 @@
     /** Logs what tells a late answer or a long history from a store without changes; other answers are too many. */
     private void logWatch(long afterRevision, Changes changes, LeaderLease.ClockReading sentAt, long waitMillis) {
         long millis = clocks.nowMillis() - sentAt.monotonicMillis();
-        boolean endedEarly = changes.items().isEmpty() && millis < waitMillis;
-        if (!endedEarly && changes.items().size() < LOGGED_CHANGES) {
+        int last = changes.items().size() - 1;
+        long lastRevision = last < 0 ? afterRevision : changes.items().get(last).revision();
+        String event;
+        if (lastRevision < changes.revision()) {
+            event = "watch ended below the revision of the metadata store";
+        } else if (last < 0 && millis < waitMillis) {
+            event = "watch without changes ended before its wait";
+        } else if (last + 1 >= LOGGED_CHANGES) {
+            event = "watch returned many changes";
+        } else {
             return;
         }
-        log.logRequest(LogFields.event(
-                        endedEarly ? "watch without changes ended before its wait" : "watch returned many changes")
+        log.logRequest(LogFields.event(event)
                 .field("afterRevision", afterRevision)
+                .field("lastRevision", lastRevision)
                 .field("storeRevision", changes.revision())
                 .field("changes", changes.items().size())
                 .field("waitMillis", waitMillis)
