Mark era 0 of the metadata store as complete as well

Cause: a node that starts knows a restore by the mark of an earlier era. Eras of 0 and stores that name none were not marked, so that a node which started after the first restore took the store for a new one: it confirmed at once what the copy held, keys that had been revoked since included.

Change: every era is marked once, also 0, and likewise the era in which the software versions of all streams are known.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/RestoreSettling.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/RestoreSettling.java
@@ -90,7 +90,7 @@
      * @return the era, or empty if it is marked, or writes may still be missing
      */
     public OptionalLong eraToMark(long nowMillis) {
-        boolean due = era > 0 && !marked && nowMillis >= rewrittenAtMillis;
+        boolean due = era != UNKNOWN && !marked && nowMillis >= rewrittenAtMillis;
         return due ? OptionalLong.of(era) : OptionalLong.empty();
     }
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -377,7 +377,7 @@
     OptionalLong streamsEraToMark(long nowMillis) {
         boolean marked = markedStreamsEra.isPresent() && markedStreamsEra.getAsLong() >= era;
         boolean known = isSettled(nowMillis) && !origins.isUncertain(nowMillis);
-        return era > 0 && !marked && known ? OptionalLong.of(era) : OptionalLong.empty();
+        return !marked && known ? OptionalLong.of(era) : OptionalLong.empty();
     }
 
     /**
