Pass on what a reading of several pages had already

A hub has applied these, so that they do not differ when its watch brings them, and it left registrations among them out of the changes for its members. A member between the reading's revision and theirs passed over an upstream, its draining or its software version until it changed again, with its knowledge confirmed.

Change: changes up to the latest revision of the last reading are passed on whether or not they still differ.

Result: HubHistoryTest draws registrations among the changes and readings whose items are newer than their revision: a member at 54 got [56] of the changes to 56 before, and the new example fails; both hold after, with 2,000 drawn histories.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -78,6 +78,9 @@
     private Optional<RouteTable> routes = Optional.empty();
     private Set<String> streamServices = Set.of();
     private long era;
+    /** Latest revision in the last reading of all items; its later pages may be newer than the reading's revision. */
+    private long readAheadRevision;
+
     private OptionalLong markedStreamsEra = OptionalLong.empty();
     /** Registrations since the software versions were recorded last; some may have been removed again. */
     private final List<UpstreamServer> unrecorded = new ArrayList<>();
@@ -290,6 +293,7 @@
             apply(item, nowMillis);
         }
         revision = atRevision;
+        readAheadRevision = all.stream().mapToLong(StoreItem::revision).max().orElse(atRevision);
         restrictions.onReadingEnded(atRevision, nowMillis);
         if (firstReading && markedStreamsEra.isPresent() && markedStreamsEra.getAsLong() < era) {
             // No node has marked that it knows the versions from before the restore.
@@ -409,9 +413,15 @@
     List<StoreItem> applyChanges(List<StoreItem> changed, long atRevision, long nowMillis) {
         List<StoreItem> different = new ArrayList<>();
         for (StoreItem item : changed) {
-            if (item.revision() > revision && apply(item, nowMillis)) {
+            if (item.revision() <= revision) {
+                continue;
+            }
+            if (apply(item, nowMillis)) {
                 different.add(item);
                 recordChangedUpstreams(nowMillis);
+            } else if (item.revision() <= readAheadRevision) {
+                // It differed when the reading was applied, and members do not have it.
+                different.add(item);
             }
         }
         if (configurationKnownBeforeRestore && configurationRevision > restoredAtRevision) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/HubHistoryTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/HubHistoryTest.java
@@ -34,6 +34,9 @@
  */
 final class HubHistoryTest {
     private static final int STEPS = 60;
+    /** One of so many changes is the registration of another engine. */
+    private static final int REGISTRATION_INTERVAL = 3;
+
     private static final long MAX_PAUSE_MILLIS = 600;
     private static final DefaultEventLoop LOOP = new DefaultEventLoop();
 
@@ -94,6 +97,10 @@
 
         private void write(int count) {
             for (int index = 0; index < count; index++) {
+                if (store.revision() % REGISTRATION_INTERVAL == 0) {
+                    registerEngine((int) store.revision(), "v1");
+                    continue;
+                }
                 String model = "m" + (store.revision() + 1);
                 put("op/version/" + model, "{\"Model\":\"" + model + "\",\"Version\":1}");
             }
@@ -306,6 +313,19 @@
                 pollFrom(2));
     }
 
+    /** A reading of several pages has a change that is later than its revision; the next watch brings it again. */
+    @Example
+    void registrationThatAReadingHadAlreadyIsPassedOn() {
+        Hub hub = run(step(Action.WRITE), step(Action.COMPACT), step(Action.ANSWER_OLDEST));
+        hub.registerEngine(1, "v1");
+        hub.run(step(Action.ANSWER_OLDEST));
+        hub.run(step(Action.ANSWER_OLDEST));
+        hub.run(new Step(Action.PAUSE, 9));
+        hub.run(step(Action.WRITE));
+        hub.run(step(Action.ANSWER_OLDEST));
+        hub.run(pollFrom(2));
+    }
+
     /** Failure guarded against: the checks above hold because members get no answer. */
     @Example
     void membersOfAHubThatStaysOneAreAnswered() {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
@@ -67,9 +67,13 @@
                         ProcessingStep.KEY_VALUE, "store", RunState.NOT_RUN, "call is failed by the test")))));
     }
 
+    /** Later pages may have items that are newer than the revision, which is that of the first page. */
     @Override
     public Mono<Range> range(String prefix) {
-        return call((store, sink) -> sink.success(new Range(List.copyOf(history), revision(), 0)));
+        return Mono.defer(() -> {
+            long firstPageRevision = revision();
+            return call((store, sink) -> sink.success(new Range(List.copyOf(history), firstPageRevision, 0)));
+        });
     }
 
     @Override
