Confirm only the send of a watch that ends early

Cause: a watch without changes confirmed nine tenths of the time since its send. If the store ends it early and the answer takes long, that is later than what the store knew, by up to 990 ms; the margin of a confirmation is 400 ms.

Change: a watch confirms a time after its send only if it took its whole wait, less the margin of a tenth for clocks of different rates.

Result: PlatformWatcherTest.watchThatEndsEarlyConfirmsWhenItWasSent fails before and holds; that of a whole wait holds before and after.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -29,6 +29,9 @@
     /** Longest wait of a watch; a lost call is detected and repeated well within the revocation bound of 5 s. */
     static final long MAX_WATCH_MILLIS = 1_100;
 
+    /** By how much the end of a watch's wait may be earlier than the node's clock tells. */
+    static final long WAIT_MARGIN_MILLIS = MAX_WATCH_MILLIS / 10;
+
     /**
      * Pause per registered node after a watch that returned changes. When a whole fleet starts, every node writes
      * changes; without the pause each of them would cost a call by each node.
@@ -405,9 +408,14 @@
             return;
         }
         boolean unchanged = changes.get().items().isEmpty();
-        // A watch without changes confirms the state at the end of its wait, less a margin of a tenth of the wait.
+        // A watch without changes confirms the state at the end of its wait, less a margin for clocks of different
+        // rates.
+        // When the store decided to end one early is not known.
         long waitedMillis = Math.min(MAX_WATCH_MILLIS, clocks.nowMillis() - sentAt.monotonicMillis());
-        applyChanges(changes.get(), unchanged ? sentAt.plus(waitedMillis - waitedMillis / 10) : sentAt, reading);
+        boolean waited = waitedMillis >= MAX_WATCH_MILLIS - WAIT_MARGIN_MILLIS;
+        LeaderLease.ClockReading confirmedAt =
+                unchanged && waited ? sentAt.plus(waitedMillis - WAIT_MARGIN_MILLIS) : sentAt;
+        applyChanges(changes.get(), confirmedAt, reading);
         if (unchanged) {
             watch();
         } else {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
@@ -30,18 +30,13 @@
             clocks,
             Schedulers.immediate(),
             log,
-            new IgnoringListener());
+            new IgnoringListener(true));
 
     /** A listener that passes nothing on. */
-    private static final class IgnoringListener implements PlatformWatcher.Listener {
+    private record IgnoringListener(boolean followsHub) implements PlatformWatcher.Listener {
         @Override
         public void onView(PlatformView view) {}
 
-        @Override
-        public boolean followsHub() {
-            return true;
-        }
-
         @Override
         public void onChanges(
                 long fromRevision,
@@ -76,4 +71,47 @@
         watcher.onHubAnswer(answer, clocks.now());
         assert watcher.confirmation().isPresent() && watcher.view().revision() == 2;
     }
+
+    /**
+     * Failure guarded against: a store that ends a watch early, or an answer that takes long, lets the node count as confirmed
+     * what it cannot know.
+     */
+    @Example
+    void watchThatEndsEarlyConfirmsWhenItWasSent() {
+        long endMillis = PlatformWatcher.MAX_WATCH_MILLIS - PlatformWatcher.WAIT_MARGIN_MILLIS;
+        assert confirmedMillis(endMillis - 1) == 0;
+        assert confirmedMillis(endMillis) <= endMillis - PlatformWatcher.WAIT_MARGIN_MILLIS;
+    }
+
+    @Example
+    void watchThatEndsAfterItsWaitConfirmsItsEnd() {
+        assert confirmedMillis(PlatformWatcher.MAX_WATCH_MILLIS) == PlatformWatcher.MAX_WATCH_MILLIS * 9 / 10;
+    }
+
+    @Example
+    void watchWhoseAnswerIsLateConfirmsTheEndOfItsWait() {
+        assert confirmedMillis(PlatformWatcher.MAX_WATCH_MILLIS + 800) == PlatformWatcher.MAX_WATCH_MILLIS * 9 / 10;
+    }
+
+    /** Returns how long after its send a watch that ends without changes after a while confirms the state. */
+    private static long confirmedMillis(long afterMillis) {
+        ManualScheduler control = new ManualScheduler(10_000);
+        DecisionLog log = PlatformStates.log();
+        PausedMetadataStore store = new PausedMetadataStore();
+        store.write(new StoreItem("op/config", CONFIGURATION, 2, 2, 0));
+        PlatformWatcher following = new PlatformWatcher(
+                store,
+                new MetadataItemDecoder(),
+                PlatformStates.create(log),
+                new Clocks(control::nowMillis, control::nowMillis),
+                control,
+                log,
+                new IgnoringListener(false));
+        following.start();
+        store.answer(0);
+        long sentMillis = control.nowMillis();
+        control.advance(afterMillis);
+        store.answer(0);
+        return following.confirmation().orElseThrow().monotonicMillis() - sentMillis;
+    }
 }
