Add a soak of configuration changes on real processes

Cause: no soak asked every node, members of hubs included, for the routes of the newest configurations, or for dropped ones, while nodes were late.

Answers are checked against the configurations that may be in force.

--- a/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -53,6 +53,9 @@
         OptionSpec<Void> streams = parser.accepts(
                 "streams",
                 "Instead of faults of all kinds: releases of engines, power losses, and clients that take streams up.");
+        OptionSpec<Void> changes = parser.accepts(
+                "changes",
+                "Instead of faults of all kinds: routes that are added and dropped while nodes are late to learn of it.");
         OptionSpec<String> otherJar = parser.accepts(
                         "other-jar", "Jar of another build that runs on every second node; restarts change the build.")
                 .withRequiredArg();
@@ -68,13 +71,20 @@
         if (seconds <= 0 || parsed.valueOf(nodes) < 1) {
             throw new UsageException("minutes and nodes must be above zero");
         }
-        Map<SoakRun.Kind, OptionSpec<Void>> kinds =
-                Map.of(SoakRun.Kind.CALM, calm, SoakRun.Kind.CACHE, cache, SoakRun.Kind.STREAMS, streams);
+        Map<SoakRun.Kind, OptionSpec<Void>> kinds = Map.of(
+                SoakRun.Kind.CALM,
+                calm,
+                SoakRun.Kind.CACHE,
+                cache,
+                SoakRun.Kind.STREAMS,
+                streams,
+                SoakRun.Kind.CHANGES,
+                changes);
         List<SoakRun.Kind> chosen = kinds.keySet().stream()
                 .filter(candidate -> parsed.has(kinds.get(candidate)))
                 .toList();
         if (chosen.size() > 1) {
-            throw new UsageException("calm, cache and streams exclude each other");
+            throw new UsageException("calm, cache, streams and changes exclude each other");
         }
         SoakRun.Kind kind = chosen.isEmpty() ? SoakRun.Kind.FAULTS : chosen.get(0);
         List<List<String>> programs = new ArrayList<>(List.of(program(ownJar())));
--- a/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
+++ b/cli/src/test/java/org/cowslipbank/cli/SoakTest.java
@@ -26,6 +26,12 @@
         assertHolds(SoakRun.Kind.CALM, SoakRun.Outcome::guaranteesHeld);
     }
 
+    /** Failure guarded against: a node refuses a route that was added, or runs requests by one that was dropped. */
+    @Example
+    void changesAreInForceInTime() throws Exception {
+        assertHolds(SoakRun.Kind.CHANGES, SoakRun.Outcome::guaranteesHeld);
+    }
+
     static void assertHolds(SoakRun.Kind kind, Predicate<SoakRun.Outcome> guarantees) throws Exception {
         Path directory = Files.createTempDirectory("soak-test-");
         List<String> program = List.of("-cp", System.getProperty("java.class.path"), Main.class.getName());
--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -208,6 +208,10 @@
         disturbedAtMillis.put(nodeOrServer, clock.getAsLong());
     }
 
+    synchronized boolean isInTouch(String node) {
+        return !isDisturbed(node);
+    }
+
     private boolean isDisturbed(String nodeOrServer) {
         return clock.getAsLong() - disturbedAtMillis.getOrDefault(nodeOrServer, 0L) < SoakPlatform.CONTACT_MILLIS;
     }
--- a/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -17,12 +19,17 @@
 final class SoakClient implements Runnable {
     private static final int RESPONSE_TIMEOUT_MILLIS = 5_000;
     private static final long MEAN_PAUSE_MILLIS = 25;
+    private static final int NO_ROUTE = -1;
+    private static final Set<Integer> UNKNOWN_KEY_OR_ROUTE = Set.of(401, 403, 404);
+
     /** Requests sent on one connection, on average. */
     private static final int REQUESTS_PER_CONNECTION = 12;
 
     /** Requests, on average, after which a client leaves its connection idle for long. */
     private static final int REQUESTS_PER_LONG_PAUSE = 60;
 
+    private static final Credentials ANONYMOUS = new Credentials("", "");
+
     private static final String[] PATHS = {
         StandInFormats.READ_PATH, StandInFormats.ORDER_PATH, StandInFormats.STREAM_PATH
     };
@@ -31,6 +38,7 @@
     private final Random random;
     private final Supplier<Credentials> credentials;
     private final Supplier<SoakNodes.ClientPort> ports;
+    private final Optional<RouteHistory> changingRoutes;
     private final int longPauseMillis;
     private final BooleanSupplier stopped;
     private int requestsOnConnection;
@@ -58,6 +66,7 @@
      * @param random chooses paths, pauses and reconnects
      * @param credentials supplies the team and key of the next request
      * @param ports supplies the client port of a node for a new connection
+     * @param changingRoutes the additional routes, if requests are sent to these
      * @param longPauseMillis longest time for which a connection is left idle, in milliseconds, zero to send soon always
      * @param stopped returns true once the client must stop
      */
@@ -66,12 +75,14 @@
             Random random,
             Supplier<Credentials> credentials,
             Supplier<SoakNodes.ClientPort> ports,
+            Optional<RouteHistory> changingRoutes,
             int longPauseMillis,
             BooleanSupplier stopped) {
         this.guarantees = guarantees;
         this.random = random;
         this.credentials = credentials;
         this.ports = ports;
+        this.changingRoutes = changingRoutes;
         this.longPauseMillis = longPauseMillis;
         this.stopped = stopped;
     }
@@ -92,8 +103,10 @@
     }
 
     private void sendRequest() {
-        Credentials credential = credentials.get();
-        String path = PATHS[random.nextInt(PATHS.length)];
+        int route = changingRoutes.map(routes -> routes.draw(random)).orElse(NO_ROUTE);
+        boolean anonymous = route != NO_ROUTE && StandInFormats.isAnonymous(route);
+        Credentials credential = anonymous ? ANONYMOUS : credentials.get();
+        String path = route == NO_ROUTE ? PATHS[random.nextInt(PATHS.length)] : StandInFormats.idlePath(route);
         String id = guarantees.onSent(path, credential.team(), credential.key());
         boolean written = false;
         try {
@@ -104,7 +117,15 @@
             connection.write(text);
             written = true;
             requestsOnConnection++;
-            recordOutcome(id, path, readResponse());
+            long sentMillis = System.currentTimeMillis();
+            boolean inTouch = guarantees.isInTouch(node);
+            Response response = readResponse();
+            if (route == NO_ROUTE) {
+                guarantees.onHead(id, response.status(), response.head().signature());
+            } else if (inTouch && guarantees.isInTouch(node)) {
+                checkRoute(id, route, sentMillis, response);
+            }
+            recordOutcome(id, path, response);
         } catch (IOException e) {
             close();
             if (written) {
@@ -124,8 +145,18 @@
         }
     }
 
+    private void checkRoute(String id, int route, long sentMillis, Response response) {
+        boolean ran = !response.head().signature().isEmpty();
+        boolean refusedAsUnknown = !ran && UNKNOWN_KEY_OR_ROUTE.contains(response.status());
+        boolean allowed = !ran && !refusedAsUnknown || changingRoutes.get().allows(route, sentMillis, ran);
+        guarantees.check(
+                allowed,
+                id + ", sent to " + node + " at " + sentMillis + " for route " + route + ", "
+                        + (ran ? "ran" : "was refused as unknown")
+                        + " as no configuration that may be in force allows");
+    }
+
     private void recordOutcome(String id, String path, Response response) {
-        guarantees.onHead(id, response.status(), response.head().signature());
         boolean closes = response.head().headers().contains("connection: close");
         if (!response.complete() || closes) {
             close();
--- a/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
@@ -80,6 +80,22 @@
 
     private static final int MAX_DOWN_MILLIS = 2_500;
 
+    /** Time from one power loss to the next, so that nodes have just started, or are about to. */
+    private static final int MIN_SECOND_LOSS_MILLIS = 2_000;
+
+    private static final int MAX_SECOND_LOSS_MILLIS = 6_500;
+
+    /** Pause between two changes of the routes. */
+    private static final int MIN_CHANGE_GAP_MILLIS = 200;
+
+    private static final int MAX_CHANGE_GAP_MILLIS = 1_200;
+
+    /** Delay of a slow metadata store, from the platform's pages. */
+    private static final long SLOW_STORE_MILLIS = 240;
+
+    /** A large configuration takes about 0.4 s for each node that reads it. */
+    private static final long THIN_LINK_BYTES_PER_SECOND = 500_000;
+
     /** Longest time between a release and a power loss; no node has written a report of it then. */
     private static final int MAX_RELEASE_MILLIS = 250;
 
@@ -137,7 +153,9 @@
 
     /** Injects faults until the time for them is over. */
     void inject() throws IOException, InterruptedException {
-        if (plan.kind() != SoakRun.Kind.STREAMS) {
+        if (plan.kind() == SoakRun.Kind.CHANGES) {
+            timer.schedule(this::changeRoutes, MIN_CHANGE_GAP_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (plan.kind() != SoakRun.Kind.STREAMS) {
             timer.schedule(this::changeIsolation, MIN_ISOLATED_MILLIS, TimeUnit.MILLISECONDS);
         }
         if (plan.kind() == SoakRun.Kind.FAULTS) {
@@ -191,6 +209,7 @@
             case CALM -> drawCalmChange();
             case CACHE -> drawCacheFault();
             case STREAMS -> drawStreamFault();
+            case CHANGES -> drawChangeFault();
         };
     }
 
@@ -226,9 +245,9 @@
             case 3, 4 -> silence(StandInFormats.PLAIN_SERVICE);
             case 5 -> change(
                     "idle limit",
-                    new StandInFormats.Variant(0, usual.timeoutMillis(), SoakRun.SHORT_IDLE_LIMIT_MILLIS, ""));
+                    new StandInFormats.Variant(0, 0, usual.timeoutMillis(), SoakRun.SHORT_IDLE_LIMIT_MILLIS, ""));
             case 6 -> change(
-                    "time-out", new StandInFormats.Variant(0, SHORT_TIMEOUT_MILLIS, usual.idleLimitMillis(), ""));
+                    "time-out", new StandInFormats.Variant(0, 0, SHORT_TIMEOUT_MILLIS, usual.idleLimitMillis(), ""));
             case 7, 8 -> new Fault("key rotation of a team", platform::rotateKey, () -> {});
             case 9, 10 -> new Fault("versions", this::nameVersions, () -> {});
             default -> {
@@ -290,6 +309,66 @@
         };
     }
 
+    /** Draws what lets nodes be late with changes of the configuration. */
+    private Fault drawChangeFault() {
+        int index = random.nextInt(nodes.count());
+        NodeProcess node = nodes.node(index);
+        StandInStore store = platform.metadataStore();
+        faultsSincePowerLoss++;
+        if (faultsSincePowerLoss > faultsWhileNodesStart && random.nextInt(3) == 0) {
+            faultsSincePowerLoss = 0;
+            return twoPowerLosses();
+        }
+        return switch (random.nextInt(12)) {
+            case 0, 1 -> pause(node);
+            case 2, 3 -> termination(node, "KILL");
+            case 4 -> proxyFault("connection to the metadata store " + node.name(), nodes.toMetadataStore(index));
+            case 5 -> metadataStoreFault();
+            case 6, 7 -> new Fault("compaction", store::compact, () -> {});
+            case 8 -> new Fault(
+                    "slow metadata store",
+                    () -> store.setDelayMillis(SLOW_STORE_MILLIS),
+                    () -> store.setDelayMillis(0));
+            case 9, 10 -> new Fault(
+                    "thin link of the metadata store",
+                    () -> store.setLinkRate(THIN_LINK_BYTES_PER_SECOND),
+                    () -> store.setLinkRate(Long.MAX_VALUE));
+            default -> new Fault(
+                    "change of the number of routes",
+                    () -> platform.setIdleRoutes(LARGE_CONFIGURATION_ROUTES),
+                    () -> platform.setIdleRoutes(SoakPlatform.IDLE_ROUTES));
+        };
+    }
+
+    /** Kills all nodes, and mostly a second time soon after their start. */
+    private Fault twoPowerLosses() {
+        Fault first = powerLoss(Release.NONE);
+        Fault second = powerLoss(Release.NONE);
+        int gapMillis = between(random, MIN_SECOND_LOSS_MILLIS, MAX_SECOND_LOSS_MILLIS);
+        if (random.nextInt(4) == 0) {
+            return first;
+        }
+        return new Fault(
+                first.name() + "; " + second.name() + ", " + gapMillis + " ms later",
+                () -> {
+                    first.begin().run();
+                    timer.schedule(() -> run(second.begin(), second.name()), gapMillis, TimeUnit.MILLISECONDS);
+                },
+                () -> {});
+    }
+
+    /** Adds routes to the configuration and drops others, and the next change follows. */
+    private void changeRoutes() {
+        if (System.currentTimeMillis() >= endMillis) {
+            return;
+        }
+        platform.moveIdleRoutes(1 + seriesRandom.nextInt(2));
+        timer.schedule(
+                this::changeRoutes,
+                between(seriesRandom, MIN_CHANGE_GAP_MILLIS, MAX_CHANGE_GAP_MILLIS),
+                TimeUnit.MILLISECONDS);
+    }
+
     private Release drawRelease() {
         Release drawn = Release.values()[random.nextInt(Release.values().length)];
         Release first = drawn == Release.NONE ? Release.WHILE_DOWN : drawn;
--- a/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -60,6 +60,9 @@
 
     private static final SecondAnswer[] CALM_SECOND_ANSWERS = {SecondAnswer.SAME, SecondAnswer.OTHER_STATUS};
 
+    /** Number of additional routes of the usual configurations in a soak of changes. */
+    static final int IDLE_ROUTES = 12;
+
     private final SoakRun.Plan plan;
     private final Random random;
     private final GuaranteeChecker guarantees;
@@ -70,6 +73,7 @@
     private final Map<String, StandInCacheStore> cacheStores = new HashMap<>();
     private final List<Upstream> upstreams = new ArrayList<>();
     private final StreamOrderChecker order;
+    private final RouteHistory routes;
     private final StreamEngines engines;
     private final AtomicInteger disturbances = new AtomicInteger();
     private volatile long undisturbedSinceMillis;
@@ -152,6 +156,7 @@
      * @param slots requests that an engine runs at once
      * @param guarantees receives what the stand-ins see
      * @param order receives the runs of streams
+     * @param routes receives the additional routes of each configuration
      * @param timer for what happens later
      * @throws IOException if no port is free
      */
@@ -161,6 +166,7 @@
             int slots,
             GuaranteeChecker guarantees,
             StreamOrderChecker order,
+            RouteHistory routes,
             ScheduledExecutorService timer)
             throws IOException {
         this.plan = plan;
@@ -168,6 +174,7 @@
         this.slots = slots;
         this.guarantees = guarantees;
         this.order = order;
+        this.routes = routes;
         this.timer = timer;
         for (int index = 0; index < CACHE_STORES; index++) {
             StandInCacheStore store = new StandInCacheStore(this::drawFreeDelayMillis, loops);
@@ -176,7 +183,8 @@
         keysByTeam.put("a", List.of("key-a-0"));
         keysByTeam.put("b", List.of("key-b-0"));
         boolean streams = plan.kind() == SoakRun.Kind.STREAMS;
-        configure(streams ? StandInFormats.Variant.LONG_STREAMS : variant);
+        int idleRoutes = plan.kind() == SoakRun.Kind.CHANGES ? IDLE_ROUTES : 0;
+        configure(streams ? StandInFormats.Variant.LONG_STREAMS : StandInFormats.Variant.withIdleRoutes(idleRoutes));
         for (int index = 0; index < UPSTREAMS_PER_SERVICE && !streams; index++) {
             String dataCentre = DATA_CENTRES.get(plan.kind() == SoakRun.Kind.FAULTS ? index % DATA_CENTRES.size() : 0);
             upstreams.add(new Upstream(StandInFormats.PLAIN_SERVICE, dataCentre));
@@ -344,12 +352,24 @@
         return variant.isolatedTeam();
     }
 
+    /** Drops the oldest additional routes and adds as many new ones. */
+    synchronized void moveIdleRoutes(int count) {
+        configure(variant.withIdleRoutes(variant.firstIdleRoute() + count, variant.idleRoutes()));
+    }
+
+    /** Adds routes, or drops the newest ones. */
+    synchronized void setIdleRoutes(int count) {
+        configure(variant.withIdleRoutes(variant.firstIdleRoute(), count));
+    }
+
     private void writeConfiguration() {
         configurationVersion += 1 + random.nextInt(3);
+        routes.onWriting(variant);
         metadataStore.put(
                 StandInFormats.CONFIGURATION_KEY,
                 StandInFormats.configuration(
                         configurationVersion, keysByTeam, variant, slots, List.copyOf(cacheStores.keySet())));
+        routes.onWritten();
         keysByTeam.values().forEach(keys -> keys.forEach(guarantees::onGranted));
         guarantees.onIsolated(variant.isolatedTeam());
         guarantees.onTimeout(variant.timeoutMillis());
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -41,8 +42,8 @@
 
     /** Time after the last fault within which requests must be served again, from the platform's rules. */
     private static final long RECOVERY_MILLIS = 15_000;
-    /** The same for streams, whose served share is not checked: short, so that more seeds are run. */
-    private static final long STREAM_RECOVERY_MILLIS = 5_000;
+    /** The same where the served share is not checked: short, so that more seeds are run. */
+    private static final long SHORT_RECOVERY_MILLIS = 5_000;
 
     /** Share of the requests that must be served after recovery, from the platform's rules. */
     private static final double RECOVERED_SHARE = 0.25;
@@ -52,7 +53,7 @@
 
     /** Without faults more: a silence then meets enough requests to use up a retry budget. */
     private static final Map<Kind, Integer> CLIENTS_PER_NODE =
-            Map.of(Kind.FAULTS, 4, Kind.CALM, 12, Kind.CACHE, 6, Kind.STREAMS, 6);
+            Map.of(Kind.FAULTS, 4, Kind.CALM, 12, Kind.CACHE, 6, Kind.STREAMS, 6, Kind.CHANGES, 4);
 
     /** Slots of an engine for each client of all nodes: three quarters are then in use (measured by this test). */
     private static final double SLOTS_PER_CLIENT = 0.18;
@@ -89,7 +90,12 @@
          * What breaks streams off and replaces the engines that began them: engines of several software versions that are
          * released in series, also while all nodes are down, killed engines and nodes, resets. Clients take streams up.
          */
-        STREAMS
+        STREAMS,
+        /**
+         * What lets nodes be late with the configuration: routes that are added and dropped in series, power losses soon after each
+         * other, nodes that are suspended, a metadata store that is slow, has a thin link or forgets its history.
+         */
+        CHANGES
     }
 
     /**
@@ -183,6 +189,7 @@
     private final Consumer<String> progress;
     private final GuaranteeChecker guarantees;
     private final StreamOrderChecker order;
+    private final RouteHistory routes;
     private final ScheduledExecutorService timer =
             Executors.newScheduledThreadPool(TIMER_THREADS, SoakRun::newDaemonThread);
     private final DoubleAdder slotUse = new DoubleAdder();
@@ -202,6 +209,7 @@
         this.guarantees = new GuaranteeChecker(
                 BOUNDS, SoakPlatform.DRAIN_MILLIS, applyMillis, plan.kind() == Kind.CALM, System::currentTimeMillis);
         this.order = new StreamOrderChecker(violation -> guarantees.check(false, violation));
+        this.routes = new RouteHistory(applyMillis, System::currentTimeMillis);
         this.progress = progress;
     }
 
@@ -216,7 +224,7 @@
         Files.createDirectories(plan.directory());
         int clients = plan.nodes() * CLIENTS_PER_NODE.get(plan.kind());
         int slots = (int) Math.ceil(clients * (plan.kind() == Kind.STREAMS ? 1 : SLOTS_PER_CLIENT));
-        SoakPlatform platform = new SoakPlatform(plan, random, slots, guarantees, order, timer);
+        SoakPlatform platform = new SoakPlatform(plan, random, slots, guarantees, order, routes, timer);
         SoakNodes nodes = new SoakNodes(BOUNDS, platform.metadataStore(), guarantees);
         // Destroys the node processes if the JVM is stopped during the test.
         Thread cleanup = new Thread(nodes::destroy, "soak-cleanup");
@@ -271,6 +279,7 @@
                             own,
                             credentials,
                             () -> nodes.clientPort(own),
+                            plan.kind() == Kind.CHANGES ? Optional.of(routes) : Optional.empty(),
                             plan.kind() == Kind.CALM ? SHORT_IDLE_LIMIT_MILLIS * 4 / 5 : 0,
                             () -> stopped);
             newDaemonThread(client).start();
@@ -280,20 +289,20 @@
     private Outcome finish(SoakPlatform platform, SoakNodes nodes, SoakFaults faults)
             throws IOException, InterruptedException {
         double meanSlotUse = slotUse.sum() / Math.max(1, slotUseReadings.sum());
-        boolean streams = plan.kind() == Kind.STREAMS;
-        // Nodes of a soak of streams are killed only, so none has a grace period.
-        long graceMillis = streams ? 0 : (BOUNDS.graceSeconds() + 1) * 1_000;
+        // Nodes of these soaks are killed only, so none has a grace period.
+        boolean killedOnly = plan.kind() == Kind.STREAMS || plan.kind() == Kind.CHANGES;
+        long graceMillis = killedOnly ? 0 : (BOUNDS.graceSeconds() + 1) * 1_000;
         Thread.sleep(SoakFaults.MAX_FAULT_MILLIS + graceMillis);
         platform.endFaults();
         nodes.proxies().forEach(proxy -> proxy.setMode(FaultProxy.Mode.OPEN));
-        Thread.sleep(streams ? STREAM_RECOVERY_MILLIS : RECOVERY_MILLIS);
+        Thread.sleep(killedOnly ? SHORT_RECOVERY_MILLIS : RECOVERY_MILLIS);
         GuaranteeChecker.Counts before = guarantees.counts();
         Thread.sleep(FINAL_MEASUREMENT_MILLIS);
         GuaranteeChecker.Counts after = guarantees.counts();
         stopped = true;
         double servedAtEnd = (after.served() - before.served()) / Math.max(1.0, after.sent() - before.sent());
         guarantees.check(
-                streams || servedAtEnd >= RECOVERED_SHARE,
+                killedOnly || servedAtEnd >= RECOVERED_SHARE,
                 "share of requests served after recovery is " + servedAtEnd + ", expected " + RECOVERED_SHARE);
         nodes.restartExited();
         guarantees.checkRetryBudget();
