Let a member of a hub that is behind read all items

Cause: a node that follows a hub has no watch of its own. When requests needed a newer confirmation than the hub's, it asked the store for the changes since its revision, and did nothing if these were too long or gone. It refused requests until the hub had caught up, though the store answered.

Change: such a node then reads all items beside its hub.

Result: PlatformWatcherTest.memberReadsAllItemsWhereTheHistoryIsGone stays at revision 2 of 3 before and holds; HubHistoryTest, whose drawn histories include it, HubMemberTest, LateConfigurationTest, UnknownRouteTest and RestoredStoreTest pass.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -219,17 +219,30 @@
         long reading = readings.begin();
         store.watch(decoder.watchedPrefix(), view.revision(), REFRESH_WATCH_MILLIS, maxHistoryBytes(sentAt))
                 .publishOn(control)
+                .flatMap(changes -> {
+                    onContact();
+                    changes.ifPresent(known -> applyChanges(known, sentAt, reading));
+                    // A node that does not follow a hub has a watch, which finds the same.
+                    return changes.isEmpty() && listener.followsHub() ? readAllBeside() : Mono.empty();
+                })
                 .doFinally(signal -> refreshing.set(false))
                 .subscribe(
-                        changes -> changes.ifPresent(known -> {
-                            onContact();
-                            applyChanges(known, sentAt, reading);
-                        }),
+                        range -> {},
                         // The watch notices it as well if the store is lost.
                         error -> log.logRequest(LogFields.event("metadata store does not tell its newest changes")
                                 .error(error)));
     }
 
+    /** Reads all items while the node follows a hub that is behind itself. */
+    private Mono<Range> readAllBeside() {
+        LeaderLease.ClockReading sentAt = clocks.now();
+        long reading = readings.begin();
+        long revisionAtSend = view.revision();
+        return store.range(decoder.watchedPrefix())
+                .publishOn(control)
+                .doOnNext(range -> applyReading(range, revisionAtSend, sentAt, reading));
+    }
+
     void start() {
         lastAnswerMillis = clocks.nowMillis();
         control.schedule(this::readAll);
@@ -266,6 +279,11 @@
     }
 
     private void onSnapshot(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt, long reading) {
+        applyReading(range, revisionAtSend, sentAt, reading);
+        watch();
+    }
+
+    private void applyReading(Range range, long revisionAtSend, LeaderLease.ClockReading sentAt, long reading) {
         onContact();
         boolean firstReading = view.routes().isEmpty();
         readingBytes = Math.max(MIN_HISTORY_BYTES, range.encodedBytes());
@@ -280,7 +298,6 @@
         confirm(sentAt);
         logReading(range, now.monotonicMillis() - sentAt.monotonicMillis());
         onApplied(reading);
-        watch();
     }
 
     private void logReading(Range range, long millis) {
--- a/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PlatformWatcherTest.java
@@ -93,20 +93,50 @@
         assert confirmedMillis(PlatformWatcher.MAX_WATCH_MILLIS + 800) == PlatformWatcher.MAX_WATCH_MILLIS * 9 / 10;
     }
 
-    /** Returns how long after its send a watch that ends without changes after a while confirms the state. */
-    private static long confirmedMillis(long afterMillis) {
+    /**
+     * Failure guarded against: a member of a hub that is behind, for which the history is too long or gone, refuses requests although
+     * the store would tell it the newest configuration.
+     */
+    @Example
+    void memberReadsAllItemsWhereTheHistoryIsGone() {
         ManualScheduler control = new ManualScheduler(10_000);
-        DecisionLog log = PlatformStates.log();
         PausedMetadataStore store = new PausedMetadataStore();
         store.write(new StoreItem("op/config", CONFIGURATION, 2, 2, 0));
-        PlatformWatcher following = new PlatformWatcher(
+        PlatformWatcher member = watcher(store, control, new IgnoringListener(true));
+        member.start();
+        store.answer(0);
+        control.advance(5_000);
+        byte[] next = RelaySystem.configuration(2, "\"key\"").getBytes(StandardCharsets.UTF_8);
+        store.write(new StoreItem("op/config", next, 3, 2, 0));
+        store.loseHistory();
+        member.refresh();
+        control.advance(0);
+        store.answer(0);
+        store.answer(0);
+        assert member.view().revision() == 3 : member.view().revision();
+        assert member.confirmation().orElseThrow().monotonicMillis() == control.nowMillis();
+        assert store.calls() == 0 : store.calls();
+    }
+
+    private static PlatformWatcher watcher(
+            PausedMetadataStore store, ManualScheduler control, PlatformWatcher.Listener listener) {
+        DecisionLog log = PlatformStates.log();
+        return new PlatformWatcher(
                 store,
                 new MetadataItemDecoder(),
                 PlatformStates.create(log),
                 new Clocks(control::nowMillis, control::nowMillis),
                 control,
                 log,
-                new IgnoringListener(false));
+                listener);
+    }
+
+    /** Returns how long after its send a watch that ends without changes after a while confirms the state. */
+    private static long confirmedMillis(long afterMillis) {
+        ManualScheduler control = new ManualScheduler(10_000);
+        PausedMetadataStore store = new PausedMetadataStore();
+        store.write(new StoreItem("op/config", CONFIGURATION, 2, 2, 0));
+        PlatformWatcher following = watcher(store, control, new IgnoringListener(false));
         following.start();
         store.answer(0);
         long sentMillis = control.nowMillis();
