--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -191,7 +191,7 @@
             return;
         }
         boolean confirmed = context.isConfirmed();
-        boolean mayRefuseUnknown = context.mayRefuseUnknown();
+        boolean recent = context.isConfigurationRecent();
         view = context.view().get();
         if (view.routes().isEmpty()) {
             waitOrRefuse(RefusalReasons.NO_CONFIGURATION, FIRST_CONFIGURATION_WAIT_MILLIS);
@@ -204,7 +204,7 @@
             return;
         }
         Optional<Route> found = routes.route(request.host(), request.path());
-        if (!mayRefuseUnknown && (found.isEmpty() || context.mustAwaitNewest(hasWaited(CONFIRMATION_WAIT_MILLIS)))) {
+        if (!recent && (found.isEmpty() || context.mustAwaitNewest(hasWaited(CONFIRMATION_WAIT_MILLIS)))) {
             // A newer configuration may have the route, or may have changed it.
             waitForConfirmation();
             return;
@@ -214,7 +214,7 @@
             return;
         }
         route = found.get();
-        if (!authenticate(routes, confirmed, mayRefuseUnknown)) {
+        if (!authenticate(routes, confirmed, recent)) {
             return;
         }
         if (request.id().isEmpty()) {
@@ -271,7 +271,7 @@
         submitStart();
     }
 
-    private boolean authenticate(RouteTable routes, boolean confirmed, boolean mayRefuseUnknown) {
+    private boolean authenticate(RouteTable routes, boolean confirmed, boolean recent) {
         if (route.anonymous() || !routes.requiresKeys()) {
             return true;
         }
@@ -281,7 +281,7 @@
             return false;
         }
         team = request.bearerKey().flatMap(routes::team);
-        if (team.isEmpty() && !mayRefuseUnknown) {
+        if (team.isEmpty() && !recent) {
             // A newer configuration may have the key.
             waitForConfirmation();
             return false;
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlacementExplainer.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlacementExplainer.java
@@ -139,7 +139,8 @@
 
     /** Returns why the request would be refused at once, empty if it would be sent or wait. */
     private Optional<String> refusal(Resolved resolved, RelayRequest request, PlatformView view, boolean confirmed) {
-        if (resolved.needsKey() && !confirmed) {
+        boolean outdated = !context.isConfigurationRecent() && context.mustAwaitNewest(true);
+        if (outdated || resolved.needsKey() && !confirmed) {
             return Optional.of(RefusalReasons.CONFIGURATION_UNCONFIRMED);
         }
         // The body is not known, so of the request as a whole this says something only if it has none.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -115,12 +115,12 @@
     }
 
     /**
-     * Returns whether routes and keys that the configuration lacks may be refused as unknown. Holds for a view that is read
-     * afterwards.
+     * Returns whether the configuration was confirmed so recently that no newer one has to be in force, so that what it lacks may
+     * be refused as unknown. Holds for a view that is read afterwards.
      *
      * @return false if a configuration that must be in force by now may be missing
      */
-    boolean mayRefuseUnknown() {
+    boolean isConfigurationRecent() {
         return isConfirmedWithin(settings.bounds().configurationMillis(), clocks.now());
     }
 
@@ -132,9 +132,8 @@
     }
 
     /**
-     * Returns whether a newer configuration is to be awaited before a request is served by the known one, which is so old
-     * that a newer one may have to be in force. An outage of the metadata store must not stop the nodes, so that one which
-     * does not hear from the store goes on with what it knows.
+     * Returns whether a newer configuration is to be awaited before a request is served by one that is not recent. An outage of the
+     * metadata store must not stop the nodes, so that one which does not hear from the store goes on with what it knows.
      *
      * @param hasWaited whether the request has waited for a newer configuration already
      * @return false if the known configuration is to be used
