--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -416,12 +416,11 @@
             if (item.revision() <= revision) {
                 continue;
             }
-            if (apply(item, nowMillis)) {
+            boolean differs = apply(item, nowMillis);
+            // What the reading had already differed then, and members do not have it.
+            if (differs || item.revision() <= readAheadRevision) {
                 different.add(item);
                 recordChangedUpstreams(nowMillis);
-            } else if (item.revision() <= readAheadRevision) {
-                // It differed when the reading was applied, and members do not have it.
-                different.add(item);
             }
         }
         if (configurationKnownBeforeRestore && configurationRevision > restoredAtRevision) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -79,15 +79,13 @@
     /** Age of the confirmation from which a node is behind; between two answers it grows to a watch and a pause. */
     static final long BEHIND_MILLIS = MAX_WATCH_MILLIS + MAX_CHANGE_PAUSE_MILLIS + 50;
 
-    /** Number of changes from which the answer of a watch leaves a line in the log. */
-    static final int LOGGED_CHANGES = 20;
-
     private final MetadataStore store;
     private final PlatformDecoder decoder;
     private final PlatformState state;
     private final Clocks clocks;
     private final Scheduler control;
     private final DecisionLog log;
+    private final StoreReadLog readLog;
     private final Listener listener;
     private volatile PlatformView view = PlatformView.EMPTY;
     private volatile Optional<ConfigurationConfirmation> confirmation = Optional.empty();
@@ -116,6 +114,7 @@
         this.clocks = clocks;
         this.control = control;
         this.log = log;
+        this.readLog = new StoreReadLog(log);
         this.listener = listener;
     }
 
@@ -296,49 +295,10 @@
         }
         publish();
         confirm(sentAt);
-        logReading(range, now.monotonicMillis() - sentAt.monotonicMillis());
+        readLog.onReading(range, view, state.isEraMarked(), settled, now.monotonicMillis() - sentAt.monotonicMillis());
         onApplied(reading);
     }
 
-    private void logReading(Range range, long millis) {
-        LogFields line = LogFields.event("all items of the metadata store read")
-                .field("storeRevision", range.revision())
-                .field("knownRevision", view.revision())
-                .field("era", range.era())
-                .field("eraMarked", state.isEraMarked())
-                .field("settled", settled)
-                .field("items", range.items().size())
-                .field("millis", millis);
-        view.routes()
-                .ifPresent(routes -> line.field(
-                        "configurationVersion", routes.configuration().version()));
-        log.logState(line);
-    }
-
-    /** Logs what tells a late answer or a long history from a store without changes; other answers are too many. */
-    private void logWatch(long afterRevision, Changes changes, LeaderLease.ClockReading sentAt, long waitMillis) {
-        long millis = clocks.nowMillis() - sentAt.monotonicMillis();
-        int last = changes.items().size() - 1;
-        long lastRevision = last < 0 ? afterRevision : changes.items().get(last).revision();
-        String event;
-        if (lastRevision < changes.revision()) {
-            event = "watch ended below the revision of the metadata store";
-        } else if (last < 0 && millis < waitMillis) {
-            event = "watch without changes ended before its wait";
-        } else if (last + 1 >= LOGGED_CHANGES) {
-            event = "watch returned many changes";
-        } else {
-            return;
-        }
-        log.logRequest(LogFields.event(event)
-                .field("afterRevision", afterRevision)
-                .field("lastRevision", lastRevision)
-                .field("storeRevision", changes.revision())
-                .field("changes", changes.items().size())
-                .field("waitMillis", waitMillis)
-                .field("millis", millis));
-    }
-
     private void onApplied(long reading) {
         // A restored store may lack registrations.
         if (settled) {
@@ -398,7 +358,8 @@
         callStore(
                 watch,
                 changes -> {
-                    changes.ifPresent(known -> logWatch(afterRevision, known, sentAt, MAX_WATCH_MILLIS));
+                    long millis = clocks.nowMillis() - sentAt.monotonicMillis();
+                    changes.ifPresent(known -> readLog.onWatch(afterRevision, known, MAX_WATCH_MILLIS, millis));
                     onWatched(changes, sentAt, reading);
                 },
                 this::watch);
