Share what the soak's checks of routes and keys have in common

The statuses of a refusal as unknown and the check of a disturbed node stood twice. No behaviour changes; RouteHistoryTest, GuaranteeCheckerTest, PlatformWatcherTest, formatter and linter pass.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformWatcher.java
@@ -386,9 +386,9 @@
             return;
         }
         boolean unchanged = changes.get().items().isEmpty();
-        // A watch without changes confirms the state at the end of its wait, less a margin for clocks of different
-        // rates.
-        // When the store decided to end one early is not known.
+        // A watch without changes confirms the state at the end of its wait, less a margin for the rates of clocks.
+        // When
+        // the store decided to end one early is not known.
         long waitedMillis = Math.min(MAX_WATCH_MILLIS, clocks.nowMillis() - sentAt.monotonicMillis());
         boolean waited = waitedMillis >= MAX_WATCH_MILLIS - WAIT_MARGIN_MILLIS;
         LeaderLease.ClockReading confirmedAt =
--- a/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/cowslipbank/soak/GuaranteeChecker.java
@@ -60,7 +60,7 @@
     private static final long CONFIGURATION_MILLIS = 2_000;
 
     private static final int SUCCESS = 200;
-    private static final Set<Integer> UNKNOWN_KEY_OR_ROUTE = Set.of(401, 403, 404);
+    static final Set<Integer> UNKNOWN_KEY_OR_ROUTE = Set.of(401, 403, 404);
 
     private final StandInFormats.Bounds bounds;
     private final long drainMillis;
@@ -208,11 +208,7 @@
         disturbedAtMillis.put(nodeOrServer, clock.getAsLong());
     }
 
-    synchronized boolean isInTouch(String node) {
-        return !isDisturbed(node);
-    }
-
-    private boolean isDisturbed(String nodeOrServer) {
+    synchronized boolean isDisturbed(String nodeOrServer) {
         return clock.getAsLong() - disturbedAtMillis.getOrDefault(nodeOrServer, 0L) < SoakPlatform.CONTACT_MILLIS;
     }
 
--- a/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakClient.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -20,7 +19,6 @@
     private static final int RESPONSE_TIMEOUT_MILLIS = 5_000;
     private static final long MEAN_PAUSE_MILLIS = 25;
     private static final int NO_ROUTE = -1;
-    private static final Set<Integer> UNKNOWN_KEY_OR_ROUTE = Set.of(401, 403, 404);
 
     /** Requests sent on one connection, on average. */
     private static final int REQUESTS_PER_CONNECTION = 12;
@@ -118,11 +116,11 @@
             written = true;
             requestsOnConnection++;
             long sentMillis = System.currentTimeMillis();
-            boolean inTouch = guarantees.isInTouch(node);
+            boolean inTouch = !guarantees.isDisturbed(node);
             Response response = readResponse();
             if (route == NO_ROUTE) {
                 guarantees.onHead(id, response.status(), response.head().signature());
-            } else if (inTouch && guarantees.isInTouch(node)) {
+            } else if (inTouch && !guarantees.isDisturbed(node)) {
                 checkRoute(id, route, sentMillis, response);
             }
             recordOutcome(id, path, response);
@@ -147,7 +145,7 @@
 
     private void checkRoute(String id, int route, long sentMillis, Response response) {
         boolean ran = !response.head().signature().isEmpty();
-        boolean refusedAsUnknown = !ran && UNKNOWN_KEY_OR_ROUTE.contains(response.status());
+        boolean refusedAsUnknown = !ran && GuaranteeChecker.UNKNOWN_KEY_OR_ROUTE.contains(response.status());
         boolean allowed = !ran && !refusedAsUnknown || changingRoutes.get().allows(route, sentMillis, ran);
         guarantees.check(
                 allowed,
