Log by which evidence a taken-up stream goes on

The lines on streams could not tell an old report on a request from a replaced one: a take-up states by what kind of knowledge the version is known, but neither the report's revision nor its age, nor which versions the node counts, nor the number of the first reading after the request's arrival. When a request that was reported moved to another version, and when the store acknowledged the new report, was not logged at all.

The take-up now logs the evidence, the versions that count and the readings; the sender logs the move and the acknowledgement with its revision.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -71,6 +71,16 @@
         }
     }
 
+    /**
+     * By what the version of a stream is known, for the log.
+     *
+     * @param softwareVersion the version
+     * @param own true if this node sent the request, or passed its first event on
+     * @param revision the store's revision of the report, zero if no report was read
+     * @param ageMillis time in milliseconds since the send, or since the report was read
+     */
+    public record Evidence(String softwareVersion, boolean own, long revision, long ageMillis) {}
+
     /**
      * Returns the versions at which streams may have begun.
      *
@@ -252,6 +262,30 @@
                 .map(Origin::softwareVersion);
     }
 
+    /**
+     * Returns by what the version of a stream is known.
+     *
+     * @param request identifier of the request that brought its first event
+     * @param nowMillis the time in milliseconds
+     * @return the evidence, or empty if this node neither carried the stream nor has a report on it
+     */
+    public synchronized Optional<Evidence> evidence(String request, long nowMillis) {
+        return Optional.ofNullable(originByRequest.get(request))
+                .map(origin -> new Evidence(
+                        origin.softwareVersion(), origin.own(), origin.revision(), nowMillis - origin.beganMillis()));
+    }
+
+    /**
+     * Returns the versions of a service at which streams that can be taken up may have begun, for the log.
+     *
+     * @param service the service
+     * @param nowMillis the time in milliseconds
+     * @return the versions that are registered, recorded, or were seen within the life of a stream
+     */
+    public synchronized Set<String> liveVersions(String service, long nowMillis) {
+        return versions.live(service, nowMillis);
+    }
+
     /**
      * Returns whether a version stands for none that is known, so that a stream of it can go on nowhere.
      *
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -80,15 +80,29 @@
             return Optional.of(missingRegistrations());
         }
         placement.requireSoftwareVersion(version.get());
-        request.resumes().ifPresent(first -> context.origins().onTakenUp(service(), first, version.get(), now()));
         request.lastEventId().ifPresent(splitter::resumeAfter);
-        context.log()
-                .logRequest(line("stream taken up")
-                        .field("softwareVersion", version.get())
-                        .field("versionFrom", versionSource(known.isPresent())));
+        logTakeUp(version.get(), versionSource(known.isPresent()), stateReading);
+        request.resumes().ifPresent(first -> context.origins().onTakenUp(service(), first, version.get(), now()));
         return Optional.empty();
     }
 
+    /** Logs by which knowledge a stream goes on, to be compared with that of other nodes at the same revision. */
+    private void logTakeUp(String version, String versionSource, long stateReading) {
+        LogFields line = line("stream taken up")
+                .field("softwareVersion", version)
+                .field("versionFrom", versionSource)
+                .field("arrivalReading", stateReading)
+                .field("liveVersions", context.origins().liveVersions(service(), now()))
+                .field(
+                        "upstreams",
+                        context.view().get().activeServers(service()).size());
+        context.origins().evidence(request.resumes().orElse(""), now()).ifPresent(evidence -> line.field(
+                        "originVersion", evidence.softwareVersion())
+                .field("originRevision", evidence.revision())
+                .field("originAgeMillis", evidence.ageMillis()));
+        context.log().logRequest(line);
+    }
+
     /** Asks for the registrations, since engines of another version that may have begun the stream would be among them. */
     private Missing missingRegistrations() {
         boolean canConfirm = context.canConfirm().getAsBoolean();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamOriginReports.java
@@ -51,6 +51,12 @@
                 server.softwareVersion(),
                 server.id(),
                 context.clocks().nowMillis())) {
+            context.log()
+                    .logRequest(LogFields.event("request moved to another software version; replacing its report")
+                            .field("request", request)
+                            .peer(server.address())
+                            .field("server", server.id())
+                            .field("softwareVersion", server.softwareVersion()));
             // At once, so that the earlier report is replaced before the first event.
             context.control().schedule(new GuardedTask("stream origins", this::report, context.log()));
         }
@@ -86,6 +92,7 @@
 
     private void write(List<StreamOrigins.Report> reports) {
         writing = true;
+        long sentMillis = context.clocks().nowMillis();
         lease.renewIfDue();
         byte[] value = NodeItems.encodeOrigins(reports);
         lease.id()
@@ -98,12 +105,26 @@
                         revision -> {
                             if (revision.isEmpty()) {
                                 repeat(LogFields.event("lease of stream origins has ended; reporting again"));
+                                return;
                             }
+                            logReported(reports, revision.get(), sentMillis);
                         },
                         error -> repeat(LogFields.event("stream origins not reported; reporting again")
                                 .error(error)));
     }
 
+    private void logReported(List<StreamOrigins.Report> reports, long revision, long sentMillis) {
+        context.log()
+                .logRequest(LogFields.event("stream origins reported")
+                        .field("revision", revision)
+                        .field(
+                                "requests",
+                                reports.stream()
+                                        .mapToInt(report -> report.requests().size())
+                                        .sum())
+                        .field("tookMillis", context.clocks().nowMillis() - sentMillis));
+    }
+
     private void onWritten() {
         writing = false;
         if (dueAfterWrite) {
