Ask the store before a stream goes on by a report

Callers got streams with events of two software versions: a report names where a request was sent, the request moved to another version before its first event, and the node that the client came back to had not read the later report. The node trusted the report however old its view was.

A stream that is known by a report of another node goes on only after an answer to a call to the store that was sent after the request was read. What the node itself carried, and what a node states that passes the request on, is taken as before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/RefusalReasons.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RefusalReasons.java
@@ -55,6 +55,9 @@
     /** Engines of another software version may have begun the stream, as far as this node knows. */
     static final String SOFTWARE_VERSIONS_UNCONFIRMED = "software_versions_unconfirmed";
 
+    /** The report on where the stream began may have been replaced, as far as this node knows. */
+    static final String STREAM_ORIGIN_UNCONFIRMED = "stream_origin_unconfirmed";
+
     /** The software version at which the stream began is not known. */
     static final String STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown";
 
@@ -79,6 +82,7 @@
             NODE_STOPPING,
             OVERLOADED,
             SOFTWARE_VERSIONS_UNCONFIRMED,
+            STREAM_ORIGIN_UNCONFIRMED,
             STREAM_ORIGIN_UNKNOWN);
 
     private RefusalReasons() {}
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -68,7 +68,7 @@
         if (!request.takesUpStream() || !route.isStream() || !route.resumable()) {
             return Optional.empty();
         }
-        // Read first, so that the versions below include all that it stands for.
+        // Read first, so that the reports and versions below include all that it stands for.
         boolean current = context.readings().isApplied(stateReading);
         Optional<String> known = forwarding.flatMap(Forwarding::softwareVersion).or(() -> context.origins()
                 .find(service(), request.resumes().orElse("")));
@@ -76,8 +76,11 @@
         if (version.isEmpty()) {
             return Optional.of(new Missing(RefusalReasons.STREAM_ORIGIN_UNKNOWN, ORIGIN_WAIT_MILLIS));
         }
-        if (known.isEmpty() && !current) {
-            return Optional.of(missingRegistrations());
+        if (!current && !isCertain()) {
+            return Optional.of(missingConfirmation(
+                    known.isPresent()
+                            ? RefusalReasons.STREAM_ORIGIN_UNCONFIRMED
+                            : RefusalReasons.SOFTWARE_VERSIONS_UNCONFIRMED));
         }
         placement.requireSoftwareVersion(version.get());
         request.lastEventId().ifPresent(splitter::resumeAfter);
@@ -103,13 +106,19 @@
         context.log().logRequest(line);
     }
 
-    /** Asks for the registrations, since engines of another version that may have begun the stream would be among them. */
-    private Missing missingRegistrations() {
+    /** Returns whether the stream's version is known by more than a report, which the sender may have replaced since. */
+    private boolean isCertain() {
+        return forwarding.flatMap(Forwarding::softwareVersion).isPresent()
+                || context.origins().isOwn(request.resumes().orElse(""));
+    }
+
+    /** Asks for the newest reports and registrations: a later report, or engines of another version, may be among them. */
+    private Missing missingConfirmation(String reason) {
         boolean canConfirm = context.canConfirm().getAsBoolean();
         if (canConfirm) {
             context.refresh().run();
         }
-        return new Missing(RefusalReasons.SOFTWARE_VERSIONS_UNCONFIRMED, canConfirm ? ORIGIN_WAIT_MILLIS : 0);
+        return new Missing(reason, canConfirm ? ORIGIN_WAIT_MILLIS : 0);
     }
 
     private String versionSource(boolean known) {
