Let a stream go on only at the engine process that is registered

Callers saw streams with events of two software versions while engines were replaced in turn under their identifiers: an engine that starts again writes its registration up to a heartbeat later, and until then a stream that was broken off, or taken up, was sent to it by the registration of the process before.

An attempt that goes on with a stream now asks the engine for its report, after its connection was opened and before the request is sent; only the registered start is proof. Connections that were proved once are not checked again, and attempts at one engine share a check. The check of ends by close becomes ProcessChecks, with one instance for each use, and new counters relay.identity*.

CutOffNodeTest let the reports of all engines fail, also that of the sound one to which the stream goes; now the report of the killed one fails.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -940,6 +940,10 @@
                 onAttemptFailed(Outcome.ABANDONED, false, heldBack.get());
                 return;
             }
+            if (binding.goesOn() && target.upstream().isPresent() && !opened.isProcessVerified()) {
+                verifyProcess(opened, target.upstream().get());
+                return;
+            }
             connection = opened;
             sent = true;
             sends++;
@@ -955,6 +959,26 @@
             }
         }
 
+        /** An engine that has started again under its identifier may have another version than it is registered with. */
+        private void verifyProcess(UpstreamConnection opened, UpstreamServer server) {
+            context.identityChecks().check(server, true, evidence -> guarded(() -> onVerified(opened, evidence)));
+        }
+
+        private void onVerified(UpstreamConnection opened, EndEvidence evidence) {
+            if (evidence == EndEvidence.ALIVE && opened.isOpen()) {
+                opened.onProcessVerified();
+                onConnection(opened, null);
+                return;
+            }
+            opened.close();
+            if (!settled) {
+                onAttemptFailed(
+                        Outcome.ABANDONED,
+                        false,
+                        "upstream is not known to be the process that is registered: " + evidence);
+            }
+        }
+
         @Override
         boolean isSilent() {
             return sent && !client.isBackpressured() && target.isSilent();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/AnswerEndChecks.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/ProcessChecks.java
@@ -21,12 +21,12 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Checks after an answer that ended with its connection whether the upstream outlived the close. An engine is asked for its
- * report, which names its start and takes no slot; to another upstream a connection is opened, which must stay open for a
- * moment and is used for requests afterwards. Answers of the same upstream that end while a check runs share the next one.
- * Owned by the traffic thread.
+ * Checks whether the process that is registered for an upstream is the one that serves now: after an answer that ended with
+ * its connection, and before a stream goes on there. An engine is asked for its report, which names its start and takes no
+ * slot; to another upstream a connection is opened, which must stay open for a moment and is used for requests afterwards.
+ * Callers that ask about the same upstream while a check runs share the next one. Owned by the traffic thread.
  */
-final class AnswerEndChecks {
+final class ProcessChecks {
     /** Limit on a check. A sound upstream may be silent for about a second, and the client already has the body. */
     static final long CHECK_MILLIS = 1_000;
 
@@ -41,28 +41,49 @@
     private final Supplier<PlatformView> view;
     private final EventLoop loop;
     private final Clocks clocks;
-    private final RelayMetrics metrics;
+    private final Purpose purpose;
     private final DecisionLog log;
     private final Map<String, Check> checks = new HashMap<>();
 
-    AnswerEndChecks(
+    ProcessChecks(
             EngineControl engines,
             UpstreamConnectionPool connections,
             Supplier<PlatformView> view,
             EventLoop loop,
             Clocks clocks,
-            RelayMetrics metrics,
+            Purpose purpose,
             DecisionLog log) {
         this.engines = engines;
         this.connections = connections;
         this.view = view;
         this.loop = loop;
         this.clocks = clocks;
-        this.metrics = metrics;
+        this.purpose = purpose;
         this.log = log;
     }
 
-    /** An answer whose end is being checked. */
+    /**
+     * What the checks are for.
+     *
+     * @param logEvent name of the log line on a check
+     * @param onCall counts a call to an upstream
+     * @param onChecked counts the callers of a check that has ended
+     */
+    record Purpose(String logEvent, Runnable onCall, CheckedCounter onChecked) {}
+
+    /** Counts callers by whether the registered process proved alive. */
+    @FunctionalInterface
+    interface CheckedCounter {
+        /**
+         * Counts the callers of a check that has ended.
+         *
+         * @param callers the number of callers
+         * @param alive true if the registered process is alive
+         */
+        void count(int callers, boolean alive);
+    }
+
+    /** A caller that waits for the evidence. */
     @FunctionalInterface
     interface Pending {
         /** Ends the wait; the caller is not called afterwards. */
@@ -70,9 +91,9 @@
     }
 
     /**
-     * Checks whether an upstream is alive after the close of one of its connections, which was read just before.
+     * Checks whether the registered process of an upstream is alive. All calls to it begin after this one.
      *
-     * @param server the upstream that closed the connection
+     * @param server the upstream as it is registered
      * @param engine true if it answers reports
      * @param caller receives the evidence in a later task of the traffic thread
      * @return the pending check
@@ -82,7 +103,7 @@
         check.next.add(caller);
         if (!check.scheduled) {
             check.scheduled = true;
-            // In a task of its own, so that all closes that are read in this turn share it.
+            // In a task of its own, so that all callers of this turn share it.
             loop.execute(check::begin);
         }
         return () -> {
@@ -95,9 +116,9 @@
     private final class Check {
         private final UpstreamServer server;
         private final boolean engine;
-        /** Callers whose connection was closed before the current check began. */
+        /** Callers that asked before the current check began. */
         private List<Consumer<EndEvidence>> current = new ArrayList<>();
-        /** Callers whose connection was closed later. */
+        /** Callers that asked later. */
         private List<Consumer<EndEvidence>> next = new ArrayList<>();
 
         private boolean scheduled;
@@ -124,7 +145,7 @@
                 return;
             }
             calls++;
-            metrics.onAnswerEndCall();
+            purpose.onCall().run();
             if (engine) {
                 askForReport();
             } else {
@@ -167,8 +188,8 @@
             }
             EndEvidence known = evidence == EndEvidence.ALIVE && isReplaced() ? EndEvidence.RESTARTED : evidence;
             List<Consumer<EndEvidence>> answered = List.copyOf(current);
-            metrics.onAnswerEndsChecked(answered.size(), known == EndEvidence.ALIVE);
-            log.logRequest(LogFields.event("ends of answers checked")
+            purpose.onChecked().count(answered.size(), known == EndEvidence.ALIVE);
+            log.logRequest(LogFields.event(purpose.logEvent())
                     .peer(server.address())
                     .field("incarnation", server.incarnation())
                     .field("evidence", known)
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayContext.java
@@ -35,6 +35,7 @@
  * @param loop the traffic thread
  * @param connections connections to upstreams
  * @param endChecks checks whether upstreams outlived the close that ends an answer without a length
+ * @param identityChecks checks before a stream goes on at an engine whether it is the process that is registered
  * @param reachability whether this node is cut off from the upstreams
  * @param forwarding other nodes to which requests are passed while it is
  * @param loads load and availability of upstreams as seen by this node
@@ -70,7 +71,8 @@
         Clocks clocks,
         EventLoop loop,
         UpstreamConnectionPool connections,
-        AnswerEndChecks endChecks,
+        ProcessChecks endChecks,
+        ProcessChecks identityChecks,
         UpstreamReachability reachability,
         RequestForwarding forwarding,
         UpstreamLoads loads,
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -37,6 +37,9 @@
     private final Counter answerEndCalls;
     private final Counter answerEndsProved;
     private final Counter answerEndsUnproved;
+    private final Counter identityCalls;
+    private final Counter identitiesProved;
+    private final Counter identitiesUnproved;
     private final Counter fetches;
     private final Counter engineFetches;
     private final Counter sharedTokensMissing;
@@ -75,6 +78,9 @@
         this.answerEndCalls = registry.counter("relay.answerEndCalls");
         this.answerEndsProved = registry.counter("relay.answerEndsProved");
         this.answerEndsUnproved = registry.counter("relay.answerEndsUnproved");
+        this.identityCalls = registry.counter("relay.identityCalls");
+        this.identitiesProved = registry.counter("relay.identitiesProved");
+        this.identitiesUnproved = registry.counter("relay.identitiesUnproved");
         this.fetches = registry.counter("cache.fetches");
         this.engineFetches = registry.counter("cache.engineFetches");
         this.sharedTokensMissing = registry.counter("cache.sharedTokensMissing");
@@ -194,6 +200,16 @@
         (alive ? answerEndsProved : answerEndsUnproved).inc(answers);
     }
 
+    /** Counts a call that asks whether an engine at which a stream is to go on is the process that is registered. */
+    void onIdentityCall() {
+        identityCalls.inc();
+    }
+
+    /** Counts attempts to go on with a stream, by whether the engine proved to be the process that is registered. */
+    void onIdentitiesChecked(int attempts, boolean alive) {
+        (alive ? identitiesProved : identitiesUnproved).inc(attempts);
+    }
+
     /** Counts a send for which the engine fetches parts, and whether it fetches some from another engine. */
     void onFetch(boolean fromEngine) {
         fetches.inc();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -221,7 +221,18 @@
                 clocks,
                 loop,
                 connections,
-                new AnswerEndChecks(platform.engines(), connections, watcher::view, loop, clocks, relayMetrics, log),
+                processChecks(
+                        platform.engines(),
+                        new ProcessChecks.Purpose(
+                                "ends of answers checked",
+                                relayMetrics::onAnswerEndCall,
+                                relayMetrics::onAnswerEndsChecked)),
+                processChecks(
+                        platform.engines(),
+                        new ProcessChecks.Purpose(
+                                "engine checked before a stream goes on",
+                                relayMetrics::onIdentityCall,
+                                relayMetrics::onIdentitiesChecked)),
                 reachability,
                 forwarding,
                 loads,
@@ -388,6 +399,10 @@
         applyView(watcher.view());
     }
 
+    private ProcessChecks processChecks(EngineControl engines, ProcessChecks.Purpose purpose) {
+        return new ProcessChecks(engines, connections, watcher::view, loop, clocks, purpose, log);
+    }
+
     private UpstreamConnectionPool.Events upstreamEvents(CrashReports crashReports) {
         return new UpstreamConnectionPool.Events() {
             @Override
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RunningAttempt.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RunningAttempt.java
@@ -26,7 +26,7 @@
     boolean streaming;
     long answerBeganMillis = -1;
     Future<?> checkTimer;
-    Optional<AnswerEndChecks.Pending> endCheck = Optional.empty();
+    Optional<ProcessChecks.Pending> endCheck = Optional.empty();
     /** True if the upstream that was leaving has closed the answer's connection and is gone. */
     boolean upstreamExited;
 
@@ -81,7 +81,7 @@
         if (checkTimer != null) {
             checkTimer.cancel(false);
         }
-        endCheck.ifPresent(AnswerEndChecks.Pending::cancel);
+        endCheck.ifPresent(ProcessChecks.Pending::cancel);
         bufferedBody.release();
         requestBody.onAttemptEnded();
         target.onEnded(outcome);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -131,6 +131,15 @@
         return context.origins().isOwn(request.resumes().orElse("")) ? "own" : "report";
     }
 
+    /**
+     * Returns whether the request goes on with a stream that has begun, at an engine of the version that began it.
+     *
+     * @return false if the stream may begin at any engine
+     */
+    boolean goesOn() {
+        return placement.targetsEngines() && placement.requiredSoftwareVersion().isPresent();
+    }
+
     /** Keeps a begun stream from going on if the engine that began it may have had another version than it was registered with. */
     void checkOrigin() {
         if (placement.requiredSoftwareVersion().isEmpty()) {
--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamConnection.java
@@ -83,6 +83,7 @@
     /** What ended the connection, null if it was closed by either side. */
     private Throwable error;
 
+    private boolean processVerified;
     private boolean closing;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
     private long idleSinceMillis;
@@ -292,6 +293,20 @@
         return endedByClose;
     }
 
+    /** Records that the registered process of the upstream was alive after this connection had been opened. */
+    void onProcessVerified() {
+        processVerified = true;
+    }
+
+    /**
+     * Returns whether this connection is known to lead to the process that is registered.
+     *
+     * @return false if the upstream may have started again before the connection was opened
+     */
+    boolean isProcessVerified() {
+        return processVerified;
+    }
+
     boolean isOpen() {
         return channel.isActive();
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/AnswerEndCheckTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/AnswerEndCheckTest.java
@@ -163,7 +163,7 @@
                 assert !isWhole(RelaySystem.readAnswer(client));
             }
             long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos);
-            assert millis < AnswerEndChecks.CHECK_MILLIS : millis;
+            assert millis < ProcessChecks.CHECK_MILLIS : millis;
         }
     }
 
--- a/entry/src/test/java/org/cowslipbank/entry/relay/CutOffNodeTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/CutOffNodeTest.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -277,9 +278,13 @@
         engine.setScript((request, socket) -> {
             ScriptedUpstream.beginWithoutLength(request, socket, "id: 1\ndata: a\n\n");
             engine.stopListening();
-            // The engine is seen at the address of a link, which accepts connections for a moment longer.
-            other.engines.reporting = report -> Mono.error(
-                    new PeerException(ProcessingStep.ORDER, "engine", RunState.NOT_RUN, "connection refused"));
+            // The engine is seen at the address of a link, which accepts connections for a moment longer. It is asked
+            // first.
+            AtomicBoolean asked = new AtomicBoolean();
+            other.engines.reporting = report -> asked.getAndSet(true)
+                    ? report
+                    : Mono.error(
+                            new PeerException(ProcessingStep.ORDER, "engine", RunState.NOT_RUN, "connection refused"));
             node.engine("i-4", "v2", CutOffNodeTest::answerPrompt);
             node.engine("i-5", "v1", (resumed, second) -> {
                 assert resumed.header("Last-Event-Id").equals("1") : resumed;
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -150,6 +150,7 @@
                 null,
                 null,
                 null,
+                null,
                 loads,
                 notices,
                 null,
