Tell requests that were sent from streams that began

An entry of a request that this node had sent counted as certain, also if its client got no event through it: the attempt failed, or another node had passed the request on and went elsewhere afterwards. No report corrected it, and a client that took the stream up here could go on at the version of an attempt that had failed.

Only a node that gives the first event to its client knows that the stream began there. Other entries of its own are treated as a report of this node: they need an answer of the store that is newer than the take-up, and a report of another node that names another version makes the version unknown. The node does not heed its own reports as it reads them back, so StreamOrigins gets its name.

The entry module's whole suite was not run.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -38,6 +38,7 @@
     /** Streams that are remembered; the oldest are forgotten first. */
     static final int MAX_STREAMS = 40_000;
 
+    private final String self;
     private final Map<String, Origin> originByRequest = new LinkedHashMap<>();
     private final SoftwareVersions versions = new SoftwareVersions();
     /** Versions of each service that this node has reported last. */
@@ -49,12 +50,18 @@
     /**
      * Where and when a stream began, or is expected to begin.
      *
-     * @param own what this node knows by itself, empty if it did not carry the stream
-     * @param reported what other nodes report
+     * @param own what this node knows by itself, empty if it did not send the request
+     * @param reported what other nodes report; without meaning for a stream that this node began
      */
     private record Origin(String service, long beganMillis, Optional<Own> own, ReportedVersion reported) {
+        private boolean isBegun() {
+            return own.filter(Own::begun).isPresent();
+        }
+
         private String softwareVersion() {
-            return own.map(Own::softwareVersion).or(reported::softwareVersion).orElse(UNKNOWN_VERSION);
+            Optional<String> told = isBegun() ? Optional.empty() : reported.softwareVersion();
+            Optional<String> known = own.map(Own::softwareVersion).or(() -> told);
+            return known.filter(version -> told.isEmpty() || told.equals(known)).orElse(UNKNOWN_VERSION);
         }
     }
 
@@ -63,8 +70,9 @@
      *
      * @param softwareVersion the version
      * @param serverId identifier of the engine, empty if this node did not send to it
+     * @param begun true if this node has given the first event to the client, so that no report can tell otherwise
      */
-    private record Own(String softwareVersion, String serverId) {}
+    private record Own(String softwareVersion, String serverId, boolean begun) {}
 
     /**
      * Streams that began at one software version, or are expected to.
@@ -81,11 +89,20 @@
         }
     }
 
+    /**
+     * Creates origins without any stream.
+     *
+     * @param self name of this node in reports
+     */
+    public StreamOrigins(String self) {
+        this.self = self;
+    }
+
     /**
      * By what the version of a stream is known, for the log.
      *
      * @param softwareVersion the version
-     * @param own true if this node sent the request, or passed its first event on
+     * @param own true if this node sent the request
      * @param revision the store's revision of the report, zero if no report was read
      * @param ageMillis time in milliseconds since the send, or since the report was read
      */
@@ -137,11 +154,12 @@
      */
     public synchronized boolean onSent(
             String service, String request, String softwareVersion, String serverId, long nowMillis) {
-        return isMixed(service, nowMillis) && addOwn(service, request, softwareVersion, serverId, nowMillis);
+        return isMixed(service, nowMillis)
+                && addOwn(service, request, new Own(softwareVersion, serverId, false), nowMillis);
     }
 
     /**
-     * Records a stream of this node.
+     * Records a stream whose first event this node gives to its client.
      *
      * @param service the service
      * @param request identifier of the client's request
@@ -151,7 +169,22 @@
      */
     public synchronized void onBegun(
             String service, String request, String softwareVersion, String serverId, long nowMillis) {
-        addOwn(service, request, softwareVersion, serverId, nowMillis);
+        addOwn(service, request, new Own(softwareVersion, serverId, true), nowMillis);
+    }
+
+    /**
+     * Records a stream that this node passes to the node that has sent it the request. Whether the client gets an event of it is
+     * known there only: that node may have sent the request elsewhere meanwhile.
+     *
+     * @param service the service
+     * @param request identifier of the client's request
+     * @param softwareVersion version of the engine that answers
+     * @param serverId identifier of the engine
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onPassedBack(
+            String service, String request, String softwareVersion, String serverId, long nowMillis) {
+        addOwn(service, request, new Own(softwareVersion, serverId, false), nowMillis);
     }
 
     /**
@@ -169,8 +202,13 @@
             add(request, new Origin(known.service(), nowMillis, Optional.empty(), known.reported()));
             return;
         }
-        originByRequest.remove(request);
-        addOwn(service, request, softwareVersion, "", nowMillis);
+        if (request.length() > MAX_ID_LENGTH) {
+            return;
+        }
+        versions.onUsed(new Version(service, softwareVersion), nowMillis);
+        boolean begun = known != null && known.isBegun();
+        putOwn(service, request, new Own(softwareVersion, "", begun), nowMillis);
+        tell(service, request, nowMillis);
     }
 
     /**
@@ -189,7 +227,8 @@
                             && !own.softwareVersion().equals(softwareVersion))
                     .isPresent();
             if (sentThere && nowMillis - origin.beganMillis() < REGISTRATION_MILLIS) {
-                Own doubted = new Own(UNKNOWN_VERSION, serverId);
+                Own doubted =
+                        new Own(UNKNOWN_VERSION, serverId, origin.own().get().begun());
                 entry.setValue(
                         new Origin(origin.service(), origin.beganMillis(), Optional.of(doubted), origin.reported()));
                 unreported.add(entry.getKey());
@@ -197,19 +236,33 @@
         }
     }
 
-    private boolean addOwn(String service, String request, String softwareVersion, String serverId, long nowMillis) {
+    /** Returns whether the request was known to be at another version. */
+    private boolean addOwn(String service, String request, Own own, long nowMillis) {
         Origin known = originByRequest.get(request);
-        boolean unchanged = known != null && known.softwareVersion().equals(softwareVersion);
-        if (request.length() > MAX_ID_LENGTH || unchanged) {
+        Optional<Own> before = known == null ? Optional.empty() : known.own();
+        boolean told = before.filter(sent -> sent.softwareVersion().equals(own.softwareVersion()))
+                .isPresent();
+        if (request.length() > MAX_ID_LENGTH || told && (known.isBegun() || !own.begun())) {
             return false;
         }
-        versions.onUsed(new Version(service, softwareVersion), nowMillis);
-        Own own = new Own(softwareVersion, serverId);
-        add(request, new Origin(service, nowMillis, Optional.of(own), ReportedVersion.NONE));
+        versions.onUsed(new Version(service, own.softwareVersion()), nowMillis);
+        putOwn(service, request, own, nowMillis);
+        if (!told) {
+            tell(service, request, nowMillis);
+        }
+        return known != null && !known.softwareVersion().equals(own.softwareVersion());
+    }
+
+    private void putOwn(String service, String request, Own own, long nowMillis) {
+        Origin known = originByRequest.get(request);
+        ReportedVersion reported = known == null ? ReportedVersion.NONE : known.reported();
+        add(request, new Origin(service, nowMillis, Optional.of(own), own.begun() ? ReportedVersion.NONE : reported));
+    }
+
+    private void tell(String service, String request, long nowMillis) {
         if (isMixed(service, nowMillis)) {
             unreported.add(request);
         }
-        return known != null;
     }
 
     /**
@@ -239,8 +292,10 @@
         ReportedVersion reported = known.service().equals(report.service())
                 ? known.reported().with(source, report.softwareVersion())
                 : known.reported().contradicted();
-        if (known.own().isEmpty() && reported != known.reported()) {
-            add(request, new Origin(known.service(), nowMillis, Optional.empty(), reported));
+        // What this node has sent itself, it knows better than what the store returns of it.
+        boolean ownReport = known.own().isPresent() && source.node().equals(self);
+        if (!known.isBegun() && !ownReport && reported != known.reported()) {
+            add(request, new Origin(known.service(), nowMillis, known.own(), reported));
         }
     }
 
@@ -343,14 +398,15 @@
     }
 
     /**
-     * Returns whether this node carried a stream, so that its version is not known from another node's report alone.
+     * Returns whether this node has given a stream's first event to its client, so that its version is known by more than where
+     * a request was sent.
      *
      * @param request identifier of the request that brought its first event
-     * @return true if this node sent the request, or passed its first event on
+     * @return true if no report can tell otherwise
      */
-    public synchronized boolean isOwn(String request) {
+    public synchronized boolean hasBegun(String request) {
         Origin origin = originByRequest.get(request);
-        return origin != null && origin.own().isPresent();
+        return origin != null && origin.isBegun();
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -138,7 +138,7 @@
         this.metrics = metrics;
         this.log = new DecisionLog(clocks.monotonic(), DecisionLog.LINES_PER_SECOND);
         NodeItems items = new NodeItems(platform.decoder().nodeItemPrefix());
-        StreamOrigins origins = new StreamOrigins();
+        StreamOrigins origins = new StreamOrigins(settings.nodeName());
         RefusalProbes probes = new RefusalProbes();
         PlatformState state = new PlatformState(
                 platform.decoder(),
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -110,10 +110,10 @@
         context.log().logRequest(line);
     }
 
-    /** Returns whether the stream's version is known by more than a report, which the sender may have replaced since. */
+    /** Returns whether the stream's version is known by more than where its request was sent, which may have changed since. */
     private boolean isCertain() {
         return forwarding.flatMap(Forwarding::softwareVersion).isPresent()
-                || context.origins().isOwn(request.resumes().orElse(""));
+                || context.origins().hasBegun(request.resumes().orElse(""));
     }
 
     /** Asks for the newest reports and registrations: a later report, or engines of another version, may be among them. */
@@ -132,7 +132,15 @@
         if (!known) {
             return "only_version";
         }
-        return context.origins().isOwn(request.resumes().orElse("")) ? "own" : "report";
+        String first = request.resumes().orElse("");
+        if (context.origins().hasBegun(first)) {
+            return "own";
+        }
+        boolean sent = context.origins()
+                .evidence(first, now())
+                .filter(StreamOrigins.Evidence::own)
+                .isPresent();
+        return sent ? "sent" : "report";
     }
 
     /** Keeps a begun stream from going on if the engine that began it may have had another version than it was registered with. */
@@ -159,7 +167,11 @@
         target.softwareVersion().ifPresent(version -> {
             placement.requireSoftwareVersion(version);
             String serverId = target.upstream().map(UpstreamServer::id).orElse("");
-            context.origins().onBegun(service(), request.id(), version, serverId, now());
+            if (forwarding.isPresent()) {
+                context.origins().onPassedBack(service(), request.id(), version, serverId, now());
+            } else {
+                context.origins().onBegun(service(), request.id(), version, serverId, now());
+            }
             log("stream begun", target);
         });
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/OldStreamReportTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/OldStreamReportTest.java
@@ -68,6 +68,21 @@
         assert first.received.isEmpty() && second.received.isEmpty() : first.received;
     }
 
+    /** This node has served the request for another one, which may have sent it to a third one before its first event. */
+    @Example
+    void servedForAnotherNodeIsNoEvidenceAgainstAReport() {
+        String answer = RelaySystem.exchange(
+                system.settings().listeners().forwarding(),
+                system.request(
+                        "/stream/", "s1", "Relay-Forwarding: 1;0;\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"));
+        assert answer.startsWith("HTTP/1.1 200") : answer;
+        report("1.1", "{\"llm\":{\"%s\":[\"s1\"]}}".formatted(first.received.isEmpty() ? "v1" : "v2"));
+        system.awaitStoreApplied();
+        answer = takeUp("s1");
+        assert answer.startsWith("HTTP/1.1 503") : answer;
+        assert first.received.size() + second.received.size() == 1 : second.received;
+    }
+
     /** Two nodes have sent the request, or the store has carried out a write late. */
     @Example
     void contradictoryReportsRefuseAsNotRun() {
