--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -26,8 +26,8 @@
     /** Time after its begin for which a stream may be taken up; twice as long as clients wait for an answer. */
     public static final long STREAM_LIFE_MILLIS = 30_000;
 
-    /** Version of streams of which it is known that no version can be stated; no upstream has it. */
-    static final String UNKNOWN_VERSION = "#unknown";
+    /** Version of streams of which no version can be stated with certainty; no upstream has it. */
+    public static final String UNKNOWN_VERSION = "#unknown";
 
     /** Time from an engine's start within which its new registration is read, also by way of hubs or after a brief outage. */
     static final long REGISTRATION_MILLIS = 5_000;
@@ -38,6 +38,7 @@
     /** Streams that are remembered; the oldest are forgotten first. */
     static final int MAX_STREAMS = 40_000;
 
+    private final String self;
     private final Map<String, Origin> originByRequest = new LinkedHashMap<>();
     private final SoftwareVersions versions = new SoftwareVersions();
     /** Versions of each service that this node has reported last. */
@@ -49,12 +50,29 @@
     /**
      * Where and when a stream began, or is expected to begin.
      *
-     * @param revision the store's revision of the report on it
-     * @param own true if this node carried the stream
+     * @param own what this node knows by itself, empty if it did not send the request
+     * @param reported what other nodes report; without meaning for a stream that this node began
+     */
+    private record Origin(String service, long beganMillis, Optional<Own> own, ReportedVersion reported) {
+        private boolean isBegun() {
+            return own.filter(Own::begun).isPresent();
+        }
+
+        private String softwareVersion() {
+            Optional<String> told = isBegun() ? Optional.empty() : reported.softwareVersion();
+            Optional<String> known = own.map(Own::softwareVersion).or(() -> told);
+            return known.filter(version -> told.isEmpty() || told.equals(known)).orElse(UNKNOWN_VERSION);
+        }
+    }
+
+    /**
+     * Where this node's stream began, or is expected to begin.
+     *
+     * @param softwareVersion the version
      * @param serverId identifier of the engine, empty if this node did not send to it
+     * @param begun true if this node has given the first event to the client, so that no report can tell otherwise
      */
-    private record Origin(
-            String service, String softwareVersion, long beganMillis, long revision, boolean own, String serverId) {}
+    private record Own(String softwareVersion, String serverId, boolean begun) {}
 
     /**
      * Streams that began at one software version, or are expected to.
@@ -71,11 +89,20 @@
         }
     }
 
+    /**
+     * Creates origins without any stream.
+     *
+     * @param self name of this node in reports
+     */
+    public StreamOrigins(String self) {
+        this.self = self;
+    }
+
     /**
      * By what the version of a stream is known, for the log.
      *
      * @param softwareVersion the version
-     * @param own true if this node sent the request, or passed its first event on
+     * @param own true if this node sent the request
      * @param revision the store's revision of the report, zero if no report was read
      * @param ageMillis time in milliseconds since the send, or since the report was read
      */
@@ -127,11 +154,12 @@
      */
     public synchronized boolean onSent(
             String service, String request, String softwareVersion, String serverId, long nowMillis) {
-        return isMixed(service, nowMillis) && addOwn(service, request, softwareVersion, serverId, nowMillis);
+        return isMixed(service, nowMillis)
+                && addOwn(service, request, new Own(softwareVersion, serverId, false), nowMillis);
     }
 
     /**
-     * Records a stream of this node.
+     * Records a stream whose first event this node gives to its client.
      *
      * @param service the service
      * @param request identifier of the client's request
@@ -141,7 +169,22 @@
      */
     public synchronized void onBegun(
             String service, String request, String softwareVersion, String serverId, long nowMillis) {
-        addOwn(service, request, softwareVersion, serverId, nowMillis);
+        addOwn(service, request, new Own(softwareVersion, serverId, true), nowMillis);
+    }
+
+    /**
+     * Records a stream that this node passes to the node that has sent it the request. Whether the client gets an event of it is
+     * known there only: that node may have sent the request elsewhere meanwhile.
+     *
+     * @param service the service
+     * @param request identifier of the client's request
+     * @param softwareVersion version of the engine that answers
+     * @param serverId identifier of the engine
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void onPassedBack(
+            String service, String request, String softwareVersion, String serverId, long nowMillis) {
+        addOwn(service, request, new Own(softwareVersion, serverId, false), nowMillis);
     }
 
     /**
@@ -154,13 +197,18 @@
      */
     public synchronized void onTakenUp(String service, String request, String softwareVersion, long nowMillis) {
         Origin known = originByRequest.get(request);
-        if (known != null && !known.own()) {
+        if (known != null && known.own().isEmpty()) {
             // A later report may still correct it, also at other nodes, so it is not told as an origin of this node.
-            add(request, new Origin(known.service(), known.softwareVersion(), nowMillis, known.revision(), false, ""));
+            add(request, new Origin(known.service(), nowMillis, Optional.empty(), known.reported()));
             return;
         }
-        originByRequest.remove(request);
-        addOwn(service, request, softwareVersion, "", nowMillis);
+        if (request.length() > MAX_ID_LENGTH) {
+            return;
+        }
+        versions.onUsed(new Version(service, softwareVersion), nowMillis);
+        boolean begun = known != null && known.isBegun();
+        putOwn(service, request, new Own(softwareVersion, "", begun), nowMillis);
+        tell(service, request, nowMillis);
     }
 
     /**
@@ -174,50 +222,83 @@
     public synchronized void onStarted(String serverId, String softwareVersion, long nowMillis) {
         for (Map.Entry<String, Origin> entry : originByRequest.entrySet()) {
             Origin origin = entry.getValue();
-            boolean doubtful = origin.serverId().equals(serverId)
-                    && !origin.softwareVersion().equals(softwareVersion)
-                    && nowMillis - origin.beganMillis() < REGISTRATION_MILLIS;
-            if (doubtful) {
-                entry.setValue(new Origin(
-                        origin.service(), UNKNOWN_VERSION, origin.beganMillis(), 0, true, origin.serverId()));
+            boolean sentThere = origin.own()
+                    .filter(own -> own.serverId().equals(serverId)
+                            && !own.softwareVersion().equals(softwareVersion))
+                    .isPresent();
+            if (sentThere && nowMillis - origin.beganMillis() < REGISTRATION_MILLIS) {
+                Own doubted =
+                        new Own(UNKNOWN_VERSION, serverId, origin.own().get().begun());
+                entry.setValue(
+                        new Origin(origin.service(), origin.beganMillis(), Optional.of(doubted), origin.reported()));
                 unreported.add(entry.getKey());
             }
         }
     }
 
-    private boolean addOwn(String service, String request, String softwareVersion, String serverId, long nowMillis) {
+    /** Returns whether the request was known to be at another version. */
+    private boolean addOwn(String service, String request, Own own, long nowMillis) {
         Origin known = originByRequest.get(request);
-        boolean unchanged = known != null && known.softwareVersion().equals(softwareVersion);
-        if (request.length() > MAX_ID_LENGTH || unchanged) {
+        Optional<Own> before = known == null ? Optional.empty() : known.own();
+        boolean told = before.filter(sent -> sent.softwareVersion().equals(own.softwareVersion()))
+                .isPresent();
+        if (request.length() > MAX_ID_LENGTH || told && (known.isBegun() || !own.begun())) {
             return false;
         }
-        versions.onUsed(new Version(service, softwareVersion), nowMillis);
-        add(request, new Origin(service, softwareVersion, nowMillis, 0, true, serverId));
+        versions.onUsed(new Version(service, own.softwareVersion()), nowMillis);
+        putOwn(service, request, own, nowMillis);
+        if (!told) {
+            tell(service, request, nowMillis);
+        }
+        return known != null && !known.softwareVersion().equals(own.softwareVersion());
+    }
+
+    private void putOwn(String service, String request, Own own, long nowMillis) {
+        Origin known = originByRequest.get(request);
+        ReportedVersion reported = known == null ? ReportedVersion.NONE : known.reported();
+        add(request, new Origin(service, nowMillis, Optional.of(own), own.begun() ? ReportedVersion.NONE : reported));
+    }
+
+    private void tell(String service, String request, long nowMillis) {
         if (isMixed(service, nowMillis)) {
             unreported.add(request);
         }
-        return known != null;
     }
 
     /**
      * Records another node's report.
      *
      * @param report the report
-     * @param revision the store's revision of the report; a later one replaces an earlier one on the same request
+     * @param source the report's node and order; the last report of a node on a request replaces its earlier ones
      * @param nowMillis the time in milliseconds
      */
-    public synchronized void onReport(Report report, long revision, long nowMillis) {
+    public synchronized void onReport(Report report, ReportSource source, long nowMillis) {
         versions.onUsed(new Version(report.service(), report.softwareVersion()), nowMillis);
         for (String request : report.requests()) {
-            Origin known = originByRequest.get(request);
-            boolean newer = known == null || !known.own() && known.revision() < revision;
-            if (request.length() <= MAX_ID_LENGTH && newer) {
-                add(request, new Origin(report.service(), report.softwareVersion(), nowMillis, revision, false, ""));
+            if (request.length() <= MAX_ID_LENGTH) {
+                addReported(request, report, source, nowMillis);
             }
         }
         reportAllIfMixed(report.service(), nowMillis);
     }
 
+    private void addReported(String request, Report report, ReportSource source, long nowMillis) {
+        Origin known = originByRequest.get(request);
+        if (known == null) {
+            ReportedVersion reported = ReportedVersion.NONE.with(source, report.softwareVersion());
+            add(request, new Origin(report.service(), nowMillis, Optional.empty(), reported));
+            return;
+        }
+        ReportedVersion reported = known.service().equals(report.service())
+                ? known.reported().with(source, report.softwareVersion())
+                : known.reported().contradicted();
+        // What this node has sent itself, it knows better than what the store returns of it.
+        boolean ownReport = known.own().isPresent() && source.node().equals(self);
+        if (!known.isBegun() && !ownReport && reported != known.reported()) {
+            add(request, new Origin(known.service(), nowMillis, known.own(), reported));
+        }
+    }
+
     private void add(String request, Origin origin) {
         // Removed first, so that the order is that of the times.
         originByRequest.remove(request);
@@ -238,7 +319,7 @@
         if (isMixed(service, nowMillis)
                 && reportedByService.getOrDefault(service, Set.of()).size() <= 1) {
             originByRequest.forEach((request, origin) -> {
-                if (origin.own() && origin.service().equals(service)) {
+                if (origin.own().isPresent() && origin.service().equals(service)) {
                     unreported.add(request);
                 }
             });
@@ -272,7 +353,10 @@
     public synchronized Optional<Evidence> evidence(String request, long nowMillis) {
         return Optional.ofNullable(originByRequest.get(request))
                 .map(origin -> new Evidence(
-                        origin.softwareVersion(), origin.own(), origin.revision(), nowMillis - origin.beganMillis()));
+                        origin.softwareVersion(),
+                        origin.own().isPresent(),
+                        origin.reported().revision(),
+                        nowMillis - origin.beganMillis()));
     }
 
     /**
@@ -297,14 +381,32 @@
     }
 
     /**
-     * Returns whether this node carried a stream, so that its version is not known from another node's report alone.
+     * Returns whether a stream may have begun at a server that had started again with another version than it was registered
+     * with.
+     *
+     * @param request identifier of the request that brought its first event
+     * @return true if this node, or one that reports on the stream, doubts its version
+     */
+    public synchronized boolean isDoubted(String request) {
+        Origin origin = originByRequest.get(request);
+        return origin != null
+                && (origin.reported().isDoubted()
+                        || origin.own()
+                                .map(Own::softwareVersion)
+                                .filter(UNKNOWN_VERSION::equals)
+                                .isPresent());
+    }
+
+    /**
+     * Returns whether this node has given a stream's first event to its client, so that its version is known by more than where
+     * a request was sent.
      *
      * @param request identifier of the request that brought its first event
-     * @return true if this node sent the request, or passed its first event on
+     * @return true if no report can tell otherwise
      */
-    public synchronized boolean isOwn(String request) {
+    public synchronized boolean hasBegun(String request) {
         Origin origin = originByRequest.get(request);
-        return origin != null && origin.own();
+        return origin != null && origin.isBegun();
     }
 
     /**
@@ -342,10 +444,10 @@
         for (String request : unreported) {
             Origin origin = originByRequest.get(request);
             if (origin != null) {
-                byService
+                origin.own().ifPresent(own -> byService
                         .computeIfAbsent(origin.service(), key -> new HashMap<>())
-                        .computeIfAbsent(origin.softwareVersion(), key -> new ArrayList<>())
-                        .add(request);
+                        .computeIfAbsent(own.softwareVersion(), key -> new ArrayList<>())
+                        .add(request));
             }
         }
         unreported.clear();
@@ -359,7 +461,7 @@
     public synchronized void reportAgain() {
         reportedByService.clear();
         originByRequest.forEach((request, origin) -> {
-            if (origin.own()) {
+            if (origin.own().isPresent()) {
                 unreported.add(request);
             }
         });
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -76,6 +76,10 @@
         if (version.isEmpty()) {
             return Optional.of(new Missing(RefusalReasons.STREAM_ORIGIN_UNKNOWN, ORIGIN_WAIT_MILLIS));
         }
+        if (known.filter(StreamOrigins::isUnknown).isPresent()) {
+            // Further reports do not settle it.
+            return Optional.of(new Missing(RefusalReasons.STREAM_ORIGIN_UNKNOWN, 0));
+        }
         if (!current && !isCertain()) {
             return Optional.of(missingConfirmation(
                     known.isPresent()
@@ -106,10 +110,10 @@
         context.log().logRequest(line);
     }
 
-    /** Returns whether the stream's version is known by more than a report, which the sender may have replaced since. */
+    /** Returns whether the stream's version is known by more than where its request was sent, which may have changed since. */
     private boolean isCertain() {
         return forwarding.flatMap(Forwarding::softwareVersion).isPresent()
-                || context.origins().isOwn(request.resumes().orElse(""));
+                || context.origins().hasBegun(request.resumes().orElse(""));
     }
 
     /** Asks for the newest reports and registrations: a later report, or engines of another version, may be among them. */
@@ -128,7 +132,15 @@
         if (!known) {
             return "only_version";
         }
-        return context.origins().isOwn(request.resumes().orElse("")) ? "own" : "report";
+        String first = request.resumes().orElse("");
+        if (context.origins().hasBegun(first)) {
+            return "own";
+        }
+        boolean sent = context.origins()
+                .evidence(first, now())
+                .filter(StreamOrigins.Evidence::own)
+                .isPresent();
+        return sent ? "sent" : "report";
     }
 
     /**
@@ -145,11 +157,10 @@
         if (placement.requiredSoftwareVersion().isEmpty()) {
             return;
         }
-        // Reports are no reason to go on elsewhere: one from before the first event may have been replaced since.
-        context.origins()
-                .find(service(), request.resumes().orElse(request.id()))
-                .filter(StreamOrigins::isUnknown)
-                .ifPresent(placement::requireSoftwareVersion);
+        // Other reports are no reason to go on elsewhere: one from before the first event may have been replaced since.
+        if (context.origins().isDoubted(request.resumes().orElse(request.id()))) {
+            placement.requireSoftwareVersion(StreamOrigins.UNKNOWN_VERSION);
+        }
     }
 
     /**
@@ -165,7 +176,11 @@
         target.softwareVersion().ifPresent(version -> {
             placement.requireSoftwareVersion(version);
             String serverId = target.upstream().map(UpstreamServer::id).orElse("");
-            context.origins().onBegun(service(), request.id(), version, serverId, now());
+            if (forwarding.isPresent()) {
+                context.origins().onPassedBack(service(), request.id(), version, serverId, now());
+            } else {
+                context.origins().onBegun(service(), request.id(), version, serverId, now());
+            }
             log("stream begun", target);
         });
     }
