Check that a stream which returns to its version is found

The checker of the soak's streams counts every stream with events of two software versions, also if each of its requests alone looks sound, and names them with times, node, engines and versions. No test had events of the other version between two of the first. Holds without a change of the checker (mvn -B -ntp verify -pl soak -am, StreamOrderCheckerTest).

--- a/soak/src/test/java/org/cowslipbank/soak/StreamOrderCheckerTest.java
+++ b/soak/src/test/java/org/cowslipbank/soak/StreamOrderCheckerTest.java
@@ -97,6 +97,27 @@
         assert violations.get(0).contains("1-3 of r1-run") && violations.get(0).contains("4-6 of r2-run") : violations;
     }
 
+    /** A client may get events of another version in between, and each of its requests alone looks sound. */
+    @Example
+    void streamThatReturnsToItsSoftwareVersionIsFound() {
+        Attempt first = begun();
+        Attempt empty = attempt("r2", 3, End.BROKEN, List.of());
+        run("r3", "v2", 3);
+        run("r4", "v1", 4);
+        finish(
+                first,
+                empty,
+                attempt("r3", 3, End.BROKEN, events("v2", "r3-run", 4, 4)),
+                attempt("r4", 4, End.WHOLE, events("v1", "r4-run", 5, EVENTS)));
+        assertOneViolation("events of software versions [v1, v2]");
+        String story = violations.get(0);
+        assert story.contains("1000 to 2000 r3 at n0, last event 3")
+                        && story.contains(
+                                "4-4 of r3-run Run[requestId=r3, engine=i-1, softwareVersion=v2, afterEvent=3]")
+                : story;
+        assert order.figures().joined() == 1 : order.figures();
+    }
+
     @Example
     void runThatGoesOnElsewhereIsFound() {
         Attempt first = begun();
