--- a/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
+++ b/cli/src/main/java/org/cowslipbank/cli/SoakCommand.java
@@ -53,6 +53,9 @@
         OptionSpec<Void> streams = parser.accepts(
                 "streams",
                 "Instead of faults of all kinds: releases of engines, power losses, and clients that take streams up.");
+        OptionSpec<Void> releases = parser.accepts(
+                "releases",
+                "Instead of faults of all kinds: releases of engines while single nodes are out of step, and long prompts.");
         OptionSpec<Void> changes = parser.accepts(
                 "changes",
                 "Instead of faults of all kinds: routes that are added and dropped while nodes are late to learn of it.");
@@ -78,13 +81,15 @@
                 cache,
                 SoakRun.Kind.STREAMS,
                 streams,
+                SoakRun.Kind.RELEASES,
+                releases,
                 SoakRun.Kind.CHANGES,
                 changes);
         List<SoakRun.Kind> chosen = kinds.keySet().stream()
                 .filter(candidate -> parsed.has(kinds.get(candidate)))
                 .toList();
         if (chosen.size() > 1) {
-            throw new UsageException("calm, cache, streams and changes exclude each other");
+            throw new UsageException("calm, cache, streams, releases and changes exclude each other");
         }
         SoakRun.Kind kind = chosen.isEmpty() ? SoakRun.Kind.FAULTS : chosen.get(0);
         List<List<String>> programs = new ArrayList<>(List.of(program(ownJar())));
@@ -133,7 +138,7 @@
                             outcome.besideEvacuations(),
                             outcome.slotUse(),
                             outcome.violations().size());
-            if (kind == SoakRun.Kind.STREAMS) {
+            if (kind.isOfStreams()) {
                 SoakRun.StreamFigures streams = outcome.streams();
                 console.out()
                         .printf(
--- a/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
@@ -99,6 +99,22 @@
     /** Longest time between a release and a power loss; no node has written a report of it then. */
     private static final int MAX_RELEASE_MILLIS = 250;
 
+    /** Time from the replacement of one engine to that of the next, so that two versions serve for about ten seconds. */
+    private static final int MIN_TURN_MILLIS = 1_500;
+
+    private static final int MAX_TURN_MILLIS = 3_000;
+
+    /** Longest time from the begin of a fault to the moves beside it; it is shorter than long prompts take. */
+    private static final int MAX_MOVE_MILLIS = 1_000;
+
+    /** Longest time from the moves to the resets of streams; most of those that moved have begun then. */
+    private static final int MAX_BREAK_MILLIS = 3_000;
+
+    /** Resets of one stream of each engine beside a fault. */
+    private static final int RESETS = 4;
+
+    private static final int RESET_INTERVAL_MILLIS = 500;
+
     private final SoakRun.Plan plan;
     private final SoakPlatform platform;
     private final SoakNodes nodes;
@@ -155,14 +171,18 @@
     void inject() throws IOException, InterruptedException {
         if (plan.kind() == SoakRun.Kind.CHANGES) {
             timer.schedule(this::changeRoutes, MIN_CHANGE_GAP_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (plan.kind() == SoakRun.Kind.RELEASES) {
+            timer.schedule(this::releaseNext, MIN_TURN_MILLIS, TimeUnit.MILLISECONDS);
         } else if (plan.kind() != SoakRun.Kind.STREAMS) {
             timer.schedule(this::changeIsolation, MIN_ISOLATED_MILLIS, TimeUnit.MILLISECONDS);
         }
         if (plan.kind() == SoakRun.Kind.FAULTS) {
             scheduleEvacuation();
         }
+        // Nodes that are out of step are worth little if all of them are.
+        int maxGapMillis = plan.kind() == SoakRun.Kind.RELEASES ? 2 * MAX_GAP_MILLIS : MAX_GAP_MILLIS;
         while (System.currentTimeMillis() < endMillis) {
-            Thread.sleep(between(random, MIN_GAP_MILLIS, MAX_GAP_MILLIS));
+            Thread.sleep(between(random, MIN_GAP_MILLIS, maxGapMillis));
             begin(drawFault(), random);
             nodes.restartExited();
         }
@@ -209,6 +229,7 @@
             case CALM -> drawCalmChange();
             case CACHE -> drawCacheFault();
             case STREAMS -> drawStreamFault();
+            case RELEASES -> drawReleaseFault();
             case CHANGES -> drawChangeFault();
         };
     }
@@ -245,9 +266,17 @@
             case 3, 4 -> silence(StandInFormats.PLAIN_SERVICE);
             case 5 -> change(
                     "idle limit",
-                    new StandInFormats.Variant(0, 0, usual.timeoutMillis(), SoakRun.SHORT_IDLE_LIMIT_MILLIS, ""));
+                    new StandInFormats.Variant(
+                            0,
+                            0,
+                            usual.timeoutMillis(),
+                            SoakRun.SHORT_IDLE_LIMIT_MILLIS,
+                            usual.streamObjectiveMillis(),
+                            ""));
             case 6 -> change(
-                    "time-out", new StandInFormats.Variant(0, 0, SHORT_TIMEOUT_MILLIS, usual.idleLimitMillis(), ""));
+                    "time-out",
+                    new StandInFormats.Variant(
+                            0, 0, SHORT_TIMEOUT_MILLIS, usual.idleLimitMillis(), usual.streamObjectiveMillis(), ""));
             case 7, 8 -> new Fault("key rotation of a team", platform::rotateKey, () -> {});
             case 9, 10 -> new Fault("versions", this::nameVersions, () -> {});
             default -> {
@@ -309,6 +338,81 @@
         };
     }
 
+    /** Draws what lets a node be out of step while requests move from one software version to another. */
+    private Fault drawReleaseFault() {
+        int index = random.nextInt(nodes.count());
+        NodeProcess node = nodes.node(index);
+        return switch (random.nextInt(16)) {
+            case 0, 1, 2, 3, 4, 5 -> moves(out(index), MAX_AWAY_MILLIS);
+            case 6, 7, 8 -> lostSender(index);
+            case 9, 10 -> out(index);
+            case 11 -> new Fault("move of requests", () -> record(engines().moveWaiting()), () -> {});
+            case 12 -> new Fault("kill of an engine", () -> record(engines().killOne()), () -> {});
+            case 13 -> new Fault("reset of streams", engines()::resetStreams, () -> {});
+            case 14 -> termination(node, "KILL");
+            default -> moves(metadataStoreFault(), MAX_FAULT_MILLIS);
+        };
+    }
+
+    /** A node stands still, or its way to the metadata store is disturbed. */
+    private Fault out(int index) {
+        NodeProcess node = nodes.node(index);
+        return random.nextInt(3) == 0
+                ? pause(node)
+                : proxyFault("connection to the metadata store " + node.name(), nodes.toMetadataStore(index));
+    }
+
+    /** Beside a fault requests move before their first event, and then streams break off. */
+    private Fault moves(Fault fault, int maxMillis) {
+        int moveMillis = between(random, MIN_GAP_MILLIS, MAX_MOVE_MILLIS);
+        int breakMillis = moveMillis + between(random, MIN_GAP_MILLIS, MAX_BREAK_MILLIS);
+        return disturbing(new Fault(
+                fault.name() + ", moves after " + moveMillis + " ms, resets after " + breakMillis + " ms,",
+                maxMillis,
+                () -> {
+                    fault.begin().run();
+                    later(moveMillis, "move", () -> record(engines().moveWaiting()));
+                    for (int count = 0; count < RESETS; count++) {
+                        later(breakMillis + count * RESET_INTERVAL_MILLIS, "resets", engines()::resetStreams);
+                    }
+                },
+                fault.end()));
+    }
+
+    /** A node cannot write while its requests move, and is then killed; what it had not written is lost. */
+    private Fault lostSender(int index) {
+        NodeProcess node = nodes.node(index);
+        FaultProxy proxy = nodes.toMetadataStore(index);
+        Fault moves = moves(
+                cut(drawMode(random), "connection to the metadata store " + node.name(), MAX_AWAY_MILLIS, proxy),
+                MAX_AWAY_MILLIS);
+        Fault kill = termination(node, "KILL");
+        int downMillis = between(random, MIN_DOWN_MILLIS, MAX_DOWN_MILLIS);
+        return new Fault(moves.name() + " killed", MAX_AWAY_MILLIS, moves.begin(), () -> {
+            // Reset, so that no call that was held back arrives later.
+            proxy.setMode(FaultProxy.Mode.RESET);
+            kill.begin().run();
+            later(downMillis, kill.name(), () -> {
+                moves.end().run();
+                kill.end().run();
+            });
+        });
+    }
+
+    private void later(int millis, String name, Action action) {
+        timer.schedule(() -> run(action, name), millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Replaces one engine by one of the newest version, and the next one follows. */
+    private void releaseNext() {
+        if (System.currentTimeMillis() >= endMillis) {
+            return;
+        }
+        record("release: " + engines().replaceNext());
+        timer.schedule(
+                this::releaseNext, between(seriesRandom, MIN_TURN_MILLIS, MAX_TURN_MILLIS), TimeUnit.MILLISECONDS);
+    }
+
     /** Draws what lets nodes be late with changes of the configuration. */
     private Fault drawChangeFault() {
         int index = random.nextInt(nodes.count());
--- a/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakNodes.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.cowslipbank.platform.StandInFormats;
 import org.cowslipbank.platform.StandInStore;
@@ -23,6 +25,9 @@
     private static final int BLOCK_PORTS = 500;
     private static final int PORT_TRIES = 200;
 
+    /** Time for which a node that was out of step may still have read nothing since. */
+    private static final long OUT_OF_STEP_MILLIS = 500;
+
     /** The port at which a node takes requests of clients. */
     record ClientPort(String node, int number) {}
 
@@ -32,6 +37,7 @@
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<Integer> clientPorts = new ArrayList<>();
     private final List<FaultProxy> metadataStoreProxies = new ArrayList<>();
+    private final Map<Integer, Long> outOfStepMillis = new ConcurrentHashMap<>();
     private ServerSocket reservation;
     private volatile boolean stopped;
 
@@ -130,10 +136,23 @@
                     || node.suspended()
                     || metadataStoreProxies.get(index).isFaulty()) {
                 guarantees.onDisturbed(node.name());
+                if (isStoreUp) {
+                    outOfStepMillis.put(index, System.currentTimeMillis());
+                }
             }
         }
     }
 
+    /** Draws one of the nodes that are out of touch with the metadata store, or were a moment ago, while it was up. */
+    Optional<Integer> drawOutOfStep(Random random) {
+        long sinceMillis = System.currentTimeMillis() - OUT_OF_STEP_MILLIS;
+        List<Integer> candidates = outOfStepMillis.entrySet().stream()
+                .filter(entry -> entry.getValue() >= sinceMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+        return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
+    }
+
     /** Waits for a node that was terminated and starts it again. */
     void restart(NodeProcess node) throws IOException, InterruptedException {
         long graceMillis = (bounds.graceSeconds() + 1) * 1_000;
--- a/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakPlatform.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +43,9 @@
 
     private static final double BREAKING_SHARE = 0.04;
 
+    /** Share of the streams that break off at the second engine, so that clients take those up whose requests moved. */
+    private static final double MOVED_BREAKING_SHARE = 0.8;
+
     /** Share of the requests that upstreams reject, fail, abort, or answer twice or without a length. */
     private static final double FAILING_SHARE = 0.08;
 
@@ -75,6 +80,9 @@
     private final StreamOrderChecker order;
     private final RouteHistory routes;
     private final StreamEngines engines;
+    /** Requests that an engine has run. */
+    private final Set<String> ran = ConcurrentHashMap.newKeySet();
+
     private final AtomicInteger disturbances = new AtomicInteger();
     private volatile long undisturbedSinceMillis;
     private final Map<String, List<String>> keysByTeam = new HashMap<>();
@@ -182,9 +190,12 @@
         }
         keysByTeam.put("a", List.of("key-a-0"));
         keysByTeam.put("b", List.of("key-b-0"));
-        boolean streams = plan.kind() == SoakRun.Kind.STREAMS;
+        boolean streams = plan.kind().isOfStreams();
+        StandInFormats.Variant ofStreams = plan.kind() == SoakRun.Kind.RELEASES
+                ? StandInFormats.Variant.LONG_PROMPTS
+                : StandInFormats.Variant.LONG_STREAMS;
         int idleRoutes = plan.kind() == SoakRun.Kind.CHANGES ? IDLE_ROUTES : 0;
-        configure(streams ? StandInFormats.Variant.LONG_STREAMS : StandInFormats.Variant.withIdleRoutes(idleRoutes));
+        configure(streams ? ofStreams : StandInFormats.Variant.withIdleRoutes(idleRoutes));
         for (int index = 0; index < UPSTREAMS_PER_SERVICE && !streams; index++) {
             String dataCentre = DATA_CENTRES.get(plan.kind() == SoakRun.Kind.FAULTS ? index % DATA_CENTRES.size() : 0);
             upstreams.add(new Upstream(StandInFormats.PLAIN_SERVICE, dataCentre));
@@ -264,7 +275,7 @@
             @Override
             public Fate onRun(StandInUpstream.Run run) {
                 guarantees.onArrival(service, run.id());
-                Fate fate = engines == null ? drawFate() : drawStreamFate();
+                Fate fate = engines == null ? drawFate() : drawStreamFate(run.id());
                 if (fate.outcome() != RunOutcome.REJECTED) {
                     guarantees.onRun(run);
                 }
@@ -325,9 +336,13 @@
     }
 
     /** Streams break with their upstreams and connections; a few are rejected, reset or cut within an event. */
-    private Fate drawStreamFate() {
+    private Fate drawStreamFate(String requestId) {
         ThreadLocalRandom draw = ThreadLocalRandom.current();
         boolean framed = draw.nextDouble() >= UNFRAMED_SHARE;
+        boolean moved = plan.kind() == SoakRun.Kind.RELEASES && !ran.add(requestId);
+        if (moved && !faultFree && draw.nextDouble() < MOVED_BREAKING_SHARE) {
+            return new Fate(RunOutcome.CUT, framed, SecondAnswer.NONE);
+        }
         boolean breaks = !faultFree && draw.nextDouble() < BREAKING_SHARE;
         return new Fate(breaks ? draw(draw, STREAM_OUTCOMES) : RunOutcome.ANSWERED, framed, SecondAnswer.NONE);
     }
--- a/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakRun.java
@@ -53,7 +53,7 @@
 
     /** Without faults more: a silence then meets enough requests to use up a retry budget. */
     private static final Map<Kind, Integer> CLIENTS_PER_NODE =
-            Map.of(Kind.FAULTS, 4, Kind.CALM, 12, Kind.CACHE, 6, Kind.STREAMS, 6, Kind.CHANGES, 4);
+            Map.of(Kind.FAULTS, 4, Kind.CALM, 12, Kind.CACHE, 6, Kind.STREAMS, 6, Kind.RELEASES, 10, Kind.CHANGES, 4);
 
     /** Slots of an engine for each client of all nodes: three quarters are then in use (measured by this test). */
     private static final double SLOTS_PER_CLIENT = 0.18;
@@ -91,11 +91,26 @@
          * released in series, also while all nodes are down, killed engines and nodes, resets. Clients take streams up.
          */
         STREAMS,
+        /**
+         * What lets single nodes be out of step while streams begin at two software versions: engines that are released in turn,
+         * prompts that take seconds, requests that move before their first event, nodes that are suspended, cut off from the
+         * metadata store or killed meanwhile. Clients take streams up, half of the time at a node that is or was out of step.
+         */
+        RELEASES,
         /**
          * What lets nodes be late with the configuration: routes that are added and dropped in series, power losses soon after each
          * other, nodes that are suspended, a metadata store that is slow, has a thin link or forgets its history.
          */
-        CHANGES
+        CHANGES;
+
+        /**
+         * Returns whether all requests are for streams, which clients take up.
+         *
+         * @return true for streams only
+         */
+        public boolean isOfStreams() {
+            return this == STREAMS || this == RELEASES;
+        }
     }
 
     /**
@@ -223,7 +238,7 @@
     public Outcome run() throws IOException, InterruptedException {
         Files.createDirectories(plan.directory());
         int clients = plan.nodes() * CLIENTS_PER_NODE.get(plan.kind());
-        int slots = (int) Math.ceil(clients * (plan.kind() == Kind.STREAMS ? 1 : SLOTS_PER_CLIENT));
+        int slots = (int) Math.ceil(clients * (plan.kind().isOfStreams() ? 1 : SLOTS_PER_CLIENT));
         SoakPlatform platform = new SoakPlatform(plan, random, slots, guarantees, order, routes, timer);
         SoakNodes nodes = new SoakNodes(BOUNDS, platform.metadataStore(), guarantees);
         // Destroys the node processes if the JVM is stopped during the test.
@@ -271,9 +286,15 @@
                 }
                 return current[0];
             };
-            Runnable client = plan.kind() == Kind.STREAMS
+            Runnable client = plan.kind().isOfStreams()
                     ? new StreamClient(
-                            guarantees, order, own, credentials, nodes, platform::isUndisturbed, () -> stopped)
+                            new StreamClient.Checkers(guarantees, order),
+                            own,
+                            credentials,
+                            nodes,
+                            platform::isUndisturbed,
+                            plan.kind(),
+                            () -> stopped)
                     : new SoakClient(
                             guarantees,
                             own,
@@ -290,7 +311,7 @@
             throws IOException, InterruptedException {
         double meanSlotUse = slotUse.sum() / Math.max(1, slotUseReadings.sum());
         // Nodes of these soaks are killed only, so none has a grace period.
-        boolean killedOnly = plan.kind() == Kind.STREAMS || plan.kind() == Kind.CHANGES;
+        boolean killedOnly = plan.kind().isOfStreams() || plan.kind() == Kind.CHANGES;
         long graceMillis = killedOnly ? 0 : (BOUNDS.graceSeconds() + 1) * 1_000;
         Thread.sleep(SoakFaults.MAX_FAULT_MILLIS + graceMillis);
         platform.endFaults();
--- a/soak/src/main/java/org/cowslipbank/soak/StreamClient.java
+++ b/soak/src/main/java/org/cowslipbank/soak/StreamClient.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
+import org.cowslipbank.platform.StandInFormats;
 import org.cowslipbank.platform.StandInStream;
 import org.cowslipbank.platform.StandInStream.Event;
 import org.cowslipbank.soak.StreamOrderChecker.Attempt;
@@ -22,6 +23,9 @@
     /** Longest time between two events, before a client gives a request up, from the platform's pages. */
     private static final int GAP_MILLIS = 2_000;
 
+    /** The same beside long prompts: four times the objective of their route. */
+    private static final int LONG_GAP_MILLIS = 4 * StandInFormats.Variant.LONG_PROMPTS.streamObjectiveMillis();
+
     private static final long TOTAL_MILLIS = 12_000;
     private static final int MAX_TAKE_UPS = 3;
 
@@ -33,6 +37,12 @@
     private static final int MIN_INTERVAL_MILLIS = 20;
     private static final int MAX_INTERVAL_MILLIS = 150;
 
+    private static final int MIN_PROMPT_MILLIS = 500;
+    private static final int MAX_PROMPT_MILLIS = 3_000;
+
+    /** Longest further pause before a stream is taken up, so that a node which was suspended goes on first. */
+    private static final int MAX_TAKE_UP_PAUSE_MILLIS = 800;
+
     private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 100;
     private static final int MAX_PAUSE_MILLIS = 100;
@@ -44,9 +54,20 @@
     private final Supplier<SoakClient.Credentials> credentials;
     private final SoakNodes nodes;
     private final Predicate<String> undisturbed;
+    /** True if prompts are long, and streams are taken up at nodes that are out of step. */
+    private final boolean releases;
+
     private final BooleanSupplier stopped;
     private int lastNode = -1;
 
+    /**
+     * What a client reports to.
+     *
+     * @param guarantees checks each request and its outcome
+     * @param order checks each stream
+     */
+    record Checkers(GuaranteeChecker guarantees, StreamOrderChecker order) {}
+
     /** What the client has of a stream. */
     private static final class Progress {
         private final StandInStream stream;
@@ -76,29 +97,30 @@
     /**
      * Creates a client.
      *
-     * @param guarantees checks each request and its outcome
-     * @param order checks each stream
+     * @param checkers what the client reports to
      * @param random chooses streams, nodes and pauses
      * @param credentials supplies the team and key of the next request
      * @param nodes the nodes
      * @param undisturbed returns whether nodes reach the metadata store and engines of a software version, any if it is
      *     empty, are registered
+     * @param kind what disturbs the nodes
      * @param stopped returns true once the client must stop
      */
     StreamClient(
-            GuaranteeChecker guarantees,
-            StreamOrderChecker order,
+            Checkers checkers,
             Random random,
             Supplier<SoakClient.Credentials> credentials,
             SoakNodes nodes,
             Predicate<String> undisturbed,
+            SoakRun.Kind kind,
             BooleanSupplier stopped) {
-        this.guarantees = guarantees;
-        this.order = order;
+        this.guarantees = checkers.guarantees();
+        this.order = checkers.order();
         this.random = random;
         this.credentials = credentials;
         this.nodes = nodes;
         this.undisturbed = undisturbed;
+        this.releases = kind == SoakRun.Kind.RELEASES;
         this.stopped = stopped;
     }
 
@@ -117,8 +139,11 @@
     private StandInStream drawStream() {
         int intervalMillis = MIN_INTERVAL_MILLIS + random.nextInt(MAX_INTERVAL_MILLIS - MIN_INTERVAL_MILLIS);
         int millis = MIN_STREAM_MILLIS + random.nextInt(MAX_STREAM_MILLIS - MIN_STREAM_MILLIS);
-        return new StandInStream(
-                "s" + Integer.toHexString(random.nextInt()), Math.max(2, millis / intervalMillis), intervalMillis);
+        String name = "s" + Integer.toHexString(random.nextInt());
+        int promptMillis = releases && random.nextInt(3) > 0
+                ? MIN_PROMPT_MILLIS + random.nextInt(MAX_PROMPT_MILLIS - MIN_PROMPT_MILLIS)
+                : 0;
+        return new StandInStream(name, Math.max(2, millis / intervalMillis), intervalMillis, promptMillis);
     }
 
     private void readStream() throws InterruptedException {
@@ -131,8 +156,9 @@
                 break;
             }
             progress.retryAfterMillis = RETRY_MILLIS;
-            int node = drawNode();
-            try (ClientConnection connection = new ClientConnection(nodes.clientPort(node), GAP_MILLIS)) {
+            int node = drawNode(progress);
+            try (ClientConnection connection =
+                    new ClientConnection(nodes.clientPort(node), releases ? LONG_GAP_MILLIS : GAP_MILLIS)) {
                 lastNode = node;
                 request(progress, credential, leftMillis, connection);
             } catch (IOException e) {
@@ -140,7 +166,7 @@
                 lastNode = node;
             }
             if (!progress.isOver()) {
-                Thread.sleep(progress.retryAfterMillis);
+                Thread.sleep(progress.retryAfterMillis + drawPauseMillis(progress));
             }
         }
         if (!progress.attempts.isEmpty()) {
@@ -148,6 +174,18 @@
         }
     }
 
+    private int drawPauseMillis(Progress progress) {
+        boolean pauses = releases && progress.lastEvent() > 0 && random.nextBoolean();
+        return pauses ? random.nextInt(MAX_TAKE_UP_PAUSE_MILLIS) : 0;
+    }
+
+    private int drawNode(Progress progress) {
+        if (releases && progress.lastEvent() > 0 && random.nextBoolean()) {
+            return nodes.drawOutOfStep(random).orElseGet(this::drawNode);
+        }
+        return drawNode();
+    }
+
     private int drawNode() {
         int node = random.nextInt(nodes.count());
         return node == lastNode ? (node + 1) % nodes.count() : node;
--- a/soak/src/main/java/org/cowslipbank/soak/StreamEngines.java
+++ b/soak/src/main/java/org/cowslipbank/soak/StreamEngines.java
@@ -37,6 +37,9 @@
 
     private static final int PART_SHARE = 4;
 
+    /** One in so many moves of waiting requests is by the kill of an engine. */
+    private static final int MOVE_BY_KILL_SHARE = 3;
+
     private final StandInStore metadataStore;
     private final Random random;
     /** For restarts. */
@@ -222,6 +225,33 @@
         replaced.stream().filter(engines::contains).forEach(engine -> kill(engine, kill));
     }
 
+    /** Replaces one engine by one of the newest version, or of a further one if all have it; it serves for a while more. */
+    synchronized String replaceNext() {
+        if (count(newestVersion) == engines.size()) {
+            drawVersion();
+        }
+        Engine old = engines.stream()
+                .filter(engine -> !engine.identity().softwareVersion().equals(newestVersion))
+                .findFirst()
+                .orElseThrow();
+        start(newestVersion);
+        int millis = random.nextInt(MAX_OVERLAP_MILLIS);
+        timer.schedule(() -> end(List.of(old)), millis, TimeUnit.MILLISECONDS);
+        return old.identity() + " to " + newestVersion + " within " + millis + " ms";
+    }
+
+    /** Lets requests go to other engines before their first event: an engine is killed, or those of one version reset them. */
+    synchronized String moveWaiting() {
+        if (random.nextInt(MOVE_BY_KILL_SHARE) == 0) {
+            return killOne();
+        }
+        String version = engines.get(random.nextInt(engines.size())).identity().softwareVersion();
+        engines.stream()
+                .filter(engine -> engine.identity().softwareVersion().equals(version))
+                .forEach(engine -> engine.server().resetWaiting());
+        return "reset of what waits at engines of " + version;
+    }
+
     private String drawVersion() {
         boolean earlier = random.nextInt(EARLIER_VERSION_SHARE) == 0 && !earlierVersion.equals(newestVersion);
         String next = earlier ? earlierVersion : "v" + ++versions;
