--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -68,7 +68,7 @@
         if (!request.takesUpStream() || !route.isStream() || !route.resumable()) {
             return Optional.empty();
         }
-        // Read first, so that the versions below include all that it stands for.
+        // Read first, so that the reports and versions below include all that it stands for.
         boolean current = context.readings().isApplied(stateReading);
         Optional<String> known = forwarding.flatMap(Forwarding::softwareVersion).or(() -> context.origins()
                 .find(service(), request.resumes().orElse("")));
@@ -76,26 +76,49 @@
         if (version.isEmpty()) {
             return Optional.of(new Missing(RefusalReasons.STREAM_ORIGIN_UNKNOWN, ORIGIN_WAIT_MILLIS));
         }
-        if (known.isEmpty() && !current) {
-            return Optional.of(missingRegistrations());
+        if (!current && !isCertain()) {
+            return Optional.of(missingConfirmation(
+                    known.isPresent()
+                            ? RefusalReasons.STREAM_ORIGIN_UNCONFIRMED
+                            : RefusalReasons.SOFTWARE_VERSIONS_UNCONFIRMED));
         }
         placement.requireSoftwareVersion(version.get());
-        request.resumes().ifPresent(first -> context.origins().onTakenUp(service(), first, version.get(), now()));
         request.lastEventId().ifPresent(splitter::resumeAfter);
-        context.log()
-                .logRequest(line("stream taken up")
-                        .field("softwareVersion", version.get())
-                        .field("versionFrom", versionSource(known.isPresent())));
+        logTakeUp(version.get(), versionSource(known.isPresent()), stateReading);
+        request.resumes().ifPresent(first -> context.origins().onTakenUp(service(), first, version.get(), now()));
         return Optional.empty();
     }
 
-    /** Asks for the registrations, since engines of another version that may have begun the stream would be among them. */
-    private Missing missingRegistrations() {
+    /** Logs by which knowledge a stream goes on, to be compared with that of other nodes at the same revision. */
+    private void logTakeUp(String version, String versionSource, long stateReading) {
+        LogFields line = line("stream taken up")
+                .field("softwareVersion", version)
+                .field("versionFrom", versionSource)
+                .field("arrivalReading", stateReading)
+                .field("liveVersions", context.origins().liveVersions(service(), now()))
+                .field(
+                        "upstreams",
+                        context.view().get().activeServers(service()).size());
+        context.origins().evidence(request.resumes().orElse(""), now()).ifPresent(evidence -> line.field(
+                        "originVersion", evidence.softwareVersion())
+                .field("originRevision", evidence.revision())
+                .field("originAgeMillis", evidence.ageMillis()));
+        context.log().logRequest(line);
+    }
+
+    /** Returns whether the stream's version is known by more than a report, which the sender may have replaced since. */
+    private boolean isCertain() {
+        return forwarding.flatMap(Forwarding::softwareVersion).isPresent()
+                || context.origins().isOwn(request.resumes().orElse(""));
+    }
+
+    /** Asks for the newest reports and registrations: a later report, or engines of another version, may be among them. */
+    private Missing missingConfirmation(String reason) {
         boolean canConfirm = context.canConfirm().getAsBoolean();
         if (canConfirm) {
             context.refresh().run();
         }
-        return new Missing(RefusalReasons.SOFTWARE_VERSIONS_UNCONFIRMED, canConfirm ? ORIGIN_WAIT_MILLIS : 0);
+        return new Missing(reason, canConfirm ? ORIGIN_WAIT_MILLIS : 0);
     }
 
     private String versionSource(boolean known) {
@@ -108,6 +131,15 @@
         return context.origins().isOwn(request.resumes().orElse("")) ? "own" : "report";
     }
 
+    /**
+     * Returns whether the request goes on with a stream that has begun, at an engine of the version that began it.
+     *
+     * @return false if the stream may begin at any engine
+     */
+    boolean goesOn() {
+        return placement.targetsEngines() && placement.requiredSoftwareVersion().isPresent();
+    }
+
     /** Keeps a begun stream from going on if the engine that began it may have had another version than it was registered with. */
     void checkOrigin() {
         if (placement.requiredSoftwareVersion().isEmpty()) {
