Show that an unreplaced report lets a stream change its version

A node reports where it sends a request. If the request moves to another software version before its first event, the node passes that event on although the metadata store has not acknowledged the new report. A node that is cut off from the store, or killed then, leaves the earlier report as the newest one, and every other node goes on with the stream at the version that did not begin it.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -39,6 +39,16 @@
     private volatile boolean watchesHeld;
     private volatile boolean readOnly;
 
+    /** Returns a store that holds what this one holds now, and which calls that are in progress here do not reach. */
+    synchronized FakeMetadataStore copy() {
+        FakeMetadataStore copy = new FakeMetadataStore();
+        copy.items.putAll(items);
+        copy.history.addAll(history);
+        copy.revision = revision;
+        copy.leases = leases;
+        return copy;
+    }
+
     synchronized void put(String key, String value) {
         put(key, value.getBytes(StandardCharsets.UTF_8), 0);
     }
