Hold a first event until the report on its version is acknowledged

Callers of a release saw streams with events of two software versions. A request that moves to another version before its first event is reported again, but its first event was passed on before the metadata store had that report. A node that was cut off from the store or killed then left the report of the first send as the newest one.

ReportedVersions keeps what was taken for a write and what was acknowledged. HeldAnswer holds the first bytes of an answer, before the splitter sees them, while the store may hold another version as the newest report. The connection is read on instead of paused, so that a break is noticed. After 1.5 s the attempt fails as one that may have run. While the store does not answer, a reported request goes only to upstreams of its reported version, and is given up at once if none is left.

A request that another node has reported, or that was passed to one which did not answer it, needs an acknowledgement in any case, since this node cannot tell what the other one has written, also if it knows one version only. The node that serves a request for another one needs none from the start: the client is reached through the passing node, which compares the version in the answer with its own reports.

With writes that take 30 ms one event is held, for at most 120 ms; with a store that answers at once none was. Without a move none is.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/Eligibility.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/Eligibility.java
@@ -18,6 +18,8 @@
     OLD_WEIGHTS,
     /** A stream may not begin there before its software version is recorded. */
     SOFTWARE_VERSION_NOT_RECORDED,
+    /** The metadata store, which does not answer, may hold a report that the request was sent to another software version. */
+    OTHER_VERSION_REPORTED,
     /** It has not taken request bodies that this node sends to it, so that a further long one would not fit. */
     UNREAD_BODIES,
     /** It has announced in an answer that it leaves. */
--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -355,6 +355,24 @@
         return reports;
     }
 
+    /**
+     * Reports where a request of this node is answered, also if the service has one version only as far as this node knows.
+     *
+     * @param service the service
+     * @param request identifier of the client's request
+     * @param softwareVersion version of the engine that answers
+     * @param serverId identifier of the engine, empty if another node sent to it
+     * @param nowMillis the time in milliseconds
+     */
+    public synchronized void report(
+            String service, String request, String softwareVersion, String serverId, long nowMillis) {
+        addOwn(service, request, softwareVersion, serverId, nowMillis);
+        Origin origin = originByRequest.get(request);
+        if (origin != null && origin.own()) {
+            unreported.add(request);
+        }
+    }
+
     /** Reports all streams of this node again, because reports were not delivered or have been lost. */
     public synchronized void reportAgain() {
         reportedByService.clear();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/Exchange.java
@@ -98,6 +98,12 @@
     /** Retry delay sent by a node that stops; the other nodes serve. */
     static final long RETRY_AT_OTHER_NODE_AFTER_MILLIS = 10;
 
+    /**
+     * Longest time for which a first event is held until the store has acknowledged the report on it; clients abandon a stream
+     * after 2 s without an event.
+     */
+    static final long MAX_REPORT_WAIT_MILLIS = 1_500;
+
     /** Limit on nodes to which a request is passed. */
     static final int MAX_NODES = 3;
 
@@ -348,6 +354,8 @@
             giveUp(RefusalReasons.OVERLOADED, RETRY_AFTER_MILLIS);
         } else if (!placement.isPossible(context.view().get())) {
             giveUp(RefusalReasons.VERSION_GONE);
+        } else if (!placement.isReportable(context.view().get(), triedIncarnations)) {
+            giveUp(RefusalReasons.STREAM_REPORT_NOT_REPLACED, RETRY_ELSEWHERE_AFTER_MILLIS);
         } else if (yieldsToQueue() || !tryStartAttempt() && !refuseInPause()) {
             enqueue();
         }
@@ -403,6 +411,11 @@
             giveUp(RefusalReasons.VERSION_GONE);
             return true;
         }
+        if (!ended && !placement.isReportable(context.view().get(), triedIncarnations)) {
+            queued = false;
+            giveUp(RefusalReasons.STREAM_REPORT_NOT_REPLACED, RETRY_ELSEWHERE_AFTER_MILLIS);
+            return true;
+        }
         if (ended || mayFit && tryStartAttempt()) {
             queued = false;
             return true;
@@ -655,7 +668,7 @@
     /** Called when the client's connection becomes writable or stops being writable. */
     void onWritabilityChanged() {
         // Other answers are buffered whole, whether the client reads or not.
-        if (attempt != null && attempt.streaming) {
+        if (attempt != null && attempt.streaming && !attempt.endHeld) {
             attempt.connection.pauseReading(client.isBackpressured());
         }
     }
@@ -697,6 +710,9 @@
         lastFailure = outcome + " at " + failed.target.address() + ": " + message;
         context.log().logRequest(failureLine(failed, outcome, message));
         failed.settle(outcome);
+        if (failed.sent && failed.target.upstream().isEmpty()) {
+            context.originReports().onPassedOn(request.id());
+        }
         attempt = hedged.onFailed(failed, attempt);
         if (mayHaveRun) {
             possibleRuns++;
@@ -748,7 +764,7 @@
     /** Ends one of two attempts that run. */
     private void dropOneOfTwo(RunningAttempt dropped) {
         Outcome outcome = dropped.isSilent() ? Outcome.SILENT : Outcome.ABANDONED;
-        dropped.connection.cancel();
+        dropped.cancelConnection();
         recordFailure(dropped, outcome, true, "another attempt has run beside it for long enough");
     }
 
@@ -897,6 +913,13 @@
         private boolean ownAnswer;
         private long progressMillis;
         private int rejectionBytes;
+        private final HeldAnswer heldAnswer = new HeldAnswer(this, new ReportGate());
+        private Future<?> reportTimer;
+        private Runnable stopListening = () -> {};
+        private long heldSinceMillis;
+        private boolean endsAtClose;
+        private boolean endedByClose;
+        private AnswerAnomaly.Framing endFraming = AnswerAnomaly.Framing.UNKNOWN;
 
         Attempt(AttemptTarget target) {
             super(target, context.held().sending(target, body), context.held().newBody());
@@ -946,7 +969,7 @@
             sentMillis = now();
             progressMillis = sentMillis;
             Optional<String> resumeAfter = splitter.lastEventId().or(request::lastEventId);
-            UpstreamListener listener = new GuardedListener(this, Exchange.this::guarded);
+            UpstreamListener listener = new GuardedListener(heldAnswer, Exchange.this::guarded);
             connection.send(request, target.encode(leftMillis, resumeAfter), requestBody, listener);
             checkTimer = schedule(this::checkSilence, SILENCE_CHECK_MILLIS);
             hedged.onSent(this);
@@ -957,7 +980,7 @@
 
         @Override
         boolean isSilent() {
-            return sent && !client.isBackpressured() && target.isSilent();
+            return sent && !client.isBackpressured() && !heldAnswer.isHolding() && target.isSilent();
         }
 
         private void checkSilence() {
@@ -980,7 +1003,7 @@
             int runs = possibleRuns + 1;
             if ((silent || isStalled()) && mayMove(runs)) {
                 // Close the connection first: this upstream must stop before another one starts.
-                connection.cancel();
+                cancelConnection();
                 move(
                         this,
                         silent ? Outcome.SILENT : Outcome.FAILED,
@@ -990,7 +1013,7 @@
                 return;
             }
             if (!promptRead && target.isTooOldToBegin() && mayMove(runs)) {
-                connection.cancel();
+                cancelConnection();
                 context.metrics().onTakenBack();
                 move(this, Outcome.ABANDONED, "did not begin before the bound of a newer weight version");
                 return;
@@ -1011,6 +1034,7 @@
             return promptRead
                     && target.upstream().isPresent()
                     && !client.isBackpressured()
+                    && !heldAnswer.isHolding()
                     && context.turns().lastReadMillis() - progressMillis >= STALL_LIMIT_MILLIS;
         }
 
@@ -1031,13 +1055,13 @@
                 return;
             }
             if (answer.isSuccess() && (!answer.hasSignature() || answer.contentEncoded())) {
-                connection.cancel();
+                cancelConnection();
                 onAttemptFailed(Outcome.FAILED, true, "success answer without the upstream's signature, or encoded");
                 return;
             }
             streaming = route.isStream() && answer.isSuccess();
             if (headSent && !answer.hasEvents()) {
-                connection.cancel();
+                cancelConnection();
                 onAttemptFailed(
                         Outcome.FAILED, true, "status " + answer.status() + " without events for a resumed stream");
             } else if (streaming) {
@@ -1052,7 +1076,7 @@
          */
         private boolean onForwardedHead(AnswerHead answer) {
             if (answer.forwarded().isEmpty()) {
-                connection.cancel();
+                cancelConnection();
                 onAttemptFailed(Outcome.FAILED, true, "answer of another node without a statement about its origin");
                 return false;
             }
@@ -1113,7 +1137,7 @@
             if (head.notExecuted() || ownAnswer) {
                 rejectionBytes += bytes.readableBytes();
                 if (rejectionBytes > MAX_REJECTION_BYTES) {
-                    connection.cancel();
+                    cancelConnection();
                     onUnservedEnd();
                 }
                 return;
@@ -1123,7 +1147,7 @@
             } else if (bufferedBody.readableBytes() + bytes.readableBytes() <= MAX_BUFFERED_BYTES) {
                 bufferedBody.append(bytes);
             } else {
-                connection.cancel();
+                cancelConnection();
                 onAttemptFailed(
                         Outcome.FAILED, true, "answer body longer than the buffer of " + MAX_BUFFERED_BYTES + " bytes");
             }
@@ -1149,34 +1173,128 @@
                 client.writeBody(Unpooled.wrappedBuffer(forwarded));
             }
             if (splitter.isMalformed()) {
-                connection.cancel();
+                cancelConnection();
                 onAttemptFailed(
                         Outcome.FAILED, true, "bytes that are no event, or an event that does not follow the last one");
                 return;
             }
             if (splitter.isEventTooLong()) {
-                connection.cancel();
+                cancelConnection();
                 onAttemptFailed(
                         Outcome.FAILED, true, "event longer than " + EventSplitter.MAX_INCOMPLETE_BYTES + " bytes");
                 return;
             }
-            if (client.isBackpressured()) {
+            if (client.isBackpressured() && !endHeld) {
                 connection.pauseReading(true);
             }
         }
 
+        private void hold() {
+            heldSinceMillis = now();
+            stopListening = context.originReports().listen(() -> schedule(this::releaseIfReported, 0));
+            reportTimer = schedule(this::onReportLate, MAX_REPORT_WAIT_MILLIS);
+            // The acknowledgement may have come before the listener was added.
+            schedule(this::releaseIfReported, 0);
+        }
+
+        private void releaseIfReported() {
+            if (settled || !heldAnswer.isHolding() || !binding.isReported(target)) {
+                return;
+            }
+            endHolding();
+            context.metrics().onFirstEventHeld(now() - heldSinceMillis);
+            heldAnswer.release();
+        }
+
+        private void onReportLate() {
+            if (settled || !heldAnswer.isHolding()) {
+                return;
+            }
+            context.metrics().onReportNotReplaced();
+            failHeld("the metadata store has not acknowledged the report of the software version");
+        }
+
+        private void failHeld(String message) {
+            cancelConnection();
+            placement.keepToReportedVersion();
+            onAttemptFailed(Outcome.ABANDONED, true, message);
+        }
+
+        private void endHolding() {
+            stopListening.run();
+            if (reportTimer != null) {
+                reportTimer.cancel(false);
+            }
+        }
+
+        @Override
+        void settle(Outcome outcome) {
+            endHolding();
+            super.settle(outcome);
+        }
+
+        /** Holds the first bytes of a stream until no report of another software version is the newest one. */
+        private final class ReportGate implements HeldAnswer.Gate {
+            @Override
+            public boolean holdsHead(AnswerHead answer) {
+                // The head names the version to the node that has passed the request on.
+                boolean showsVersion = forwarding.isPresent() && route.isStream() && answer.isSuccess();
+                return showsVersion && holds();
+            }
+
+            @Override
+            public boolean holdsBody() {
+                return streaming && holds();
+            }
+
+            private boolean holds() {
+                if (binding.mayBegin(target)) {
+                    return false;
+                }
+                hold();
+                return true;
+            }
+
+            @Override
+            public void onBodyHeld() {
+                answerBeganMillis = now();
+                promptRead = true;
+                target.onPromptRead();
+            }
+
+            @Override
+            public void onAnswerEnded(boolean isHeld) {
+                endsAtClose = connection.endsAtClose();
+                endedByClose = connection.endedByClose();
+                endFraming = connection.framing();
+                if (isHeld && !endedByClose) {
+                    onEndHeld();
+                }
+            }
+
+            @Override
+            public boolean isEnded() {
+                return settled;
+            }
+
+            @Override
+            public void onTooLong() {
+                failHeld("more than " + HeldAnswer.MAX_BYTES + " bytes before the report was acknowledged");
+            }
+        }
+
         @Override
         public void onEnd() {
             if (head.notExecuted() || ownAnswer) {
                 onUnservedEnd();
-            } else if (connection.endsAtClose() && now() >= deadlineMillis) {
+            } else if (endsAtClose && now() >= deadlineMillis) {
                 // The upstream stops at this time limit too, so that its close need not be the answer's end.
                 onDeadline();
             } else if (streaming && splitter.hasIncompleteEvent()) {
                 onAttemptFailed(Outcome.BROKEN, true, "stream ended in the middle of an event");
             } else if (!streaming && connection.isAnswerWithin(bufferedBody)) {
                 onAttemptFailed(Outcome.FAILED, true, "another answer within the body");
-            } else if (connection.endedByClose()) {
+            } else if (endedByClose) {
                 checkEnd();
             } else {
                 onWholeAnswer();
@@ -1230,7 +1348,7 @@
                 return;
             }
             context.metrics().onSkippedIds(splitter.skippedIds());
-            framing = Optional.of(connection.framing());
+            framing = Optional.of(endFraming);
             settle(Outcome.ANSWERED);
             suspects.reportSound();
             client.end();
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RefusalReasons.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RefusalReasons.java
@@ -58,6 +58,12 @@
     /** The software version at which the stream began is not known. */
     static final String STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown";
 
+    /**
+     * The request was reported at a software version at which no upstream is left to try, and the metadata store does not take
+     * another report.
+     */
+    static final String STREAM_REPORT_NOT_REPLACED = "stream_report_not_replaced";
+
     /** The request's time limit has passed. */
     static final String TIMEOUT = "timeout";
 
@@ -79,7 +85,8 @@
             NODE_STOPPING,
             OVERLOADED,
             SOFTWARE_VERSIONS_UNCONFIRMED,
-            STREAM_ORIGIN_UNKNOWN);
+            STREAM_ORIGIN_UNKNOWN,
+            STREAM_REPORT_NOT_REPLACED);
 
     private RefusalReasons() {}
 
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayMetrics.java
@@ -44,6 +44,9 @@
     private final Counter homeLacksPart;
     private final Counter partsFreed;
     private final Counter freesFailed;
+    private final Counter firstEventsHeld;
+    private final Counter reportsNotReplaced;
+    private final Timer firstEventHeld;
     private final Timer firstByte;
     private final Timer duration;
 
@@ -82,6 +85,9 @@
         this.homeLacksPart = registry.counter("cache.homeLacksPart");
         this.partsFreed = registry.counter("cache.partsFreed");
         this.freesFailed = registry.counter("cache.freesFailed");
+        this.firstEventsHeld = registry.counter("relay.firstEventsHeld");
+        this.reportsNotReplaced = registry.counter("relay.reportsNotReplaced");
+        this.firstEventHeld = registry.timer("relay.firstEventHeldMillis");
         this.firstByte = registry.timer("relay.firstByteMillis");
         this.duration = registry.timer("relay.wholeMillis");
     }
@@ -224,6 +230,17 @@
         freesFailed.inc();
     }
 
+    /** Counts a first event that was held until the store had acknowledged the report on its version. */
+    void onFirstEventHeld(long millis) {
+        firstEventsHeld.inc();
+        firstEventHeld.update(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts an attempt that failed because the store did not acknowledge the report on its version in time. */
+    void onReportNotReplaced() {
+        reportsNotReplaced.inc();
+    }
+
     void onFirstByte(long millis) {
         firstByte.update(millis, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RelayNode.java
@@ -22,6 +22,7 @@
 import org.cowslipbank.decision.relay.LeaderLease;
 import org.cowslipbank.decision.relay.LookupNodes;
 import org.cowslipbank.decision.relay.PartLocations;
+import org.cowslipbank.decision.relay.ReportedVersions;
 import org.cowslipbank.decision.relay.StopPolicy;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
@@ -166,7 +167,7 @@
         this.lease = new NodeLease(controlContext, state, settings.minLeaseMillis());
         this.rollouts = new RolloutController(controlContext, lease, platform.engines(), notices, settings.bounds());
         CrashReports crashReports = new CrashReports(controlContext, reachability, state::onSoundAnswers);
-        this.originReports = new StreamOriginReports(controlContext, origins);
+        this.originReports = new StreamOriginReports(controlContext, origins, new ReportedVersions());
         this.softwareRecorder = new SoftwareVersionRecorder(
                 controlContext, state, origins.versions(), lease::isLeader, watcher::confirmation);
         LoopTurnTracker turns = new LoopTurnTracker(loop, clocks, loads::excuseSilence);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -40,6 +40,7 @@
 
     private Optional<String> softwareVersion = Optional.empty();
     private boolean probing;
+    private boolean reportFailed;
     private CachePlanner planner;
 
     /**
@@ -497,6 +498,9 @@
         if (!mayBeginAt(server)) {
             return Eligibility.SOFTWARE_VERSION_NOT_RECORDED;
         }
+        if (isReportedElsewhere(server)) {
+            return Eligibility.OTHER_VERSION_REPORTED;
+        }
         if (!context.held().bytes().fitsAt(server.address(), target.bodyBytes())) {
             return Eligibility.UNREAD_BODIES;
         }
@@ -538,6 +542,38 @@
                 || context.origins().versions().mayBegin(target.service(), server.softwareVersion());
     }
 
+    /** Returns whether a client could get the first event of an upstream only after a report that the store does not take. */
+    private boolean isReportedElsewhere(UpstreamServer server) {
+        return awaitsNoReport() && !context.originReports().allows(request.id(), server.softwareVersion());
+    }
+
+    private boolean awaitsNoReport() {
+        return target.resumable()
+                && softwareVersion.isEmpty()
+                && (reportFailed || !context.canConfirm().getAsBoolean());
+    }
+
+    /** Lets the request be sent only to upstreams whose first event needs no report, because the store has not taken one. */
+    void keepToReportedVersion() {
+        reportFailed = true;
+    }
+
+    /**
+     * Returns whether an upstream is left whose first event the client may get.
+     *
+     * @param view the platform
+     * @param tried incarnations to which the request has been sent
+     * @return false if the store, which does not answer, may hold a report of the request that nobody would replace
+     */
+    boolean isReportable(PlatformView view, Set<String> tried) {
+        if (!awaitsNoReport()) {
+            return true;
+        }
+        List<UpstreamServer> active = view.activeServers(target.service());
+        return active.stream().anyMatch(server -> !tried.contains(server.incarnation()) && !isReportedElsewhere(server))
+                || active.stream().noneMatch(this::isReportedElsewhere);
+    }
+
     /**
      * Returns whether an engine's silence is shared by most engines, so that it is no reason to move the request. Requests
      * of plain servers are short, and a second run costs less than the wait.
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RunningAttempt.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RunningAttempt.java
@@ -27,6 +27,8 @@
     long answerBeganMillis = -1;
     Future<?> checkTimer;
     Optional<AnswerEndChecks.Pending> endCheck = Optional.empty();
+    /** True if the whole answer is held back; its connection may carry other answers by now. */
+    boolean endHeld;
     /** True if the upstream that was leaving has closed the answer's connection and is gone. */
     boolean upstreamExited;
 
@@ -63,11 +65,18 @@
             return;
         }
         if (connection != null) {
-            connection.cancel();
+            cancelConnection();
         }
         settle(outcome);
     }
 
+    /** Closes the connection, so that the upstream stops, unless the upstream has ended the answer. */
+    void cancelConnection() {
+        if (!endHeld) {
+            connection.cancel();
+        }
+    }
+
     /**
      * Ends the attempt. Has no effect on one that has ended.
      *
@@ -84,7 +93,15 @@
         endCheck.ifPresent(AnswerEndChecks.Pending::cancel);
         bufferedBody.release();
         requestBody.onAttemptEnded();
-        target.onEnded(outcome);
+        if (!endHeld) {
+            target.onEnded(outcome);
+        }
+    }
+
+    /** Records that the upstream has ended the answer, which is held back. */
+    void onEndHeld() {
+        endHeld = true;
+        target.onEnded(Outcome.ANSWERED);
     }
 
     /**
--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -134,6 +134,37 @@
                 .ifPresent(placement::requireSoftwareVersion);
     }
 
+    /**
+     * Returns whether the client may get the answer of an upstream, and reports its version if it may not.
+     *
+     * @param target the upstream, or the node that has passed its answer on
+     * @return false until the store has acknowledged a report of this version, because it may hold one of another version
+     */
+    boolean mayBegin(AttemptTarget target) {
+        if (!route.resumable() || placement.requiredSoftwareVersion().isPresent()) {
+            return true;
+        }
+        return target.softwareVersion()
+                .map(version -> context.originReports().mayBegin(service(), request.id(), version, serverId(target)))
+                .orElse(true);
+    }
+
+    /**
+     * Returns whether a report of the version of an upstream that answers is the newest one.
+     *
+     * @param target the upstream, or the node that has passed its answer on
+     * @return false while the store may hold one of another version
+     */
+    boolean isReported(AttemptTarget target) {
+        return target.softwareVersion()
+                .map(version -> context.originReports().allows(request.id(), version))
+                .orElse(true);
+    }
+
+    private static String serverId(AttemptTarget target) {
+        return target.upstream().map(UpstreamServer::id).orElse("");
+    }
+
     /**
      * Binds the stream to the version of the upstream that answers. To be called before the client gets anything of its answer;
      * has no effect on a stream that is bound.
@@ -146,8 +177,7 @@
         }
         target.softwareVersion().ifPresent(version -> {
             placement.requireSoftwareVersion(version);
-            String serverId = target.upstream().map(UpstreamServer::id).orElse("");
-            context.origins().onBegun(service(), request.id(), version, serverId, now());
+            context.origins().onBegun(service(), request.id(), version, serverId(target), now());
             log("stream begun", target);
         });
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FakeMetadataStore.java
@@ -38,6 +38,7 @@
     private volatile boolean silent;
     private volatile boolean watchesHeld;
     private volatile boolean readOnly;
+    private volatile Duration writeDelay = Duration.ZERO;
 
     /** Returns a store that holds what this one holds now, and which calls that are in progress here do not reach. */
     synchronized FakeMetadataStore copy() {
@@ -88,6 +89,11 @@
         readOnly = isReadOnly;
     }
 
+    /** Carries writes out after a while. */
+    void delayWrites(long millis) {
+        writeDelay = Duration.ofMillis(millis);
+    }
+
     /** Makes the next watch report that the changes since its revision are no longer known. */
     void loseHistory() {
         historyLost = true;
@@ -115,6 +121,11 @@
     }
 
     private <T> Mono<T> writeCall(java.util.function.Supplier<T> answer) {
+        Duration delay = writeDelay;
+        return delay.isZero() ? writeNow(answer) : writeNow(answer).delaySubscription(delay);
+    }
+
+    private <T> Mono<T> writeNow(java.util.function.Supplier<T> answer) {
         return Mono.defer(() -> readOnly
                 ? Mono.error(new PeerException(
                         ProcessingStep.KEY_VALUE, "store", RunState.NOT_RUN, "store is set read-only by the test"))
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RelaySystem.java
@@ -462,6 +462,11 @@
         return metrics.counter(name).getCount();
     }
 
+    /** Returns the longest time that one of the node's timers has recorded, in milliseconds. */
+    long maxMillis(String name) {
+        return TimeUnit.NANOSECONDS.toMillis(metrics.timer(name).getSnapshot().getMax());
+    }
+
     /** Returns the value of one of the node's gauges. */
     int gauge(String name) {
         return (Integer) metrics.getGauges().get(name).getValue();
--- a/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/RequestPlacementTest.java
@@ -19,6 +19,7 @@
 import org.cowslipbank.decision.relay.Eligibility;
 import org.cowslipbank.decision.relay.FleetLoads;
 import org.cowslipbank.decision.relay.PartLocations;
+import org.cowslipbank.decision.relay.ReportedVersions;
 import org.cowslipbank.decision.relay.SoftwareVersions;
 import org.cowslipbank.decision.relay.StreamOrigins;
 import org.cowslipbank.decision.relay.UpstreamLoads;
@@ -60,6 +61,8 @@
 
     private final AtomicLong nowMillis = new AtomicLong(1_000_000);
     private long millisPerReading;
+    private boolean storeAnswers = true;
+    private final ReportedVersions reported = new ReportedVersions();
     private final Clocks clocks = new Clocks(() -> nowMillis.getAndAdd(millisPerReading), nowMillis::get);
     private final DecisionLog log = new DecisionLog(nowMillis::get, DecisionLog.LINES_PER_SECOND);
     private final NodeItems items = PlatformStates.ITEMS;
@@ -142,7 +145,7 @@
                 this::readConfirmation,
                 null,
                 null,
-                null,
+                () -> storeAnswers,
                 null,
                 clocks,
                 null,
@@ -165,7 +168,8 @@
                 null,
                 null,
                 origins,
-                null,
+                new StreamOriginReports(
+                        new ControlContext(null, null, items, state::view, clocks, null, log), origins, reported),
                 null,
                 held,
                 metrics,
@@ -452,6 +456,13 @@
             }
             case OTHER_SOFTWARE_VERSION, SOFTWARE_VERSION_NOT_RECORDED -> put(
                     "servers/i-1", item.replace("\"v1\"", "\"v0\""));
+            case OTHER_VERSION_REPORTED -> {
+                storeAnswers = false;
+                put("servers/i-1", item.replace("\"v1\"", "\"v0\""));
+                origins.versions().onRecorded(new SoftwareVersions.Version("llm", "v0"), 1, nowMillis.get());
+                StreamOrigins.Report report = new StreamOrigins.Report("llm", "v1", List.of("r1"));
+                reported.take(() -> List.of(report), nowMillis.get());
+            }
             case OLD_WEIGHTS -> {
                 put("op/version/m", "{\"Model\":\"m\",\"Version\":2}");
                 register("i-2", 2);
@@ -505,7 +516,8 @@
         nowMillis.addAndGet(60_000);
         origins.versions().onRecorded(new SoftwareVersions.Version("llm", "v1"), 1, nowMillis.get());
         exclude(state.view().servers().get("i-1"), reason);
-        boolean resumable = reason == Eligibility.SOFTWARE_VERSION_NOT_RECORDED;
+        boolean resumable =
+                reason == Eligibility.SOFTWARE_VERSION_NOT_RECORDED || reason == Eligibility.OTHER_VERSION_REPORTED;
         RequestPlacement.Target target = new RequestPlacement.Target(
                 "llm",
                 Optional.of(new EngineTraits(1, 100_000, 1, 1, false, List.of())),
--- a/entry/src/test/java/org/cowslipbank/entry/relay/UnreplacedStreamReportTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/UnreplacedStreamReportTest.java
@@ -24,6 +24,11 @@
     /** Time from the first event of the second engine to its reset. */
     private static final long SECOND_RESET_MILLIS = 400;
 
+    /** Longest time for which the platform's rules allow an event to be on its way. */
+    private static final long MAX_HELD_MILLIS = 120;
+
+    private static final long WRITE_MILLIS = 30;
+
     private final AtomicReference<String> firstVersion = new AtomicReference<>();
     private RelaySystem system;
     private RelaySystem other;
@@ -96,4 +101,30 @@
         boolean wentOnAtFirst = takenUp.contains("goes on at " + firstVersion.get());
         assert !(began && wentOnAtFirst) : begun + "\n" + takenUp;
     }
+
+    /** Failure guarded against: the wait for the report costs clients their first event, or their stream. */
+    @Example
+    void streamThatMovedGoesOnWhereItBegan() throws Exception {
+        system.store.delayWrites(WRITE_MILLIS);
+        String begun = system.send("/stream/", "r0", "", "prompt");
+        String second = firstVersion.get().equals("v1") ? "v2" : "v1";
+        assert begun.contains("began at " + second) : begun;
+        assert system.metric("relay.firstEventsHeld") == 1 : system.metric("relay.firstEventsHeld");
+        assert system.maxMillis("relay.firstEventHeldMillis") <= MAX_HELD_MILLIS
+                : system.maxMillis("relay.firstEventHeldMillis");
+        system.closeNode();
+        String takenUp = takeUpElsewhere();
+        assert takenUp.contains("goes on at " + second) && takenUp.endsWith("0\r\n\r\n") : takenUp;
+    }
+
+    /** Failure guarded against: streams wait for the store although they were sent to one version only. */
+    @Example
+    void nothingIsHeldWithoutAMove() {
+        firstVersion.set("none is to be left");
+        for (int number = 0; number < 6; number++) {
+            String begun = system.send("/stream/", "s" + number, "", "prompt");
+            assert begun.contains("id: 1") : begun;
+        }
+        assert system.metric("relay.firstEventsHeld") == 0 : system.metric("relay.firstEventsHeld");
+    }
 }
