Keep a registration that came back within a reading

A node that read the store's items in two pages lacked an upstream until its next heartbeat: the second page had the new registration already, and the next watch began before the end of the last one. The watch's removal was applied, and the registration after it was taken for a late write, as it had the number of the newest heartbeat seen. The node counted it as known, so that no later call brought it. The software version stayed known for 30 s, by when it was last seen, so no stream was joined by this alone.

A registration whose item has the revision of the newest one seen is the same item, not a late write.

FleetHistoryTest draws histories of three nodes which are hubs, members and readers of the store, and compares what each knows with the store's items at its revision.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/PlatformState.java
@@ -486,7 +486,7 @@
         PlatformRecord decoded = decoder.decode(item);
         if (decoded instanceof PlatformRecord.Registered registered) {
             UpstreamServer server = registered.server();
-            if (!registrations.isNew(registered, servers.containsKey(server.id()))) {
+            if (!registrations.isNew(registered, item.revision(), servers.containsKey(server.id()))) {
                 return false;
             }
             registrations.onAccepted(server, item, revision == 0);
--- a/entry/src/main/java/org/cowslipbank/entry/relay/RegistrationHistory.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RegistrationHistory.java
@@ -22,8 +22,8 @@
     /** By incarnation, since when it has been registered at its software version. */
     private final Map<String, Since> sinceByIncarnation = BoundedMap.byAddition(MAX_UPSTREAMS);
 
-    /** Number of the newest heartbeat seen of an incarnation. */
-    private record Seen(long startedAtMillis, long sequence) {}
+    /** Number of the newest heartbeat seen of an incarnation, and its revision in the store. */
+    private record Seen(long startedAtMillis, long sequence, long revision) {}
 
     /** Revision since which a software version has been registered under a key that was created at a revision. */
     private record Since(String softwareVersion, long createRevision, long revision) {}
@@ -32,11 +32,12 @@
      * Records a registration.
      *
      * @param registered the registration
+     * @param revision revision of its item; a reading of several pages may have brought the same one before
      * @param isKnown true if the upstream is registered at present, as far as this node knows
      * @return false if it is older than another one of the same incarnation, or the last one of an incarnation whose
      *     registration has been removed since
      */
-    boolean isNew(PlatformRecord.Registered registered, boolean isKnown) {
+    boolean isNew(PlatformRecord.Registered registered, long revision, boolean isKnown) {
         OptionalLong sequence = registered.sequence();
         if (sequence.isEmpty()) {
             return true;
@@ -45,11 +46,14 @@
         Seen seen = newestById.get(id);
         boolean sameIncarnation =
                 seen != null && seen.startedAtMillis() == registered.server().startedAtMillis();
-        if (sameIncarnation
-                && (sequence.getAsLong() < seen.sequence() || !isKnown && sequence.getAsLong() == seen.sequence())) {
+        if (sameIncarnation && sequence.getAsLong() < seen.sequence()) {
             return false;
         }
-        newestById.put(id, new Seen(registered.server().startedAtMillis(), sequence.getAsLong()));
+        boolean sameItem = sameIncarnation && revision == seen.revision();
+        if (sameIncarnation && !isKnown && sequence.getAsLong() == seen.sequence() && !sameItem) {
+            return false;
+        }
+        newestById.put(id, new Seen(registered.server().startedAtMillis(), sequence.getAsLong(), revision));
         return true;
     }
 
