--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -470,7 +470,7 @@
             String service, String request, String softwareVersion, String serverId, long nowMillis) {
         addOwn(service, request, new Own(softwareVersion, serverId, false), nowMillis);
         Origin origin = originByRequest.get(request);
-        if (origin != null && origin.own()) {
+        if (origin != null && origin.own().isPresent()) {
             unreported.add(request);
         }
     }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/FleetHistoryTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/FleetHistoryTest.java
@@ -123,7 +123,7 @@
         /** A node that is a hub and may be a member. */
         private final class Node implements PlatformWatcher.Listener {
             private final SharedStore.Client calls = store.new Client();
-            private final StreamOrigins origins = new StreamOrigins();
+            private final StreamOrigins origins = new StreamOrigins("n1");
             private final HubFeed feed = new HubFeed(loop, clocks, log);
             private final PlatformWatcher watcher = new PlatformWatcher(
                     calls, decoder, PlatformStates.create(decoder, origins, log), clocks, control, log, this);
