Report a request only once it is sent

A request was reported at a software version as soon as its upstream was chosen. If the connection was refused, as after a crash, the report of a send that never was contradicted that of the upstream which served it, and the stream could not be taken up. The report is now made with the send.

ForwardedStreamVersionTest.requestThatReachedNoEngineIsNotReported failed before and holds now.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/UpstreamTarget.java
@@ -76,9 +76,6 @@
             locations.onPlaced(server);
             context.metrics().onPromptPlaced(choice, locations.sharedTokens());
         });
-        if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
-            context.originReports().onSent(placement.service(), request.id(), server);
-        }
     }
 
     @Override
@@ -103,6 +100,9 @@
     @Override
     public Iterable<Header> encode(long leftMillis, Optional<String> resumeAfter) {
         expectedVersion = placement.versionOf(server);
+        if (route.resumable() && placement.requiredSoftwareVersion().isEmpty()) {
+            context.originReports().onSent(placement.service(), request.id(), server);
+        }
         return context.codec().encodeRequest(request, placement.planSend(server, leftMillis, resumeAfter));
     }
 
