Hold no answer for a report that no node makes

A request with an identifier of more than 64 characters is reported by no node, but once it had been passed to another node its answer was held for a report: each try ended after 1.5 s. Such requests need none. Found by a review; ReportedVersionsTest.requestWithALongIdentifierNeedsNoReport failed before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/ReportedVersions.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/ReportedVersions.java
@@ -56,6 +56,10 @@
      * @param nowMillis the time in milliseconds
      */
     public synchronized void onPassedOn(String request, long nowMillis) {
+        if (request.length() > StreamOrigins.MAX_ID_LENGTH) {
+            // No node reports it, and it cannot be taken up at several versions.
+            return;
+        }
         add(request, new Reported(OTHER_NODES, true, nowMillis));
     }
 
--- a/decision/src/test/java/org/cowslipbank/decision/relay/ReportedVersionsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/ReportedVersionsTest.java
@@ -67,4 +67,12 @@
         }
         assert reported.allows("s", "v2") && !reported.allows("t0", "v2");
     }
+
+    /** Failure guarded against: an answer waits for a report that no node makes. */
+    @Example
+    void requestWithALongIdentifierNeedsNoReport() {
+        String request = "r".repeat(StreamOrigins.MAX_ID_LENGTH + 1);
+        reported.onPassedOn(request, 0);
+        assert reported.allows(request, "v1");
+    }
 }
