Doubt a taken-up stream whose engine had started again

A take-up at the node that carried the stream forgot which engine had begun it. If the node read only afterwards that this engine had started again with another version, the stream went on at the version of the earlier registration. The engine is kept now. Found by a review; StreamOriginsTest.restartIsNoticedAfterATakeUp failed before.

--- a/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
+++ b/decision/src/main/java/org/cowslipbank/decision/relay/StreamOrigins.java
@@ -207,7 +207,10 @@
         }
         versions.onUsed(new Version(service, softwareVersion), nowMillis);
         boolean begun = known != null && known.isBegun();
-        putOwn(service, request, new Own(softwareVersion, "", begun), nowMillis);
+        Optional<Own> before = known == null ? Optional.empty() : known.own();
+        // Kept, so that a restart of the engine which is noticed later still makes the version doubtful.
+        String serverId = before.map(Own::serverId).orElse("");
+        putOwn(service, request, new Own(softwareVersion, serverId, begun), nowMillis);
         tell(service, request, nowMillis);
     }
 
--- a/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
+++ b/decision/src/test/java/org/cowslipbank/decision/relay/StreamOriginsTest.java
@@ -270,4 +270,14 @@
         assert origins.takeUnreported(6_000)
                 .contains(new Report(SERVICE, StreamOrigins.UNKNOWN_VERSION, List.of("late")));
     }
+
+    /** The stream was taken up here before the new registration of the engine that began it was read. */
+    @Example
+    void restartIsNoticedAfterATakeUp() {
+        origins.onRegistered(SERVICE, registered("v1", "v2"), 0);
+        origins.onBegun(SERVICE, "r1", "v1", "i-1", 10);
+        origins.onTakenUp(SERVICE, "r1", "v1", 20);
+        origins.onStarted("i-1", "v2", 30);
+        assert find("r1", 40).equals(Optional.of(StreamOrigins.UNKNOWN_VERSION)) : find("r1", 40);
+    }
 }
