Keep the stated version of a stream without an event id

A node that passes a request on states the version of which its client has bytes. The node that got it ignored the statement unless the request named a last event, so a stream of which only a comment had come went on at any version. Found by a review; ForwardedStreamVersionTest .versionIsKeptForAStreamWithoutAnEventIdentifier failed before.

--- a/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/StreamBinding.java
@@ -65,7 +65,12 @@
      * @return what must be known first, or empty if the stream is bound or the request begins a new one
      */
     Optional<Missing> takeUp(long stateReading) {
-        if (!request.takesUpStream() || !route.isStream() || !route.resumable()) {
+        if (!route.isStream() || !route.resumable()) {
+            return Optional.empty();
+        }
+        if (!request.takesUpStream()) {
+            // The client may have bytes of a stream, but no event with an identifier.
+            forwarding.flatMap(Forwarding::softwareVersion).ifPresent(placement::requireSoftwareVersion);
             return Optional.empty();
         }
         // Read first, so that the reports and versions below include all that it stands for.
--- a/entry/src/test/java/org/cowslipbank/entry/relay/ForwardedStreamVersionTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/ForwardedStreamVersionTest.java
@@ -179,4 +179,18 @@
                         .noneMatch(item -> NodeItems.decodeText(item.value()).contains("r1"))
                 : "a node has reported a request that it sent to no engine";
     }
+
+    /** The client of the node that passes the request on has a comment of the stream, but no event with an identifier. */
+    @Example
+    void versionIsKeptForAStreamWithoutAnEventIdentifier() throws Exception {
+        ScriptedUpstream first = system.engine("i-1", "v1", ForwardedStreamVersionTest::goOn);
+        ScriptedUpstream second = system.engine("i-2", "v2", ForwardedStreamVersionTest::goOn);
+        system.start();
+        for (int number = 0; number < STREAMS; number++) {
+            String headers = "Relay-Forwarding: 1;1;+v2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+            RelaySystem.exchange(
+                    system.settings().listeners().forwarding(), system.request("/stream/", "r" + number, headers));
+        }
+        assert first.received.isEmpty() && second.received.size() == STREAMS : first.received;
+    }
 }
