--- a/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
+++ b/entry/src/main/java/org/cowslipbank/entry/relay/RequestPlacement.java
@@ -553,7 +553,10 @@
                 && (reportFailed || !context.canConfirm().getAsBoolean());
     }
 
-    /** Lets the request be sent only to upstreams whose first event needs no report, because the store has not taken one. */
+    /**
+     * Lets the request be sent only to upstreams whose first event needs no report, because the store has not taken one. None is
+     * left once a report of a second version may have been stored.
+     */
     void keepToReportedVersion() {
         reportFailed = true;
     }
