--- a/entry/src/test/java/org/cowslipbank/entry/relay/ForwardedStreamVersionTest.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/ForwardedStreamVersionTest.java
@@ -144,7 +144,7 @@
         assert takenUpAt(first).isEmpty() : answer;
     }
 
-    /** The node stood still, or the store did not take its report, until after the stream had begun at the third node. */
+    /** The node was suspended, or the store did not take its report, until after the stream had begun at the third node. */
     @Example
     void lateReportOfANodeThatOnlySentIsNoOrigin() throws Exception {
         ScriptedUpstream first = startWithFirstVersion(ForwardedStreamVersionTest::goOnOnly);
--- a/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
+++ b/soak/src/main/java/org/cowslipbank/soak/SoakFaults.java
@@ -354,7 +354,7 @@
         };
     }
 
-    /** A node stands still, or its way to the metadata store is disturbed. */
+    /** A node is suspended, or its way to the metadata store is disturbed. */
     private Fault out(int index) {
         NodeProcess node = nodes.node(index);
         return random.nextInt(3) == 0
