Share the unanswered calls of two fake metadata stores

PausedMetadataStore and the clients of SharedStore repeated the same six calls that they never answer. ReadOnlyMetadataStore has them once; no test changes.

--- a/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/PausedMetadataStore.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 
@@ -10,12 +9,11 @@
 import org.cowslipbank.model.ProcessingStep;
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.relay.StoreItem;
-import org.cowslipbank.ports.relay.MetadataStore;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
 /** A metadata store that answers reads when the test says so, with its state at that time. For one thread. */
-final class PausedMetadataStore implements MetadataStore {
+final class PausedMetadataStore extends ReadOnlyMetadataStore {
     private final List<StoreItem> history = new ArrayList<>();
     private final List<Call> calls = new ArrayList<>();
     private long oldestRevision;
@@ -81,34 +79,4 @@
         return call((store, sink) ->
                 sink.success(afterRevision < oldestRevision ? Optional.empty() : Optional.of(changes(afterRevision))));
     }
-
-    @Override
-    public Mono<Optional<Long>> writeIf(Write write, Map<String, Long> expectedRevisions) {
-        return Mono.never();
-    }
-
-    @Override
-    public Mono<Optional<Long>> write(Write write) {
-        return Mono.never();
-    }
-
-    @Override
-    public Mono<Boolean> removeIf(String key, long expectedRevision) {
-        return Mono.never();
-    }
-
-    @Override
-    public Mono<Lease> grantLease(long ttlMillis) {
-        return Mono.never();
-    }
-
-    @Override
-    public Mono<Optional<Long>> renewLease(long lease) {
-        return Mono.never();
-    }
-
-    @Override
-    public Mono<Void> endLease(long lease) {
-        return Mono.never();
-    }
 }
--- a/entry/src/test/java/org/cowslipbank/entry/relay/SharedStore.java
+++ b/entry/src/test/java/org/cowslipbank/entry/relay/SharedStore.java
@@ -13,7 +13,6 @@
 import org.cowslipbank.model.ProcessingStep;
 import org.cowslipbank.model.RunState;
 import org.cowslipbank.model.relay.StoreItem;
-import org.cowslipbank.ports.relay.MetadataStore;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -103,7 +102,7 @@
     }
 
     /** What one process has asked of the store. */
-    final class Client implements MetadataStore {
+    final class Client extends ReadOnlyMetadataStore {
         private final List<Call> calls = new ArrayList<>();
         /** Latest state that a complete reading of this process may have seen a part of. */
         private long readAheadRevision;
@@ -236,35 +235,5 @@
         public Mono<Optional<Changes>> watch(String prefix, long afterRevision, long waitMillis, long maxBytes) {
             return Mono.create(sink -> calls.add(new Watch(sink, afterRevision)));
         }
-
-        @Override
-        public Mono<Optional<Long>> writeIf(Write write, Map<String, Long> expectedRevisions) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Optional<Long>> write(Write write) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Boolean> removeIf(String key, long expectedRevision) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Lease> grantLease(long ttlMillis) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Optional<Long>> renewLease(long lease) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Void> endLease(long lease) {
-            return Mono.never();
-        }
     }
 }
